--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Development tools beside the product: stand-ins, callers and a fleet starter on loopback."""
--- /dev/null
+++ b/bench/callers.py
@@ -0,0 +1,260 @@
+"""Stand-in callers. They write down what they saw, event by event; the history checker reads that.
+
+They use nothing of the product: only its published HTTP interface.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import json
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from functools import partial
+from typing import Any
+
+import aiohttp
+
+from bench.words import plain, words
+
+Event = dict[str, Any]
+
+
+@dataclass(frozen=True)
+class Load:
+    """What one deployment's callers do. Rates are calls a second; lots are (rate, items)."""
+
+    live: dict[str, float]
+    plain: dict[str, float]
+    lots: dict[str, tuple[float, int]]
+    within: float = 30.0
+    pieces: dict[str, int] = field(default_factory=dict)
+    once: float = 0.1
+    shared: int = 400
+    ends: float = 0.0  # part of the lots that are ended soon after they were kept
+
+
+@dataclass(eq=False)
+class Callers:
+    """Invariant: every call made leaves exactly one event of its end."""
+
+    edges: list[str]
+    session: aiohttp.ClientSession
+    chance: random.Random
+    clock: Callable[[], float]
+    log: Callable[[Event], None]
+    load: Load
+    count: int = 0
+    tasks: set[asyncio.Task[None]] = field(default_factory=set)
+    kept: list[str] = field(default_factory=list)
+    ended: set[str] = field(default_factory=set)
+    whole: set[str] = field(default_factory=set)
+    sizes: dict[str, int] = field(default_factory=dict)
+    stopped: bool = False
+
+    def tell(self, ev: str, **more: Any) -> None:
+        self.log({"t": self.clock(), "ev": ev, **more})
+
+    def tag(self, kind: str) -> str:
+        self.count += 1
+        return f"{kind}:{self.count}"
+
+    def spawn(self, coro: Any) -> None:
+        task = asyncio.create_task(coro)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def run(self, seconds: float) -> None:
+        """Makes calls at the load's rates, whatever becomes of them, then waits for those under way."""
+        start = self.clock()
+        jobs: list[tuple[float, Callable[[], Any]]] = [
+            *((rate, partial(self.live, k)) for k, rate in self.load.live.items()),
+            *((rate, partial(self.view, k)) for k, rate in self.load.plain.items()),
+            *((rate, partial(self.lot, k, n)) for k, (rate, n) in self.load.lots.items()),
+        ]
+
+        async def beat(rate: float, make: Callable[[], Any]) -> None:
+            while rate > 0:
+                await asyncio.sleep(self.chance.expovariate(rate))
+                if self.clock() - start >= seconds or self.stopped:
+                    return
+                self.spawn(make())
+
+        await asyncio.gather(*(beat(rate, make) for rate, make in jobs))
+        await self.settle()
+
+    async def settle(self) -> None:
+        while self.tasks:
+            await asyncio.wait(set(self.tasks))
+
+    def edge(self) -> str:
+        return self.edges[self.chance.randrange(len(self.edges))]
+
+    # --- live
+    async def live(self, kind: str, once: bool | None = None, key: bool = False, tag: str = "", tries: int = 1) -> None:
+        tag = tag or self.tag(kind)
+        once = self.chance.random() < self.load.once if once is None else once
+        group = self.chance.randrange(6)
+        size = self.load.pieces.get(kind, 6)
+        shared = [f"{kind} handbook {group} " + "x" * self.load.shared]
+        own = f"{tag} what now? #n={size + self.chance.randrange(4)}"
+        body: dict[str, Any] = {"class": kind, "shared": shared, "own": own}
+        if once:
+            body["once"] = True
+        if key:
+            body["key"] = tag.replace(":", "-")
+        began, first = self.clock(), None
+        got: list[str] = []
+        end, ran, status, why, wait = "broken", "", 0, "", ""
+        try:
+            async with self.session.post(
+                f"{self.edge()}/v1/calls",
+                json=body,
+                headers={"x-caller": f"c{group}"},
+                timeout=aiohttp.ClientTimeout(total=60),
+            ) as answer:
+                status = answer.status
+                if status != 200:
+                    raw = json.loads(await answer.read())
+                    ran, why, wait = (
+                        raw["error"].get("ran", ""),
+                        raw["error"]["why"],
+                        answer.headers.get("retry-after", ""),
+                    )
+                    end = "shed" if status in (429, 503) else "error"
+                else:
+                    event, data = "", ""
+                    while line := (await answer.content.readline()).decode():
+                        if line.startswith("event: "):
+                            event = line[7:].strip()
+                        elif line.startswith("data: "):
+                            data = line[6:]
+                        elif line == "\n" and event:
+                            word = json.loads(data)
+                            if event == "piece":
+                                if word["n"] != len(got):
+                                    self.tell("gap", tag=tag, want=len(got), got=word["n"])
+                                first = first or self.clock()
+                                got.append(word["text"])
+                            elif event == "done":
+                                end = "done"
+                                sum_ = hashlib.sha256("".join(got).encode()).hexdigest()[:16]
+                                if word["count"] != len(got) or word["sum"] != sum_:
+                                    self.tell("gap", tag=tag, want=word["count"], got=len(got))
+                            elif event == "error":
+                                end, why = "error", word["why"]
+                            event = ""
+                        if end != "broken" and line == "\n":
+                            break
+        except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as bad:
+            why = why or repr(bad)[:100]
+        self.tell("call", tag=tag, kind=kind, once=once, key=key, began=began, first=first, end=end, ran=ran, status=status, why=why,
+                  retry=wait, got=got, want=words("\n".join([*shared, own])))  # fmt: skip
+
+    async def view(self, kind: str) -> None:
+        path = f"/{kind}/{self.chance.randrange(400)}"
+        began, end, good, why = self.clock(), "broken", False, ""
+        try:
+            async with self.session.get(f"{self.edge()}{path}", timeout=aiohttp.ClientTimeout(total=30)) as answer:
+                data = await answer.read()
+                end = "done" if answer.status == 200 else "shed" if answer.status in (429, 503) else "error"
+                good = data == plain(path)
+                why = "" if end == "done" else data.decode()[:200]
+        except (TimeoutError, aiohttp.ClientError, OSError) as bad:
+            why = repr(bad)[:100]
+        self.tell("view", kind=kind, path=path, began=began, end=end, good=good, why=why)
+
+    # --- lots
+    async def lot(self, kind: str, size: int) -> None:
+        """Hands in a lot under a name of its own, again until the answer is sure, then reads results."""
+        self.count += 1
+        name = f"{kind}-{self.chance.getrandbits(40):010x}-{self.count}"
+        items = [f"lot:{name}:{i} reading #n={3 + self.chance.randrange(4)}" for i in range(size)]
+        began, answer, status, why = self.clock(), "unknown", 0, ""
+        body = {"id": name, "class": kind, "items": items, "within": self.load.within}
+        for _ in range(8):
+            try:
+                async with self.session.post(
+                    f"{self.edge()}/v1/lots", json=body, timeout=aiohttp.ClientTimeout(total=20)
+                ) as got:
+                    status = got.status
+                    raw = json.loads(await got.read())
+                    answer = raw["state"] if status == 201 else raw["error"].get("state", "bad")
+                    why = "" if status == 201 else raw["error"]["why"]
+            except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as bad:
+                why = repr(bad)[:100]
+            if answer in ("kept", "shed", "bad") or self.stopped:
+                break
+            await asyncio.sleep(0.5)
+        self.tell(
+            "lot",
+            id=name,
+            kind=kind,
+            size=size,
+            began=began,
+            answer=answer,
+            status=status,
+            why=why,
+            due=began + self.load.within,
+        )
+        if answer != "kept":
+            return
+        self.kept.append(name)
+        self.sizes[name] = size
+        if self.chance.random() < self.load.ends:
+            await asyncio.sleep(self.chance.random())
+            await self.end(name)
+            return
+        await self.read(name, self.load.within)
+
+    async def end(self, name: str) -> None:
+        for _ in range(20):
+            try:
+                async with self.session.delete(
+                    f"{self.edge()}/v1/lots/{name}", timeout=aiohttp.ClientTimeout(total=20)
+                ) as got:
+                    raw = json.loads(await got.read())
+                    if got.status == 200:
+                        self.tell("ended", id=name, state=raw["state"])
+                        self.ended.add(name)
+                        return
+            except (TimeoutError, aiohttp.ClientError, OSError, ValueError):
+                pass
+            await asyncio.sleep(0.5)
+
+    async def read(self, name: str, limit: float) -> bool:
+        """Pages through results from the start until whole, or the time is up."""
+        start, began, whole = 0, self.clock(), False
+        while self.clock() - began < limit and not whole and not self.stopped:
+            step = await self.page(name, start)
+            if step is not None:
+                start, whole = step
+            if not whole:
+                await asyncio.sleep(1.0)
+        if whole:
+            self.whole.add(name)
+            await self.page(name, 0)
+        return whole
+
+    async def page(self, name: str, start: int) -> tuple[int, bool] | None:
+        try:
+            url = f"{self.edge()}/v1/lots/{name}/results?start={start}&most=200"
+            async with self.session.get(url, timeout=aiohttp.ClientTimeout(total=20)) as got:
+                raw = json.loads(await got.read())
+                if got.status == 200:
+                    rows = [[r["item"], r["status"], r["output"]] for r in raw["results"]]
+                    self.tell("page", id=name, start=start, rows=rows, whole=raw["whole"])
+                    return raw["next"], raw["whole"]
+                if got.status in (404, 410):
+                    self.tell("missing", id=name, status=got.status, why=raw["error"]["why"])
+        except (TimeoutError, aiohttp.ClientError, OSError, ValueError):
+            pass
+        return None
+
+    async def audit(self, limit: float) -> None:
+        """At the end: each lot that was called kept is still there, and comes to its end."""
+        for name in self.kept:
+            if name not in self.ended:
+                done = name in self.whole and await self.page(name, 0) is not None or await self.read(name, limit)
+                self.tell("audit", id=name, whole=bool(done))
--- /dev/null
+++ b/bench/plan.py
@@ -0,0 +1,118 @@
+"""From a manifest to the configs of its machines, and a small manifest for tests."""
+
+from __future__ import annotations
+
+import copy
+from typing import Any
+
+Raw = dict[str, Any]
+AREAS = ("a", "b", "c", "d")
+
+
+def seeds(man: Raw) -> list[str]:
+    """Three processes in distinct areas, control machines first."""
+    ranked = sorted(man["machines"].values(), key=lambda m: "control" not in m["duties"])
+    return [m["peer"] for m in ranked[:3]]
+
+
+def config(man: Raw, name: str, data: str = "", **more: Any) -> Raw:
+    m = man["machines"][name]
+    out: Raw = {"name": name, "area": m["area"], "peer": m["peer"], "http": m["http"], "seeds": seeds(man), **more}
+    duties = [d for d in m["duties"] if d != "control"]
+    if duties:
+        out["duties"] = duties
+    if data:
+        out["data"] = data
+    return out
+
+
+def grid(edges: int, stores: int, control: int, scheds: int, areas: tuple[str, ...] = AREAS) -> Raw:
+    """Machines spread over the areas; an address tells area, duty and number."""
+    out: Raw = {}
+    for kind, many, digit in (("c", control, 3), ("s", stores, 2), ("e", edges, 1)):
+        for i in range(many):
+            spot = i % len(areas)
+            ip = f"127.{spot + 1}.{digit}.{i + 1}"
+            duties = {"c": ["control"], "s": ["store"], "e": ["edge"] + (["sched"] if i < scheds else [])}[kind]
+            out[f"{kind}{i + 1}"] = {"area": areas[spot], "peer": f"{ip}:7000", "http": f"{ip}:8000", "duties": duties}
+    return out
+
+
+def servers(many: int, digit: int, slots: int, letter: str, areas: tuple[str, ...] = AREAS) -> Raw:
+    return {
+        f"{letter}{i + 1}": {
+            "url": f"http://127.{i % len(areas) + 1}.{digit}.{i + 1}:9000",
+            "area": areas[i % len(areas)],
+            "slots": slots,
+        }
+        for i in range(many)
+    }
+
+
+def manifest(edges: int = 2, stores: int = 4, control: int = 4, scheds: int = 2, workers: int = 3, plains: int = 1,
+             parts: int = 4, slots: int = 4, **more: Any) -> Raw:  # fmt: skip
+    """A small fleet with the classes that both deployments have."""
+    base: Raw = {
+        "name": "small",
+        "areas": list(AREAS),
+        "machines": grid(edges, stores, control, scheds),
+        "parts": parts,
+        "copies": min(stores, 4),
+        "ramp": 4.0,
+        "retention": 600.0,
+        "classes": {
+            "ask": {
+                "kind": "live",
+                "pool": "gpu",
+                "share": 0.6,
+                "priority": 2,
+                "deadline": 15,
+                "lends": True,
+                "borrows": ["review"],
+            },
+            "review": {
+                "kind": "live",
+                "pool": "gpu",
+                "share": 0.25,
+                "priority": 1,
+                "deadline": 30,
+                "lends": True,
+                "borrows": ["ask"],
+            },
+            "lot": {"kind": "batch", "pool": "gpu", "share": 0.15, "borrows": ["ask", "review"], "handback": 1.0},
+            "view": {"kind": "plain", "pool": "app", "share": 1, "deadline": 5},
+        },
+        "pools": {
+            "gpu": {"kind": "model", "weights": "model-1", "servers": servers(workers, 4, slots, "w")},
+            "app": {"kind": "plain", "servers": servers(plains, 5, 16, "p")},
+        },
+        "ways": {"/view": "view"},
+    }
+    return base | more
+
+
+def changed(man: Raw, path: str, value: Any) -> Raw:
+    """A copy with one place set (or dropped, for None); the path has dots."""
+    out = copy.deepcopy(man)
+    spot = out
+    *heads, last = path.split(".")
+    for head in heads:
+        spot = spot[head]
+    if value is None:
+        spot.pop(last, None)
+    else:
+        spot[last] = value
+    return out
+
+
+def test_the_small_fleet_is_a_good_manifest_and_its_configs_too() -> None:
+    from postpass.config import parse
+    from postpass.manifest import check
+
+    man = manifest()
+    assert check(man).is_ok(), check(man)
+    for name in man["machines"]:
+        control = "control" in man["machines"][name]["duties"]
+        assert parse(config(man, name, "d"), control).is_ok()
+    assert changed(man, "pools.gpu.servers.w1.leave", True)["pools"]["gpu"]["servers"]["w1"]["leave"]
+    assert "leave" not in man["pools"]["gpu"]["servers"]["w1"]
--- /dev/null
+++ b/postpass/backlog.py
@@ -0,0 +1,83 @@
+"""A bounded backlog of one class: fair between callers, first come first served within one."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from dataclasses import dataclass, field
+
+
+@dataclass(eq=False)
+class Waiter:
+    """Invariant: `seat` is resolved at most once, with a server's name."""
+
+    caller: str
+    fond: str
+    area: str
+    shared: tuple[str, ...]
+    size: int
+    seat: asyncio.Future[str]
+
+
+@dataclass(eq=False)
+class Backlog:
+    """Invariants: `size` counts the waiters in `lines`; a caller with none has no line; `turn` holds each
+    caller that has one, once."""
+
+    lines: dict[str, deque[Waiter]] = field(default_factory=dict)
+    turn: deque[str] = field(default_factory=deque)
+    size: int = 0
+
+    def put(self, waiter: Waiter) -> None:
+        if waiter.caller not in self.lines:
+            self.lines[waiter.caller] = deque()
+            self.turn.append(waiter.caller)
+        self.lines[waiter.caller].append(waiter)
+        self.size += 1
+
+    def peek(self) -> Waiter | None:
+        while self.turn:
+            line = self.lines[self.turn[0]]
+            while line and line[0].seat.done():
+                line.popleft()
+                self.size -= 1
+            if line:
+                return line[0]
+            del self.lines[self.turn.popleft()]
+        return None
+
+    def pop(self) -> Waiter:
+        """Takes the one that `peek` showed; its caller goes to the end of the turn."""
+        waiter = self.peek()
+        assert waiter is not None
+        name = self.turn.popleft()
+        self.lines[name].popleft()
+        self.size -= 1
+        if self.lines[name]:
+            self.turn.append(name)
+        else:
+            del self.lines[name]
+        return waiter
+
+    def leave(self, waiter: Waiter) -> None:
+        line = self.lines.get(waiter.caller)
+        if line and waiter in line:
+            line.remove(waiter)
+            self.size -= 1
+
+
+def test_one_callers_crowd_does_not_hold_back_another() -> None:
+    async def run() -> list[str]:
+        loop, log = asyncio.get_running_loop(), Backlog()
+        for name in ["x"] * 5 + ["y", "z", "y"]:
+            log.put(Waiter(name, "", "", (), 1, loop.create_future()))
+        gone = log.lines["x"][1]
+        log.leave(gone)
+        log.lines["z"][0].seat.cancel()
+        out = []
+        while log.peek():
+            out.append(log.pop().caller)
+        assert log.size == 0 and not log.lines and not log.turn
+        return out
+
+    assert asyncio.run(run()) == ["x", "y", "x", "y", "x", "x"]
--- /dev/null
+++ b/postpass/check.py
@@ -0,0 +1,86 @@
+"""A small checker: does a JSON value have the shape of a typed dictionary? Lists every flaw with its path."""
+
+from __future__ import annotations
+
+import types
+from typing import Any, Literal, NotRequired, Required, TypedDict, Union, get_args, get_origin, get_type_hints
+
+from typing_extensions import is_typeddict
+
+
+def name_of(kind: Any) -> str:
+    names = {str: "a string", int: "a whole number", float: "a number", bool: "true or false"}
+    if get_origin(kind) is Literal:
+        return "one of " + ", ".join(map(str, get_args(kind)))
+    if get_origin(kind) is list:
+        return "a list"
+    return names.get(kind, "an object")
+
+
+def flaws(kind: Any, value: Any, path: str = "") -> list[str]:
+    """Every way in which `value` is not a `kind`; an empty list means that it is one."""
+    here = path or "(top)"
+    root = get_origin(kind)
+    if kind is Any:
+        return []
+    if root in (NotRequired, Required):
+        return flaws(get_args(kind)[0], value, path)
+    if root in (Union, types.UnionType):
+        trials = [flaws(k, value, path) for k in get_args(kind)]
+        return [] if any(not t for t in trials) else min(trials, key=len)
+    if root is Literal:
+        return [] if value in get_args(kind) else [f"{here}: want {name_of(kind)}, got {value!r:.40}"]
+    if root is list:
+        if not isinstance(value, list):
+            return [f"{here}: want a list, got {value!r:.40}"]
+        part = get_args(kind)[0]
+        return [f for i, v in enumerate(value) for f in flaws(part, v, f"{path}[{i}]")]
+    if root is dict:
+        if not isinstance(value, dict):
+            return [f"{here}: want an object, got {value!r:.40}"]
+        part = get_args(kind)[1]
+        return [f for k, v in value.items() for f in flaws(part, v, f"{path}.{k}" if path else str(k))]
+    if is_typeddict(kind):
+        return _dict_flaws(kind, value, path)
+    if kind is float:
+        good = isinstance(value, (int, float)) and not isinstance(value, bool)
+        good = good and value == value and abs(value) != float("inf")
+    elif kind is int:
+        good = isinstance(value, int) and not isinstance(value, bool)
+    else:
+        good = isinstance(value, kind)
+    return [] if good else [f"{here}: want {name_of(kind)}, got {value!r:.40}"]
+
+
+def _dict_flaws(kind: Any, value: Any, path: str) -> list[str]:
+    if not isinstance(value, dict):
+        return [f"{path or '(top)'}: want an object, got {value!r:.40}"]
+    hints = get_type_hints(kind, include_extras=True)
+    join = (lambda k: f"{path}.{k}") if path else str
+    # Annotations are strings here, so the class itself can't tell which keys may be left out.
+    must = [k for k, h in hints.items() if kind.__total__ and get_origin(h) is not NotRequired]
+    lack = [f"{join(k)}: missing, want {name_of(hints[k])}" for k in must if k not in value]
+    odd = [f"{join(k)}: unknown key; known are {', '.join(sorted(hints))}" for k in value if k not in hints]
+    deep = [f for k, v in value.items() if k in hints for f in flaws(hints[k], v, join(k))]
+    return lack + odd + deep
+
+
+class Leaf(TypedDict):
+    size: int
+    mode: Literal["a", "b"]
+    note: NotRequired[str]
+
+
+class Tree(TypedDict):
+    leaves: dict[str, Leaf]
+    rate: float
+
+
+def test_every_flaw_is_listed_with_its_path() -> None:
+    good = {"leaves": {"x": {"size": 1, "mode": "a"}}, "rate": 2}
+    assert flaws(Tree, good) == []
+    bad = {"leaves": {"x": {"size": True, "mode": "c", "odd": 1}}, "rate": float("nan")}
+    seen = flaws(Tree, bad)
+    assert [f.split(":")[0] for f in seen] == ["leaves.x.odd", "leaves.x.size", "leaves.x.mode", "rate"]
+    assert flaws(Tree, []) == ["(top): want an object, got []"]
+    assert flaws(Tree, {"leaves": {}})[0].startswith("rate: missing")
--- /dev/null
+++ b/postpass/config.py
@@ -0,0 +1,201 @@
+"""How one process is placed: a checked file, with flags laid over it."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass, field
+from typing import Any, Literal, NotRequired, TypedDict, cast
+
+from result import Err, Ok, Result
+
+from postpass.check import flaws
+
+
+class BoundsFile(TypedDict, total=False):
+    end: float
+    leave: float
+    evacuate: float
+    manifest: float
+    recover: float
+    silent: float
+
+
+class ConfigFile(TypedDict):
+    name: str
+    area: str
+    peer: str
+    http: str
+    seeds: list[str]
+    duties: NotRequired[list[Literal["edge", "sched", "store"]]]
+    data: NotRequired[str]
+    bounds: NotRequired[BoundsFile]
+    buffer_bytes: NotRequired[int]
+    segment_bytes: NotRequired[int]
+    disk_bytes: NotRequired[int]
+
+
+@dataclass(frozen=True)
+class Bounds:
+    """The promises in seconds. Every timer is a ratio of one of them.
+
+    Invariants, checked by a test below:
+    - beat * 3 <= detect: three beats are missed before a live owner is doubted.
+    - detect + stagger * 5 + promise + refill <= recover: even the fifth in the order serves in time.
+    - lease + poll <= end: an ended lot's items stop before its bound.
+    - follow * 2 <= manifest: a daemon asks twice within the bound.
+    - probe * 3 <= leave: a worker's leaving is read thrice within the bound.
+    """
+
+    end: float = 3.0
+    leave: float = 2.0
+    evacuate: float = 5.0
+    manifest: float = 2.0
+    recover: float = 12.0
+    silent: float = 2.0
+
+    @property
+    def beat(self) -> float:
+        return self.recover / 40
+
+    @property
+    def detect(self) -> float:
+        return self.recover / 8
+
+    @property
+    def stagger(self) -> float:
+        return self.recover / 24
+
+    @property
+    def promise(self) -> float:
+        return self.recover / 12
+
+    @property
+    def refill(self) -> float:
+        return self.recover / 3
+
+    @property
+    def lease(self) -> float:
+        return self.end / 3
+
+    @property
+    def poll(self) -> float:
+        return self.end / 12
+
+    @property
+    def follow(self) -> float:
+        return self.manifest / 4
+
+    @property
+    def probe(self) -> float:
+        return self.leave / 4
+
+
+@dataclass(frozen=True)
+class Config:
+    """Invariant: `data` is set for every process with the store duty and for every control process."""
+
+    name: str
+    area: str
+    peer: str
+    http: str
+    seeds: tuple[str, ...]
+    duties: tuple[str, ...] = ()
+    data: str = ""
+    bounds: Bounds = field(default_factory=Bounds)
+    # Memory for records not yet delivered everywhere; a mirror past it is refilled from the log.
+    buffer_bytes: int = 4 << 20
+    segment_bytes: int = 1 << 20
+    # What the data folder may hold; zero: as much as the file system.
+    disk_bytes: int = 0
+
+
+def split(addr: str) -> tuple[str, int]:
+    host, _, port = addr.rpartition(":")
+    return host, int(port)
+
+
+def addr_flaws(key: str, addr: str) -> list[str]:
+    host, _, port = addr.rpartition(":")
+    good = host.count(".") == 3 and all(p.isdigit() and int(p) < 256 for p in host.split("."))
+    good = good and port.isdigit() and 0 < int(port) < 65536
+    return [] if good else [f"{key}: want IP:PORT by number, got {addr!r:.40}"]
+
+
+def parse(raw: Any, want_data: bool = False) -> Result[Config, list[str]]:
+    seen = flaws(ConfigFile, raw)
+    if seen:
+        return Err(seen)
+    file = cast(ConfigFile, raw)
+    seen = [
+        *addr_flaws("peer", file["peer"]),
+        *addr_flaws("http", file["http"]),
+        *(f for i, s in enumerate(file["seeds"]) for f in addr_flaws(f"seeds[{i}]", s)),
+    ]
+    if len(file["seeds"]) != 3:
+        seen.append(f"seeds: want three addresses, got {len(file['seeds'])}")
+    if not file["name"]:
+        seen.append("name: want a name, got an empty string")
+    if (want_data or "store" in file.get("duties", [])) and not file.get("data"):
+        seen.append("data: missing, want a folder (the store duty and control processes keep files)")
+    seen += [
+        f"bounds.{k}: want a number above 0, got {v}"
+        for k, v in file.get("bounds", {}).items()
+        if not cast(float, v) > 0
+    ]
+    seen += [
+        f"{k}: want at least {low}, got {file[k]}"  # type: ignore[literal-required]
+        for k, low in (("buffer_bytes", 65536), ("segment_bytes", 4096), ("disk_bytes", 0))
+        if k in file and file[k] < low  # type: ignore[literal-required]
+    ]
+    if seen:
+        return Err(seen)
+    rest: Any = {k: v for k, v in file.items() if k not in ("bounds", "seeds", "duties")}
+    return Ok(
+        Config(
+            seeds=tuple(file["seeds"]),
+            duties=tuple(file.get("duties", [])),
+            bounds=Bounds(**file.get("bounds", {})),
+            **rest,
+        )
+    )
+
+
+def load(path: str, flags: dict[str, Any], want_data: bool = False) -> Result[Config, list[str]]:
+    """Reads the file and lays flags over it; every complaint names the file and the key."""
+    if not path:
+        raw: Any = {}
+    else:
+        try:
+            with open(path, encoding="utf-8") as file:
+                raw = json.load(file)
+        except OSError as bad:
+            return Err([f"{path}: cannot be read: {bad.strerror}"])
+        except ValueError as bad:
+            return Err([f"{path}: not JSON: {bad}"])
+    if isinstance(raw, dict):
+        raw = raw | {k: v for k, v in flags.items() if v is not None}
+    return parse(raw, want_data).map_err(lambda seen: [f"{path or 'flags'}: {s}" for s in seen])
+
+
+GOOD: dict[str, Any] = {
+    "name": "s1", "area": "a", "peer": "127.1.0.1:7000", "http": "127.1.0.1:8000",
+    "seeds": ["127.1.0.1:7000", "127.1.0.2:7000", "127.1.0.3:7000"],
+}  # fmt: skip
+
+
+def test_bounds_keep_their_invariants() -> None:
+    b = Bounds()
+    assert b.beat * 3 <= b.detect
+    assert b.detect + b.stagger * 5 + b.promise + b.refill <= b.recover
+    assert b.lease + b.poll <= b.end
+    assert b.follow * 2 <= b.manifest
+    assert b.probe * 3 <= b.leave
+
+
+def test_config_is_refused_whole_with_key_and_want() -> None:
+    assert parse(GOOD).unwrap().bounds.end == 3.0
+    bad = GOOD | {"peer": "localhost:1", "seeds": [], "duties": ["store"], "bounds": {"end": 0}}
+    seen = parse(bad).unwrap_err()
+    assert [s.split(":")[0] for s in seen] == ["peer", "seeds", "data", "bounds.end"]
+    assert parse(GOOD | {"odd": 1}).unwrap_err()[0].startswith("odd: unknown key")
+    assert load("/no/such", {}).unwrap_err() == ["/no/such: cannot be read: No such file or directory"]
--- /dev/null
+++ b/postpass/control.py
@@ -0,0 +1,581 @@
+"""The control plane: one process a control machine. It always holds epochs, and at times the manifest as
+primary or backup: the primary syncs, writes to the backup, which syncs, and only then answers."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import json
+from dataclasses import asdict, dataclass, field
+from typing import Any
+
+from result import Err, Ok, Result
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response
+from starlette.routing import Route
+
+from postpass import events
+from postpass.config import Config
+from postpass.daemon import VERSION, Daemon, Task
+from postpass.disk import Disk
+from postpass.epochs import Pair, Voters, Witness, majority, may_lead
+from postpass.fault import BAD, BROKE, CLASH, MOVED, OLD, SHED, SLOW, Fault, Stop
+from postpass.manifest import Manifest, check, dump, with_duty
+from postpass.vault import open_vault
+from postpass.wire import Body
+from postpass.world import World, now
+
+Answer = Result[Body, Fault]
+
+
+@dataclass(frozen=True)
+class State:
+    """Control state. Invariant: `edition` grows by one with every write, and never falls; `losses` counts
+    how often acknowledged state may have been lost."""
+
+    edition: int = 0
+    manifest: Manifest | None = None
+    losses: int = 0
+
+
+@dataclass(frozen=True)
+class Held:
+    """What this machine keeps of the state. Invariant: `whole` is the epoch whose state this is, all of it;
+    it is set only by that epoch's primary, here or over the copy link."""
+
+    whole: int = 0
+    pair: Pair = Pair()
+    state: State = State()
+
+    def dump(self) -> bytes:
+        body = json.dumps(asdict(self), separators=(",", ":"))
+        return json.dumps({"sum": hashlib.sha256(body.encode()).hexdigest(), "body": body}).encode()
+
+    @classmethod
+    def load(cls, data: bytes) -> Held:
+        raw = json.loads(data)
+        if hashlib.sha256(raw["body"].encode()).hexdigest() != raw["sum"]:
+            raise ValueError("the sum doesn't match")
+        body = json.loads(raw["body"])
+        return cls(body["whole"], Pair(**body["pair"]), State(**body["state"]))
+
+
+@dataclass(eq=False)
+class Control(Daemon):
+    """Invariants: writes go one at a time under `lock`; `epoch` > 0 only while this is the primary of it;
+    what `news` holds was on both disks of the pair."""
+
+    witness: Witness = Witness()
+    held: Held = Held()
+    disk_id: str = ""
+    epoch: int = 0
+    heard: float = 0.0
+    backup_heard: float = 0.0
+    lock: asyncio.Lock = field(default_factory=asyncio.Lock)
+    disk_lock: asyncio.Lock = field(default_factory=asyncio.Lock)
+    bad: str = ""
+
+    def __init__(self, conf: Config, world: World, version: str = "") -> None:
+        super().__init__(conf, world, version or VERSION)
+        self.witness, self.held, self.disk_id, self.epoch = Witness(), Held(), "", 0
+        self.heard = self.backup_heard = 0.0
+        self.lock, self.disk_lock, self.bad = asyncio.Lock(), asyncio.Lock(), ""
+
+    @property
+    def disk(self) -> Disk:
+        assert self.world.disk is not None
+        return self.world.disk
+
+    async def open(self) -> None:
+        vault = await open_vault(self.conf.name, self.disk, self.world.chance, 1 << 16, 0)
+        self.disk_id = vault.name
+        names = self.disk.names()
+        try:
+            if not vault.fresh and "epochs" in names:
+                self.witness = Witness.load(self.disk.read("epochs"))
+            if not vault.fresh and "state" in names:
+                self.held = Held.load(self.disk.read("state"))
+        except (ValueError, KeyError, TypeError) as bad:
+            events.emit(112, self.conf.name, why=repr(bad))
+            for name in ("identity", "epochs", "state"):
+                if name in self.disk.names():
+                    self.disk.rename(name, f"damaged-{name}")
+            self.witness, self.held = Witness(), Held()
+            self.disk_id = (await open_vault(self.conf.name, self.disk, self.world.chance, 1 << 16, 0)).name
+        if self.held.state.manifest is not None:
+            # An older edition is better than none to find the others by; it may be behind, never ahead
+            # of what this pair's disk took.
+            self.seen = self.held.state.manifest
+        self.heard = now()
+
+    seen: Manifest | None = None
+
+    def handlers(self) -> dict[str, Any]:
+        return {"look": self.on_look, "grant": self.on_grant, "copy": self.on_copy, "apply": self.on_apply,
+                "read": self.on_read}  # fmt: skip
+
+    def routes(self) -> list[Any]:
+        return [Route("/v1/manifest", self.http_manifest, methods=["GET", "PUT"])]
+
+    def tasks(self) -> list[Task]:
+        return [self.tick()]
+
+    # --- the witnesses' part
+    async def keep(self, name: str, data: bytes) -> None:
+        if self.bad:
+            raise Stop(Fault("sync", self.conf.name, self.bad))
+        try:
+            async with self.disk_lock:
+                await self.disk.write(name, data)
+        except OSError as bad:
+            if bad.errno == 28:
+                raise Stop(Fault("sync", self.conf.name, f"{name}: {bad.strerror}")) from bad
+            self.bad = f"{name}: {bad.strerror}"
+            events.emit(113, self.conf.name, why=self.bad)
+            self.failed = Fault("sync", self.conf.name, self.bad)
+            self.stop.set()
+            raise Stop(self.failed) from bad
+
+    def about(self) -> Body:
+        return {
+            "disk": self.disk_id, "promised": self.witness.promised, "pair": asdict(self.witness.pair),
+            "whole": self.held.whole, "edition": self.held.state.edition, "news": self.news.edition,
+        }  # fmt: skip
+
+    async def on_look(self, body: Body) -> Answer:
+        if body.get("probe"):
+            # Would this one back a new primary? Not while it hears the present one.
+            alive = self.epoch > 0 or now() - self.heard < self.conf.bounds.detect * 0.9
+            return Ok(self.about() | {"ok": not alive})
+        new = self.witness.look(body["epoch"], body["who"])
+        if new is None:
+            return Ok(self.about() | {"ok": False})
+        return await self.promise(new)
+
+    async def on_grant(self, body: Body) -> Answer:
+        new = self.witness.grant(Pair(**body["pair"]), body["who"])
+        if new is None:
+            return Ok(self.about() | {"ok": False})
+        self.heard = now()
+        return await self.promise(new)
+
+    async def promise(self, new: Witness) -> Answer:
+        self.witness = new
+        if self.epoch and new.promised > self.epoch:
+            self.fall(new.promised)
+        try:
+            await self.keep("epochs", new.dump())
+        except Stop as bad:
+            return Err(bad.fault)
+        return Ok(self.about() | {"ok": self.witness == new})
+
+    def fall(self, seen: int) -> None:
+        if self.epoch:
+            events.emit(131, self.conf.name, epoch=self.epoch, seen=seen)
+        self.epoch = 0
+        self.heard = now()
+
+    # --- the pair
+    async def on_copy(self, body: Body) -> Answer:
+        """From the primary to its backup: the state to sync, or just a round trip under the epoch."""
+        if body["epoch"] < self.witness.promised:
+            return Ok({"ok": False, "promised": self.witness.promised, "disk": self.disk_id})
+        self.heard = now()
+        if "held" in body:
+            raw = body["held"]
+            new = Held(raw["whole"], Pair(**raw["pair"]), State(**raw["state"]))
+            if (new.whole, new.state.edition) < (self.held.whole, self.held.state.edition):
+                return Ok({"ok": False, "promised": self.witness.promised, "disk": self.disk_id})
+            try:
+                await self.keep("state", new.dump())
+            except Stop as bad:
+                return Err(bad.fault)
+            if body["epoch"] < self.witness.promised:
+                return Ok({"ok": False, "promised": self.witness.promised, "disk": self.disk_id})
+            self.held = new
+        return Ok({"ok": True, "promised": self.witness.promised, "disk": self.disk_id})
+
+    async def copy(self, held: Held | None, epoch: int, to: str) -> bool:
+        addr = self.addr(to)
+        if not addr:
+            return False
+        body: Body = {"epoch": epoch} | ({"held": asdict(held)} if held else {})
+        got = await self.lines.call(addr, "copy", body, self.conf.bounds.promise)
+        if isinstance(got, Err):
+            return False
+        if not got.unwrap()["ok"]:
+            if got.unwrap()["promised"] > epoch and self.epoch == epoch:
+                self.fall(got.unwrap()["promised"])
+            return False
+        if epoch == self.epoch and to == self.held.pair.backup:
+            self.backup_heard = now()
+        return True
+
+    async def commit(self, state: State) -> bool:
+        """Synced here, then synced at the backup, and only then true."""
+        epoch = self.epoch
+        held = Held(epoch, self.held.pair, state)
+        await self.keep("state", held.dump())
+        if self.epoch != epoch:
+            return False
+        self.held = held
+        if held.pair.backup and not await self.copy(held, epoch, held.pair.backup):
+            return False
+        if self.epoch != epoch:
+            return False
+        self.publish()
+        return True
+
+    def publish(self) -> None:
+        state = self.held.state
+        if state.manifest is not None:
+            self.news.take(state.edition, state.manifest)
+
+    def known(self) -> Manifest | None:
+        return self.news.manifest or self.held.state.manifest or self.seen
+
+    def addr(self, name: str) -> str:
+        man = self.known()
+        m = man["machines"].get(name) if man else None
+        return m["peer"] if m and not m.get("gone") else ""
+
+    def crew(self, man: Manifest | None = None) -> list[str]:
+        """The control machines, in the agreed order."""
+        man = man or self.known()
+        return with_duty(man, "control") if man else []
+
+    # --- takeover
+    async def ask_all(self, verb: str, body: Body, names: list[str], man: Manifest) -> dict[str, Body]:
+        async def one(name: str) -> Answer:
+            m = man["machines"].get(name)
+            if not m or m.get("gone"):
+                return Err(Fault(verb, name, "gone"))
+            if name == self.conf.name:
+                return await getattr(self, f"on_{verb}")(body)  # type: ignore[no-any-return]
+            return await self.lines.call(m["peer"], verb, body, self.conf.bounds.promise)
+
+        got = await asyncio.gather(*(one(n) for n in names))
+        return {n: g.unwrap() for n, g in zip(names, got, strict=True) if isinstance(g, Ok)}
+
+    async def stand(self, man: Manifest, why: str, first: State | None = None) -> Result[None, Fault]:
+        """Tries to become the primary of a new epoch; `first` is the state of a fleet that has none yet."""
+        me = self.conf.name
+        step = "stand"
+        start = self.held
+        voters: Voters = start.pair.voters
+        names = list(dict.fromkeys([*self.crew(man), *voters]))
+        gone = [n for n in names if n not in man["machines"] or man["machines"][n].get("gone")]
+        epoch = self.witness.promised + 1
+        looks = await self.ask_all("look", {"epoch": epoch, "who": me}, names, man)
+        top = max([self.witness.promised, *(a["promised"] for a in looks.values())])
+        good = {n: a for n, a in looks.items() if a["ok"]}
+        if self.witness.promised < top:
+            new = self.witness.look(top, "")
+            if new is not None:
+                await self.promise(new)
+        if me not in good or top > epoch:
+            return Err(Fault(step, me, f"epoch {top} was promised elsewhere", SLOW))
+        # Only now: a copy that was under way when this one promised may have been answered since.
+        start = self.held
+        got = {n: str(a["disk"]) for n, a in good.items()}
+        pairs = {n: Pair(**a["pair"]) for n, a in good.items()}
+        every = all(n in good for n in names if n not in gone)
+        state, loss = start.state, False
+        blank = all(p.epoch == 0 for p in pairs.values()) and all(a["whole"] == 0 for a in good.values())
+        if blank:
+            if not every:
+                return Err(Fault(step, me, "a fleet is founded only when all its control machines answer", SLOW))
+            if self.news.manifest is not None:
+                newest = await self.newest(man)
+                if newest is None:
+                    return Err(Fault(step, me, "too few daemons confirm the newest edition", SLOW))
+                state, loss = State(newest[0] + 1, newest[1], 1), True
+            elif first is not None:
+                state = first
+            else:
+                return Err(Fault(step, me, "nothing to begin from", SLOW))
+        else:
+            flaw = may_lead(me, start.whole, start.pair, pairs, voters, got)
+            if flaw:
+                best = max(pairs.values(), key=lambda p: p.epoch)
+                # A voter of the newest pair that answers with that epoch's state can lead; it goes first.
+                able = [
+                    n
+                    for n, a in good.items()
+                    if a["whole"] == best.epoch and n in best and best.voters.get(n) == a["disk"]
+                ]
+                if not every or (able and able[0] != me):
+                    return Err(Fault(step, me, flaw, SLOW))
+                if not able:
+                    newest = await self.newest(man)
+                    if newest is None:
+                        return Err(Fault(step, me, "too few daemons confirm the newest edition", SLOW))
+                    edition = max(newest[0], *(a["edition"] for a in good.values())) + 1
+                    state, loss = State(edition, newest[1], start.state.losses + 1), True
+                elif start.whole != best.epoch:
+                    return Err(Fault(step, me, flaw, SLOW))
+        # One at most joins or leaves the voters in an epoch, unless all of them have answered.
+        now_voters = got if every else voters
+        rest = [n for n in self.crew(man) if n != me and n in good]
+        liked = sorted(rest, key=lambda n: (n == start.pair.primary and why == "primary lost", self.crew(man).index(n)))
+        backup = liked[0] if liked else ""
+        pair = Pair(epoch, me, backup, now_voters)
+        held = Held(epoch, pair, state)
+        # The new backup holds the whole state before the epoch is granted: nothing is written in between.
+        if self.witness.promised != epoch:
+            return Err(Fault(step, me, "a higher epoch was promised", SLOW))
+        await self.keep("state", held.dump())
+        self.held = held
+        if backup and not await self.copy(held, epoch, backup):
+            return Err(Fault(step, me, f"backup {backup} did not take the state", SLOW))
+        grants = await self.ask_all("grant", {"pair": asdict(pair), "who": me}, names, man)
+        granted = {n: str(a["disk"]) for n, a in grants.items() if a["ok"]}
+        enough = majority(now_voters, granted) and (every or majority(voters, granted))
+        if not enough or self.witness.promised != epoch:
+            return Err(Fault(step, me, "too few granted the epoch", SLOW))
+        self.epoch, self.backup_heard = epoch, now()
+        events.emit(133 if loss else 130, self.conf.name, epoch=epoch, backup=backup, edition=state.edition, why=why)
+        for name in sorted(set(now_voters) - {n for n, d in voters.items() if now_voters.get(n) == d}):
+            events.emit(134, self.conf.name, joins=name)
+        self.publish()
+        return Ok(None)
+
+    async def newest(self, man: Manifest) -> tuple[int, Manifest] | None:
+        """The newest edition that daemons hold, once most of them have been heard."""
+        names = [n for n, m in man["machines"].items() if not m.get("gone") and n != self.conf.name]
+        got = await asyncio.gather(*(
+            self.lines.call(man["machines"][n]["peer"], "follow", {"after": 0, "wait": 0}, self.conf.bounds.promise)
+            for n in names
+        ))  # fmt: skip
+        seen = [g.unwrap() for g in got if isinstance(g, Ok)]
+        if 2 * (len(seen) + 1) <= len(names) + 1:
+            return None
+        best: tuple[int, Manifest] | None = (self.news.edition, self.news.manifest) if self.news.manifest else None
+        for body in seen:
+            if "snapshot" in body and (best is None or body["edition"] > best[0]) and check(body["snapshot"]).is_ok():
+                best = (body["edition"], body["snapshot"])
+        return best
+
+    async def tick(self) -> None:
+        b = self.conf.bounds
+        while True:
+            await asyncio.sleep(b.beat * (0.8 + 0.4 * self.world.chance.random()))
+            man = self.known()
+            if man is None or self.conf.name not in self.crew(man):
+                continue
+            try:
+                if self.epoch:
+                    await self.lead(man)
+                else:
+                    await self.watch(man)
+            except Stop as bad:
+                events.emit(103, self.conf.name, step=bad.fault.step, why=bad.fault.why)
+
+    async def lead(self, man: Manifest) -> None:
+        """The primary's beat: its backup, the witnesses' word, and whoever waits to be let in again."""
+        b, epoch, pair = self.conf.bounds, self.epoch, self.held.pair
+        async with self.lock:
+            if pair.backup:
+                await self.copy(None, epoch, pair.backup)
+        # Witnesses hear that there is a primary, and tell if they promised a higher epoch.
+        others = [n for n in self.crew(man) if n not in (self.conf.name, pair.backup)]
+        looks = await self.ask_all("copy", {"epoch": epoch}, others, man)
+        if self.epoch != epoch:
+            return
+        for answer in looks.values():
+            if not answer["ok"] and answer["promised"] > epoch:
+                self.fall(answer["promised"])
+                return
+        lost = bool(pair.backup) and now() - self.backup_heard > b.detect
+        alone = not pair.backup and bool(looks)
+        odd = [n for n, a in looks.items() if pair.voters.get(n) != a["disk"]]
+        gone = [n for n in pair.voters if n not in self.crew(man)]
+        if lost or alone or odd or gone:
+            async with self.lock:
+                why = "backup lost" if lost else "no backup" if alone else f"voters {odd or gone}"
+                self.epoch = 0
+                got = await self.stand(man, why)
+                if isinstance(got, Ok):
+                    events.emit(132, self.conf.name, backup=self.held.pair.backup, why=why)
+                else:
+                    self.heard = now() - b.detect
+
+    async def watch(self, man: Manifest) -> None:
+        """Takes over if no primary is heard: those of the pair first, then in the agreed order."""
+        b = self.conf.bounds
+        order = sorted(self.crew(man), key=lambda n: (n not in self.held.pair, self.crew(man).index(n)))
+        rank = order.index(self.conf.name)
+        if now() - self.heard <= b.detect + rank * b.stagger:
+            return
+        if self.held.whole == 0 and self.news.manifest is None:
+            return
+        async with self.lock:
+            if self.epoch:
+                return
+            looks = await self.ask_all("look", {"probe": 1}, [n for n in self.crew(man) if n != self.conf.name], man)
+            if any(not a["ok"] for a in looks.values()):
+                self.heard = now() - b.detect + b.stagger * self.world.chance.random()
+                return
+            got = await self.stand(man, "primary lost")
+            if isinstance(got, Err):
+                self.heard = now() - b.detect + b.stagger * self.world.chance.random()
+
+    # --- the operators' part
+    async def on_apply(self, body: Body) -> Answer:
+        """Takes a whole manifest if it was made from the present edition."""
+        step, me = "apply", self.conf.name
+        got = check(body["manifest"])
+        if isinstance(got, Err):
+            return Err(Fault(step, me, "\n".join(got.unwrap_err()), BAD))
+        man, base = got.unwrap(), body["base"]
+        async with self.lock:
+            if not self.epoch:
+                if self.known() is not None or base not in (0, -1):
+                    hint = self.witness.pair.primary if self.witness.pair.primary != me else ""
+                    return Err(Fault(step, me, "not the primary", MOVED, hint))
+                if me not in self.crew(man):
+                    return Err(Fault(step, me, f"machines: {me} is not a control machine of this manifest", BAD))
+                found = await self.stand(man, "founded", State(1, man))
+                if isinstance(found, Err):
+                    return found
+                return Ok({"edition": 1})
+            state = self.held.state
+            if state.manifest is not None and dump(state.manifest) == dump(man):
+                if not await self.sure():
+                    return Err(Fault(step, me, "could not be confirmed; ask again", SLOW))
+                return Ok({"edition": state.edition})
+            if base != state.edition:
+                if not await self.sure():
+                    return Err(Fault(step, me, "could not be confirmed; ask again", SLOW))
+                return Err(
+                    Fault(
+                        step,
+                        me,
+                        f"edition {state.edition} is in force, this was made from {base}",
+                        OLD,
+                        str(state.edition),
+                    )
+                )
+            if state.manifest is not None and man["parts"] != state.manifest["parts"]:
+                return Err(Fault(step, me, f"parts: stays {state.manifest['parts']}; lots are spread by it", BAD))
+            if not set(self.crew(man)) & {me, self.held.pair.backup}:
+                return Err(Fault(step, me, "machines: neither primary nor backup stays a control machine", BAD))
+            try:
+                done = await self.commit(State(state.edition + 1, man, state.losses))
+            except Stop as bad:
+                return Err(bad.fault)
+            if not done:
+                # It may or may not come to be: whoever leads next decides. This one leads no further.
+                if self.epoch:
+                    self.epoch = 0
+                    self.heard = now() - self.conf.bounds.detect
+                return Err(Fault(step, me, "not known whether it was taken; ask again", SLOW))
+            return Ok({"edition": state.edition + 1})
+
+    async def sure(self) -> bool:
+        """A round trip to the backup, or without one to most voters: no one else leads."""
+        epoch, pair = self.epoch, self.held.pair
+        if not epoch:
+            return False
+        if pair.backup and await self.copy(None, epoch, pair.backup):
+            return self.epoch == epoch
+        man = self.known()
+        assert man is not None
+        looks = await self.ask_all("copy", {"epoch": epoch}, [n for n in pair.voters if n != self.conf.name], man)
+        good = {n: str(a["disk"]) for n, a in looks.items() if a["ok"]} | {self.conf.name: self.disk_id}
+        return self.epoch == epoch and majority(pair.voters, good)
+
+    async def on_read(self, _body: Body) -> Answer:
+        if not self.epoch:
+            hint = self.witness.pair.primary if self.witness.pair.primary != self.conf.name else ""
+            return Err(Fault("read", self.conf.name, "not the primary", MOVED, hint))
+        state = self.held.state
+        async with self.lock:
+            state = self.held.state
+            if not await self.sure():
+                return Err(Fault("read", self.conf.name, "could not be confirmed; ask again", SLOW))
+        return Ok({"edition": state.edition, "manifest": state.manifest, "losses": state.losses})
+
+    async def pass_on(self, verb: str, body: Body) -> Answer:
+        """To the primary, wherever it is."""
+        got: Answer = await getattr(self, f"on_{verb}")(body)
+        tried = {self.conf.name}
+        names = [n for n in self.crew() if n != self.conf.name]
+        while isinstance(got, Err) and got.unwrap_err().code == MOVED:
+            hint = got.unwrap_err().hint
+            todo = [n for n in ([hint] if hint else []) + names if n not in tried]
+            if not todo:
+                return Err(Fault(verb, self.conf.name, "no primary now; ask again", SHED))
+            tried.add(todo[0])
+            addr = self.addr(todo[0])
+            if not addr:
+                continue
+            there = await self.lines.call(addr, verb, body, self.conf.bounds.manifest)
+            if isinstance(there, Err) and there.unwrap_err().unsent:
+                got = Err(Fault(verb, todo[0], there.unwrap_err().why, MOVED))
+            else:
+                got = there
+        return got
+
+    async def http_manifest(self, request: Request) -> Response:
+        if request.method == "GET":
+            got = await self.pass_on("read", {})
+            if isinstance(got, Ok) and got.unwrap()["manifest"] is None:
+                return JSONResponse({"error": {"step": "read", "peer": self.conf.name, "why": "no manifest yet"}}, 404)
+        else:
+            match = request.headers.get("if-match", "").strip().strip('"')
+            if not match.lstrip("-").isdigit():
+                return JSONResponse(
+                    {
+                        "error": Fault(
+                            "apply",
+                            self.conf.name,
+                            'If-Match: want the edition it was made from, as "N"; 0 for the first',
+                        ).as_json()
+                    },
+                    428,
+                )
+            data = b""
+            async for part in request.stream():
+                data += part
+                if len(data) > 4 << 20:
+                    return JSONResponse({"error": Fault("apply", self.conf.name, "more than 4 MiB").as_json()}, 413)
+            try:
+                raw = json.loads(data)
+            except ValueError as bad:
+                return JSONResponse({"error": Fault("apply", self.conf.name, f"not JSON: {bad}").as_json()}, 400)
+            got = await self.pass_on("apply", {"manifest": raw, "base": int(match)})
+        if isinstance(got, Ok):
+            body = got.unwrap()
+            shown = body["manifest"] if request.method == "GET" else {"edition": body["edition"]}
+            return JSONResponse(shown, headers={"etag": f'"{body["edition"]}"'})
+        flaw = got.unwrap_err()
+        code = {BAD: 400, OLD: 412, MOVED: 503, SLOW: 503, SHED: 503, CLASH: 409}.get(
+            flaw.code, 502 if flaw.code == BROKE else 503
+        )
+        body = {"error": flaw.as_json()}
+        if flaw.code == BAD:
+            body["flaws"] = flaw.why.split("\n")
+        more = {"etag": f'"{flaw.hint}"'} if flaw.code == OLD else {"retry-after": "1"} if code == 503 else {}
+        return JSONResponse(body, code, headers=more)
+
+    async def more_status(self) -> Body:
+        return {
+            "control": {
+                "epoch": self.witness.pair.epoch, "promised": self.witness.promised, "primary": self.witness.pair.primary,
+                "backup": self.witness.pair.backup, "leads": self.epoch > 0, "disk": self.disk_id,
+                "voters": self.witness.pair.voters, "losses": self.held.state.losses, "bad": self.bad,
+                "backup_heard": round(now() - self.backup_heard, 3) if self.epoch else None,
+            }
+        }  # fmt: skip
+
+
+def test_held_state_knows_when_it_is_damaged() -> None:
+    held = Held(3, Pair(3, "c1", "c2", {"c1": "d"}), State(7, None, 1))
+    assert Held.load(held.dump()) == held
+    try:
+        Held.load(held.dump().replace(b'edition\\":7', b'edition\\":8'))
+    except ValueError as bad:
+        assert "sum" in str(bad)
+    else:
+        raise AssertionError("damage was not seen")
--- /dev/null
+++ b/postpass/daemon.py
@@ -0,0 +1,274 @@
+"""What every daemon has: a port for peers, neighbours, the feed, a small HTTP side for operators."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from collections import deque
+from collections.abc import Awaitable, Callable, Coroutine
+from dataclasses import dataclass, field
+from typing import Any
+
+from absl import logging
+from prometheus_client import CollectorRegistry, Counter, Gauge, generate_latest
+from result import Err, Ok, Result
+from starlette.requests import Request
+from starlette.responses import JSONResponse, PlainTextResponse, Response
+from starlette.routing import Route
+
+from postpass import events
+from postpass.config import Config, split
+from postpass.fault import Fault, Stop
+from postpass.member import Card, Circle
+from postpass.news import News
+from postpass.wire import Body, Lines, Port
+from postpass.world import World, now, serve_http
+
+VERSION = "0.1.0"
+Task = Coroutine[Any, Any, None]
+
+
+@dataclass(eq=False)
+class Daemon:
+    """Invariant: `journal` is bounded; `stop` is set once and never cleared."""
+
+    conf: Config
+    world: World
+    version: str = VERSION
+    stop: asyncio.Event = field(default_factory=asyncio.Event)
+    journal: deque[tuple[float, str]] = field(default_factory=lambda: deque(maxlen=200))
+
+    def __post_init__(self) -> None:
+        self.news = News(self.conf.name)
+        self.lines = Lines()
+        self.inc = int(self.world.wall() * 1000)
+        self.started = 0.0
+        card = Card(
+            name=self.conf.name, peer=self.conf.peer, area=self.conf.area, duties=list(self.conf.duties), inc=self.inc,
+            beat=0, edition=0, version=self.version, disk="",
+        )  # fmt: skip
+        self.circle = Circle(card, self.world.chance)
+        self.registry = CollectorRegistry()
+        self.failed: Fault | None = None
+        self.clash = ""
+        Gauge("postpass_edition", "Edition of the manifest in force", registry=self.registry).set_function(
+            lambda: self.news.edition
+        )
+        Gauge("postpass_neighbours", "Neighbours in the partial view", registry=self.registry).set_function(
+            lambda: len(self.circle.mates)
+        )
+        self.shuffles = Counter("postpass_shuffles", "Shuffles with neighbours", ["end"], registry=self.registry)
+        self.polls = Counter("postpass_feed_polls", "Polls of the feed", ["end"], registry=self.registry)
+
+    # --- to be filled by the duties
+    def handlers(self) -> dict[str, Any]:
+        return {}
+
+    def routes(self) -> list[Any]:
+        return []
+
+    def tasks(self) -> list[Task]:
+        return []
+
+    async def open(self) -> None:
+        """Reads what is on disk, before anything is served."""
+
+    def ready(self) -> str:
+        """Empty if ready to serve; else what is lacking."""
+        return "" if self.news.manifest else "no manifest yet"
+
+    async def more_status(self) -> Body:
+        return {}
+
+    def app(self) -> Any:
+        from starlette.applications import Starlette
+
+        own = [
+            Route("/health", self.http_health),
+            Route("/ready", self.http_ready),
+            Route("/metrics", self.http_metrics),
+            Route("/v1/status", self.http_status),
+        ]
+        return Starlette(routes=[*own, *self.routes()])
+
+    # --- run
+    async def run(self) -> None:
+        self.started = now()
+        await self.open()
+        port = Port(self.conf.name, {
+            "ping": self.on_ping, "shuffle": self.on_shuffle, "follow": self.on_follow, **self.handlers(),
+        })  # fmt: skip
+        await port.listen(self.conf.peer)
+        host, number = split(self.conf.http)
+        tasks = [
+            asyncio.create_task(self.guard(name, task))
+            for name, task in [
+                ("gossip", self.gossip()),
+                ("feed", self.follow()),
+                *((getattr(t, "__name__", "task"), t) for t in self.tasks()),
+            ]
+        ]
+        events.emit(
+            100,
+            self.conf.name,
+            duties=",".join(self.conf.duties) or "control",
+            peer=self.conf.peer,
+            http=self.conf.http,
+        )
+        try:
+            await serve_http(self.app(), host, number, self.stop)
+        finally:
+            await port.close()
+            self.lines.close()
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def guard(self, name: str, task: Task) -> None:
+        """A task that ends with an error ends the daemon: better gone, and seen, than half alive."""
+        try:
+            await task
+        except asyncio.CancelledError:
+            raise
+        except Stop as bad:
+            self.failed = bad.fault
+            events.emit(103, self.conf.name, task=name, step=bad.fault.step, peer=bad.fault.peer, why=bad.fault.why)
+            self.stop.set()
+        except Exception as bad:
+            self.failed = Fault(name, self.conf.name, repr(bad))
+            events.emit(103, self.conf.name, task=name, why=repr(bad))
+            logging.exception("task %s", name)
+            self.stop.set()
+
+    # --- neighbours
+    def word(self) -> Card:
+        return self.circle.word(edition=self.news.edition)
+
+    async def on_ping(self, body: Body) -> Result[Body, Fault]:
+        """Answers for itself, or, asked to `reach` another, whether that one answers."""
+        if "reach" in body:
+            got = await self.lines.call(body["reach"], "ping", {}, self.conf.bounds.beat)
+            return Ok({"reached": isinstance(got, Ok)})
+        return Ok({"name": self.conf.name, "inc": self.inc, "edition": self.news.edition, "version": self.version,
+                   "ready": self.ready()})  # fmt: skip
+
+    async def on_shuffle(self, body: Body) -> Result[Body, Fault]:
+        self.word()
+        for card in body["cards"]:
+            if card["name"] == self.conf.name and card["peer"] != self.conf.peer:
+                self.clash = f"{card['peer']} also calls itself {card['name']}"
+        return Ok({"cards": self.circle.answer(body["cards"]), "edition": self.news.edition})
+
+    async def on_follow(self, body: Body) -> Result[Body, Fault]:
+        await self.news.wait(body["after"], min(float(body["wait"]), 10.0))
+        return Ok(self.news.since(body["after"]))
+
+    async def gossip(self) -> None:
+        """Shuffles with the oldest neighbour; a newer edition there is fetched from it."""
+        b = self.conf.bounds
+        while True:
+            await asyncio.sleep(b.follow * (0.7 + 0.6 * self.world.chance.random()))
+            self.word()
+            mate, offer = self.circle.begin()
+            addr = mate.card["peer"] if mate else self.world.chance.choice(self.conf.seeds)
+            if addr == self.conf.peer:
+                continue
+            got = await self.lines.call(addr, "shuffle", {"cards": offer}, b.follow)
+            self.shuffles.labels("ok" if isinstance(got, Ok) else "failed").inc()
+            if isinstance(got, Err):
+                if mate is not None:
+                    await self.doubt(mate.card["name"], addr)
+                continue
+            there = got.unwrap()
+            self.circle.take(there["cards"], offer[1:])
+            if there["edition"] > self.news.edition:
+                await self.fetch(addr)
+
+    async def doubt(self, name: str, addr: str) -> None:
+        """A neighbour that doesn't answer is asked for through others before it is believed gone."""
+        others = [m.card["peer"] for n, m in sorted(self.circle.mates.items()) if n != name]
+        asked = self.world.chance.sample(others, min(2, len(others)))
+        got = await asyncio.gather(
+            *(self.lines.call(o, "ping", {"reach": addr}, self.conf.bounds.beat * 2) for o in asked)
+        )
+        if not any(isinstance(g, Ok) and g.unwrap().get("reached") for g in got):
+            self.circle.bury(name)
+
+    async def fetch(self, addr: str) -> None:
+        got = await self.lines.call(addr, "follow", {"after": self.news.edition, "wait": 0}, self.conf.bounds.manifest)
+        if isinstance(got, Ok) and not self.news.follow(got.unwrap()):
+            again = await self.lines.call(addr, "follow", {"after": 0, "wait": 0}, self.conf.bounds.manifest)
+            if isinstance(again, Ok):
+                self.news.follow(again.unwrap())
+
+    def sources(self) -> list[str]:
+        """Whom to follow: the control machines, once they are known."""
+        control = [self.news.addr(n) for n in self.news.duty("control") if n != self.conf.name]
+        return [a for a in control if a] or [s for s in self.conf.seeds if s != self.conf.peer]
+
+    async def follow(self) -> None:
+        """Follows the numbered feed from the own place on, turning from one source to the next."""
+        b = self.conf.bounds
+        turn = self.world.chance.randrange(64)
+        while True:
+            sources = self.sources()
+            if not sources:
+                await asyncio.sleep(b.follow)
+                continue
+            addr = sources[turn % len(sources)]
+            turn += 1
+            got = await self.lines.call(
+                addr, "follow", {"after": self.news.edition, "wait": b.follow * 2}, b.follow * 3
+            )
+            self.polls.labels("ok" if isinstance(got, Ok) else "failed").inc()
+            if isinstance(got, Err):
+                await asyncio.sleep(b.follow / 4)
+            elif not self.news.follow(got.unwrap()):
+                await self.fetch(addr)
+
+    # --- operators
+    async def http_health(self, _request: Request) -> Response:
+        return JSONResponse({"name": self.conf.name, "status": "serving", "version": self.version})
+
+    async def http_ready(self, _request: Request) -> Response:
+        lack = self.ready()
+        return JSONResponse({"ready": not lack, "lack": lack}, 200 if not lack else 503)
+
+    async def http_metrics(self, _request: Request) -> Response:
+        return PlainTextResponse(generate_latest(self.registry), media_type="text/plain; version=0.0.4")
+
+    async def http_status(self, _request: Request) -> Response:
+        return JSONResponse({
+            "name": self.conf.name, "area": self.conf.area, "peer": self.conf.peer, "http": self.conf.http,
+            "duties": list(self.conf.duties), "version": self.version, "edition": self.news.edition,
+            "up": round(now() - self.started, 3), "ready": self.ready(), "clash": self.clash,
+            "neighbours": sorted(self.circle.mates), **await self.more_status(),
+        })  # fmt: skip
+
+
+def run_daemon(make: Callable[[], Daemon], handle: Callable[[Daemon], Awaitable[None]] | None = None) -> int:
+    """Runs a daemon until SIGTERM or SIGINT; the exit code says whether it went well."""
+    code = 0
+
+    async def main() -> None:
+        nonlocal code
+        daemon = make()
+        loop = asyncio.get_running_loop()
+
+        def leave(name: str) -> None:
+            events.emit(101, daemon.conf.name, signal=name)
+            daemon.stop.set()
+
+        for sig in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(sig, leave, sig.name)
+        try:
+            await daemon.run()
+        except OSError as bad:
+            logging.error("%s cannot start: %s", daemon.conf.name, bad)
+            code = 1
+        if daemon.failed is not None:
+            logging.error("%s left: %s", daemon.conf.name, daemon.failed)
+            code = 3
+
+    asyncio.run(main())
+    return code
--- /dev/null
+++ b/postpass/data.py
@@ -0,0 +1,97 @@
+"""The data plane: one process a machine, with the duties its config lists."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+
+import aiohttp
+
+from postpass.config import Config
+from postpass.daemon import VERSION, Daemon, Task
+from postpass.edge import Edge
+from postpass.floor import Floor
+from postpass.sched import Sched
+from postpass.store import Store
+from postpass.wire import Body
+from postpass.world import World
+
+
+@dataclass(eq=False)
+class Data(Daemon):
+    """Invariant: a duty that the config doesn't list has no object here."""
+
+    edge: Edge | None = None
+    sched: Sched | None = None
+    store: Store | None = None
+    session: aiohttp.ClientSession | None = None
+
+    def __init__(self, conf: Config, world: World, version: str = "") -> None:
+        super().__init__(conf, world, version or VERSION)
+        self.edge = self.sched = self.store = self.session = None
+        if "store" in conf.duties:
+            self.store = Store(conf, world, self.news, self.lines)
+
+    async def open(self) -> None:
+        if self.store is not None:
+            await self.store.open()
+            self.circle.me["disk"] = self.store.disk_id
+        if {"edge", "sched"} & set(self.conf.duties):
+            self.session = self.world.session()
+            floor = Floor(self.conf.name, self.world, self.news, self.session)
+            self.floor = floor
+            if "edge" in self.conf.duties:
+                self.edge = Edge(self.conf, self.world, self.news, self.lines, floor, self.session, self.registry)
+            if "sched" in self.conf.duties:
+                # Its own floor: what the edge of the same machine places is live traffic to the scheduler.
+                self.batch = Floor(self.conf.name, self.world, self.news, self.session)
+                self.sched = Sched(
+                    self.conf, self.world, self.news, self.lines, self.batch, self.session, self.registry
+                )
+
+    def handlers(self) -> dict[str, Any]:
+        return self.store.handlers() if self.store is not None else {}
+
+    def routes(self) -> list[Any]:
+        return self.edge.routes() if self.edge is not None else []
+
+    def tasks(self) -> list[Task]:
+        out: list[Task] = []
+        if self.store is not None:
+            out += self.store.tasks()
+        if self.edge is not None:
+            out += [*self.edge.tasks(), self.floor.watch(self.conf.bounds.probe)]
+        if self.sched is not None:
+            out += [*self.sched.tasks(), self.watch_batch()]
+        return out
+
+    async def watch_batch(self) -> None:
+        """Only the scheduler that works polls, and twice as often: loans must go back in time."""
+        await self.batch.watch(self.conf.bounds.probe / 2, ("model",))
+
+    async def run(self) -> None:
+        try:
+            await super().run()
+        finally:
+            if self.store is not None:
+                self.store.fail()
+            if self.session is not None:
+                await self.session.close()
+
+    async def more_status(self) -> Body:
+        out: Body = {}
+        if self.store is not None:
+            out["store"] = (await self.store.status({})).unwrap()
+        if self.edge is not None:
+            stale = self.edge.stale
+            out["servers"] = {
+                f"{p}/{n}": {
+                    "barred": self.floor.barred(p, n, stale), "mine": s.mine.total(), "weights": s.seen.weights if s.seen else "",
+                    "running": s.seen.running if s.seen else 0, "waiting": s.seen.waiting if s.seen else 0,
+                }
+                for (p, n), s in sorted(self.floor.spots.items())
+            }  # fmt: skip
+        if self.sched is not None:
+            out["sched"] = {"active": self.sched.active, "term": self.sched.term, "held": len(self.sched.jobs),
+                            "running": sum(j.task is not None for j in self.sched.jobs.values())}  # fmt: skip
+        return out
--- /dev/null
+++ b/postpass/epochs.py
@@ -0,0 +1,104 @@
+"""What a control machine holds of epochs: the witnesses' part, synced before it is told."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import asdict, dataclass, field, replace
+
+Voters = dict[str, str]  # name -> disk
+
+
+@dataclass(frozen=True)
+class Pair:
+    """Invariant: an epoch names one primary and one backup, for good."""
+
+    epoch: int = 0
+    primary: str = ""
+    backup: str = ""
+    voters: Voters = field(default_factory=dict)
+
+    def __contains__(self, name: object) -> bool:
+        return name in (self.primary, self.backup)
+
+
+@dataclass(frozen=True)
+class Witness:
+    """Invariants: `promised` never falls; `pair.epoch` <= `promised`; one name holds the promise of one epoch."""
+
+    promised: int = 0
+    to: str = ""
+    pair: Pair = Pair()
+
+    def look(self, epoch: int, who: str) -> Witness | None:
+        """Promises to take nothing below `epoch`; None if that can't be promised."""
+        if epoch > self.promised or (epoch == self.promised and who == self.to):
+            return replace(self, promised=epoch, to=who)
+        return None
+
+    def grant(self, pair: Pair, who: str) -> Witness | None:
+        if pair.epoch < self.promised or (pair.epoch == self.promised and who != self.to):
+            return None
+        return Witness(pair.epoch, who, pair)
+
+    def dump(self) -> bytes:
+        return json.dumps(asdict(self)).encode()
+
+    @classmethod
+    def load(cls, data: bytes) -> Witness:
+        raw = json.loads(data)
+        return cls(raw["promised"], raw["to"], Pair(**raw["pair"]))
+
+
+def majority(voters: Voters, got: Voters) -> bool:
+    """Do the answers, by the disks that have a vote, make more than half?"""
+    return 2 * sum(got.get(n) == d for n, d in voters.items()) > len(voters)
+
+
+def may_lead(me: str, whole: int, own: Pair, pairs: dict[str, Pair], voters: Voters, got: Voters) -> str:
+    """The rule of takeover: empty if `me` may go on from the state it holds of epoch `whole`, else why not.
+
+    `pairs` is what each answering voter last granted; `own` is the pair of epoch `whole`. An epoch above
+    `whole` stands in the way unless it is proved that no majority granted it: those that answered and did
+    not grant it have promised a higher one, so they never will.
+    """
+    if whole == 0 or own.epoch != whole or me not in own:
+        return "not of the pair whose state this is, or the state isn't whole"
+    if not majority(voters, got):
+        return "no majority answered"
+    valid = {n for n, d in voters.items() if got.get(n) == d}
+    for pair in {p.epoch: p for p in pairs.values() if p.epoch > whole}.values():
+        granted = {n for n in valid if pairs.get(n) == pair}
+        missing = set(voters) - valid
+        if 2 * len(granted | missing) > len(voters):
+            return f"epoch {pair.epoch} of {pair.primary} may stand"
+    return ""
+
+
+def test_a_witness_never_goes_back_and_names_one_pair_an_epoch() -> None:
+    w = Witness()
+    w1 = w.look(3, "c1")
+    assert w1 and w1.look(3, "c2") is None and w1.look(2, "c1") is None
+    pair = Pair(3, "c1", "c2", {"c1": "d1"})
+    w2 = w1.grant(pair, "c1")
+    assert w2 and w1.grant(Pair(3, "c2", "c3"), "c2") is None
+    assert Witness.load(w2.dump()) == w2
+    w3 = w2.look(4, "c2")
+    assert w3 and w3.grant(pair, "c1") is None and w3.pair == pair
+
+
+def test_a_dropped_backup_cannot_come_back_with_old_state() -> None:
+    voters = {f"c{i}": f"d{i}" for i in range(1, 5)}
+    old, new = Pair(1, "c1", "c2", voters), Pair(2, "c1", "c3", voters)
+
+    def rule(me: str, whole: int, own: Pair, pairs: dict[str, Pair], got: Voters) -> str:
+        return may_lead(me, whole, own, pairs, voters, got)
+
+    three = {n: voters[n] for n in ("c2", "c3", "c4")}
+    # The drop was granted by c1, c3, c4: c2 sees two of them and may not lead.
+    assert "epoch 2" in rule("c2", 1, old, {"c2": old, "c3": new, "c4": new}, three)
+    # Granted by c3 alone as far as is seen, c1 is missing: two of four are no majority.
+    assert rule("c2", 1, old, {"c2": old, "c3": new, "c4": old}, three) == ""
+    assert rule("c3", 2, new, {"c2": old, "c3": new, "c4": new}, three) == ""
+    assert rule("c4", 1, old, {"c2": old, "c4": old, "c3": old}, three).startswith("not of the pair")
+    assert rule("c2", 1, old, {"c2": old, "c4": old}, {"c2": "d2", "c4": "d4"}) == "no majority answered"
+    assert rule("c2", 1, old, {"c2": old}, three | {"c3": "wiped"}) == "no majority answered"
--- /dev/null
+++ b/postpass/events.py
@@ -0,0 +1,71 @@
+"""Numbered events: each line of a log carries the number of its kind; docs/events.md is the catalogue."""
+
+from __future__ import annotations
+
+from collections import Counter, deque
+from pathlib import Path
+
+from absl import logging
+
+CATALOGUE: dict[int, tuple[str, str]] = {
+    100: ("started", "A daemon serves; its duties and addresses follow."),
+    101: ("stopping", "SIGTERM or SIGINT was taken; open calls come to their end, then the process leaves."),
+    102: ("link-closed", "An internal link was closed; step and peer follow. Foreign or oversized bytes end here too."),
+    103: ("task-failed", "A task of the daemon ended with an error it did not expect; it is started again."),
+    110: ("disk-new", "A data folder was formatted; the disk has a new identity and votes only once refilled."),
+    111: ("disk-torn", "A torn tail was cut from the last segment; nothing in it had been called synced."),
+    112: ("disk-damaged", "A file is damaged in the middle; it is set aside, nothing is served from it, peers refill."),
+    113: ("disk-failed", "A sync failed; the data is not trusted again and the process leaves."),
+    114: ("disk-full", "The disk is full, but for the room held back for ends, results and trims."),
+    120: ("owner", "This store became a partition's owner under a new epoch."),
+    121: ("owner-lost", "This store is no longer a partition's owner: a higher epoch was seen."),
+    122: ("mirror-silent", "A mirror has not acknowledged for the silent bound; it left the memory stream."),
+    123: ("mirror-refill", "A mirror is refilled from a snapshot."),
+    124: ("members", "A partition's members changed; the record that says so is covered under both."),
+    125: ("loss", "More was lost than is tolerated: the partition resumes with the best log there is."),
+    126: ("handed-on", "An owner handed its partition to the one that stands before it in the agreed order."),
+    130: ("primary", "This control machine is the primary of a new epoch."),
+    131: ("primary-lost", "This control machine is no longer the primary: a higher epoch was seen."),
+    132: ("backup", "The primary took another backup, under a new epoch."),
+    133: ("control-loss", "Primary and backup lost their state: rebuilt from the newest edition that daemons hold."),
+    134: ("voter", "A control machine with a new disk was admitted to vote."),
+    140: ("manifest", "A newer edition of the manifest is in force here."),
+    141: ("manifest-shed", "A manifest was refused; the flaws follow."),
+    150: ("sched-on", "This daemon schedules lots from now on."),
+    151: ("sched-off", "This daemon schedules no longer: one before it in the order is back, or it is fenced."),
+    152: ("loan-back", "Batch items were cancelled at a worker to hand room back to live callers."),
+    153: ("worker", "A worker's state as seen here changed: up, down, leaving, odd weights, ramping."),
+    154: ("plug-failed", "A plug-in raised or answered nonsense; the default was taken."),
+    160: ("call-broken", "A live call's stream ended with an explicit error; step and peer follow."),
+    161: ("claim", "A call that may not be repeated was claimed, or refused because it had been."),
+}
+
+# Bounded: the newest events, for `pp status`, tests and the doctor.
+RECENT: deque[tuple[int, str]] = deque(maxlen=400)
+COUNTS: Counter[int] = Counter()
+
+
+def emit(number: int, who: str, **more: object) -> None:
+    name, _ = CATALOGUE[number]
+    tail = " ".join(f"{k}={v}" for k, v in more.items())
+    COUNTS[number] += 1
+    RECENT.append((number, f"{who} {tail}"))
+    bad = number in (103, 112, 113, 125, 133)
+    (logging.warning if bad else logging.info)("E%03d %s %s %s", number, name, who, tail)
+
+
+def catalogue() -> str:
+    rows = "\n".join(f"| E{n:03d} | {name} | {text} |" for n, (name, text) in sorted(CATALOGUE.items()))
+    return (
+        "# Events\n\nEach line of a daemon's log that tells of an event begins with its number.\n\n"
+        f"| number | name | what it says |\n|---|---|---|\n{rows}\n"
+    )
+
+
+def test_the_catalogue_in_the_docs_is_this_one() -> None:
+    page = Path(__file__).parent.parent / "docs" / "events.md"
+    assert page.read_text() == catalogue(), "write it anew: python -m postpass.events"
+
+
+if __name__ == "__main__":
+    (Path(__file__).parent.parent / "docs" / "events.md").write_text(catalogue())
--- /dev/null
+++ b/postpass/floor.py
@@ -0,0 +1,196 @@
+"""The floor: the servers as one daemon sees them, and how much it may place on each."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+from collections import Counter
+from dataclasses import dataclass, field
+
+import aiohttp
+
+from postpass import events
+from postpass.fault import Fault, Stop
+from postpass.manifest import Manifest, Server
+from postpass.models import Report, report
+from postpass.news import News
+from postpass.world import World, now
+
+OVER = 1.5  # how far all edges together may overrun a warm worker's slots
+
+
+@dataclass(eq=False)
+class Spot:
+    """One server. Invariant: `mine` is what this daemon has under way there, by class."""
+
+    seen: Report | None = None
+    at: float = -1e9
+    why: str = "not polled yet"
+    fails: int = 0
+    mine: Counter[str] = field(default_factory=Counter)
+    mine_seen: int = 0  # of mine, when it was last polled
+    peak: float = 0.0  # recent live use, fading; the reserve follows it
+    told: str = ""
+
+
+def share_of(total: int, rank: int, many: int) -> int:
+    """Splits a whole number over `many` so that the shares add up to it exactly."""
+    return total // many + (1 if rank % many < total % many else 0) if many else total
+
+
+@dataclass(eq=False)
+class Floor:
+    who: str
+    world: World
+    news: News
+    session: aiohttp.ClientSession
+    spots: dict[tuple[str, str], Spot] = field(default_factory=dict)
+    freed: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def spot(self, pool: str, name: str) -> Spot:
+        return self.spots.setdefault((pool, name), Spot())
+
+    def signal(self) -> None:
+        self.freed.set()
+        self.freed = asyncio.Event()
+
+    async def watch(self, every: float, kinds: tuple[str, ...] = ("model", "plain")) -> None:
+        """Polls each server; a poll that fails is told once, by its change."""
+        polls: dict[tuple[str, str], asyncio.Task[None]] = {}
+        while True:
+            man = self.news.manifest
+            if man is not None:
+                want = {
+                    (p, n): s
+                    for p, pool in man["pools"].items()
+                    if pool["kind"] in kinds
+                    for n, s in pool["servers"].items()
+                }
+                for key in [k for k in self.spots if k not in want and not self.spots[k].mine.total()]:
+                    del self.spots[key]
+                for key, server in want.items():
+                    if key not in polls or polls[key].done():
+                        polls[key] = asyncio.create_task(self.poll(man, *key, server, every * 2))
+                polls = {k: t for k, t in polls.items() if k in want or not t.done()}
+            await asyncio.sleep(every * (0.9 + 0.2 * self.world.chance.random()))
+
+    async def poll(self, man: Manifest, pool: str, name: str, server: Server, limit: float) -> None:
+        spot = self.spot(pool, name)
+        asked = now()
+        try:
+            if man["pools"][pool]["kind"] == "model":
+                got = await report(self.session, server["url"], limit, spot.seen)
+                want = server.get("weights") or man["pools"][pool].get("weights", "")
+                spot.why = f"weights {got.weights}, want {want}" if want and got.weights != want else ""
+                spot.seen = got
+                live = got.running + got.waiting
+                spot.peak = max(float(live), spot.peak * 0.9)
+            else:
+                async with asyncio.timeout(limit), self.session.get(f"{server['url']}/health") as answer:
+                    if answer.status != 200:
+                        raise Stop(Fault("health", server["url"], f"status {answer.status}"))
+                spot.why = ""
+            spot.at, spot.fails, spot.mine_seen = asked, 0, spot.mine.total()
+        except (Stop, aiohttp.ClientError, OSError, TimeoutError) as bad:
+            spot.fails += 1
+            spot.why = str(bad) or repr(bad)
+        if spot.why != spot.told:
+            spot.told = spot.why
+            events.emit(153, self.who, pool=pool, server=name, state=spot.why or "up")
+        self.signal()
+
+    def barred(self, pool: str, name: str, stale: float) -> str:
+        """Why a server gets nothing new; empty if it may."""
+        man = self.news.manifest
+        server = man["pools"].get(pool, {"servers": {}})["servers"].get(name) if man else None  # type: ignore[call-overload]
+        if man is None or server is None:
+            return "not in the manifest"
+        if server.get("leave"):
+            return "leaving"
+        if server["area"] in man.get("evacuated", []):
+            return f"area {server['area']} is evacuated"
+        spot = self.spot(pool, name)
+        if spot.why:
+            return spot.why
+        if now() - spot.at > stale:
+            return "not heard of lately"
+        return ""
+
+    def warm(self, pool: str, name: str) -> float:
+        """How much of a server may be used: grows from little to all of it while it warms up."""
+        man = self.news.manifest
+        assert man is not None
+        ramp = man.get("ramp", 10.0)
+        seen = self.spot(pool, name).seen
+        if seen is None or ramp <= 0 or seen.start <= 0:
+            return 1.0
+        return min(1.0, max(0.0, (self.world.wall() - seen.start) / ramp))
+
+    def cap(self, pool: str, name: str) -> int:
+        """Slots that may be used now, by all together."""
+        man = self.news.manifest
+        assert man is not None
+        slots = man["pools"][pool]["servers"][name]["slots"]
+        return max(1, math.floor(slots * self.warm(pool, name)))
+
+    def quota(self, pool: str, name: str, rank: int, edges: int) -> int:
+        """What one edge of many may have under way at a server without asking the others. Invariant: the
+        quotas of all edges add up to cap while it warms up, and to ceil(cap * OVER) once it is warm."""
+        cap = self.cap(pool, name)
+        man = self.news.manifest
+        assert man is not None
+        turn = sorted(man["pools"][pool]["servers"]).index(name)
+        total = math.ceil(cap * OVER) if self.warm(pool, name) >= 1 else cap
+        return share_of(total, rank + turn * 3, edges)
+
+
+def test_quotas_add_up_to_the_bound() -> None:
+    for total in range(1, 40):
+        for many in range(1, 12):
+            assert sum(share_of(total, r + 5, many) for r in range(many)) == total
+
+
+def test_a_fresh_worker_has_little_room_and_a_barred_one_none() -> None:
+    from postpass.manifest import small
+
+    async def run() -> None:
+        clock = [1000.0]
+        news = News("e1")
+        man = small()
+        man["ramp"] = 10.0
+        man["pools"]["gpu"]["servers"]["w1"]["slots"] = 8
+        news.take(1, man)
+        async with aiohttp.ClientSession() as session:
+            floor = Floor("e1", World(wall=lambda: clock[0]), news, session)
+            assert floor.barred("gpu", "w1", 2.0) == "not polled yet"
+            floor.spots[("gpu", "w1")] = Spot(Report(0, 0, 0.0, 1000.0, "m", "1"), now(), "")
+            assert floor.barred("gpu", "w1", 2.0) == "" and floor.cap("gpu", "w1") == 1
+            assert sum(floor.quota("gpu", "w1", r, 8) for r in range(8)) == 1
+            clock[0] = 1005.0
+            assert sum(floor.quota("gpu", "w1", r, 8) for r in range(8)) == 4
+            clock[0] = 1010.0
+            assert sum(floor.quota("gpu", "w1", r, 8) for r in range(8)) == 12
+            news.take(
+                2,
+                man
+                | {
+                    "evacuated": ["a"],
+                    "pools": man["pools"]
+                    | {
+                        "gpu": {
+                            "kind": "model",
+                            "servers": {
+                                "w1": man["pools"]["gpu"]["servers"]["w1"],
+                                "w2": {"url": "http://127.2.1.1:9000", "area": "b", "slots": 4},
+                            },
+                        },
+                        "app": {
+                            "kind": "plain",
+                            "servers": {"p1": {"url": "http://127.2.1.2:9000", "area": "b", "slots": 4}},
+                        },
+                    },
+                },
+            )
+            assert floor.barred("gpu", "w1", 2.0) == "area a is evacuated"
+
+    asyncio.run(run())
--- /dev/null
+++ b/postpass/idl/peer.thrift
@@ -0,0 +1,53 @@
+// What the processes of postpass say to each other. Framed, binary.
+
+exception Fault { 1: string step, 2: string peer, 3: string why, 4: i32 code, 5: string hint }
+
+// A piece of one sequenced record, at most 8 KB of it. Kinds: rec, beat, start, snap.
+struct Packet {
+  1: i32 part, 2: i64 epoch, 3: string owner, 4: string kind, 5: i64 seq,
+  6: i64 born,      // epoch under which the record was made
+  7: i64 prior,     // epoch of the record before it
+  8: i32 index, 9: i32 total, 10: binary body, 11: i64 covered
+}
+
+// Monotonic counters of one mirror for one partition, under one owner's epoch.
+struct Ack {
+  1: i32 part, 2: i64 epoch, 3: string name, 4: string disk,
+  5: i64 received, 6: i64 persisted, 7: bool gap, 8: i64 promised, 9: bool full
+}
+
+// One entry of the log on disk.
+struct Entry { 1: i32 part, 2: string op, 3: i64 seq, 4: i64 epoch, 5: string kind, 6: binary body }
+
+service Peer {
+  // FIFO stream of the owner to a mirror, never answered.
+  oneway void carry(1: Packet packet),
+  // Control path back, on a link of its own.
+  oneway void ack(1: list<Ack> acks),
+
+  // membership and news
+  string ping(1: string body) throws (1: Fault fault),
+  string shuffle(1: string body) throws (1: Fault fault),
+  string follow(1: string body) throws (1: Fault fault),
+
+  // control
+  string look(1: string body) throws (1: Fault fault),
+  string grant(1: string body) throws (1: Fault fault),
+  string copy(1: string body) throws (1: Fault fault),
+  string adopt(1: string body) throws (1: Fault fault),
+  string apply(1: string body) throws (1: Fault fault),
+  string read(1: string body) throws (1: Fault fault),
+
+  // store
+  string promise(1: string body) throws (1: Fault fault),
+  string hello(1: string body) throws (1: Fault fault),
+  string fetch(1: string body) throws (1: Fault fault),
+  string submit(1: string body) throws (1: Fault fault),
+  string show(1: string body) throws (1: Fault fault),
+  string page(1: string body) throws (1: Fault fault),
+  string finish(1: string body) throws (1: Fault fault),
+  string take(1: string body) throws (1: Fault fault),
+  string done(1: string body) throws (1: Fault fault),
+  string claim(1: string body) throws (1: Fault fault),
+  string parts(1: string body) throws (1: Fault fault)
+}
--- /dev/null
+++ b/postpass/lots.py
@@ -0,0 +1,181 @@
+"""Lots as they stand: a view folded from a partition's records."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+from dataclasses import dataclass, field
+from typing import Any
+
+from postpass.tape import Base, Record
+
+Body = dict[str, Any]
+
+
+def digest(body: Body) -> str:
+    """What makes a lot the same lot: its content, and its due time as the caller said it."""
+    core = {k: body.get(k) for k in ("items", "shared", "class", "said", "caller")}
+    return hashlib.sha256(json.dumps(core, sort_keys=True).encode()).hexdigest()[:32]
+
+
+@dataclass(eq=False)
+class Lot:
+    """Invariants: `state` moves from open to ended, never back; an item's first result stays; `results`
+    holds item numbers in the order of their records, which is the order callers page through."""
+
+    id: str
+    seq: int
+    body: Body
+    digest: str
+    state: str = "open"
+    state_seq: int = 0
+    results: dict[int, tuple[int, str, str]] = field(default_factory=dict)  # item -> (seq, status, output)
+    order: list[int] = field(default_factory=list)
+
+    @property
+    def size(self) -> int:
+        return len(self.body["items"])
+
+    @property
+    def whole(self) -> bool:
+        return len(self.order) == self.size
+
+
+@dataclass(eq=False)
+class LotView(Base):
+    """Folded record by record. Invariant: the same records give the same view, on every store."""
+
+    lots: dict[str, Lot] = field(default_factory=dict)
+    shed: dict[str, int] = field(default_factory=dict)  # refused for good: id -> seq
+    claims: dict[str, Body] = field(default_factory=dict)  # calls that may not be repeated
+    crew: dict[str, str] = field(default_factory=dict)  # members that count: name -> disk
+    crew_seq: int = 0
+    old_crew: dict[str, str] = field(default_factory=dict)  # before the last change
+    predicate: str = ""
+    old_predicate: str = ""
+    predicate_seq: int = 0
+    losses: int = 0  # the partition's edition: how often more was lost than is tolerated
+    lost: dict[str, int] = field(default_factory=dict)  # lots known to be lost
+
+    def fold(self, rec: Record) -> None:
+        body: Body = json.loads(rec.body) if rec.body else {}
+        getattr(self, f"_{rec.kind}")(rec.seq, body)
+
+    def _mark(self, seq: int, body: Body) -> None:
+        pass
+
+    def _lot(self, seq: int, body: Body) -> None:
+        lot = body["id"]
+        if lot not in self.lots and lot not in self.shed:
+            self.lots[lot] = Lot(lot, seq, body, digest(body))
+
+    def _shed(self, seq: int, body: Body) -> None:
+        if body["id"] not in self.lots:
+            self.shed[body["id"]] = seq
+
+    def _result(self, seq: int, body: Body) -> None:
+        lot, item = self.lots.get(body["id"]), body["item"]
+        if lot is not None and lot.state == "open" and item not in lot.results:
+            lot.results[item] = (seq, body["status"], body["output"])
+            lot.order.append(item)
+
+    def _end(self, seq: int, body: Body) -> None:
+        lot = self.lots.get(body["id"])
+        if lot is not None and lot.state == "open":
+            lot.state, lot.state_seq = "ended", seq
+
+    def _drop(self, seq: int, body: Body) -> None:
+        for lot in body["lots"]:
+            self.lots.pop(lot, None)
+            self.shed.pop(lot, None)
+        for key in body.get("claims", []):
+            self.claims.pop(key, None)
+
+    def _claim(self, seq: int, body: Body) -> None:
+        self.claims.setdefault(body["key"], body | {"seq": seq})
+
+    def _crew(self, seq: int, body: Body) -> None:
+        self.old_crew, self.crew, self.crew_seq = self.crew or body["crew"], body["crew"], seq
+
+    def _predicate(self, seq: int, body: Body) -> None:
+        self.old_predicate, self.predicate, self.predicate_seq = self.predicate, body["text"], seq
+
+    def _loss(self, seq: int, body: Body) -> None:
+        self.losses = max(self.losses + 1, body["edition"])
+        self.crew = self.old_crew = body["crew"]
+        self.crew_seq = seq
+        self.lost |= dict.fromkeys(body["lots"], seq)
+
+    def dump(self) -> bytes:
+        flat = {k: v for k, v in vars(self).items() if k != "lots"}
+        lots = [vars(lot) | {"results": list(lot.results.items())} for lot in self.lots.values()]
+        return json.dumps(flat | {"lots": lots}, separators=(",", ":")).encode()
+
+    @classmethod
+    def load(cls, data: bytes) -> LotView:
+        if not data:
+            return cls()
+        raw = json.loads(data)
+        lots = raw.pop("lots")
+        view = cls(**raw)
+        for lot in lots:
+            results = {int(i): (int(r[0]), str(r[1]), str(r[2])) for i, r in lot.pop("results")}
+            view.lots[lot["id"]] = Lot(**lot, results=results)
+        return view
+
+
+def page(lot: Lot, covered: int, start: int, most: int) -> tuple[list[Body], int, bool]:
+    """Covered results from place `start` on, in record order; the next place; and whether that was all.
+
+    Records are covered in order, so the covered results are a prefix of `order`, and a page once read
+    reads the same for ever.
+    """
+    seen = [i for i in lot.order[start : start + most] if lot.results[i][0] <= covered]
+    rows = [{"item": i, "status": lot.results[i][1], "output": lot.results[i][2]} for i in seen]
+    spot = start + len(seen)
+    done = spot == len(lot.order) and (lot.whole or (lot.state == "ended" and lot.state_seq <= covered))
+    return rows, spot, done
+
+
+def _rec(seq: int, kind: str, **body: Any) -> Record:
+    return Record(seq, 1, kind, json.dumps(body).encode())
+
+
+def _view() -> LotView:
+    view = LotView()
+    for rec in (
+        _rec(1, "lot", id="x", items=["a", "b"], **{"class": "lot", "due": 9, "caller": "me"}),
+        _rec(2, "result", id="x", item=1, status="done", output="B"),
+        _rec(3, "result", id="x", item=1, status="done", output="again"),
+        _rec(4, "result", id="x", item=0, status="done", output="A"),
+        _rec(5, "shed", id="y"),
+        _rec(6, "lot", id="y", items=["z"]),
+        _rec(7, "lot", id="w", items=["z"]),
+        _rec(8, "end", id="w"),
+        _rec(9, "result", id="w", item=0, status="done", output="late"),
+    ):
+        view.fold(rec)
+    return view
+
+
+def test_first_result_wins_and_refusals_win_over_their_lot() -> None:
+    view = _view()
+    assert page(view.lots["x"], 9, 0, 10)[0][0] == {"item": 1, "status": "done", "output": "B"}
+    assert "y" not in view.lots and view.lots["w"].order == []
+
+
+def test_pages_show_only_covered_results_and_never_change() -> None:
+    lot = _view().lots["x"]
+    assert page(lot, 1, 0, 10) == ([], 0, False)
+    first = page(lot, 3, 0, 10)
+    assert first[1:] == (1, False)
+    rest = page(lot, 4, first[1], 10)
+    assert ([r["item"] for r in rest[0]], rest[2]) == ([0], True)
+    assert page(lot, 9, 0, 1) == (first[0], 1, False)
+
+
+def test_a_view_comes_back_from_its_dump() -> None:
+    view = _view()
+    again = LotView.load(view.dump())
+    assert again.dump() == view.dump() and again.lots["x"].results == view.lots["x"].results
+    assert LotView.load(b"").lots == {}
--- /dev/null
+++ b/postpass/manifest.py
@@ -0,0 +1,318 @@
+"""The whole desired state, in one file, applied as a whole: typed dictionaries and their checks."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+from importlib.metadata import entry_points
+from typing import Any, Literal, NotRequired, TypedDict, cast
+
+from result import Err, Ok, Result
+
+from postpass.check import flaws
+from postpass.config import addr_flaws
+from postpass.predicate import DEFAULT, Scene, build, covers, loss_flaw
+
+
+class Machine(TypedDict):
+    area: str
+    peer: str
+    http: str
+    duties: list[Literal["edge", "sched", "store", "control"]]
+    # retire: its copies move elsewhere, then it is reported empty. gone: declared lost for good.
+    retire: NotRequired[bool]
+    gone: NotRequired[bool]
+
+
+class Server(TypedDict):
+    url: str
+    area: str
+    slots: int
+    tokens: NotRequired[int]
+    weights: NotRequired[str]
+    leave: NotRequired[bool]
+
+
+class Pool(TypedDict):
+    kind: Literal["model", "plain"]
+    servers: dict[str, Server]
+    weights: NotRequired[str]
+
+
+class Class(TypedDict):
+    kind: Literal["live", "batch", "plain"]
+    pool: str
+    share: float
+    priority: NotRequired[int]
+    deadline: NotRequired[float]
+    lends: NotRequired[bool]
+    borrows: NotRequired[list[str]]
+    handback: NotRequired[float]
+    reserve: NotRequired[float]
+    backlog: NotRequired[int]
+    once: NotRequired[bool]
+    predicate: NotRequired[str]
+    place: NotRequired[str]
+    prefix: NotRequired[str]
+
+
+class Limits(TypedDict, total=False):
+    body_bytes: int
+    item_bytes: int
+    lot_items: int
+    lot_bytes: int
+    pieces: int
+    open_lots: int
+
+
+class Manifest(TypedDict):
+    name: str
+    areas: list[str]
+    machines: dict[str, Machine]
+    parts: int
+    copies: int
+    classes: dict[str, Class]
+    pools: dict[str, Pool]
+    ways: dict[str, str]  # path prefix -> plain class
+    predicate: NotRequired[str]
+    evacuated: NotRequired[list[str]]
+    retention: NotRequired[float]
+    limits: NotRequired[Limits]
+    ramp: NotRequired[float]
+
+
+LIMITS: dict[str, int] = {
+    "body_bytes": 4 << 20, "item_bytes": 64 << 10, "lot_items": 5000, "lot_bytes": 2 << 20,
+    "pieces": 4096, "open_lots": 2000,
+}  # fmt: skip
+
+
+def limit(man: Manifest, name: str) -> int:
+    return int(cast(dict[str, int], man.get("limits", {})).get(name, LIMITS[name]))
+
+
+def with_duty(man: Manifest, duty: str) -> list[str]:
+    """Machines with a duty, in the manifest's order: the agreed order of duties."""
+    return [n for n, m in man["machines"].items() if duty in m["duties"] and not m.get("gone")]
+
+
+def members(man: Manifest, part: int) -> tuple[str, ...]:
+    """Who should keep a partition: in distinct areas while there are enough, in an agreed order that
+    the partition's number turns, so that ownership is spread."""
+    pool = [n for n in with_duty(man, "store") if not man["machines"][n].get("retire")]
+    if not pool:
+        return ()
+    ranked = sorted(pool, key=lambda n: hashlib.sha256(f"{part}/{n}".encode()).digest())
+    first = {man["machines"][n]["area"]: n for n in reversed(ranked)}
+    heads = [n for n in ranked if first[man["machines"][n]["area"]] == n]
+    chosen = (heads + [n for n in ranked if n not in heads])[: man["copies"]]
+    # Turn the manifest's order by the partition's number: owners spread evenly over few stores.
+    kept = [n for n in pool if n in chosen]
+    turn = part % len(kept)
+    return tuple(kept[turn:] + kept[:turn])
+
+
+def scene(man: Manifest, names: tuple[str, ...], me: str) -> Scene:
+    areas = tuple((n, man["machines"][n]["area"] if n in man["machines"] else "") for n in names)
+    return Scene(names, areas, me)
+
+
+def part_of(lot: str, parts: int) -> int:
+    return int.from_bytes(hashlib.sha256(lot.encode()).digest()[:8], "big") % parts
+
+
+def plugs(kind: str) -> set[str]:
+    return {e.name for e in entry_points(group=f"postpass.{kind}")}
+
+
+def deep_flaws(man: Manifest) -> list[str]:
+    """What the shapes can't say."""
+    out: list[str] = []
+    areas, machines, pools = man["areas"], man["machines"], man["pools"]
+    if not areas:
+        out.append("areas: want at least one")
+    for name, m in machines.items():
+        path = f"machines.{name}"
+        out += addr_flaws(f"{path}.peer", m["peer"]) + addr_flaws(f"{path}.http", m["http"])
+        if m["area"] not in areas:
+            out.append(f"{path}.area: unknown area {m['area']}")
+    seen: dict[str, str] = {}
+    for name, m in machines.items():
+        for key in ("peer", "http"):
+            addr = m[key]  # type: ignore[literal-required]
+            if addr in seen and not m.get("gone"):
+                out.append(f"machines.{name}.{key}: {addr} is also {seen[addr]}")
+            elif not m.get("gone"):
+                seen[addr] = f"machines.{name}.{key}"
+    evacuated = man.get("evacuated", [])
+    out += [f"evacuated[{i}]: unknown area {a}" for i, a in enumerate(evacuated) if a not in areas]
+    if areas and set(areas) <= set(evacuated):
+        out.append("evacuated: the last area can't be evacuated; nothing would serve")
+    for name, pool in pools.items():
+        for who, s in pool["servers"].items():
+            path = f"pools.{name}.servers.{who}"
+            if s["area"] not in areas:
+                out.append(f"{path}.area: unknown area {s['area']}")
+            if s["slots"] < 1:
+                out.append(f"{path}.slots: want at least 1, got {s['slots']}")
+            host = s["url"].removeprefix("http://")
+            if not s["url"].startswith("http://") or addr_flaws("", host):
+                out.append(f"{path}.url: want http://IP:PORT, got {s['url']!r:.60}")
+        live = [s for s in pool["servers"].values() if not s.get("leave") and s["area"] not in evacuated]
+        if pool["servers"] and not live:
+            out.append(f"pools.{name}: every server leaves or stands in an evacuated area")
+    shares: dict[str, float] = {}
+    for name, c in man["classes"].items():
+        path = f"classes.{name}"
+        if c["pool"] not in pools:
+            out.append(f"{path}.pool: unknown pool {c['pool']}")
+        elif (pools[c["pool"]]["kind"] == "plain") != (c["kind"] == "plain"):
+            out.append(f"{path}.pool: a {c['kind']} class can't use the {pools[c['pool']]['kind']} pool {c['pool']}")
+        if not 0 <= c["share"] <= 1:
+            out.append(f"{path}.share: want 0 to 1, got {c['share']}")
+        shares[c["pool"]] = shares.get(c["pool"], 0) + c["share"]
+        for i, other in enumerate(c.get("borrows", [])):
+            lender = man["classes"].get(other)
+            if lender is None:
+                out.append(f"{path}.borrows[{i}]: unknown class {other}")
+            elif not lender.get("lends"):
+                out.append(f"{path}.borrows[{i}]: class {other} does not lend")
+            elif lender["pool"] != c["pool"]:
+                out.append(f"{path}.borrows[{i}]: class {other} is in pool {lender['pool']}, not {c['pool']}")
+        for key, low in (("deadline", 0), ("handback", 0), ("backlog", 0), ("reserve", -1e-9)):
+            if key in c and not cast(float, c[key]) > low:  # type: ignore[literal-required]
+                out.append(f"{path}.{key}: want more than {max(low, 0)}, got {c[key]}")  # type: ignore[literal-required]
+        for kind in ("place", "prefix"):
+            if kind in c and c[kind] not in plugs(kind):  # type: ignore[literal-required]
+                out.append(f"{path}.{kind}: no plug-in {c[kind]!r} is installed; there are {sorted(plugs(kind))}")  # type: ignore[literal-required]
+    out += [f"classes: shares of pool {p} add up to {s:g}, above 1" for p, s in shares.items() if s > 1 + 1e-9]
+    for path, name in man["ways"].items():
+        if not path.startswith("/"):
+            out.append(f"ways.{path}: want a path that begins with /")
+        if path.startswith("/v1/") or path in ("/health", "/ready", "/metrics"):
+            out.append(f"ways.{path}: this path is postpass's own")
+        if name not in man["classes"] or man["classes"][name]["kind"] != "plain":
+            out.append(f"ways.{path}: want a plain class, got {name}")
+    if "retention" in man and not man["retention"] > 0:
+        out.append(f"retention: want more than 0, got {man['retention']}")
+    if "ramp" in man and not man["ramp"] >= 0:
+        out.append(f"ramp: want 0 or more, got {man['ramp']}")
+    out += [f"limits.{k}: want at least 1, got {v}" for k, v in man.get("limits", {}).items() if cast(int, v) < 1]
+    return out + store_flaws(man)
+
+
+def store_flaws(man: Manifest) -> list[str]:
+    """Promises of the copies: the predicates must survive one disk or one area."""
+    if not any(c["kind"] == "batch" or c.get("once") for c in man["classes"].values()):
+        return []
+    stores = [n for n in with_duty(man, "store") if not man["machines"][n].get("retire")]
+    if not 1 <= man["parts"] <= 1024:
+        return [f"parts: want 1 to 1024, got {man['parts']}"]
+    if not 1 <= man["copies"] <= 7:
+        return [f"copies: want 1 to 7, got {man['copies']}"]
+    if len(stores) < man["copies"]:
+        return [f"copies: {man['copies']} copies can't be held by {len(stores)} stores that stay"]
+    main = man.get("predicate", DEFAULT)
+    texts = {"predicate": main} | {
+        f"classes.{n}.predicate": c["predicate"] for n, c in man["classes"].items() if "predicate" in c
+    }
+    out: dict[str, None] = {}
+    for part in range(min(man["parts"], 64)):
+        crew = members(man, part)
+        for path, text in texts.items():
+            for me in crew:
+                place = scene(man, crew, me)
+                flaw = loss_flaw(text, place)
+                if flaw:
+                    out.setdefault(f"{path}: {flaw}")
+                    break
+                base = build(main, place)
+                if path != "predicate" and isinstance(base, Ok) and weaker(text, main, place):
+                    out.setdefault(f"{path}: weaker than the default predicate; a class may only ask for more")
+                    break
+    return list(out)
+
+
+def weaker(text: str, main: str, place: Scene) -> bool:
+    import itertools
+
+    one, two = build(text, place).unwrap(), build(main, place).unwrap()
+    return any(
+        covers(one, c) and not covers(two, c)
+        for n in range(len(place.nodes) + 1)
+        for c in itertools.combinations(place.nodes, n)
+    )
+
+
+def check(raw: Any) -> Result[Manifest, list[str]]:
+    seen = flaws(Manifest, raw)
+    if seen:
+        return Err(seen)
+    man = cast(Manifest, raw)
+    seen = deep_flaws(man)
+    return Err(seen) if seen else Ok(man)
+
+
+def dump(man: Manifest) -> str:
+    return json.dumps(man, separators=(",", ":"), ensure_ascii=False)
+
+
+def small() -> Manifest:
+    """A whole manifest for tests."""
+    areas = ["a", "b", "c", "d"]
+    machines: dict[str, Machine] = {
+        f"s{i}": {"area": areas[i - 1], "peer": f"127.{i}.0.1:7000", "http": f"127.{i}.0.1:8000", "duties": ["store"]}
+        for i in range(1, 5)
+    }
+    return {
+        "name": "small", "areas": areas, "machines": machines, "parts": 4, "copies": 4, "ways": {"/view": "view"},
+        "classes": {
+            "ask": {"kind": "live", "pool": "gpu", "share": 0.75, "lends": True},
+            "lot": {"kind": "batch", "pool": "gpu", "share": 0.25, "borrows": ["ask"]},
+            "view": {"kind": "plain", "pool": "app", "share": 1},
+        },
+        "pools": {
+            "gpu": {"kind": "model", "servers": {"w1": {"url": "http://127.1.1.1:9000", "area": "a", "slots": 4}}},
+            "app": {"kind": "plain", "servers": {"p1": {"url": "http://127.1.1.2:9000", "area": "a", "slots": 4}}},
+        },
+    }  # fmt: skip
+
+
+def test_a_bad_manifest_is_refused_whole_with_paths() -> None:
+    assert check(small()).is_ok()
+    bad = cast(Any, json.loads(dump(small())))
+    bad["classes"]["lot"]["borrows"] = ["view", "nope"]
+    bad["classes"]["ask"]["share"] = 0.9
+    bad["ways"] = {"view": "ask"}
+    bad["evacuated"] = ["a", "b", "c", "d"]
+    bad["pools"]["gpu"]["servers"]["w1"]["url"] = "http://worker:1"
+    bad["classes"]["ask"]["place"] = "nowhere"
+    seen = check(bad).unwrap_err()
+    paths = [s.split(":")[0] for s in seen]
+    assert paths == [
+        "evacuated", "pools.gpu.servers.w1.url", "pools.gpu", "pools.app", "classes.ask.place",
+        "classes.lot.borrows[0]", "classes.lot.borrows[1]", "classes", "ways.view", "ways.view",
+    ]  # fmt: skip
+
+
+def test_predicates_must_survive_the_tolerated_loss() -> None:
+    weak = small() | {"predicate": "MAX($ALLWNODES)"}
+    assert "does not survive the loss of the disk of" in check(weak).unwrap_err()[0]
+    soft = cast(Any, json.loads(dump(small())))
+    soft["classes"]["lot"]["predicate"] = "KTH_MAX(2, $ALLWNODES)"
+    assert check(soft).unwrap_err() == [
+        "classes.lot.predicate: weaker than the default predicate; a class may only ask for more"
+    ]
+    soft["classes"]["lot"]["predicate"] = "MIN($ALLWNODES)"
+    assert check(soft).is_ok()
+    lone = cast(Any, json.loads(dump(small())))
+    lone["machines"]["s1"]["retire"] = True
+    assert check(lone).unwrap_err() == ["copies: 4 copies can't be held by 3 stores that stay"]
+
+
+def test_members_stand_in_distinct_areas_and_owners_spread() -> None:
+    man = small()
+    assert {members(man, p)[0] for p in range(4)} == {"s1", "s2", "s3", "s4"}
+    man["machines"]["s5"] = {"area": "a", "peer": "127.1.0.9:1", "http": "127.1.0.9:2", "duties": ["store"]}
+    for part in range(16):
+        assert {man["machines"][n]["area"] for n in members(man, part)} == {"a", "b", "c", "d"}
--- /dev/null
+++ b/postpass/member.py
@@ -0,0 +1,133 @@
+"""Who is there: a partial view, shuffled between neighbours. A hint only; safety rests on epochs."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterable
+from dataclasses import dataclass, field, replace
+from typing import Any, TypedDict
+
+
+class Card(TypedDict):
+    """What a daemon tells of itself. `inc` is its start and grows with every restart; `beat` grows as it
+    lives, so that a later word of the same daemon can be told from an earlier one."""
+
+    name: str
+    peer: str
+    area: str
+    duties: list[str]
+    inc: int
+    beat: int
+    edition: int
+    version: str
+    disk: str
+
+
+@dataclass(frozen=True)
+class Mate:
+    card: Card
+    age: int = 0
+
+
+@dataclass(eq=False)
+class Circle:
+    """Invariants: never holds itself; at most `size` neighbours; a name stands once, with its newest card;
+    a daemon found dead stays out until it shows a newer (inc, beat)."""
+
+    me: Card
+    chance: random.Random
+    size: int = 8
+    sample: int = 4
+    mates: dict[str, Mate] = field(default_factory=dict)
+    dead: dict[str, tuple[int, int]] = field(default_factory=dict)
+
+    def word(self, **news: Any) -> Card:
+        """The own card, a beat on."""
+        self.me = Card(**(self.me | {"beat": self.me["beat"] + 1} | news))  # type: ignore[typeddict-item]
+        return self.me
+
+    def oldest(self) -> Mate | None:
+        return max(self.mates.values(), key=lambda m: (m.age, m.card["name"]), default=None)
+
+    def begin(self) -> tuple[Mate | None, list[Card]]:
+        """Whom to shuffle with, and what to offer."""
+        self.mates = {n: replace(m, age=m.age + 1) for n, m in self.mates.items()}
+        mate = self.oldest()
+        if mate is None:
+            return None, [self.me]
+        rest = sorted(n for n in self.mates if n != mate.card["name"])
+        picked = self.chance.sample(rest, min(self.sample - 1, len(rest)))
+        self.mates[mate.card["name"]] = replace(mate, age=0)
+        return mate, [self.me, *(self.mates[n].card for n in picked)]
+
+    def answer(self, offered: Iterable[Card]) -> list[Card]:
+        names = sorted(self.mates)
+        picked = [self.mates[n].card for n in self.chance.sample(names, min(self.sample - 1, len(names)))]
+        self.take(offered, picked)
+        return [self.me, *picked]
+
+    def take(self, cards: Iterable[Card], given: Iterable[Card] = ()) -> None:
+        """Takes what is newer; makes room by dropping what was given away, then the oldest."""
+        spare = [c["name"] for c in given]
+        for card in cards:
+            name, when = card["name"], (card["inc"], card["beat"])
+            if name == self.me["name"] or when <= self.dead.get(name, (-1, -1)):
+                continue
+            self.dead.pop(name, None)
+            have = self.mates.get(name)
+            if have is not None:
+                if when > (have.card["inc"], have.card["beat"]):
+                    self.mates[name] = Mate(card, 0)
+                continue
+            if len(self.mates) >= self.size:
+                out = next((n for n in spare if n in self.mates and n != name), None)
+                oldest = self.oldest()
+                out = out or (oldest.card["name"] if oldest else None)
+                if out is not None:
+                    del self.mates[out]
+            self.mates[name] = Mate(card, 0)
+
+    def bury(self, name: str) -> None:
+        """After others could not reach it either. It refutes this by any newer word."""
+        mate = self.mates.pop(name, None)
+        if mate is not None:
+            self.dead[name] = (mate.card["inc"], mate.card["beat"])
+            if len(self.dead) > 16 * self.size:
+                self.dead.pop(next(iter(self.dead)))
+
+
+def _card(name: str, beat: int = 0, inc: int = 1) -> Card:
+    return Card(name=name, peer=f"{name}:1", area="a", duties=[], inc=inc, beat=beat, edition=0, version="1", disk="")
+
+
+def test_shuffles_join_everyone_and_views_stay_bounded() -> None:
+    chance = random.Random(4)
+    circles = {f"n{i}": Circle(_card(f"n{i}"), random.Random(i)) for i in range(60)}
+    for name, c in circles.items():
+        c.take([_card(f"n{i}") for i in range(3) if f"n{i}" != name])
+    for _ in range(60):
+        for name in chance.sample(sorted(circles), 60):
+            c = circles[name]
+            c.word()
+            mate, offer = c.begin()
+            if mate is not None:
+                given = offer[1:]
+                c.take(circles[mate.card["name"]].answer(offer), given)
+    assert all(len(c.mates) <= 8 and n not in c.mates for n, c in circles.items())
+    seen, edge = {"n5"}, ["n5"]
+    while edge:
+        edge = [m for n in edge for m in circles[n].mates if m not in seen and not seen.add(m)]  # type: ignore[func-returns-value]
+    assert len(seen) == 60
+
+
+def test_the_dead_stay_out_until_they_show_a_newer_word() -> None:
+    c = Circle(_card("me"), random.Random(1))
+    c.take([_card("x", 5)])
+    c.bury("x")
+    c.take([_card("x", 5), _card("x", 4)])
+    assert "x" not in c.mates
+    c.take([_card("x", 6)])
+    assert "x" in c.mates
+    c.bury("x")
+    c.take([_card("x", 0, inc=2)])
+    assert c.mates["x"].card["inc"] == 2
--- /dev/null
+++ b/postpass/news.py
@@ -0,0 +1,148 @@
+"""What a daemon knows of the desired state: the newest edition it has seen. It never goes back one."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+from collections import deque
+from dataclasses import dataclass, field
+from typing import Any
+
+from result import Ok
+
+from postpass import events
+from postpass.delta import Delta, delta, patch
+from postpass.manifest import Machine, Manifest, check, dump, limit, members, small, with_duty
+
+KEPT = 64  # changes a daemon can hand on before it must hand on a snapshot
+
+
+def seal(man: Any) -> str:
+    return hashlib.sha256(dump(man).encode()).hexdigest()[:16]
+
+
+@dataclass(frozen=True)
+class Change:
+    """One entry of the feed: leads from the edition before it to its own, whose seal is given."""
+
+    edition: int
+    base: int
+    change: Delta
+    seal: str
+
+
+@dataclass(eq=False)
+class News:
+    """Invariants: `edition` only grows, and `manifest` is the checked one of that edition; `feed` holds the
+    last changes, each based on the one before it."""
+
+    who: str
+    manifest: Manifest | None = None
+    edition: int = 0
+    feed: deque[Change] = field(default_factory=lambda: deque(maxlen=KEPT))
+    changed: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def take(self, edition: int, raw: Any) -> bool:
+        if edition <= self.edition:
+            return False
+        got = check(raw)
+        if not isinstance(got, Ok):
+            events.emit(141, self.who, edition=edition, flaws=got.unwrap_err()[:3])
+            return False
+        if self.manifest is not None:
+            self.feed.append(Change(edition, self.edition, delta(self.manifest, raw), seal(raw)))
+        self.manifest, self.edition = got.unwrap(), edition
+        events.emit(140, self.who, edition=edition)
+        self.changed.set()
+        self.changed = asyncio.Event()
+        return True
+
+    def since(self, place: int) -> dict[str, Any]:
+        """What a follower at `place` lacks: the changes from there on, or a snapshot."""
+        if place >= self.edition or self.manifest is None:
+            return {"edition": self.edition}
+        tail = [c for c in self.feed if c.base >= place]
+        if tail and tail[0].base == place:
+            return {"edition": self.edition, "changes": [vars(c) for c in tail]}
+        return {"edition": self.edition, "snapshot": self.manifest, "seal": seal(self.manifest)}
+
+    def follow(self, got: dict[str, Any]) -> bool:
+        """Takes what `since` gave; False if it doesn't fit, so that a snapshot is wanted."""
+        if "snapshot" in got:
+            return seal(got["snapshot"]) == got["seal"] and self.take(got["edition"], got["snapshot"])
+        for c in got.get("changes", []):
+            if c["edition"] <= self.edition:
+                continue
+            if c["base"] != self.edition:
+                return False
+            raw = patch(self.manifest, c["change"])
+            if seal(raw) != c["seal"] or not self.take(c["edition"], raw):
+                return False
+        return True
+
+    async def wait(self, past: int, limit: float) -> bool:
+        """True once an edition past the given one is here."""
+        try:
+            async with asyncio.timeout(limit):
+                while self.edition <= past:
+                    await self.changed.wait()
+        except TimeoutError:
+            return False
+        return True
+
+    def machine(self, name: str) -> Machine | None:
+        return self.manifest["machines"].get(name) if self.manifest else None
+
+    def addr(self, name: str) -> str:
+        """Where a machine's peers reach it; empty if it is declared gone or unknown."""
+        m = self.machine(name)
+        return m["peer"] if m and not m.get("gone") else ""
+
+    def evacuated(self, name: str) -> bool:
+        m = self.machine(name)
+        return bool(m and self.manifest and m["area"] in self.manifest.get("evacuated", []))
+
+    def order(self, part: int) -> list[str]:
+        """The agreed order of a partition's members; those in evacuated areas stand last."""
+        if self.manifest is None:
+            return []
+        return sorted(members(self.manifest, part), key=self.evacuated)
+
+    def duty(self, duty: str) -> list[str]:
+        return sorted(with_duty(self.manifest, duty), key=self.evacuated) if self.manifest else []
+
+    def limit(self, name: str) -> int:
+        return limit(self.manifest, name) if self.manifest else 0
+
+
+def test_a_daemon_never_goes_back_an_edition() -> None:
+    async def run() -> None:
+        news = News("x")
+        assert news.take(3, small()) and not news.take(2, small()) and not news.take(3, small())
+        assert not news.take(4, {"name": "bad"}) and news.edition == 3
+        assert not await news.wait(3, 0.01) and await news.wait(2, 0.01)
+
+    asyncio.run(run())
+
+
+def test_evacuated_members_stand_last() -> None:
+    news = News("x", small(), 1)
+    assert news.order(0)[0] == "s1"
+    news.manifest = small() | {"evacuated": ["a"]}  # type: ignore[assignment]
+    assert news.order(0)[-1] == "s1" and news.evacuated("s1")
+
+
+def test_followers_take_changes_from_their_place_or_a_snapshot() -> None:
+    main, near, late = News("m"), News("n"), News("l")
+    main.take(1, small())
+    assert near.follow(main.since(0)) and near.edition == 1
+    for edition in range(2, KEPT + 9):
+        main.take(edition, small() | {"name": f"e{edition}"})
+        assert "changes" in main.since(near.edition) and near.follow(main.since(near.edition))
+    assert near.manifest == main.manifest
+    late.take(1, small())
+    assert "snapshot" in main.since(1) and late.follow(main.since(1)) and late.edition == main.edition
+    odd = main.since(main.edition - 1)
+    near.edition -= 1
+    odd["changes"][0]["seal"] = "other"
+    assert not near.follow(odd)
--- /dev/null
+++ b/postpass/plug.py
@@ -0,0 +1,124 @@
+"""Plug-ins: ways to place a class and ways to reuse a prefix, found by entry points.
+
+Each is a pure function over frozen values. One that raises or answers nonsense is logged and the default
+is taken: calls are not harmed by it.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Callable
+from dataclasses import dataclass
+from functools import lru_cache
+from importlib.metadata import entry_points
+from typing import Any
+
+from postpass import events
+
+
+@dataclass(frozen=True)
+class Seat:
+    """A server as a way of placing sees it. Invariant: it may take a call now; `free` >= 1."""
+
+    name: str
+    area: str
+    free: int
+    slots: int
+    load: int
+    fond: bool = False  # the way of prefix reuse points here
+
+
+@dataclass(frozen=True)
+class Ask:
+    """A call as plug-ins see it."""
+
+    kind: str
+    shared: tuple[str, ...]
+    size: int
+    area: str
+
+
+Place = Callable[[Ask, tuple[Seat, ...]], str]  # the name of one of the seats
+Prefix = Callable[[Ask], str]  # a key: calls with the same key tend to the same server
+
+
+def least(ask: Ask, seats: tuple[Seat, ...]) -> str:
+    """The fond server unless it is much more loaded than the least loaded; the own area breaks ties."""
+    best = min(seats, key=lambda s: (s.load / s.slots, s.area != ask.area, s.name))
+    fond = next((s for s in seats if s.fond), None)
+    if fond is not None and fond.load / fond.slots <= best.load / best.slots + 0.25:
+        return fond.name
+    return best.name
+
+
+def first(ask: Ask) -> str:
+    """The first shared part, which callers of one kind have in common."""
+    return hashlib.sha256(ask.shared[0].encode()).hexdigest()[:16] if ask.shared else ""
+
+
+@lru_cache(maxsize=64)
+def find(kind: str, name: str) -> Any:
+    return next(e.load() for e in entry_points(group=f"postpass.{kind}") if e.name == name)
+
+
+def place(who: str, name: str, ask: Ask, seats: tuple[Seat, ...]) -> str:
+    if name:
+        try:
+            got = find("place", name)(ask, seats)
+            if got in {s.name for s in seats}:
+                return str(got)
+            events.emit(154, who, plug=name, why=f"answered {got!r:.40}")
+        except Exception as bad:
+            events.emit(154, who, plug=name, why=repr(bad)[:120])
+    return least(ask, seats)
+
+
+def prefix(who: str, name: str, ask: Ask) -> str:
+    if name:
+        try:
+            got = find("prefix", name)(ask)
+            if isinstance(got, str):
+                return got
+            events.emit(154, who, plug=name, why=f"answered {got!r:.40}")
+        except Exception as bad:
+            events.emit(154, who, plug=name, why=repr(bad)[:120])
+    return first(ask)
+
+
+def fond_of(key: str, names: list[str]) -> str:
+    """Rendezvous: the server that a key tends to; few keys move when servers come or go."""
+    return max(names, key=lambda n: hashlib.sha256(f"{key}/{n}".encode()).digest()) if key and names else ""
+
+
+SEATS = (Seat("a", "x", 2, 4, 2), Seat("b", "y", 3, 4, 1), Seat("c", "x", 3, 4, 1))
+
+
+def test_least_loaded_near_and_fond() -> None:
+    ask = Ask("ask", ("s",), 1, "x")
+    assert least(ask, SEATS) == "c"
+    assert least(ask, (Seat("a", "x", 2, 4, 2, fond=True), *SEATS[1:])) == "a"
+    assert least(ask, (Seat("a", "x", 1, 4, 3, fond=True), *SEATS[1:])) == "c"
+
+
+def test_a_plug_in_that_raises_or_answers_nonsense_harms_no_call(monkeypatch: Any) -> None:
+    import sys
+
+    ask = Ask("ask", ("s",), 1, "x")
+    before = events.COUNTS[154]
+    here = sys.modules[__name__]
+    monkeypatch.setattr(
+        here, "find", lambda kind, name: {"nonsense": lambda *_: "nowhere", "raises": lambda *_: 1 / 0}[name]
+    )
+    assert place("e1", "nonsense", ask, SEATS) == place("e1", "raises", ask, SEATS) == "c"
+    assert prefix("e1", "raises", ask) == first(ask)
+    assert events.COUNTS[154] == before + 3
+    monkeypatch.setattr(here, "find", lambda kind, name: lambda _ask, seats: seats[0].name)
+    assert place("e1", "mine", ask, SEATS) == "a"
+
+
+def test_prefix_keys_move_little() -> None:
+    names = [f"w{i}" for i in range(9)]
+    keys = [f"k{i}" for i in range(300)]
+    moved = sum(fond_of(k, names) != fond_of(k, names[:-1]) for k in keys)
+    assert 0 < moved < 70
+    assert all(fond_of(k, names) == "w8" for k in keys if fond_of(k, names) != fond_of(k, names[:-1]))
--- /dev/null
+++ b/postpass/predicate.py
@@ -0,0 +1,299 @@
+"""The predicate language of the stability frontier, after Stabilizer (section III-C of the paper).
+
+Operators keep the source's meaning: KTH_MAX(k, x) is the k-th largest of x, KTH_MIN(k, x) the k-th
+smallest. A value is reached by k nodes for KTH_MAX and by n-k+1 for KTH_MIN; the quorum counts follow
+from that and not from the names (docs/stabilizer.md shows the arithmetic).
+"""
+
+from __future__ import annotations
+
+import itertools
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from functools import lru_cache
+
+from lark import Lark, Token, Tree
+from lark.exceptions import UnexpectedInput
+from result import Err, Ok, Result
+
+DEFAULT = "KTH_MAX(SIZEOF($ALLWNODES)/2+1, $ALLWNODES.persisted)"
+TYPES = ("received", "persisted")
+
+GRAMMAR = r"""
+start: pred
+pred: OP "(" args ")"
+args: arg ("," arg)*
+?arg: pred | sum
+?sum: sum "+" term -> plus | sum "-" term -> minus | term
+?term: term "*" atom -> times | term "/" atom -> over | atom
+?atom: INT -> num | "SIZEOF" "(" sum ")" -> size | node | "(" sum ")" SUFFIX? -> group
+node: "$" NAME SUFFIX?
+OP: "KTH_MAX" | "KTH_MIN" | "MAX" | "MIN"
+SUFFIX: "." /[a-z]+/
+NAME: /[A-Za-z0-9_]+(-[A-Za-z0-9_]+)*/
+INT: /[0-9]+/
+%ignore /\s+/
+"""
+PARSER = Lark(GRAMMAR, parser="earley", propagate_positions=True)
+
+# What a node has reached: (node, type) -> sequence number.
+Count = Callable[[str, str], int]
+
+
+@dataclass(frozen=True)
+class Scene:
+    """The nodes a predicate speaks of. Invariant: `me` is in `areas`; the order of `nodes` gives $1, $2, …"""
+
+    nodes: tuple[str, ...]
+    areas: tuple[tuple[str, str], ...]  # (node, area)
+    me: str
+
+    def area(self, node: str) -> str:
+        return dict(self.areas).get(node, "")
+
+
+@dataclass(frozen=True)
+class Nodes:
+    names: tuple[str, ...]
+    kind: str = ""
+
+
+class Wrong(Exception):
+    pass
+
+
+def _at(tree: Tree[Token] | Token) -> str:
+    if isinstance(tree, Token):
+        return f"column {tree.column}"
+    return f"column {getattr(tree.meta, 'column', 1)}"
+
+
+def _nodes(tree: Tree[Token], scene: Scene) -> Nodes:
+    name = str(tree.children[0])
+    tail = tree.children[1] if len(tree.children) > 1 else None
+    kind = str(tail)[1:] if tail is not None else ""
+    if kind and kind not in TYPES:
+        raise Wrong(f"{_at(tree)}: unknown type .{kind}; known are {', '.join(TYPES)}")
+    if name == "ALLWNODES":
+        names = scene.nodes
+    elif name == "MYWNODE":
+        names = (scene.me,)
+    elif name == "MYAZWNODES":
+        names = tuple(n for n in scene.nodes if scene.area(n) == scene.area(scene.me))
+    elif name.startswith("WNODE_"):
+        names = tuple(n for n in scene.nodes if n == name[6:])
+        if not names:
+            raise Wrong(f"{_at(tree)}: unknown node {name[6:]}; known are {', '.join(scene.nodes)}")
+    elif name.startswith("AZ_"):
+        names = tuple(n for n in scene.nodes if scene.area(n) == name[3:])
+        if not names:
+            raise Wrong(f"{_at(tree)}: unknown or empty area {name[3:]}")
+    elif name.isdigit():
+        if not 1 <= int(name) <= len(scene.nodes):
+            raise Wrong(f"{_at(tree)}: ${name} is outside 1..{len(scene.nodes)}")
+        names = (scene.nodes[int(name) - 1],)
+    else:
+        raise Wrong(f"{_at(tree)}: unknown name ${name}")
+    return Nodes(names, kind)
+
+
+def _value(tree: Tree[Token] | Token, scene: Scene) -> int | Nodes:
+    """Folds numbers and node sets; both are known once the scene is."""
+    assert isinstance(tree, Tree)
+    if tree.data == "num":
+        return int(str(tree.children[0]))
+    if tree.data == "node":
+        return _nodes(tree, scene)
+    if tree.data == "group":
+        inner = _value(tree.children[0], scene)
+        if len(tree.children) > 1 and tree.children[1] is not None:
+            kind = str(tree.children[1])[1:]
+            if not isinstance(inner, Nodes):
+                raise Wrong(f"{_at(tree)}: .{kind} belongs to nodes, not to a number")
+            if kind not in TYPES:
+                raise Wrong(f"{_at(tree)}: unknown type .{kind}; known are {', '.join(TYPES)}")
+            return Nodes(inner.names, kind)
+        return inner
+    if tree.data == "size":
+        inner = _value(tree.children[0], scene)
+        if not isinstance(inner, Nodes):
+            raise Wrong(f"{_at(tree)}: SIZEOF wants nodes")
+        return len(inner.names)
+    left, right = _value(tree.children[0], scene), _value(tree.children[1], scene)
+    if isinstance(left, Nodes) and isinstance(right, Nodes) and tree.data == "minus":
+        return Nodes(tuple(n for n in left.names if n not in right.names), left.kind or right.kind)
+    if isinstance(left, Nodes) or isinstance(right, Nodes):
+        raise Wrong(f"{_at(tree)}: nodes and numbers don't mix")
+    if tree.data == "over" and right == 0:
+        raise Wrong(f"{_at(tree)}: division by zero")
+    sums: dict[str, Callable[[int, int], int]] = {
+        "plus": lambda a, b: a + b,
+        "minus": lambda a, b: a - b,
+        "times": lambda a, b: a * b,
+        "over": lambda a, b: a // b,
+    }
+    return sums[str(tree.data)](left, right)
+
+
+def _fold(tree: Tree[Token], scene: Scene) -> Callable[[Count], int]:
+    op = str(tree.children[0])
+    inner = tree.children[1]
+    assert isinstance(inner, Tree)
+    args = list(inner.children)
+    rank = 1
+    if op.startswith("KTH"):
+        if len(args) < 2:
+            raise Wrong(f"{_at(tree)}: {op} wants a number and a set")
+        head = _value(args[0], scene) if isinstance(args[0], Tree) and args[0].data != "pred" else None
+        if not isinstance(head, int):
+            raise Wrong(f"{_at(args[0])}: {op} wants a number first")
+        rank, args = head, args[1:]
+    leaves: list[Callable[[Count], int]] = []
+    for arg in args:
+        assert isinstance(arg, Tree)
+        if arg.data == "pred":
+            leaves.append(_fold(arg, scene))
+            continue
+        val = _value(arg, scene)
+        if isinstance(val, int):
+            raise Wrong(f"{_at(arg)}: a bare number is no operand of {op}")
+        kind = val.kind or "persisted"
+        leaves += [lambda count, n=n, kind=kind: count(n, kind) for n in val.names]  # type: ignore[misc]
+    if not leaves:
+        raise Wrong(f"{_at(tree)}: {op} over an empty set")
+    if not 1 <= rank <= len(leaves):
+        raise Wrong(f"{_at(tree)}: k is {rank}, outside 1..{len(leaves)}")
+    most = op.endswith("MAX")
+    return lambda count: sorted((leaf(count) for leaf in leaves), reverse=most)[rank - 1]
+
+
+@lru_cache(maxsize=256)
+def build(text: str, scene: Scene) -> Result[Callable[[Count], int], str]:
+    """Folds a predicate into a closure, or says what is wrong and where."""
+    try:
+        tree = PARSER.parse(text)
+        root = tree.children[0]
+        assert isinstance(root, Tree)
+        return Ok(_fold(root, scene))
+    except UnexpectedInput as bad:
+        return Err(f"column {getattr(bad, 'column', len(text))}: cannot be read as a predicate")
+    except Wrong as bad:
+        return Err(str(bad))
+
+
+def covers(pred: Callable[[Count], int], held: Iterable[str]) -> bool:
+    """Does the predicate hold for a record that just the nodes in `held` keep synced?"""
+    have = frozenset(held)
+    return pred(lambda node, kind: 1 if node in have else 0) >= 1
+
+
+def quorums(pred: Callable[[Count], int], nodes: tuple[str, ...]) -> list[frozenset[str]]:
+    """The smallest sets that cover."""
+    sets = [frozenset(c) for n in range(1, len(nodes) + 1) for c in itertools.combinations(nodes, n) if covers(pred, c)]
+    return [s for s in sets if not any(t < s for t in sets)]
+
+
+def loss_flaw(text: str, scene: Scene) -> str:
+    """Names the tolerated loss (one disk, or one area) that could take a covered record; empty if none can.
+
+    `received` copies vanish with the power, so only synced ones are counted: a node counts for
+    `received` as it does for nothing.
+    """
+    built = build(text, scene)
+    if isinstance(built, Err):
+        return built.unwrap_err()
+    pred = built.unwrap()
+    areas = sorted({a for n, a in scene.areas if n in scene.nodes})
+    losses = [(f"the disk of {n}", frozenset({n})) for n in scene.nodes] + [
+        (f"area {a}", frozenset(n for n in scene.nodes if scene.area(n) == a)) for a in areas
+    ]
+    for held in (frozenset(c) for n in range(len(scene.nodes) + 1) for c in itertools.combinations(scene.nodes, n)):
+        covered = pred(lambda n, kind, held=held: 1 if kind == "received" or n in held else 0) >= 1  # type: ignore[misc]
+        if not covered:
+            continue
+        for what, lost in losses:
+            if held <= lost:
+                where = ", ".join(sorted(held)) or "no synced disk at all"
+                return f"does not survive the loss of {what}: it holds with copies on {where} alone"
+    return ""
+
+
+def promises_suffice(pred: Callable[[Count], int], nodes: tuple[str, ...], got: Iterable[str]) -> bool:
+    """True if `got` meets every covering set and every other set of promises."""
+    have = frozenset(got) & frozenset(nodes)
+    return 2 * len(have) > len(nodes) and not covers(pred, frozenset(nodes) - have)
+
+
+def confirm_suffice(pred: Callable[[Count], int], nodes: tuple[str, ...], got: Iterable[str]) -> bool:
+    """True if no new owner can have been promised without one of `got` knowing."""
+    have = frozenset(got) & frozenset(nodes)
+    return not promises_suffice(pred, nodes, frozenset(nodes) - have)
+
+
+def four(*areas: str) -> Scene:
+    names = tuple(f"s{i + 1}" for i in range(len(areas)))
+    return Scene(names, tuple(zip(names, areas, strict=True)), "s1")
+
+
+SCENE = four("a", "b", "c", "d")
+
+
+def test_operators_keep_the_sources_meaning() -> None:
+    have = {"s1": 18, "s2": 28, "s3": 5, "s4": 9}
+
+    def run(text: str) -> int:
+        return build(text, SCENE).unwrap()(lambda n, k: have[n] if k == "persisted" else have[n] + 100)
+
+    assert run("MAX($ALLWNODES-$MYWNODE)") == 28
+    assert run("MIN($ALLWNODES)") == 5
+    assert run("KTH_MAX(2, $ALLWNODES)") == 18
+    assert run("KTH_MIN(2, $ALLWNODES)") == 9
+    assert run("MIN(MAX($AZ_b, $3), $WNODE_s4.received)") == 28
+    assert run("KTH_MAX(SIZEOF($ALLWNODES - $MYWNODE)/2+1, ($ALLWNODES-$MYWNODE).received)") == 109
+    assert run("MAX($MYAZWNODES)") == 18
+
+
+def test_trap_one_kth_min_is_no_majority_of_four() -> None:
+    source = build("KTH_MIN(SIZEOF($ALLWNODES)/2+1, $ALLWNODES)", SCENE).unwrap()
+    ours = build(DEFAULT, SCENE).unwrap()
+    assert {len(q) for q in quorums(source, SCENE.nodes)} == {2}
+    assert {len(q) for q in quorums(ours, SCENE.nodes)} == {3}
+    for n in range(1, 8):
+        scene = four(*"abcdefg"[:n])
+        assert {len(q) for q in quorums(build(DEFAULT, scene).unwrap(), scene.nodes)} == {n // 2 + 1}
+
+
+def test_faults_are_named_with_their_place() -> None:
+    def why(text: str) -> str:
+        return str(build(text, SCENE).unwrap_err())
+
+    assert why("MAX($NOPE)") == "column 5: unknown name $NOPE"
+    assert why("KTH_MAX(5, $ALLWNODES)") == "column 1: k is 5, outside 1..4"
+    assert why("MIN($MYWNODE - $ALLWNODES)") == "column 1: MIN over an empty set"
+    assert "cannot be read" in why("MAX(")
+    assert "unknown type .sealed" in why("MAX($1.sealed)")
+    assert "outside 1..4" in why("MAX($9)")
+    assert "unknown or empty area z" in why("MAX($AZ_z)")
+    assert "unknown node s9" in why("MAX($WNODE_s9)")
+    assert "division by zero" in why("KTH_MAX(1/0, $ALLWNODES)")
+    assert "bare number" in why("MAX(3)")
+
+
+def test_loss_check_names_the_loss() -> None:
+    assert loss_flaw(DEFAULT, SCENE) == ""
+    assert loss_flaw("MAX($ALLWNODES)", SCENE).startswith("does not survive the loss of the disk of s1")
+    assert "no synced disk" in loss_flaw("MIN($ALLWNODES.received)", SCENE)
+    pair = four("a", "a", "b", "c")
+    assert "loss of area a" in loss_flaw("KTH_MAX(2, $ALLWNODES)", pair)
+    assert loss_flaw(DEFAULT, four("a", "a", "a", "b")).startswith("does not survive the loss of area a")
+
+
+def test_promises_meet_covering_sets_and_each_other() -> None:
+    pred = build(DEFAULT, SCENE).unwrap()
+    assert promises_suffice(pred, SCENE.nodes, ("s1", "s2", "s3"))
+    assert not promises_suffice(pred, SCENE.nodes, ("s1", "s2"))
+    assert confirm_suffice(pred, SCENE.nodes, ("s1", "s2"))
+    assert not confirm_suffice(pred, SCENE.nodes, ("s1",))
+    weak = build("KTH_MAX(2, $ALLWNODES)", SCENE).unwrap()
+    assert not promises_suffice(weak, SCENE.nodes, ("s1", "s2"))
+    assert promises_suffice(weak, SCENE.nodes, ("s1", "s2", "s3"))
--- /dev/null
+++ b/postpass/sched.py
@@ -0,0 +1,350 @@
+"""The sched duty: works through lots on the room that live traffic leaves.
+
+One scheduler is active at a time: the first live one in the agreed order. That is a hint only; owners take
+the highest term and refuse older ones, and every dispatch stands under a short lease of the lot's owner.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import math
+from collections import Counter as Tally
+from dataclasses import dataclass, field
+from typing import Any
+
+import aiohttp
+from prometheus_client import CollectorRegistry, Counter, Gauge
+from result import Err, Ok
+
+from postpass import events
+from postpass.config import Config
+from postpass.fault import CLASH, MOVED, Fault, Stop
+from postpass.floor import Floor, share_of
+from postpass.manifest import Manifest
+from postpass.models import Prompt, complete
+from postpass.news import News
+from postpass.plug import Ask, Seat, fond_of, place, prefix
+from postpass.wire import Body, Lines
+from postpass.world import World, now
+
+
+@dataclass(eq=False)
+class Job:
+    """An item held here. Invariant: at most one task runs it; it is held until its result was taken, its
+    lot was ended, or it went back to the owner."""
+
+    part: int
+    lot: str
+    item: int
+    kind: str
+    due: float
+    prompt: Prompt
+    caller: str
+    server: str = ""
+    task: asyncio.Task[None] | None = None
+    began: float = 0.0
+    pieces: int = 0
+
+    @property
+    def key(self) -> tuple[int, str, int]:
+        return (self.part, self.lot, self.item)
+
+
+def allowed(slots: int, own: int, live: int, reserve: int, warm: bool) -> int:
+    """Batch room at one worker: its own share, or what live calls and the reserve leave, if that is more.
+    A worker that still warms up gets none."""
+    return max(own, slots - live - reserve) if warm else 0
+
+
+@dataclass(eq=False)
+class Sched:
+    """Invariants: nothing is dispatched for a partition once `leases[part]` has passed, and that is checked
+    again right before the bytes go out; `jobs` is bounded by the pools' slots."""
+
+    conf: Config
+    world: World
+    news: News
+    lines: Lines
+    floor: Floor
+    session: aiohttp.ClientSession
+    registry: CollectorRegistry
+    active: bool = False
+    term: int = 0
+    jobs: dict[tuple[int, str, int], Job] = field(default_factory=dict)
+    leases: dict[int, float] = field(default_factory=dict)
+    owners: dict[int, str] = field(default_factory=dict)
+    # Settings of the simulator, to measure against a plain baseline.
+    borrow: bool = True
+    reserve: bool = True
+    loans: list[tuple[float, float]] = field(default_factory=list)  # (when live came back, seconds to hand back)
+    over_since: dict[tuple[str, str], float] = field(default_factory=dict)
+    ahead: Tally[str] = field(default_factory=Tally)
+
+    def __post_init__(self) -> None:
+        self.items = Counter("postpass_items", "Items by class and end", ["kind", "end"], registry=self.registry)
+        self.back = Counter("postpass_loans_back", "Items cancelled to hand room back", registry=self.registry)
+        Gauge("postpass_items_running", "Items at workers", registry=self.registry).set_function(
+            lambda: sum(j.task is not None for j in self.jobs.values())
+        )
+        Gauge("postpass_sched_active", "1 while this daemon schedules", registry=self.registry).set_function(
+            lambda: float(self.active)
+        )
+
+    def tasks(self) -> list[Any]:
+        return [self.elect(), self.work()]
+
+    # --- who schedules
+    async def elect(self) -> None:
+        """The first live one in the order schedules; it steps back as soon as one before it answers."""
+        b = self.conf.bounds
+        missed: Tally[str] = Tally()
+        while True:
+            await asyncio.sleep(b.beat * (0.8 + 0.4 * self.world.chance.random()))
+            order = self.news.duty("sched")
+            if self.conf.name not in order:
+                self.turn(False, "not in the order")
+                continue
+            before = order[: order.index(self.conf.name)]
+            got = await asyncio.gather(*(self.lines.call(self.news.addr(n), "ping", {}, b.beat) for n in before))
+            for name, answer in zip(before, got, strict=True):
+                alive = isinstance(answer, Ok) and not answer.unwrap()["ready"]
+                missed[name] = 0 if alive else missed[name] + 1
+            dead = all(missed[n] * b.beat >= b.detect / 2 for n in before)
+            if self.active and before and any(missed[n] == 0 for n in before):
+                self.turn(False, "one before it is back")
+            elif not self.active and dead:
+                self.turn(True, "the first live one")
+
+    def turn(self, on: bool, why: str) -> None:
+        if on == self.active:
+            return
+        self.active = on
+        events.emit(150 if on else 151, self.conf.name, why=why)
+        if on:
+            self.term += 1
+        else:
+            for job in list(self.jobs.values()):
+                self.drop(job)
+            self.leases.clear()
+
+    def drop(self, job: Job) -> None:
+        self.jobs.pop(job.key, None)
+        if job.task is not None:
+            job.task.cancel()
+
+    # --- room
+    def room(self, man: Manifest, kind: str) -> dict[str, int]:
+        """How many items of a class each worker may run now, those running included."""
+        c = man["classes"][kind]
+        pool = man["pools"][c["pool"]]
+        names = [n for n in sorted(pool["servers"]) if not self.floor.barred(c["pool"], n, self.conf.bounds.probe * 4)]
+        total = sum(pool["servers"][n]["slots"] for n in names)
+        own = math.floor(c["share"] * total)
+        lent = any(man["classes"][x].get("lends") for x in c.get("borrows", [])) and self.borrow
+        out = {}
+        for i, name in enumerate(names):
+            spot = self.floor.spot(c["pool"], name)
+            slots = pool["servers"][name]["slots"]
+            mine = spot.mine.total()
+            # Live use: what the worker reported, less what this scheduler ran there when it did.
+            live = max(0, (spot.seen.running + spot.seen.waiting if spot.seen else 0) - spot.mine_seen)
+            peak = max(0.0, spot.peak - spot.mine_seen)
+            keep = math.ceil(c.get("reserve", 0.25) * max(live, peak)) if self.reserve else 0
+            part = share_of(own, i, len(names))
+            room = allowed(slots, part, live, keep, self.floor.warm(c["pool"], name) >= 1)
+            out[name] = room if lent else min(room, part)
+            _ = mine
+        return out
+
+    def hand_back(self, man: Manifest, kind: str, room: dict[str, int]) -> None:
+        """Where live calls came back, items are cancelled and put back: the latest due first, and among
+        those the ones that got least far."""
+        pool = man["classes"][kind]["pool"]
+        for name, most in room.items():
+            running = [j for j in self.jobs.values() if j.server == name and j.kind == kind and j.task is not None]
+            spare = len(running) - most
+            if spare <= 0:
+                began = self.over_since.pop((pool, name), None)
+                if began is not None:
+                    self.loans.append((began, now() - began))
+                    del self.loans[:-500]
+                continue
+            self.over_since.setdefault((pool, name), now())
+            for job in sorted(running, key=lambda j: (-j.due, j.pieces))[:spare]:
+                self.items.labels(kind, "put back").inc()
+                self.back.inc()
+                if job.task is not None:
+                    job.task.cancel()
+            events.emit(152, self.conf.name, server=name, items=spare)
+
+    # --- the rounds
+    async def work(self) -> None:
+        b = self.conf.bounds
+        while True:
+            await asyncio.sleep(b.poll * (0.9 + 0.2 * self.world.chance.random()))
+            man = self.news.manifest
+            if man is None or not self.active:
+                continue
+            kinds = [n for n, c in man["classes"].items() if c["kind"] == "batch"]
+            rooms = {k: self.room(man, k) for k in kinds}
+            for kind in kinds:
+                self.hand_back(man, kind, rooms[kind])
+            want = {}
+            for kind in kinds:
+                free = sum(rooms[kind].values()) - sum(
+                    j.kind == kind and j.task is not None for j in self.jobs.values()
+                )
+                ready = sum(j.kind == kind and j.task is None for j in self.jobs.values())
+                want[kind] = max(0, free - ready)
+            self.ahead.clear()
+            await asyncio.gather(*(self.poll(part, want) for part in range(man["parts"])))
+            if self.active:
+                self.dispatch(man, rooms)
+
+    async def poll(self, part: int, want: dict[str, int]) -> None:
+        """Renews the lease of a partition and takes items; the lease runs from when it was asked for."""
+        b = self.conf.bounds
+        asked = now()
+        held = [[j.lot, j.item] for j in self.jobs.values() if j.part == part]
+        got = await self.ask(
+            part, "take", {"sched": self.conf.name, "term": self.term, "room": want, "held": held}, b.poll * 2
+        )
+        if isinstance(got, Err):
+            flaw = got.unwrap_err()
+            if flaw.code == CLASH and flaw.hint.isdigit():
+                self.term = max(self.term, int(flaw.hint)) + 1
+            return
+        if not self.active:
+            return
+        answer = got.unwrap()
+        self.leases[part] = asked + b.lease
+        for lot in answer["stop"]:
+            for job in [j for j in self.jobs.values() if j.lot == lot]:
+                self.items.labels(job.kind, "ended").inc()
+                self.drop(job)
+        for kind, count in answer["ahead"].items():
+            self.ahead[kind] += count
+        for row in answer["items"]:
+            job = Job(
+                part,
+                row["lot"],
+                row["item"],
+                row["class"],
+                row["due"],
+                Prompt(tuple(row["shared"]), row["text"]),
+                row["caller"],
+            )
+            self.jobs.setdefault(job.key, job)
+
+    async def ask(self, part: int, verb: str, body: Body, wait: float) -> Any:
+        """One try at the owner as known, following one hint; the next round tries again."""
+        order = self.news.order(part)
+        name = self.owners.get(part) or (order[0] if order else "")
+        got: Any = Err(Fault(verb, self.conf.name, "no owner known"))
+        for _ in range(2):
+            addr = self.news.addr(name)
+            if not addr:
+                self.owners.pop(part, None)
+                return got
+            got = await self.lines.call(addr, verb, body | {"part": part}, wait)
+            if isinstance(got, Ok):
+                self.owners[part] = name
+                return got
+            flaw = got.unwrap_err()
+            if flaw.code == MOVED and flaw.hint and flaw.hint != name:
+                name = flaw.hint
+                continue
+            if flaw.code != CLASH and order:
+                here = order.index(name) if name in order else -1
+                self.owners[part] = order[(here + 1) % len(order)]
+            return got
+        return got
+
+    def dispatch(self, man: Manifest, rooms: dict[str, dict[str, int]]) -> None:
+        """Nearest due first, and fair between callers among equals."""
+        turn: Tally[str] = Tally()
+        ready = []
+        for job in sorted((j for j in self.jobs.values() if j.task is None), key=lambda j: (j.due, j.lot, j.item)):
+            turn[job.caller] += 1
+            ready.append((math.floor(job.due), turn[job.caller], job.due, job.item, job))
+        for *_, job in sorted(ready, key=lambda r: r[:4]):
+            room = rooms.get(job.kind)
+            if room is None or now() >= self.leases.get(job.part, 0.0):
+                continue
+            c = man["classes"][job.kind]
+            pool = man["pools"][c["pool"]]
+            load = Tally(j.server for j in self.jobs.values() if j.task is not None)
+            ask = Ask(job.kind, job.prompt.shared, len(job.prompt.text), self.conf.area)
+            fond = fond_of(prefix(self.conf.name, c.get("prefix", ""), ask), sorted(room))
+            seats = tuple(
+                Seat(n, pool["servers"][n]["area"], room[n] - load[n], pool["servers"][n]["slots"], load[n], n == fond)
+                for n in room
+                if room[n] - load[n] >= 1
+            )
+            if not seats:
+                continue
+            job.server = place(self.conf.name, c.get("place", ""), ask, seats)
+            job.began, job.pieces = now(), 0
+            job.task = asyncio.create_task(self.run(man, c["pool"], job))
+
+    def gate(self, job: Job, pool: str) -> str:
+        """Asked right before the bytes go out, also after a freeze."""
+        if not self.active or self.jobs.get(job.key) is not job:
+            return "the item went back"
+        if now() >= self.leases.get(job.part, 0.0):
+            return "the lease has passed"
+        return self.floor.barred(pool, job.server, self.conf.bounds.probe * 4)
+
+    async def run(self, man: Manifest, pool: str, job: Job) -> None:
+        spot = self.floor.spot(pool, job.server)
+        spot.mine[job.kind] += 1
+        out: list[str] = []
+        try:
+            url = man["pools"][pool]["servers"][job.server]["url"]
+            model = spot.seen.weights if spot.seen else ""
+            async for text in complete(
+                self.session, url, model, job.prompt, lambda: self.gate(job, pool), lambda: None,
+                self.conf.bounds.recover, self.news.limit("pieces"),
+            ):  # fmt: skip
+                out.append(text)
+                job.pieces += 1
+            whole = "".join(out)
+            end, body = (
+                "done",
+                {"status": "done", "output": whole, "sum": hashlib.sha256(whole.encode()).hexdigest()[:16]},
+            )
+        except Stop as bad:
+            lost = bad.fault.unsent or bad.fault.hint == "shed"
+            end, body = ("unsent" if lost else "broken"), {"status": "failed", "output": str(bad.fault)}
+            if bad.fault.unsent:
+                spot.why = spot.why or bad.fault.why
+        except asyncio.CancelledError:
+            job.task = None
+            raise
+        finally:
+            spot.mine[job.kind] -= 1
+        self.items.labels(job.kind, end).inc()
+        try:
+            if end != "unsent":
+                await self.tell(job, body)
+        finally:
+            # What was not taken is handed out again by the owner, once it is no longer held here.
+            self.jobs.pop(job.key, None)
+            job.task = None
+
+    async def tell(self, job: Job, body: Body) -> None:
+        """Brings a result to the owner, wherever it is now; it may be told again."""
+        until = now() + self.conf.bounds.recover
+        while now() < until:
+            got = await self.ask(job.part, "done", {"id": job.lot, "item": job.item, **body}, self.conf.bounds.detect)
+            if isinstance(got, Ok) or (body["status"] != "done" and got.unwrap_err().code != MOVED):
+                return
+            await asyncio.sleep(self.conf.bounds.poll / 2)
+
+
+def test_batch_takes_what_live_leaves_and_never_less_than_its_own() -> None:
+    assert allowed(8, 1, 0, 0, True) == 8
+    assert allowed(8, 1, 3, 1, True) == 4
+    assert allowed(8, 1, 8, 2, True) == 1
+    assert allowed(8, 1, 0, 0, False) == 0
--- /dev/null
+++ b/postpass/seglog.py
@@ -0,0 +1,241 @@
+"""On disk: a log in segments with snapshots beside it, one for all the partitions of a store.
+
+Each entry is its length, its CRC and a thrift struct. One sync covers whatever was appended before it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import struct
+import zlib
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+from typing import Any
+
+from postpass import events
+from postpass.disk import Disk
+from postpass.fault import BROKE, FULL, Fault, Stop
+from postpass.wire import IDL, pack, unpack
+
+HEAD = struct.Struct("!II")
+ENTRY_MOST = 16 << 20
+
+
+def frame(entry: Any) -> bytes:
+    data = pack(entry)
+    return HEAD.pack(len(data), zlib.crc32(data)) + data
+
+
+def scan(data: bytes) -> tuple[list[Any], int]:
+    """The whole entries from the start on, and where they end."""
+    out: list[Any] = []
+    at = 0
+    while at + HEAD.size <= len(data):
+        size, crc = HEAD.unpack_from(data, at)
+        body = data[at + HEAD.size : at + HEAD.size + size]
+        if size > ENTRY_MOST or len(body) < size or zlib.crc32(body) != crc:
+            break
+        out.append(unpack(IDL.Entry, body))
+        at += HEAD.size + size
+    return out, at
+
+
+def any_entry_after(data: bytes, at: int) -> bool:
+    """Does a whole entry stand anywhere behind a broken place? Then it is no torn tail."""
+    return any(
+        0 < size <= len(data) - spot - HEAD.size and zlib.crc32(data[spot + HEAD.size : spot + HEAD.size + size]) == crc
+        for spot in range(at + 1, len(data) - HEAD.size)
+        for size, crc in (HEAD.unpack_from(data, spot),)
+    )
+
+
+@dataclass(eq=False)
+class SegLog:
+    """Invariants: `synced` <= `ends`; entries up to `synced` survive the power; once `bad` is set nothing
+    more is called synced. `held` bytes of room are kept for entries marked vital (ends, results, trims)."""
+
+    who: str
+    disk: Disk
+    segment: int = 1 << 20
+    ends: int = 0
+    synced: int = 0
+    number: int = 0
+    size: int = 0
+    total: int = 0
+    bad: str = ""
+    held: int = 0
+    group: bool = True
+    dirty: asyncio.Event = field(default_factory=asyncio.Event)
+    moved: asyncio.Event = field(default_factory=asyncio.Event)
+    busy: asyncio.Lock = field(default_factory=asyncio.Lock)
+
+    @property
+    def name(self) -> str:
+        return f"log-{self.number:08d}"
+
+    def load(self) -> list[Any]:
+        """Reads snapshot and segments; raises Stop naming file and place if one is damaged in the middle."""
+        names = self.disk.names()
+        snaps = [n for n in names if n.startswith("snap-")]
+        logs = [n for n in names if n.startswith("log-")]
+        first = int(snaps[-1][5:]) if snaps else 0
+        out: list[Any] = []
+        if snaps:
+            data = self.disk.read(snaps[-1])
+            entries, at = scan(data)
+            if at != len(data) or not entries or entries[-1].op != "sealed":
+                raise Stop(Fault("read snapshot", self.who, f"{snaps[-1]} is damaged at byte {at}", BROKE))
+            out += entries[:-1]
+        live = [n for n in logs if int(n[4:]) >= first]
+        want = list(range(first, first + len(live)))
+        if [int(n[4:]) for n in live] != want:
+            raise Stop(Fault("read log", self.who, f"a segment is missing: found {live}", BROKE))
+        for i, name in enumerate(live):
+            data = self.disk.read(name)
+            entries, at = scan(data)
+            if at != len(data):
+                if i < len(live) - 1 or any_entry_after(data, at):
+                    raise Stop(Fault("read log", self.who, f"{name} is damaged at byte {at}", BROKE))
+                events.emit(111, self.who, file=name, at=at, bytes=len(data) - at)
+                self.disk.cut(name, at)
+            out += entries
+            self.size = at
+            self.total += at
+        for name in [n for n in logs if int(n[4:]) < first] + snaps[:-1]:
+            self.disk.remove(name)
+        self.number = max([first, *(int(n[4:]) for n in live)])
+        return out
+
+    def append(self, entries: Iterable[Any], vital: bool = True) -> int:
+        """Appends, unsynced; returns the place to wait for. A full disk raises Stop with code FULL."""
+        if self.bad:
+            raise Stop(Fault("append", self.who, self.bad, BROKE))
+        data = b"".join(map(frame, entries))
+        free, _ = self.disk.room()
+        if not vital and free - len(data) < self.held:
+            raise Stop(Fault("append", self.who, "the disk is full", FULL))
+        try:
+            self.disk.append(self.name, data)
+        except OSError as bad:
+            raise Stop(Fault("append", self.who, f"{self.name}: {bad.strerror}", FULL)) from bad
+        self.ends += len(data)
+        self.size += len(data)
+        self.total += len(data)
+        self.dirty.set()
+        return self.ends
+
+    async def keep(self) -> None:
+        """The task that syncs: whatever came in while the last sync ran goes with the next."""
+        while True:
+            await self.dirty.wait()
+            self.dirty.clear()
+            await self.sync()
+
+    async def sync(self) -> None:
+        async with self.busy:
+            mark = self.ends
+            if mark == self.synced:
+                return
+            try:
+                await self.disk.sync(self.name)
+            except OSError as bad:
+                self.bad = f"sync of {self.name} failed: {bad.strerror}"
+                events.emit(113, self.who, why=self.bad)
+                raise Stop(Fault("sync", self.who, self.bad, BROKE)) from bad
+            self.synced = max(self.synced, mark)
+        self.moved.set()
+        self.moved = asyncio.Event()
+
+    async def wait(self, place: int) -> None:
+        while self.synced < place:
+            if self.bad:
+                raise Stop(Fault("sync", self.who, self.bad, BROKE))
+            await self.moved.wait()
+
+    def heavy(self) -> bool:
+        return self.size > self.segment
+
+    async def compact(self, entries: Iterator[Any]) -> None:
+        """Writes a snapshot of everything and begins a new segment; older files go."""
+        async with self.busy:
+            data = b"".join(map(frame, entries)) + frame(IDL.Entry(part=-1, op="sealed"))
+            # From here on the old segment takes no more: whatever is appended while the snapshot is
+            # written goes to the new one, which is read after it.
+            old, last, fresh, mark = self.number, self.name, self.number + 1, self.ends
+            self.number, self.size = fresh, 0
+            try:
+                await self.disk.sync(last)
+                await self.disk.write(f"snap-{fresh:08d}", data)
+            except OSError as bad:
+                self.bad = f"snapshot failed: {bad.strerror}"
+                events.emit(113, self.who, why=self.bad)
+                raise Stop(Fault("snapshot", self.who, self.bad, BROKE)) from bad
+            self.synced = max(self.synced, mark)
+            for name in self.disk.names():
+                if name.startswith("log-") and int(name[4:]) <= old:
+                    self.disk.remove(name)
+                if name.startswith("snap-") and int(name[5:]) < fresh:
+                    self.disk.remove(name)
+            self.total = self.size
+        self.moved.set()
+        self.moved = asyncio.Event()
+
+
+def _entry(seq: int, body: bytes = b"x") -> Any:
+    return IDL.Entry(part=0, op="rec", seq=seq, epoch=1, kind="t", body=body)
+
+
+def test_a_torn_tail_is_cut_and_damage_in_the_middle_is_a_fault() -> None:
+    import random
+
+    from sim.disk import SimDisk
+
+    disk = SimDisk(random.Random(3))
+    log = SegLog("s1", disk)
+    log.append([_entry(n, b"body%d" % n) for n in range(1, 6)])
+    asyncio.run(log.sync())
+    whole = len(disk.read("log-00000000"))
+    log.append([_entry(6)])
+    disk.files["log-00000000"] = disk.files["log-00000000"][: whole + 9]
+    again = SegLog("s1", disk)
+    assert [e.seq for e in again.load()] == [1, 2, 3, 4, 5]
+    assert len(disk.read("log-00000000")) == whole
+    disk.damage("log-00000000", whole // 2)
+    try:
+        SegLog("s1", disk).load()
+    except Stop as bad:
+        assert "log-00000000 is damaged at byte" in bad.fault.why
+    else:
+        raise AssertionError("damage was not seen")
+
+
+def test_snapshots_replace_older_segments_and_a_full_disk_holds_room_back() -> None:
+    import random
+
+    from sim.disk import SimDisk
+
+    disk = SimDisk(random.Random(1), cap=2000)
+    log = SegLog("s1", disk, held=1000)
+    log.append([_entry(n, b"y" * 100) for n in range(1, 4)], vital=False)
+    asyncio.run(log.compact(iter([_entry(3)])))
+    log.append([_entry(4)])
+    assert disk.names() == ["log-00000001", "snap-00000001"]
+    assert [e.seq for e in SegLog("s1", disk).load()] == [3, 4]
+    try:
+        log.append([_entry(5, b"z" * 900)], vital=False)
+    except Stop as bad:
+        assert bad.fault.code == FULL
+    else:
+        raise AssertionError("the room held back was given away")
+    log.append([_entry(5, b"z" * 900)], vital=True)
+    disk.fails = True
+    try:
+        asyncio.run(log.sync())
+    except Stop as bad:
+        assert "sync of log-00000001 failed" in bad.fault.why
+    try:
+        log.append([_entry(6)])
+    except Stop as bad:
+        assert "failed" in bad.fault.why
+    else:
+        raise AssertionError("data was trusted after a failed sync")
