--- /dev/null
+++ b/postpass/store.py
@@ -0,0 +1,1049 @@
+"""The store duty: partitions of durable lots, replicated after Stabilizer.
+
+As owner: one order, streamed to each mirror without waiting; the recorder and the predicate say what is
+covered. As mirror: append, sync, acknowledge on a link of its own. Takeover runs under epochs.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import hashlib
+import json
+from collections import Counter, deque
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+from typing import Any
+
+from result import Err, Ok, Result
+
+from postpass import events
+from postpass.config import Config
+from postpass.fault import BAD, BROKE, CLASH, FULL, LACK, MOVED, SHED, SLOW, Fault, Stop
+from postpass.lots import Lot, LotView, digest, page
+from postpass.manifest import part_of
+from postpass.news import News
+from postpass.part import Follow, Part, fresh_tape, head
+from postpass.tape import Record, Tape, match
+from postpass.vault import Vault, distrust, open_vault
+from postpass.wire import IDL, PACKET, Body, Lines, Link
+from postpass.world import World, now
+
+Answer = Result[Body, Fault]
+
+
+@dataclass(eq=False)
+class Lease:
+    sched: str
+    until: float
+
+
+@dataclass(eq=False)
+class Desk:
+    """What an owner keeps in memory to hand out items. Invariant: an item is leased to one scheduler at a
+    time; losing all of this costs repeated work, never a promise."""
+
+    leases: dict[tuple[str, int], Lease] = field(default_factory=dict)
+    tries: Counter[tuple[str, int]] = field(default_factory=Counter)
+    term: int = 0
+    sched: str = ""
+    done_at: dict[str, float] = field(default_factory=dict)
+
+
+@dataclass(eq=False)
+class Store:
+    conf: Config
+    world: World
+    news: News
+    lines: Lines
+    parts: dict[int, Part] = field(default_factory=dict)
+    desks: dict[int, Desk] = field(default_factory=dict)
+    kicks: dict[str, asyncio.Event] = field(default_factory=dict)
+    dirty: dict[str, set[int]] = field(default_factory=dict)  # owner -> partitions to acknowledge
+    ack_kicks: dict[str, asyncio.Event] = field(default_factory=dict)
+    feeds: dict[str, asyncio.Task[None]] = field(default_factory=dict)
+    ackers: dict[str, asyncio.Task[None]] = field(default_factory=dict)
+    trials: set[asyncio.Task[None]] = field(default_factory=set)
+    confirms: dict[int, asyncio.Task[bool]] = field(default_factory=dict)
+    counts: Counter[str] = field(default_factory=Counter)
+    vault: Vault | None = None
+    # Of settings for measurements only: wait for each reply, as the source's rivals do.
+    wait_each: bool = False
+
+    # --- start
+    async def open(self) -> None:
+        assert self.world.disk is not None
+        held = max(self.conf.segment_bytes // 4, 1024)
+        self.vault = await open_vault(self.conf.name, self.world.disk, self.world.chance, self.conf.segment_bytes, held)
+        for e in self.vault.entries:
+            part = self.part(e.part)
+            if e.op == "promise":
+                part.promised = max(part.promised, e.epoch)
+            elif e.op == "base":
+                part.tape = Tape(e.seq, e.epoch, LotView.load(e.body))
+                part.covered = e.seq
+            elif e.op == "cut":
+                part.tape.cut(e.seq)
+            elif e.op == "rec":
+                part.tape.append(Record(e.seq, e.epoch, e.kind, e.body))
+            part.persisted = part.tape.last
+
+    @property
+    def log(self) -> Any:
+        assert self.vault is not None
+        return self.vault.log
+
+    @property
+    def disk_id(self) -> str:
+        assert self.vault is not None
+        return self.vault.name
+
+    def part(self, number: int) -> Part:
+        if number not in self.parts:
+            self.parts[number] = Part(number, self.conf.name, self.disk_id if self.vault else "", heard=now())
+            self.desks[number] = Desk()
+        return self.parts[number]
+
+    def tasks(self) -> list[Any]:
+        return [self.log.keep(), self.watch_sync(), self.tick()]
+
+    def handlers(self) -> dict[str, Any]:
+        return {
+            "carry": self.carry, "ack": self.ack, "promise": self.promise, "hello": self.hello, "fetch": self.fetch,
+            "submit": self.submit, "show": self.show, "page": self.page, "finish": self.finish, "take": self.take,
+            "done": self.done, "claim": self.claim, "parts": self.status,
+        }  # fmt: skip
+
+    # --- disk
+    def write(self, part: Part, entries: Iterable[Any], vital: bool = True) -> int:
+        place: int = self.log.append(entries, vital)
+        part.places.append((place, part.tape.last))
+        return place
+
+    async def watch_sync(self) -> None:
+        while True:
+            moved = self.log.moved
+            await moved.wait()
+            self.synced()
+
+    def synced(self) -> None:
+        for part in self.parts.values():
+            if part.sync_to(self.log.synced):
+                if part.owning:
+                    self.moved(part)
+                else:
+                    self.note(part)
+
+    def snapshot(self) -> Iterator[Any]:
+        for part in self.parts.values():
+            tape = part.tape
+            yield IDL.Entry(part=part.id, op="promise", epoch=part.promised)
+            yield IDL.Entry(part=part.id, op="base", seq=tape.base_seq, epoch=tape.base_epoch, body=tape.base.dump())
+            yield from (r.entry(part.id) for r in tape.recs)
+
+    # --- the beat of this duty
+    async def tick(self) -> None:
+        while True:
+            await asyncio.sleep(self.conf.bounds.beat * (0.8 + 0.4 * self.world.chance.random()))
+            man = self.news.manifest
+            if man is None:
+                continue
+            for number in range(man["parts"]):
+                if self.conf.name in self.news.order(number):
+                    self.part(number)
+            areas = {n: m["area"] for n, m in man["machines"].items()}
+            for part in list(self.parts.values()):
+                part.areas = areas
+                part.disk = self.disk_id
+                if part.owning:
+                    self.own(part)
+                else:
+                    self.doubt(part)
+                part.trim(self.conf.buffer_bytes // max(len(self.parts), 1))
+            if self.log.heavy():
+                await self.log.compact(self.snapshot())
+                self.synced()
+
+    def doubt(self, part: Part) -> None:
+        """Takes the duty if it stands empty and this is the first live one in the order."""
+        order = self.news.order(part.id)
+        crew = part.tape.base.crew if isinstance(part.tape.base, LotView) else {}
+        ranks = order + [n for n in sorted(crew) if n not in order]
+        if self.conf.name not in ranks or part.trial:
+            return
+        b = self.conf.bounds
+        if now() - part.heard > b.detect + ranks.index(self.conf.name) * b.stagger:
+            self.stand_soon(part, 0)
+
+    def stand_soon(self, part: Part, hand: int) -> None:
+        part.trial = True
+        task = asyncio.create_task(self.stand(part, hand))
+        self.trials.add(task)
+        task.add_done_callback(lambda t: (self.trials.discard(t), setattr(part, "trial", False)))  # type: ignore[func-returns-value]
+
+    def names(self, part: Part, view: LotView) -> list[str]:
+        """Everyone who has, or should have, a copy, but this store."""
+        every = dict.fromkeys(
+            [*self.news.order(part.id), *view.crew, *(view.old_crew if view.crew_seq > part.covered else {})]
+        )
+        return [n for n in every if n != self.conf.name]
+
+    async def ask(self, name: str, verb: str, body: Body) -> Answer:
+        addr = self.news.addr(name)
+        if not addr:
+            return Err(Fault(verb, name, "gone or unknown", LACK))
+        return await self.lines.call(addr, verb, body, self.conf.bounds.promise)
+
+    # --- takeover
+    async def stand(self, part: Part, hand: int) -> None:
+        b = self.conf.bounds
+        view = head(part.tape)
+        names = self.names(part, view)
+        base = {"part": part.id, "who": self.conf.name, "hand": hand}
+        if not hand:
+            tries = await asyncio.gather(
+                *(self.ask(n, "promise", base | {"epoch": part.promised + 1, "probe": 1}) for n in names)
+            )
+            seen = [t.unwrap() for t in tries if isinstance(t, Ok)]
+            part.promised = max([part.promised, *(s["promised"] for s in seen)])
+            willing = {
+                n: t.unwrap()["disk"]
+                for n, t in zip(names, tries, strict=True)
+                if isinstance(t, Ok) and t.unwrap()["ok"]
+            }
+            if any(not s["ok"] for s in seen) and not part.may_lead(view, willing | {self.conf.name: self.disk_id}):
+                part.heard = now() - b.detect + b.stagger
+                return
+        epoch = part.promised + 1
+        part.promised = epoch
+        try:
+            await self.log.wait(self.write(part, [IDL.Entry(part=part.id, op="promise", epoch=epoch)]))
+        except Stop:
+            return
+        got = await asyncio.gather(*(self.ask(n, "promise", base | {"epoch": epoch, "probe": 0}) for n in names))
+        answers = {n: g.unwrap() for n, g in zip(names, got, strict=True) if isinstance(g, Ok)}
+        part.promised = max([part.promised, *(a["promised"] for a in answers.values())])
+        back_off = now() - b.detect + b.stagger * self.world.chance.random()
+        if part.promised != epoch or part.owning:
+            part.heard = max(part.heard, back_off)
+            return
+        good = {n: a for n, a in answers.items() if a["ok"]}
+        best = max(good, key=lambda n: (good[n]["last_epoch"], good[n]["last"]), default="")
+        staged = part.tape
+        if best and (good[best]["last_epoch"], good[best]["last"]) > (part.tape.last_epoch, part.tape.last):
+            pulled = await self.pull(part, best, good[best], epoch)
+            if pulled is None or part.promised != epoch:
+                part.heard = max(part.heard, back_off)
+                return
+            staged = pulled
+        view = head(staged)
+        voters = {n: str(a["disk"]) for n, a in good.items()} | {self.conf.name: self.disk_id}
+        must = set(self.names(part, view)) | set(view.crew)
+        every = all(n in voters or not self.news.addr(n) for n in must)
+        blank = staged.last == 0
+        normal = part.may_lead(view, voters)
+        if not normal and not every:
+            part.heard = max(part.heard, back_off)
+            return
+        try:
+            self.settle(part, staged)
+            self.rise(part, epoch, view, voters, blank, normal)
+        except Stop:
+            part.step_down()
+            part.heard = now()
+
+    def settle(self, part: Part, staged: Tape) -> None:
+        """Takes a staged log as this store's own: cut where they part, then the rest, or base and all."""
+        if staged is part.tape:
+            return
+        meet = match(part.tape.marks(), part.tape.last, staged.marks(), staged.last)
+        if meet < 0:
+            part.tape, part.persisted = staged, 0
+            part.places.clear()
+            entries = [
+                IDL.Entry(
+                    part=part.id, op="base", seq=staged.base_seq, epoch=staged.base_epoch, body=staged.base.dump()
+                )
+            ]
+            entries += [r.entry(part.id) for r in staged.recs]
+        else:
+            more = staged.after(meet)
+            part.cut(meet)
+            for rec in more:
+                part.tape.append(rec)
+            entries = [IDL.Entry(part=part.id, op="cut", seq=meet)] + [r.entry(part.id) for r in more]
+        part.covered = min(part.covered, part.tape.last)
+        part.covered = max(part.covered, part.tape.base_seq)
+        self.write(part, entries)
+
+    def rise(self, part: Part, epoch: int, view: LotView, voters: dict[str, str], blank: bool, normal: bool) -> None:
+        part.lead(epoch)
+        self.desks[part.id] = Desk()
+        made: list[Record] = []
+        if blank:
+            made.append(part.make("crew", {"crew": voters}))
+        elif not normal:
+            made.append(part.make("loss", {"crew": voters, "edition": view.losses + 1, "lots": []}))
+            events.emit(
+                125, self.conf.name, part=part.id, edition=view.losses + 1, last=part.tape.last, voters=",".join(voters)
+            )
+        made.append(part.make("mark", {}))
+        part.mark = part.tape.last
+        self.write(part, [r.entry(part.id) for r in made])
+        self.counts["takeovers"] += 1
+        events.emit(120, self.conf.name, part=part.id, epoch=epoch, last=part.tape.last)
+        self.kick_all(part)
+
+    async def pull(self, part: Part, best: str, there: Body, epoch: int) -> Tape | None:
+        """Fetches what the best log has beyond this one, into a copy that nothing uses yet."""
+        meet = match(part.tape.marks(), part.tape.last, [(e, s) for e, s in there["marks"]], there["last"])
+        staged = Tape(part.tape.base_seq, part.tape.base_epoch, part.tape.base, list(part.tape.recs), part.tape.size)
+        if meet >= 0:
+            staged.cut(meet)
+        else:
+            staged = fresh_tape()
+        after = meet
+        while after < there["last"]:
+            got = await self.ask(best, "fetch", {"part": part.id, "epoch": epoch, "after": after})
+            if isinstance(got, Err):
+                return None
+            more = got.unwrap()
+            if "base" in more:
+                seq, born, body = more["base"]
+                staged = Tape(seq, born, LotView.load(base64.b64decode(body)))
+                after = seq
+            for seq, born, kind, body in more["recs"]:
+                staged.append(Record(seq, born, kind, base64.b64decode(body)))
+                after = seq
+            if not more["recs"] and "base" not in more:
+                return None
+        return staged
+
+    async def fetch(self, body: Body) -> Answer:
+        part = self.part(body["part"])
+        if part.promised != body["epoch"] or part.owning:
+            return Err(Fault("fetch", self.conf.name, f"promised to epoch {part.promised}", MOVED))
+        tape, after = part.tape, body["after"]
+        out: Body = {"recs": []}
+        if after < tape.base_seq:
+            out["base"] = [tape.base_seq, tape.base_epoch, base64.b64encode(tape.base.dump()).decode()]
+            after = tape.base_seq
+        size = 0
+        for rec in tape.after(after):
+            out["recs"].append([rec.seq, rec.epoch, rec.kind, base64.b64encode(rec.body).decode()])
+            size += len(rec.body)
+            if size > 256 << 10:
+                break
+        return Ok(out)
+
+    async def promise(self, body: Body) -> Answer:
+        """A promise not to accept anything below an epoch; synced before it is told."""
+        part, epoch, b = self.part(body["part"]), body["epoch"], self.conf.bounds
+        about = {"disk": self.disk_id, "promised": part.promised}
+        handed = body.get("hand", 0) and body["hand"] == max(part.aligned, part.epoch)
+        alive = part.owning or now() - part.heard < b.detect * 0.9
+        if body["probe"]:
+            return Ok(about | {"ok": bool(not alive or handed)})
+        if epoch <= part.promised or (alive and not handed):
+            return Ok(about | {"ok": False})
+        part.promised = epoch
+        if part.owning:
+            self.fall(part, epoch)
+        part.aligned = 0
+        part.heard = now()
+        try:
+            await self.log.wait(self.write(part, [IDL.Entry(part=part.id, op="promise", epoch=epoch)]))
+        except Stop as bad:
+            return Err(bad.fault)
+        if part.promised != epoch:
+            return Ok(about | {"promised": part.promised, "ok": False})
+        tape = part.tape
+        return Ok({"disk": self.disk_id, "promised": epoch, "ok": True, "last": tape.last, "last_epoch": tape.last_epoch,
+                   "marks": tape.marks()})  # fmt: skip
+
+    def fall(self, part: Part, epoch: int) -> None:
+        if part.owning:
+            events.emit(121, self.conf.name, part=part.id, epoch=part.epoch, seen=epoch)
+            part.step_down()
+        part.promised = max(part.promised, epoch)
+        part.heard = now()
+
+    # --- owner: the stream
+    def kick_all(self, part: Part) -> None:
+        for name in self.names(part, part.view):
+            if name not in self.kicks:
+                self.kicks[name] = asyncio.Event()
+                self.feeds[name] = asyncio.create_task(self.feed(name))
+            self.kicks[name].set()
+
+    def moved(self, part: Part) -> None:
+        part.advance()
+
+    async def feed(self, name: str) -> None:
+        """One FIFO link to one mirror, for all partitions owned here; nothing on it is waited for."""
+        link: Link | None = None
+        b = self.conf.bounds
+        beaten: dict[int, float] = {}
+        while True:
+            addr = self.news.addr(name)
+            owned = [p for p in self.parts.values() if p.owning and name in self.names(p, p.view)]
+            if not addr or not owned:
+                if link is not None:
+                    link.close()
+                    link = None
+                await self.nap(name, b.beat)
+                continue
+            if link is None or link.closed or link.addr != addr:
+                got = await Link.open(addr, b.silent / 2)
+                if isinstance(got, Err):
+                    for part in owned:
+                        self.hush(part, name)
+                    await self.nap(name, b.beat, quiet=True)
+                    continue
+                link = got.unwrap()
+            sent = False
+            for part in owned:
+                if not part.owning or link.closed:
+                    continue
+                f = part.follows.setdefault(name, Follow(since=now(), heard=now()))
+                if (f.link is not link or f.epoch != part.epoch) and not await self.greet(part, name, link, f):
+                    continue
+                if not part.owning:
+                    continue
+                sent |= self.push(part, link, f)
+                if now() - beaten.get(part.id, 0.0) >= b.beat * 0.9 or beaten.get(part.id, 0) == 0:
+                    beaten[part.id] = now()
+                    self.put(link, part, "beat", part.tape.last, part.epoch, 0, b"")
+                self.hush(part, name)
+                if f.silent:
+                    link.close("the mirror is silent")
+            try:
+                await asyncio.wait_for(link.drain(), b.silent)
+            except (TimeoutError, ConnectionError, OSError):
+                link.close("it takes nothing")
+            if not sent:
+                await self.nap(name, b.beat / 2)
+
+    async def nap(self, name: str, limit: float, quiet: bool = False) -> None:
+        kick = self.kicks[name]
+        if quiet:
+            await asyncio.sleep(limit)
+        try:
+            await asyncio.wait_for(kick.wait(), limit)
+        except TimeoutError:
+            pass
+        kick.clear()
+
+    def hush(self, part: Part, name: str) -> None:
+        f = part.follows.setdefault(name, Follow(since=now(), heard=now()))
+        if not f.silent and now() - f.heard > self.conf.bounds.silent:
+            f.silent = True
+            f.link = None
+            events.emit(122, self.conf.name, part=part.id, mirror=name)
+
+    def put(self, link: Link, part: Part, kind: str, seq: int, born: int, prior: int, body: bytes) -> None:
+        total = max(1, -(-len(body) // PACKET))
+        for i in range(total):
+            link.put("carry", IDL.Packet(
+                part=part.id, epoch=part.epoch, owner=self.conf.name, kind=kind, seq=seq, born=born, prior=prior,
+                index=i, total=total, body=body[i * PACKET : (i + 1) * PACKET], covered=part.covered,
+            ))  # fmt: skip
+
+    def push(self, part: Part, link: Link, f: Follow) -> bool:
+        """Hands the mirror whatever it has not been sent, as far as a pass may take."""
+        if f.next <= part.tape.base_seq:
+            f.link = None  # the memory stream went past it; it is greeted anew and refilled
+            return True
+        size = 0
+        while f.next <= part.tape.last and size < 256 << 10:
+            if (
+                self.wait_each
+                and f.next - 1 > part.recorder.get(f.disk.rsplit("-", 1)[0], f.disk, "persisted")
+                and f.next - 1 > f.since
+            ):
+                return False
+            rec = part.tape.get(f.next)
+            self.put(
+                link,
+                part,
+                "rec",
+                rec.seq,
+                rec.epoch,
+                part.tape.epoch_at(rec.seq - 1),
+                rec.body + b"\n" + rec.kind.encode(),
+            )
+            size += len(rec.body)
+            f.next += 1
+        return size > 0
+
+    async def greet(self, part: Part, name: str, link: Link, f: Follow) -> bool:
+        """Learns where a mirror's log meets this one and begins its stream there, or with a snapshot."""
+        epoch = part.epoch
+        got = await link.call(
+            "hello", {"part": part.id, "epoch": epoch, "who": self.conf.name}, self.conf.bounds.promise
+        )
+        if isinstance(got, Err):
+            link.close(str(got.unwrap_err()))
+            return False
+        there = got.unwrap()
+        if part.epoch != epoch:
+            return False
+        if not there["ok"]:
+            if there["promised"] > epoch:
+                self.fall(part, there["promised"])
+            return False
+        marks = [(e, s) for e, s in there["marks"]]
+        meet = match(part.tape.marks(), part.tape.last, marks, there["last"])
+        f.link, f.epoch, f.disk = link, epoch, there["disk"]
+        if meet >= 0:
+            self.put(link, part, "start", meet, part.tape.epoch_at(meet), 0, b"")
+            f.next = meet + 1
+        else:
+            events.emit(123, self.conf.name, part=part.id, mirror=name, base=part.tape.base_seq)
+            self.counts["refills"] += 1
+            self.put(link, part, "snap", part.tape.base_seq, part.tape.base_epoch, 0, part.tape.base.dump())
+            f.next = part.tape.base_seq + 1
+        return True
+
+    async def ack(self, acks: list[Any]) -> None:
+        for a in acks:
+            part = self.part(a.part)
+            if a.promised > max(part.promised, part.epoch):
+                if part.owning:
+                    self.fall(part, a.promised)
+                continue
+            if not part.owning or a.epoch != part.epoch:
+                continue
+            f = part.follows.get(a.name)
+            if f is None or f.disk != a.disk:
+                continue
+            f.heard, f.silent, f.full = now(), False, bool(a.full)
+            if a.gap:
+                f.link = None
+                self.kick_all(part)
+                continue
+            last = part.tape.last
+            new = part.recorder.put(a.name, a.disk, "received", min(a.received, last))
+            new = part.recorder.put(a.name, a.disk, "persisted", min(a.persisted, last)) or new
+            if new:
+                self.moved(part)
+                if self.wait_each:
+                    self.kick_all(part)
+
+    # --- owner: other duties
+    def own(self, part: Part) -> None:
+        man, b, t = self.news.manifest, self.conf.bounds, now()
+        assert man is not None
+        fresh = {n: f.disk for n, f in part.follows.items() if t - f.heard < b.detect}
+        if not part.confirmed(fresh | {self.conf.name: self.disk_id}):
+            desk = self.desks[part.id]
+            if t - part.heard > b.detect * 1.5:
+                self.fall(part, part.epoch)
+                return
+            _ = desk
+        else:
+            part.heard = t
+        self.kick_all(part)
+        if not part.ready:
+            return
+        try:
+            self.change(part)
+            self.tidy(part)
+        except Stop:
+            return
+        order = self.news.order(part.id)
+        if order and order[0] != self.conf.name:
+            for name in order[: order.index(self.conf.name)] if self.conf.name in order else order:
+                f = part.follows.get(name)
+                well = f is not None and not f.silent and t - f.heard < b.beat * 4 and t - f.since > b.detect
+                if (
+                    well
+                    and f is not None
+                    and part.view.crew.get(name) == f.disk
+                    and part.recorder.get(name, f.disk, "persisted") >= part.covered
+                ):
+                    self.hand_on(part, name)
+                    return
+
+    def hand_on(self, part: Part, name: str) -> None:
+        events.emit(126, self.conf.name, part=part.id, to=name, epoch=part.epoch)
+        epoch = part.epoch
+        part.step_down()
+        part.aligned, part.heard = epoch, now()
+
+        async def tell() -> None:
+            await self.ask(name, "hello", {"part": part.id, "epoch": epoch, "who": self.conf.name, "hand": 1})
+
+        task = asyncio.create_task(tell())
+        self.trials.add(task)
+        task.add_done_callback(self.trials.discard)
+
+    def change(self, part: Part) -> None:
+        """Brings predicate and members to what the manifest wants: one change at a time, each a record."""
+        man, view = self.news.manifest, part.view
+        assert man is not None
+        if view.crew_seq > part.covered or view.predicate_seq > part.covered:
+            return
+        if man.get("predicate", "") != view.predicate:
+            self.add(part, "predicate", {"text": man.get("predicate", "")})
+            return
+        want = self.news.order(part.id)
+        disks = {n: f.disk for n, f in part.follows.items() if f.disk} | {self.conf.name: self.disk_id}
+        for name in want:
+            disk = disks.get(name, "")
+            whole = part.recorder.get(name, disk, "persisted") >= part.covered
+            if disk and view.crew.get(name) != disk and whole:
+                self.add(part, "crew", {"crew": view.crew | {name: disk}})
+                events.emit(124, self.conf.name, part=part.id, joins=name, disk=disk)
+                return
+        spare = [n for n in view.crew if n not in want and n != self.conf.name]
+        if spare and all(
+            view.crew.get(n) == disks.get(n)
+            and part.recorder.get(n, disks.get(n, ""), "persisted") >= part.covered - 64
+            for n in want
+        ):
+            self.add(part, "crew", {"crew": {n: d for n, d in view.crew.items() if n != spare[0]}})
+            events.emit(124, self.conf.name, part=part.id, leaves=spare[0])
+
+    def tidy(self, part: Part) -> None:
+        """Lots leave after the retention; one long overdue is ended first."""
+        man, desk, view = self.news.manifest, self.desks[part.id], part.view
+        assert man is not None
+        keep = man.get("retention", 3600.0)
+        gone = []
+        for lot in view.lots.values():
+            if lot.whole or lot.state == "ended":
+                if now() - desk.done_at.setdefault(lot.id, now()) > keep:
+                    gone.append(lot.id)
+            elif self.world.wall() > lot.body["due"] + keep:
+                self.add(part, "end", {"id": lot.id})
+                return
+        if gone:
+            self.add(part, "drop", {"lots": gone[:200]})
+            for name in gone[:200]:
+                desk.done_at.pop(name, None)
+
+    def add(self, part: Part, kind: str, body: Body, vital: bool = True) -> Record:
+        """Sequences one record and streams it at once. Raises Stop, with nothing sequenced, if the disk
+        won't take it."""
+        if not vital:
+            free, _ = self.log.disk.room()
+            if free - len(json.dumps(body)) - 256 < self.log.held:
+                events.emit(114, self.conf.name, part=part.id)
+                raise Stop(Fault("append", self.conf.name, "the disk is full", FULL))
+        if self.log.bad:
+            raise Stop(Fault("append", self.conf.name, self.log.bad, BROKE))
+        rec = part.make(kind, body)
+        try:
+            self.write(part, [rec.entry(part.id)])
+        except Stop as bad:
+            # Sequenced in memory but not on disk: this log can't be led from here any more.
+            part.cut(rec.seq - 1)
+            part.step_down()
+            part.heard = now()
+            raise Stop(Fault("append", self.conf.name, bad.fault.why, SLOW)) from bad
+        self.counts[f"rec_{kind}"] += 1
+        self.kick_all(part)
+        return rec
+
+    # --- mirror
+    async def hello(self, body: Body) -> Answer:
+        part, epoch = self.part(body["part"]), body["epoch"]
+        about: Body = {"disk": self.disk_id, "promised": part.promised}
+        if body.get("hand"):
+            if part.aligned == epoch and not part.trial and not part.owning:
+                self.stand_soon(part, epoch)
+            return Ok(about | {"ok": True})
+        if body.get("confirm"):
+            return Ok(about | {"ok": part.promised <= epoch})
+        if epoch < part.promised or (part.owning and part.epoch >= epoch):
+            return Ok(about | {"ok": False})
+        if epoch > part.promised:
+            part.promised = epoch
+            if part.owning:
+                self.fall(part, epoch)
+            part.aligned = 0
+            try:
+                await self.log.wait(self.write(part, [IDL.Entry(part=part.id, op="promise", epoch=epoch)]))
+            except Stop as bad:
+                return Err(bad.fault)
+            if part.promised != epoch:
+                return Ok(about | {"ok": False, "promised": part.promised})
+        part.heard, part.owner = now(), body["who"]
+        return Ok(about | {"ok": True, "promised": epoch, "last": part.tape.last, "marks": part.tape.marks()})
+
+    async def carry(self, packet: Any) -> None:
+        part = self.part(packet.part)
+        if packet.epoch < part.promised or (part.owning and packet.epoch <= part.epoch):
+            self.note(part, packet.owner)
+            return
+        if packet.epoch > part.promised:
+            # Seen first in a stream: hello comes before, so this is a stale or foreign one.
+            self.note(part, packet.owner, gap=True)
+            return
+        part.heard, part.owner = now(), packet.owner
+        try:
+            self.take_packet(part, packet)
+        except Stop as bad:
+            part.aligned = 0
+            if bad.fault.code != FULL:
+                raise
+            events.emit(114, self.conf.name, part=part.id)
+        part.covered = (
+            max(part.covered, min(packet.covered, part.tape.last)) if part.aligned == packet.epoch else part.covered
+        )
+        self.note(part, packet.owner)
+
+    def take_packet(self, part: Part, p: Any) -> None:
+        if p.index == 0:
+            part.gather = []
+        if p.index != len(part.gather):
+            part.gather, part.aligned = [], 0
+            return
+        part.gather.append(p.body)
+        if p.index + 1 < p.total:
+            return
+        body = b"".join(part.gather)
+        part.gather = []
+        tape = part.tape
+        if p.kind == "start":
+            fits = tape.base_seq <= p.seq <= tape.last and tape.epoch_at(p.seq) == p.born
+            part.aligned = p.epoch if fits else 0
+            if fits and p.seq < tape.last:
+                part.cut(p.seq)
+                self.write(part, [IDL.Entry(part=part.id, op="cut", seq=p.seq)])
+        elif p.kind == "snap":
+            part.tape = Tape(p.seq, p.born, LotView.load(body))
+            part.places.clear()
+            part.persisted, part.aligned, part.covered = 0, p.epoch, p.seq
+            self.write(part, [IDL.Entry(part=part.id, op="base", seq=p.seq, epoch=p.born, body=body)])
+        elif p.kind == "rec" and part.aligned == p.epoch:
+            if p.seq != tape.last + 1 or p.prior != tape.last_epoch:
+                part.aligned = 0
+                return
+            body, _, kind = body.rpartition(b"\n")
+            rec = Record(p.seq, p.born, kind.decode(), body)
+            self.write_first(part, rec)
+
+    def write_first(self, part: Part, rec: Record) -> None:
+        place = self.log.append([rec.entry(part.id)])
+        part.tape.append(rec)
+        part.places.append((place, rec.seq))
+
+    def note(self, part: Part, owner: str = "", gap: bool = False) -> None:
+        owner = owner or part.owner
+        if not owner or owner == self.conf.name:
+            return
+        self.dirty.setdefault(owner, set()).add(part.id)
+        if owner not in self.ackers:
+            self.ack_kicks[owner] = asyncio.Event()
+            self.ackers[owner] = asyncio.create_task(self.acker(owner))
+        self.ack_kicks[owner].set()
+
+    async def acker(self, owner: str) -> None:
+        """The control path back to one owner: batched, and only the newest counters."""
+        link: Link | None = None
+        while True:
+            await self.ack_kicks[owner].wait()
+            self.ack_kicks[owner].clear()
+            numbers, self.dirty[owner] = sorted(self.dirty[owner]), set()
+            addr = self.news.addr(owner)
+            if not addr:
+                continue
+            if link is None or link.closed or link.addr != addr:
+                got = await Link.open(addr, self.conf.bounds.silent)
+                if isinstance(got, Err):
+                    await asyncio.sleep(self.conf.bounds.beat)
+                    continue
+                link = got.unwrap()
+            free, _ = self.log.disk.room()
+            link.put("ack", [self.counters(self.parts[n], free < self.log.held * 2) for n in numbers])
+            try:
+                await asyncio.wait_for(link.drain(), self.conf.bounds.silent)
+            except (TimeoutError, ConnectionError, OSError):
+                link.close("it takes nothing")
+
+    def counters(self, part: Part, full: bool) -> Any:
+        held = part.aligned > 0 and part.aligned == part.promised
+        return IDL.Ack(
+            part=part.id, epoch=part.promised, name=self.conf.name, disk=self.disk_id, promised=part.promised,
+            received=part.tape.last if held else 0, persisted=part.persisted if held else 0, gap=not held, full=full,
+        )  # fmt: skip
+
+    # --- callers' side, by way of edges
+    def lead_of(self, number: int, step: str) -> Result[Part, Fault]:
+        part = self.parts.get(number)
+        if part is None or not part.owning:
+            hint = part.owner if part is not None and part.owner != self.conf.name else ""
+            return Err(Fault(step, self.conf.name, "not the owner", MOVED, hint))
+        if not part.ready:
+            return Err(Fault(step, self.conf.name, "the owner is not ready yet", MOVED, self.conf.name))
+        return Ok(part)
+
+    async def confirm(self, part: Part) -> bool:
+        """A round trip under the epoch: no one else owns this partition now."""
+        task = self.confirms.get(part.id)
+        if task is not None and not task.done():
+            # One that began before this read proves nothing for it; wait it out and start another.
+            await asyncio.wait([task])
+            task = self.confirms.get(part.id)
+        if task is None or task.done():
+            task = asyncio.create_task(self._confirm(part, part.epoch))
+            self.confirms[part.id] = task
+        return await asyncio.shield(task)
+
+    async def _confirm(self, part: Part, epoch: int) -> bool:
+        voters = {self.conf.name: self.disk_id}
+        if part.confirmed(voters):
+            return part.epoch == epoch
+        found = asyncio.Event()
+
+        async def one(name: str) -> None:
+            got = await self.ask(name, "hello", {"part": part.id, "epoch": epoch, "who": self.conf.name, "confirm": 1})
+            if isinstance(got, Ok) and got.unwrap()["ok"]:
+                voters[name] = got.unwrap()["disk"]
+                if part.epoch == epoch and part.confirmed(voters):
+                    found.set()
+            elif isinstance(got, Ok) and got.unwrap()["promised"] > epoch and part.epoch == epoch:
+                self.fall(part, got.unwrap()["promised"])
+
+        every = asyncio.gather(*(one(n) for n in self.names(part, part.view)))
+        first = asyncio.create_task(found.wait())
+        await asyncio.wait([asyncio.ensure_future(every), first], return_when=asyncio.FIRST_COMPLETED)  # type: ignore[type-var]
+        first.cancel()
+        return found.is_set() and part.epoch == epoch
+
+    def text_of(self, name: str) -> str:
+        man = self.news.manifest
+        return man["classes"][name].get("predicate", "") if man and name in man["classes"] else ""
+
+    async def submit(self, body: Body) -> Answer:
+        """Takes a lot: `kept` only past the frontier; refused only if nothing was sequenced, or once a
+        refusal that wins over the lot is itself covered; otherwise unknown."""
+        lot = body["lot"]
+        got = self.lead_of(body["part"], "submit")
+        if isinstance(got, Err):
+            return got
+        part = got.unwrap()
+        limit = min(float(body.get("wait", 5.0)), self.conf.bounds.recover)
+        have = part.view.lots.get(lot["id"])
+        if have is None and lot["id"] not in part.view.shed:
+            flaw = self.no_room(part)
+            if flaw is None:
+                try:
+                    self.add(part, "lot", lot, vital=False)
+                except Stop as bad:
+                    if bad.fault.code != FULL:
+                        return Err(bad.fault)
+                    flaw = bad.fault
+            if flaw is not None:
+                return await self.shed(part, body, flaw, limit)
+            have = part.view.lots[lot["id"]]
+        if have is None:
+            seq = part.view.shed[lot["id"]]
+            if await part.wait(seq, "", limit):
+                return Err(Fault("submit", self.conf.name, "this lot was refused; send it under another id", SHED))
+            return Err(Fault("submit", self.conf.name, "not known yet", SLOW))
+        if have.digest != digest(lot):
+            return Err(Fault("submit", self.conf.name, "a lot with this id and other content is here", CLASH))
+        if await part.wait(have.seq, self.text_of(lot["class"]), limit):
+            return Ok({"id": lot["id"], "state": "kept"})
+        return Err(Fault("submit", self.conf.name, "not covered yet", SLOW))
+
+    def no_room(self, part: Part) -> Fault | None:
+        opened = sum(1 for lot in part.view.lots.values() if lot.state == "open" and not lot.whole)
+        if opened >= self.news.limit("open_lots"):
+            return Fault("submit", self.conf.name, f"{opened} lots are open in this partition", SHED)
+        ahead = sum(len(r.body) for r in part.tape.after(max(part.covered, part.tape.base_seq)))
+        if ahead > self.conf.buffer_bytes // 2:
+            return Fault("submit", self.conf.name, "too much is not covered yet", SHED)
+        free = {n for n, f in part.follows.items() if not f.full and not f.silent} | {self.conf.name}
+        if not part.can_cover(free) and any(f.full for f in part.follows.values()):
+            return Fault("submit", self.conf.name, "the disks of the mirrors are full", FULL)
+        return None
+
+    async def shed(self, part: Part, body: Body, flaw: Fault, limit: float) -> Answer:
+        if not body.get("again"):
+            return Err(flaw)
+        try:
+            rec = self.add(part, "shed", {"id": body["lot"]["id"]})
+        except Stop:
+            return Err(Fault("submit", self.conf.name, "not known yet", SLOW))
+        if await part.wait(rec.seq, "", limit):
+            return Err(
+                Fault(flaw.step, flaw.peer, flaw.why + "; this lot is refused, send it under another id", flaw.code)
+            )
+        return Err(Fault("submit", self.conf.name, "not known yet", SLOW))
+
+    async def _read(self, body: Body, step: str) -> Result[tuple[Part, Lot], Fault]:
+        got = self.lead_of(body["part"], step)
+        if isinstance(got, Err):
+            return got
+        part = got.unwrap()
+        if not await self.confirm(part):
+            return Err(Fault(step, self.conf.name, "could not be confirmed", SLOW))
+        lot = part.view.lots.get(body["id"])
+        if body["id"] in part.view.shed and part.view.shed[body["id"]] <= part.covered:
+            return Err(Fault(step, self.conf.name, "this lot was refused", SHED))
+        if body["id"] in part.view.lost:
+            return Err(Fault(step, self.conf.name, "this lot was lost", LACK))
+        if lot is None or lot.body.get("caller", "") not in ("", body.get("caller", "")):
+            return Err(Fault(step, self.conf.name, "no such lot of this caller", LACK))
+        if lot.seq > part.covered:
+            return Err(Fault(step, self.conf.name, "not known yet", SLOW))
+        return Ok((part, lot))
+
+    async def show(self, body: Body) -> Answer:
+        got = await self._read(body, "show")
+        if isinstance(got, Err):
+            return got
+        part, lot = got.unwrap()
+        shown = [r for r in lot.results.values() if r[0] <= part.covered]
+        ended = lot.state == "ended" and lot.state_seq <= part.covered
+        whole = len(shown) == lot.size
+        return Ok({
+            "id": lot.id, "state": "ended" if ended else "done" if whole else "kept", "class": lot.body["class"],
+            "items": lot.size, "done": sum(r[1] == "done" for r in shown), "failed": sum(r[1] != "done" for r in shown),
+            "due": lot.body["due"], "caller": lot.body.get("caller", ""), "losses": part.view.losses,
+        })  # fmt: skip
+
+    async def page(self, body: Body) -> Answer:
+        got = await self._read(body, "page")
+        if isinstance(got, Err):
+            return got
+        part, lot = got.unwrap()
+        rows, spot, done = page(lot, part.covered, body["start"], min(body["most"], 500))
+        return Ok({"id": lot.id, "results": rows, "next": spot, "whole": done})
+
+    async def finish(self, body: Body) -> Answer:
+        got = await self._read(body, "end")
+        if isinstance(got, Err):
+            return got
+        part, lot = got.unwrap()
+        if lot.state == "open" and not lot.whole:
+            try:
+                self.add(part, "end", {"id": lot.id})
+            except Stop as bad:
+                return Err(bad.fault)
+        if not await part.wait(max(lot.state_seq, lot.seq), "", float(body.get("wait", 5.0))):
+            return Err(Fault("end", self.conf.name, "not known yet", SLOW))
+        return Ok({"id": lot.id, "state": "done" if lot.whole and lot.state == "open" else "ended"})
+
+    async def claim(self, body: Body) -> Answer:
+        """One edge may run a call that may not be repeated: the first claim wins, once it is covered."""
+        got = self.lead_of(body["part"], "claim")
+        if isinstance(got, Err):
+            return got
+        part = got.unwrap()
+        if body["key"] not in part.view.claims:
+            try:
+                self.add(part, "claim", {"key": body["key"], "nonce": body["nonce"], "edge": body["edge"]})
+            except Stop as bad:
+                return Err(bad.fault)
+        won = part.view.claims[body["key"]]
+        if not await part.wait(won["seq"], "", float(body.get("wait", 3.0))):
+            return Err(Fault("claim", self.conf.name, "not covered yet", SLOW))
+        return Ok({"won": won["nonce"] == body["nonce"]})
+
+    # --- schedulers
+    async def take(self, body: Body) -> Answer:
+        """Hands out items of covered, open lots, nearest due time first, to the one scheduler of the
+        highest term; a lower one is refused."""
+        got = self.lead_of(body["part"], "take")
+        if isinstance(got, Err):
+            return got
+        part = got.unwrap()
+        desk, t = self.desks[part.id], now()
+        if (body["term"], body["sched"]) < (desk.term, desk.sched):
+            return Err(
+                Fault("take", self.conf.name, f"scheduler {desk.sched} has term {desk.term}", CLASH, str(desk.term))
+            )
+        if (body["term"], body["sched"]) != (desk.term, desk.sched):
+            desk.term, desk.sched = body["term"], body["sched"]
+        # The answer starts a lease at the scheduler: only an owner that is one now may give it.
+        if not await self.confirm(part):
+            return Err(Fault("take", self.conf.name, "could not be confirmed", SLOW))
+        held = {(lot, item) for lot, item in body["held"]}
+        until = t + self.conf.bounds.lease * 2
+        for key in held:
+            desk.leases[key] = Lease(body["sched"], until)
+        for key in [
+            k for k, lease in desk.leases.items() if k not in held and (lease.until < t or lease.sched != body["sched"])
+        ]:
+            del desk.leases[key]
+        stop = [
+            lot
+            for lot in sorted({lot for lot, _ in held})
+            if lot not in part.view.lots or part.view.lots[lot].state != "open"
+        ]
+        lots = sorted(
+            (x for x in part.view.lots.values() if x.state == "open" and not x.whole and x.seq <= part.covered),
+            key=lambda x: (x.body["due"], x.seq),
+        )
+        need = dict(body["room"])
+        out, ahead = [], dict.fromkeys(need, 0)
+        for lot in lots:
+            kind = lot.body["class"]
+            free = [i for i in range(lot.size) if i not in lot.results and (lot.id, i) not in desk.leases]
+            ahead[kind] = ahead.get(kind, 0) + len(free)
+            for i in free[: max(need.get(kind, 0), 0)]:
+                desk.leases[(lot.id, i)] = Lease(body["sched"], until)
+                out.append({"lot": lot.id, "item": i, "class": kind, "due": lot.body["due"], "text": lot.body["items"][i],
+                            "shared": lot.body.get("shared", []), "caller": lot.body.get("caller", "")})  # fmt: skip
+                need[kind] -= 1
+        return Ok({"items": out, "stop": stop, "ahead": ahead})
+
+    async def done(self, body: Body) -> Answer:
+        """Records an item's result; only a whole output comes here as done. The first one wins."""
+        got = self.lead_of(body["part"], "done")
+        if isinstance(got, Err):
+            return got
+        part, key = got.unwrap(), (body["id"], body["item"])
+        desk = self.desks[part.id]
+        lot = part.view.lots.get(body["id"])
+        desk.leases.pop(key, None)
+        if lot is None or lot.state != "open" or body["item"] in lot.results:
+            return Ok({"taken": False})
+        status, output = body["status"], body["output"]
+        if status == "done" and hashlib.sha256(output.encode()).hexdigest()[:16] != body["sum"]:
+            return Err(Fault("done", self.conf.name, "the output doesn't match its sum", BAD))
+        if status != "done":
+            desk.tries[key] += 1
+            if desk.tries[key] < int(body.get("tries", 5)):
+                return Ok({"taken": False})
+            status = "failed"
+        try:
+            self.add(part, "result", {"id": body["id"], "item": body["item"], "status": status, "output": output})
+        except Stop as bad:
+            return Err(bad.fault)
+        desk.tries.pop(key, None)
+        return Ok({"taken": True})
+
+    # --- for operators
+    async def status(self, _body: Body) -> Answer:
+        free, whole = self.log.disk.room()
+        rows = [
+            {
+                "part": p.id, "owner": p.owner, "epoch": max(p.epoch, p.aligned), "last": p.tape.last, "covered": p.covered,
+                "persisted": p.persisted, "owning": p.owning, "ready": p.ready, "bytes": p.tape.size,
+                "crew": p.view.crew, "losses": p.view.losses,
+                "mirrors": {
+                    n: {"persisted": p.recorder.get(n, f.disk, "persisted"), "silent": f.silent, "full": f.full, "disk": f.disk}
+                    for n, f in sorted(p.follows.items())
+                },
+                "lots": len(p.view.lots), "open": sum(x.state == "open" and not x.whole for x in p.view.lots.values()),
+            }
+            for p in sorted(self.parts.values(), key=lambda p: p.id)
+        ]  # fmt: skip
+        return Ok({"disk": self.disk_id, "free": free, "size": whole, "parts": rows, "bad": self.log.bad,
+                   "held": self.log.held})  # fmt: skip
+
+    def fail(self) -> None:
+        """After a failed sync: this folder has no voice any more."""
+        if self.world.disk is not None and self.log.bad:
+            distrust(self.world.disk)
+
+
+def test_lots_hash_over_all_partitions() -> None:
+    assert {part_of(f"lot-{i}", 8) for i in range(200)} == set(range(8))
+    assert deque([1], maxlen=1)
--- /dev/null
+++ b/postpass/tape.py
@@ -0,0 +1,145 @@
+"""A partition's records in memory: a folded base and the records after it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Any
+
+from postpass.wire import IDL
+
+
+@dataclass(frozen=True)
+class Record:
+    """Invariant: (seq, epoch) names one record for good; the same pair has the same records before it."""
+
+    seq: int
+    epoch: int
+    kind: str
+    body: bytes
+
+    def entry(self, part: int) -> Any:
+        return IDL.Entry(part=part, op="rec", seq=self.seq, epoch=self.epoch, kind=self.kind, body=self.body)
+
+
+class Base:
+    """What records are folded into; `lots.LotView` is the one in use."""
+
+    def fold(self, rec: Record) -> None: ...
+
+    def dump(self) -> bytes:
+        return b""
+
+
+@dataclass(eq=False)
+class Tape:
+    """Invariants: recs are numbered base_seq+1, +2, … without a gap; epochs never fall along them;
+    base_seq never passes what was covered, so a covered record is never cut."""
+
+    base_seq: int = 0
+    base_epoch: int = 0
+    base: Base = field(default_factory=Base)
+    recs: list[Record] = field(default_factory=list)
+    size: int = 0
+
+    @property
+    def last(self) -> int:
+        return self.base_seq + len(self.recs)
+
+    @property
+    def last_epoch(self) -> int:
+        return self.recs[-1].epoch if self.recs else self.base_epoch
+
+    def epoch_at(self, seq: int) -> int:
+        if seq == self.base_seq:
+            return self.base_epoch
+        return self.recs[seq - self.base_seq - 1].epoch
+
+    def get(self, seq: int) -> Record:
+        return self.recs[seq - self.base_seq - 1]
+
+    def after(self, seq: int) -> list[Record]:
+        return self.recs[seq - self.base_seq :]
+
+    def append(self, rec: Record) -> None:
+        assert rec.seq == self.last + 1, f"{rec.seq} does not follow {self.last}"
+        assert rec.epoch >= self.last_epoch, f"epoch {rec.epoch} falls below {self.last_epoch}"
+        self.recs.append(rec)
+        self.size += len(rec.body)
+
+    def cut(self, seq: int) -> None:
+        """Drops what follows `seq`."""
+        assert seq >= self.base_seq, f"cut at {seq} below the base {self.base_seq}"
+        del self.recs[seq - self.base_seq :]
+        self.size = sum(len(r.body) for r in self.recs)
+
+    def rebase(self, seq: int) -> None:
+        """Folds the records up to `seq` into the base; only covered ones may go there."""
+        epoch = self.epoch_at(seq)
+        for rec in self.recs[: seq - self.base_seq]:
+            self.base.fold(rec)
+        self.recs = self.recs[seq - self.base_seq :]
+        self.base_seq, self.base_epoch = seq, epoch
+        self.size = sum(len(r.body) for r in self.recs)
+
+    def marks(self) -> list[tuple[int, int]]:
+        """(epoch, first number) of each run of one epoch, from the base on."""
+        out = [(self.base_epoch, self.base_seq)]
+        for rec in self.recs:
+            if rec.epoch != out[-1][0]:
+                out.append((rec.epoch, rec.seq))
+        return out
+
+
+def match(mine: list[tuple[int, int]], my_last: int, theirs: list[tuple[int, int]], their_last: int) -> int:
+    """The highest number up to which both hold the same records, or -1 if the bases leave it unknown."""
+
+    def run(marks: list[tuple[int, int]], seq: int) -> tuple[int, int]:
+        return next((e, first) for e, first in reversed(marks) if first <= seq)
+
+    seq = min(my_last, their_last)
+    floor = max(mine[0][1], theirs[0][1])
+    while seq >= floor:
+        (one, start), (two, begin) = run(mine, seq), run(theirs, seq)
+        if one == two:
+            return seq
+        seq = (start if one > two else begin) - 1
+    return -1
+
+
+def _tape(*epochs: int) -> Tape:
+    tape = Tape()
+    for i, epoch in enumerate(epochs):
+        tape.append(Record(i + 1, epoch, "t", b"x"))
+    return tape
+
+
+def test_match_finds_where_two_logs_part() -> None:
+    def meet(one: Tape, two: Tape) -> int:
+        there = match(one.marks(), one.last, two.marks(), two.last)
+        assert there == match(two.marks(), two.last, one.marks(), one.last)
+        return there
+
+    assert meet(_tape(1, 1, 1), _tape(1, 1)) == 2
+    assert meet(_tape(1, 1, 3, 3), _tape(1, 1, 2, 2, 2)) == 2
+    assert meet(_tape(1, 2, 2, 4), _tape(1, 3, 3, 3)) == 1
+    assert meet(_tape(), _tape(1)) == 0
+    based = _tape(1, 1, 2, 2, 2)
+    based.rebase(4)
+    assert (based.base_epoch, based.last, based.after(4)[0].seq) == (2, 5, 5)
+    assert meet(based, _tape(1, 1, 2, 2, 2, 2)) == 5
+    assert meet(based, _tape(1, 1)) == -1
+    assert meet(based, _tape(1, 1, 1, 1, 1)) == -1
+
+
+def test_cut_and_rebase_keep_the_numbers() -> None:
+    tape = _tape(1, 1, 2)
+    tape.cut(2)
+    assert (tape.last, tape.last_epoch, tape.size) == (2, 1, 2)
+    tape.append(Record(3, 5, "t", b"yy"))
+    assert tape.marks() == [(0, 0), (1, 1), (5, 3)]
+    try:
+        tape.append(Record(9, 5, "t", b""))
+    except AssertionError:
+        pass
+    else:
+        raise AssertionError("a gap was taken")
--- /dev/null
+++ b/postpass/vault.py
@@ -0,0 +1,89 @@
+"""A data folder with its identity, made when it is first formatted."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+from dataclasses import dataclass
+from typing import Any
+
+from postpass import events
+from postpass.disk import Disk
+from postpass.fault import Stop
+from postpass.seglog import SegLog
+
+MARK = "identity"
+
+
+@dataclass(frozen=True)
+class Vault:
+    """Invariant: `name` names the bytes in the folder, not the machine: a wiped or damaged folder gets
+    another one, and with it loses its vote until it has been refilled."""
+
+    name: str
+    fresh: bool
+    log: SegLog
+    entries: list[Any]
+
+
+async def open_vault(who: str, disk: Disk, chance: random.Random, segment: int, held: int) -> Vault:
+    """Opens or formats a data folder. Damaged files are set aside by name and never served from."""
+    log = SegLog(who, disk, segment, held=held)
+    names = disk.names()
+    ident = ""
+    if MARK in names:
+        try:
+            ident = str(json.loads(disk.read(MARK))["disk"])
+        except (ValueError, KeyError, TypeError):
+            events.emit(112, who, file=MARK, why="unreadable")
+    entries: list[Any] = []
+    if ident:
+        try:
+            entries = log.load()
+        except Stop as bad:
+            events.emit(112, who, step=bad.fault.step, why=bad.fault.why)
+            ident = ""
+            log = SegLog(who, disk, segment, held=held)
+    if not ident:
+        for name in names:
+            if name.startswith(("log-", "snap-", "epochs")):
+                disk.rename(name, f"damaged-{name}")
+        old = [n for n in disk.names() if n.startswith("damaged-damaged-")]
+        for name in old:
+            disk.remove(name)
+        ident = f"{who}-{chance.getrandbits(48):012x}"
+        await disk.write(MARK, json.dumps({"disk": ident}).encode())
+        events.emit(110, who, disk=ident)
+        return Vault(ident, True, log, [])
+    return Vault(ident, False, log, entries)
+
+
+def distrust(disk: Disk) -> None:
+    """After a failed sync nothing in the folder may vote again."""
+    try:
+        disk.remove(MARK)
+    except OSError:
+        pass
+
+
+def test_a_damaged_folder_gets_a_new_identity_and_its_files_are_set_aside() -> None:
+    from postpass.wire import IDL
+    from sim.disk import SimDisk
+
+    disk, chance = SimDisk(random.Random(1)), random.Random(2)
+
+    def opened() -> Vault:
+        return asyncio.run(open_vault("s1", disk, chance, 1 << 20, 0))
+
+    first = opened()
+    first.log.append([IDL.Entry(part=0, op="rec", seq=n, epoch=1, kind="t", body=b"x" * 50) for n in (1, 2, 3)])
+    asyncio.run(first.log.sync())
+    again = opened()
+    assert (again.name, again.fresh, len(again.entries)) == (first.name, False, 3)
+    disk.damage("log-00000000", 40)
+    worse = opened()
+    assert worse.fresh and worse.name != first.name and worse.entries == []
+    assert "damaged-log-00000000" in disk.names()
+    distrust(disk)
+    assert opened().name not in (first.name, worse.name)
--- /dev/null
+++ b/postpass/wire.py
@@ -0,0 +1,361 @@
+"""Links between postpass's own processes: thrift's framed transport and binary protocol, by library.
+
+The library's asyncio client takes one call at a time and bounds no frame, so the calls are told apart
+by sequence id here and each frame's length is checked before it is read.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import struct
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import thriftpy2
+from result import Err, Ok, Result
+from thriftpy2.contrib.aio.transport.framed import TAsyncFramedTransport
+from thriftpy2.protocol import TBinaryProtocol
+from thriftpy2.protocol.binary import TBinaryProtocolFactory
+from thriftpy2.thrift import TApplicationException, TMessageType
+from thriftpy2.transport import TMemoryBuffer
+from thriftpy2.utils import deserialize, serialize
+
+from postpass import events
+from postpass.config import split
+from postpass.fault import BROKE, LACK, SLOW, Fault
+
+IDL: Any = thriftpy2.load(str(Path(__file__).parent / "idl" / "peer.thrift"), module_name="postpass_peer_thrift")
+PACKET = 8 << 10
+FRAME = 8 << 20  # the longest frame that is taken
+_FACTORY = TBinaryProtocolFactory()
+
+Body = dict[str, Any]
+Handler = Callable[[Any], Awaitable[Any]]
+
+
+def pack(thing: Any) -> bytes:
+    return bytes(serialize(thing, _FACTORY))
+
+
+def unpack(kind: Any, data: bytes) -> Any:
+    return deserialize(kind(), data, _FACTORY)
+
+
+class _Stream:
+    """What the library's transports ask of a socket, over asyncio's streams."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.reader, self.writer = reader, writer
+
+    async def read(self, size: int) -> bytes:
+        data = await self.reader.read(size)
+        if not data:
+            raise EOFError("the peer closed")
+        return data
+
+    def write(self, data: bytes) -> None:
+        self.writer.write(data)
+
+    async def flush(self) -> None:
+        await self.writer.drain()
+
+    def close(self) -> None:
+        self.writer.close()
+
+
+class Frames(TAsyncFramedTransport):  # type: ignore[misc]
+    """The library's framed transport with a bound on what a peer may announce."""
+
+    def __init__(self, stream: _Stream) -> None:
+        super().__init__(stream)
+        self.stream = stream
+
+    async def next(self) -> bytes:
+        head = await self.stream.reader.readexactly(4)
+        (size,) = struct.unpack("!i", head)
+        if not 0 < size <= FRAME:
+            raise ValueError(f"a frame of {size} bytes; 1 to {FRAME} are taken")
+        return await self.stream.reader.readexactly(size)
+
+
+def _message(name: str, kind: int, seq: int, thing: Any) -> bytes:
+    buf = TMemoryBuffer()
+    prot = TBinaryProtocol(buf)
+    prot.write_message_begin(name, kind, seq)
+    prot.write_struct(thing)
+    prot.write_message_end()
+    return bytes(buf.getvalue())
+
+
+def _oneway(name: str) -> bool:
+    return bool(getattr(IDL.Peer, name + "_result").oneway)
+
+
+@dataclass(eq=False)
+class Link:
+    """One connection towards a peer. Invariant: what is written leaves in the order of the calls."""
+
+    addr: str
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+    seq: int = 0
+    waits: dict[int, asyncio.Future[Any]] = field(default_factory=dict)
+    closed: bool = False
+    pump: asyncio.Task[None] | None = None
+
+    @classmethod
+    async def open(cls, addr: str, wait: float) -> Result[Link, Fault]:
+        host, port = split(addr)
+        try:
+            reader, writer = await asyncio.wait_for(asyncio.open_connection(host, port, limit=1 << 20), wait)
+        except (TimeoutError, OSError) as bad:
+            return Err(Fault("connect", addr, str(bad) or "no answer in time", unsent=True))
+        link = cls(addr, reader, writer)
+        link.pump = asyncio.create_task(link._read())
+        return Ok(link)
+
+    async def _read(self) -> None:
+        why = "the peer closed"
+        try:
+            frames = Frames(_Stream(self.reader, self.writer))
+            while True:
+                data = await frames.next()
+                prot = TBinaryProtocol(TMemoryBuffer(data))
+                name, kind, seq = prot.read_message_begin()
+                wait = self.waits.pop(seq, None)
+                if kind == TMessageType.EXCEPTION:
+                    thing = TApplicationException()
+                else:
+                    thing = getattr(IDL.Peer, name + "_result")()
+                prot.read_struct(thing)
+                if wait is not None and not wait.done():
+                    wait.set_result(thing)
+        except (asyncio.IncompleteReadError, ConnectionError, OSError):
+            pass
+        except Exception as bad:  # foreign bytes: the link is closed, the daemon goes on
+            why = f"unreadable answer: {bad!r:.80}"
+            events.emit(102, self.addr, step="read answer", why=why)
+        self.close(why)
+
+    def close(self, why: str = "closed here") -> None:
+        if not self.closed:
+            self.closed = True
+            self.writer.close()
+            if self.pump is not None and self.pump is not asyncio.current_task():
+                self.pump.cancel()
+        for wait in self.waits.values():
+            if not wait.done():
+                wait.set_result(Fault("read answer", self.addr, why))
+        self.waits.clear()
+
+    def put(self, name: str, *vals: Any) -> int:
+        """Hands a message to the connection without waiting for anything."""
+        args = getattr(IDL.Peer, name + "_args")()
+        for spec, val in zip(args.thrift_spec.values(), vals, strict=True):
+            setattr(args, spec[1], val)
+        self.seq = (self.seq + 1) & 0x7FFFFFFF
+        kind = TMessageType.ONEWAY if _oneway(name) else TMessageType.CALL
+        data = _message(name, kind, self.seq, args)
+        self.writer.write(struct.pack("!i", len(data)) + data)
+        return self.seq
+
+    async def drain(self) -> None:
+        await self.writer.drain()
+
+    async def call(self, name: str, body: Body, wait: float) -> Result[Body, Fault]:
+        if self.closed:
+            return Err(Fault(name, self.addr, "the link is closed", unsent=True))
+        future: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
+        seq = self.put(name, json.dumps(body, separators=(",", ":")))
+        self.waits[seq] = future
+        try:
+            async with asyncio.timeout(wait):
+                await self.drain()
+                got = await future
+        except (TimeoutError, ConnectionError) as bad:
+            self.waits.pop(seq, None)
+            if isinstance(bad, ConnectionError):
+                self.close(str(bad))
+                return Err(Fault(name, self.addr, str(bad)))
+            return Err(Fault(name, self.addr, f"no answer within {wait:g} s", SLOW))
+        finally:
+            self.waits.pop(seq, None)
+        if isinstance(got, Fault):
+            return Err(Fault(name, self.addr, got.why))
+        if isinstance(got, TApplicationException):
+            return Err(Fault(name, self.addr, str(got.message)))
+        if getattr(got, "fault", None) is not None:
+            f = got.fault
+            return Err(Fault(f.step, f.peer, f.why, f.code, f.hint or ""))
+        if not isinstance(got.success, str):
+            return Err(Fault(name, self.addr, "an empty answer"))
+        try:
+            return Ok(json.loads(got.success))
+        except ValueError:
+            return Err(Fault(name, self.addr, "an answer that is not JSON"))
+
+
+@dataclass(eq=False)
+class Lines:
+    """Links by address, opened when first wanted. Invariant: at most one open link an address."""
+
+    links: dict[str, Link] = field(default_factory=dict)
+    opening: dict[str, asyncio.Task[Result[Link, Fault]]] = field(default_factory=dict)
+
+    async def link(self, addr: str, wait: float) -> Result[Link, Fault]:
+        link = self.links.get(addr)
+        if link is not None and not link.closed:
+            return Ok(link)
+        task = self.opening.get(addr)
+        if task is None or task.done():
+            task = asyncio.create_task(Link.open(addr, wait))
+            self.opening[addr] = task
+        try:
+            got = await asyncio.wait_for(asyncio.shield(task), wait)
+        except TimeoutError:
+            return Err(Fault("connect", addr, "no answer in time", unsent=True))
+        if isinstance(got, Ok):
+            old = self.links.get(addr)
+            if old is None or old.closed:
+                self.links[addr] = got.unwrap()
+        self.opening.pop(addr, None)
+        return got
+
+    async def call(self, addr: str, name: str, body: Body, wait: float) -> Result[Body, Fault]:
+        got = await self.link(addr, wait)
+        if isinstance(got, Err):
+            return got
+        return await got.unwrap().call(name, body, wait)
+
+    def drop(self, addr: str) -> None:
+        link = self.links.pop(addr, None)
+        if link is not None:
+            link.close()
+
+    def close(self) -> None:
+        for addr in list(self.links):
+            self.drop(addr)
+
+
+@dataclass(eq=False)
+class Port:
+    """Takes links from peers. Invariant: oneway messages of a link are handled in order, one at a time."""
+
+    who: str
+    handlers: dict[str, Handler]
+    server: asyncio.AbstractServer | None = None
+    tasks: set[asyncio.Task[None]] = field(default_factory=set)
+    links: set[asyncio.StreamWriter] = field(default_factory=set)
+
+    async def listen(self, addr: str) -> None:
+        host, port = split(addr)
+        self.server = await asyncio.start_server(self._take, host, port, limit=1 << 20)
+
+    async def close(self) -> None:
+        if self.server is not None:
+            self.server.close()
+        for writer in list(self.links):
+            writer.close()
+        for task in list(self.tasks):
+            task.cancel()
+
+    async def _take(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        peer = str(writer.get_extra_info("peername"))
+        self.links.add(writer)
+        frames = Frames(_Stream(reader, writer))
+        try:
+            while True:
+                data = await frames.next()
+                prot = TBinaryProtocol(TMemoryBuffer(data))
+                name, kind, seq = prot.read_message_begin()
+                if name not in IDL.Peer.thrift_services:
+                    raise ValueError(f"unknown message {name!r:.40}")
+                args = getattr(IDL.Peer, name + "_args")()
+                prot.read_struct(args)
+                val = getattr(args, args.thrift_spec[1][1])
+                if val is None:
+                    raise ValueError(f"{name} without its argument")
+                if _oneway(name):
+                    if name in self.handlers:
+                        await self.handlers[name](val)
+                else:
+                    task = asyncio.create_task(self._answer(name, seq, val, writer))
+                    self.tasks.add(task)
+                    task.add_done_callback(self.tasks.discard)
+        except (asyncio.IncompleteReadError, ConnectionError, EOFError):
+            pass
+        except asyncio.CancelledError:
+            pass
+        except Exception as bad:
+            events.emit(102, self.who, step="read message", peer=peer, why=f"{bad!r:.120}")
+        finally:
+            self.links.discard(writer)
+            writer.close()
+
+    async def _answer(self, name: str, seq: int, val: str, writer: asyncio.StreamWriter) -> None:
+        out = getattr(IDL.Peer, name + "_result")()
+        try:
+            handler = self.handlers.get(name)
+            if handler is None:
+                got: Result[Body, Fault] = Err(Fault(name, self.who, "no such duty here", LACK))
+            else:
+                body = json.loads(val)
+                if not isinstance(body, dict):
+                    raise ValueError("not an object")
+                got = await handler(body)
+        except (KeyError, TypeError, ValueError) as bad:
+            got = Err(Fault(name, self.who, f"{bad!r:.160}", BROKE))
+        if isinstance(got, Ok):
+            out.success = json.dumps(got.unwrap(), separators=(",", ":"))
+        else:
+            f = got.unwrap_err()
+            out.fault = IDL.Fault(step=f.step, peer=f.peer, why=f.why, code=f.code, hint=f.hint)
+        try:
+            data = _message(name, TMessageType.REPLY, seq, out)
+            writer.write(struct.pack("!i", len(data)) + data)
+            await writer.drain()
+        except (ConnectionError, RuntimeError):
+            pass
+
+
+def test_calls_share_a_link_and_foreign_bytes_close_only_their_own() -> None:
+    from sim.loop import Host, SimLoop, run_sim
+
+    async def main(loop: SimLoop) -> list[Any]:
+        one, two = (loop.add(Host(n, (n,), "a")) for n in ("1", "2"))
+        cast: list[int] = []
+
+        async def serve() -> None:
+            async def show(body: Body) -> Result[Body, Fault]:
+                await asyncio.sleep(body["t"])
+                return Ok({"t": body["t"]}) if body["t"] < 3 else Err(Fault("show", "2", "late", 504))
+
+            async def carry(packet: Any) -> None:
+                await asyncio.sleep(0.1 if packet.seq == 1 else 0)
+                cast.append(packet.seq)
+
+            await Port("two", {"show": show, "carry": carry}).listen("2:7")
+
+        async def call() -> list[Any]:
+            lines = Lines()
+            slow, fast = asyncio.create_task(lines.call("2:7", "show", {"t": 2}, 9)), None
+            fast = await lines.call("2:7", "show", {"t": 1}, 9)
+            link = lines.links["2:7"]
+            [link.put("carry", IDL.Packet(part=0, seq=n)) for n in (1, 2, 3)]
+            reader, writer = await asyncio.open_connection("2", 7)
+            writer.write(b"GET / HTTP/1.1\r\n\r\n")
+            foreign = await reader.read()
+            late = await lines.call("2:7", "show", {"t": 3}, 9)
+            over = await lines.call("2:7", "show", {"t": 2}, 1)
+            lack = await lines.call("2:7", "grant", {}, 1)
+            return [fast, await slow, foreign, late, over.unwrap_err().code, lack.unwrap_err().why, cast]
+
+        await loop.create_task(serve(), context=two.context())
+        return await loop.create_task(call(), context=one.context())
+
+    assert run_sim(main) == [
+        Ok({"t": 1}), Ok({"t": 2}), b"", Err(Fault("show", "2", "late", 504)), SLOW, "no such duty here", [1, 2, 3],
+    ]  # fmt: skip
--- /dev/null
+++ b/sim/disk.py
@@ -0,0 +1,102 @@
+"""A disk that loses whatever was not synced, loses everything, fills up, stalls or fails a sync."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from dataclasses import dataclass, field
+
+
+@dataclass
+class SimDisk:
+    """Invariant: `kept` is what survives the power; `files` is what a running process reads."""
+
+    chance: random.Random
+    cap: int = 64 << 20
+    pace: float = 0.002
+    files: dict[str, bytearray] = field(default_factory=dict)
+    kept: dict[str, bytes] = field(default_factory=dict)
+    fails: bool = False
+    stall: float = 0.0
+    syncs: int = 0
+
+    def names(self) -> list[str]:
+        return sorted(self.files)
+
+    def read(self, name: str) -> bytes:
+        if name not in self.files:
+            raise FileNotFoundError(2, "No such file", name)
+        return bytes(self.files[name])
+
+    def _need(self, size: int) -> None:
+        if sum(map(len, self.files.values())) + size > self.cap:
+            raise OSError(28, "No space left on device")
+
+    def append(self, name: str, data: bytes) -> None:
+        self._need(len(data))
+        self.files.setdefault(name, bytearray()).extend(data)
+
+    async def sync(self, name: str) -> None:
+        size = len(self.files.get(name, b""))
+        file = self.files.get(name)
+        await asyncio.sleep(self.pace * (0.5 + self.chance.random()) + self.stall)
+        if self.fails:
+            raise OSError(5, "Input/output error")
+        self.syncs += 1
+        if file is not None and self.files.get(name) is file:
+            self.kept[name] = bytes(file[:size])
+
+    async def write(self, name: str, data: bytes) -> None:
+        self._need(len(data))
+        await asyncio.sleep(self.pace * (1 + self.chance.random()) + self.stall)
+        if self.fails:
+            raise OSError(5, "Input/output error")
+        self.syncs += 1
+        self.files[name] = bytearray(data)
+        self.kept[name] = bytes(data)
+
+    def cut(self, name: str, size: int) -> None:
+        del self.files[name][size:]
+        self.kept[name] = self.kept.get(name, b"")[:size]
+
+    def remove(self, name: str) -> None:
+        del self.files[name]
+        self.kept.pop(name, None)
+
+    def rename(self, name: str, new: str) -> None:
+        self.files[new] = self.files.pop(name)
+        self.kept[new] = self.kept.pop(name, b"")
+
+    def room(self) -> tuple[int, int]:
+        return max(self.cap - sum(map(len, self.files.values())), 0), self.cap
+
+    # --- faults
+    def power_off(self) -> None:
+        """Keeps what was synced and, of each unsynced tail, some torn part."""
+        for name, file in sorted(self.files.items()):
+            kept = self.kept.get(name, b"")
+            tail = bytes(file[len(kept) :]) if bytes(file[: len(kept)]) == kept else b""
+            torn = tail[: self.chance.randrange(len(tail) + 1)] if tail else b""
+            self.kept[name] = kept + torn
+        self.files = {n: bytearray(b) for n, b in self.kept.items() if b}
+        self.kept = {n: bytes(b) for n, b in self.files.items()}
+
+    def wipe(self) -> None:
+        self.files, self.kept = {}, {}
+
+    def damage(self, name: str, place: int) -> None:
+        self.files[name][place] ^= 0xFF
+        self.kept[name] = bytes(self.files[name])
+
+
+def test_power_loss_keeps_what_was_synced_and_never_more_than_was_written() -> None:
+    for seed in range(20):
+        disk = SimDisk(random.Random(seed))
+        disk.append("log", b"synced")
+        asyncio.run(disk.sync("log"))
+        disk.append("log", b"-torn")
+        disk.append("new", b"x")
+        disk.power_off()
+        assert disk.read("log").startswith(b"synced") and b"synced-torn".startswith(disk.read("log"))
+        disk.wipe()
+        assert disk.names() == []
--- /dev/null
+++ b/sim/fleet.py
@@ -0,0 +1,351 @@
+"""A whole fleet in one simulated world: the very same daemons, stand-in workers and callers."""
+
+from __future__ import annotations
+
+import asyncio
+import copy
+import json
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+import aiohttp
+
+from bench.callers import Callers, Load
+from bench.plan import config
+from bench.worker import PlainServer, Worker
+from postpass.config import load, parse, split
+from postpass.control import Control
+from postpass.daemon import Daemon
+from postpass.data import Data
+from postpass.world import World, serve_http
+from sim.check import Event
+from sim.disk import SimDisk
+from sim.loop import HOST, Host, SimLoop
+
+EPOCH = 1_700_000_000.0
+assert load is not None
+
+
+class SimConnector(aiohttp.BaseConnector):
+    """aiohttp's connections over the simulated network."""
+
+    async def _create_connection(self, req: Any, traces: Any, timeout: Any) -> Any:
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(timeout.sock_connect):
+                _, proto = await loop.create_connection(self._factory, req.url.host, req.url.port)
+        except TimeoutError:
+            raise
+        except OSError as bad:
+            raise aiohttp.ClientConnectorError(req.connection_key, bad) from bad
+        return proto
+
+
+@dataclass(eq=False)
+class Box:
+    """A simulated machine: what outlives its processes (address, disk), and the process on it now."""
+
+    name: str
+    area: str
+    ips: tuple[str, ...]
+    disk: SimDisk | None
+    host: Host | None = None
+    daemon: Daemon | None = None
+    thing: Any = None
+    since: float = 0.0
+    epoch: int = 0
+    freezes: int = 0
+
+    @property
+    def up(self) -> bool:
+        return self.host is not None and not self.host.dead
+
+
+@dataclass(eq=False)
+class SimFleet:
+    loop: SimLoop
+    man: dict[str, Any]
+    seed: int
+    bounds: dict[str, float] = field(default_factory=dict)
+    tune: dict[str, Any] = field(default_factory=dict)  # config of daemons
+    boxes: dict[str, Box] = field(default_factory=dict)
+    events: list[Event] = field(default_factory=list)
+    edition: int = 0
+    make: Callable[[Daemon], None] | None = None  # settings of the simulator, laid on each new daemon
+    disk_cap: int = 64 << 20
+    version: str = ""
+
+    def __post_init__(self) -> None:
+        self.chance = random.Random(f"fleet-{self.seed}")
+        for name, m in self.man["machines"].items():
+            self.add_box(name, m)
+        for pool in self.man["pools"].values():
+            for name, s in pool["servers"].items():
+                host, _ = split(s["url"].removeprefix("http://"))
+                self.boxes[name] = Box(name, s["area"], (host,), None)
+        self.outside = self.loop.add(Host("outside", ("127.9.9.9",), "a"))
+
+    def add_box(self, name: str, m: dict[str, Any]) -> None:
+        ips = tuple(dict.fromkeys([split(m["peer"])[0], split(m["http"])[0]]))
+        disk = (
+            SimDisk(random.Random(f"disk-{name}-{self.seed}"), cap=self.disk_cap)
+            if {"store", "control"} & set(m["duties"])
+            else None
+        )
+        self.boxes[name] = Box(name, m["area"], ips, disk)
+
+    def wall(self) -> float:
+        return EPOCH + self.loop.clock
+
+    def log(self, event: Event) -> None:
+        self.events.append({"t": self.loop.clock} | event)
+
+    def world(self, name: str, disk: SimDisk | None) -> World:
+        self.boxes[name].epoch += 1
+        seed = f"{self.seed}-{name}-{self.boxes[name].epoch}"
+        return World(
+            disk=disk,
+            chance=random.Random(seed),
+            wall=self.wall,
+            connector=lambda: SimConnector(limit=0, keepalive_timeout=2.0),
+        )
+
+    # --- machines
+    def start(self, name: str) -> None:
+        box = self.boxes[name]
+        if box.up:
+            return
+        box.host = self.loop.add(Host(name, box.ips, box.area))
+        box.since = self.loop.clock
+        if name in self.man["machines"]:
+            control = "control" in self.man["machines"][name]["duties"]
+            raw = config(self.man, name, "data" if box.disk is not None else "", **self.tune)
+            if self.bounds:
+                raw["bounds"] = self.bounds
+            conf = parse(raw, control).unwrap()
+
+            async def boot() -> None:
+                daemon: Daemon = (Control if control else Data)(conf, self.world(name, box.disk), self.version)
+                box.daemon = daemon
+                if self.make is not None:
+                    self.make(daemon)
+                await daemon.run()
+
+            self.loop.create_task(boot(), context=box.host.context())
+            return
+        for pool in self.man["pools"].values():
+            if name in pool["servers"]:
+                server = pool["servers"][name]
+                self.loop.create_task(self.serve(box, pool["kind"], server), context=box.host.context())
+
+    async def serve(self, box: Box, kind: str, server: dict[str, Any]) -> None:
+        host, port = split(server["url"].removeprefix("http://"))
+
+        def log(event: Event) -> None:
+            self.log(event | {"area": box.area})
+
+        if kind == "model":
+            worker = Worker(
+                box.name, log, self.wall, slots=server["slots"], chance=random.Random(f"{box.name}-{self.seed}")
+            )
+            box.thing = worker
+            asyncio.create_task(worker.engine())
+        else:
+            box.thing = PlainServer(box.name, log)
+        await serve_http(box.thing.app(), host, port, asyncio.Event())
+
+    def kill(self, name: str, silent: bool = False) -> None:
+        box = self.boxes[name]
+        if box.up and box.host is not None:
+            self.loop.kill(box.host, silent)
+        box.daemon = None
+
+    def power(self, name: str) -> None:
+        self.kill(name, silent=True)
+        disk = self.boxes[name].disk
+        if disk is not None:
+            disk.power_off()
+
+    def wipe(self, name: str) -> None:
+        self.kill(name, silent=True)
+        disk = self.boxes[name].disk
+        if disk is not None:
+            disk.wipe()
+
+    def freeze(self, name: str) -> None:
+        box = self.boxes[name]
+        if box.up and box.host is not None:
+            self.loop.freeze(box.host)
+
+    def thaw(self, name: str) -> None:
+        box = self.boxes[name]
+        if box.up and box.host is not None and box.host.frozen:
+            self.loop.thaw(box.host)
+            box.since = self.loop.clock
+
+    def cut(self, one: str, two: str, on: bool = True) -> None:
+        (self.loop.net.cuts.add if on else self.loop.net.cuts.discard)((one, two))
+
+    def isolate(self, name: str, on: bool = True) -> None:
+        for other in [*self.boxes, "outside"]:
+            if other != name:
+                self.cut(name, other, on)
+                self.cut(other, name, on)
+        self.boxes[name].since = self.loop.clock
+
+    # --- who is what now
+    def stores(self) -> list[tuple[str, Any]]:
+        return [
+            (n, b.daemon.store) for n, b in self.boxes.items() if b.up and isinstance(b.daemon, Data) and b.daemon.store
+        ]
+
+    def owner(self, part: int) -> str:
+        owning = [(s.parts[part].epoch, n) for n, s in self.stores() if part in s.parts and s.parts[part].owning]
+        return max(owning)[1] if owning else ""
+
+    def pick(self, word: str) -> str:
+        """Names or roles: owner:P, mirror:P, busiest, primary, backup, witness, sched."""
+        kind, _, rest = word.partition(":")
+        if kind == "owner":
+            return self.owner(int(rest or 0))
+        if kind == "mirror":
+            return next(n for n, _ in self.stores() if n != self.owner(int(rest or 0)))
+        if kind == "busiest":
+            return max(self.stores(), key=lambda s: (sum(p.owning for p in s[1].parts.values()), s[0]))[0]
+        if kind in ("primary", "backup", "witness"):
+            leads = [
+                (b.daemon.epoch, n)
+                for n, b in self.boxes.items()
+                if b.up and isinstance(b.daemon, Control) and b.daemon.epoch
+            ]
+            if not leads:
+                return ""
+            top = max(leads)[1]
+            daemon = self.boxes[top].daemon
+            assert isinstance(daemon, Control)
+            pair = daemon.held.pair
+            rest_ = [n for n, m in self.man["machines"].items() if "control" in m["duties"] and n not in pair]
+            return {"primary": top, "backup": pair.backup, "witness": rest_[0] if rest_ else ""}[kind]
+        if kind == "sched":
+            return next(
+                (
+                    n
+                    for n, b in self.boxes.items()
+                    if b.up and isinstance(b.daemon, Data) and b.daemon.sched and b.daemon.sched.active
+                ),
+                "",
+            )
+        if word not in self.boxes:
+            raise KeyError(f"no machine {word!r}")
+        return word
+
+    # --- outside: operators and callers
+    def out(self, coro: Any) -> asyncio.Task[Any]:
+        return self.loop.create_task(coro, context=self.outside.context())
+
+    def session(self) -> aiohttp.ClientSession:
+        return aiohttp.ClientSession(connector=SimConnector(limit=0, keepalive_timeout=2.0))
+
+    def controls(self) -> list[str]:
+        return [n for n, m in self.man["machines"].items() if "control" in m["duties"]]
+
+    async def apply(self, man: dict[str, Any], base: int, who: str = "op", via: str = "", tries: int = 1) -> int:
+        """Applies a manifest as an operator would; notes what was answered."""
+        content = json.dumps(man, sort_keys=True)
+        order = [via] if via else self.controls()
+        again = False
+        async with self.session() as session:
+            for i in range(tries):
+                name = order[i % len(order)]
+                url = f"http://{self.man['machines'][name]['http']}/v1/manifest"
+                began, status, edition, why = self.loop.clock, 0, 0, ""
+                try:
+                    async with session.put(
+                        url,
+                        json=man,
+                        headers={"if-match": f'"{base}"'},
+                        timeout=aiohttp.ClientTimeout(total=6, sock_connect=1),
+                    ) as got:
+                        status = got.status
+                        edition = int(got.headers.get("etag", '"0"').strip('"'))
+                        why = (await got.text())[:300]
+                except (aiohttp.ClientError, OSError, TimeoutError) as bad:
+                    why = repr(bad)
+                self.log({"ev": "applied", "who": who, "answer": status, "edition": edition, "base": base, "content": content,
+                          "began": began, "why": why, "again": again})  # fmt: skip
+                if status == 200:
+                    self.edition, self.man = (
+                        max(self.edition, edition),
+                        copy.deepcopy(man) if edition >= self.edition else self.man,
+                    )
+                    return edition
+                if status in (400, 412):
+                    return -status
+                again = again or status != 503 or True
+                await asyncio.sleep(0.4)
+        return 0
+
+    async def read_back(self) -> None:
+        """Reads the manifest back at each control machine in turn."""
+        async with self.session() as session:
+            for name in self.controls():
+                url = f"http://{self.man['machines'][name]['http']}/v1/manifest"
+                began, status, edition = self.loop.clock, 0, 0
+                try:
+                    async with session.get(url, timeout=aiohttp.ClientTimeout(total=3, sock_connect=0.5)) as got:
+                        status, edition = got.status, int(got.headers.get("etag", '"0"').strip('"'))
+                except (aiohttp.ClientError, OSError, TimeoutError):
+                    pass
+                self.log({"ev": "reads", "began": began, "answer": status, "edition": edition, "via": name})
+
+    async def sample(self) -> None:
+        """Notes which edition each daemon runs; `fit` says that it had the chance to know the newest."""
+        while True:
+            await asyncio.sleep(0.25)
+            for name, box in self.boxes.items():
+                if box.up and box.daemon is not None and box.host is not None and not box.host.frozen:
+                    fit = self.loop.clock - box.since > 2.5 and not self.shut_off(name)
+                    self.log(
+                        {"ev": "runs", "daemon": f"{name}/{box.epoch}", "edition": box.daemon.news.edition, "fit": fit}
+                    )
+
+    def shut_off(self, name: str) -> bool:
+        others = [n for n in self.boxes if n != name and n in self.man["machines"]]
+        cut = sum((name, o) in self.loop.net.cuts or (o, name) in self.loop.net.cuts for o in others)
+        return cut * 2 > len(others)
+
+    def callers(self, what: Load, session: aiohttp.ClientSession, salt: str = "") -> Callers:
+        edges = [f"http://{m['http']}" for m in self.man["machines"].values() if "edge" in m["duties"]]
+        return Callers(
+            edges,
+            session,
+            random.Random(f"callers-{self.seed}{salt}"),
+            lambda: self.loop.clock,
+            self.events.append,
+            what,
+        )
+
+    async def found(self) -> None:
+        """Starts everything and applies the first manifest; returns once every partition has an owner."""
+        for name in list(self.boxes):
+            self.start(name)
+        self.loop.create_task(self.sample())
+        await asyncio.sleep(0.5)
+        got = await self.out(self.apply(self.man, 0, tries=8))
+        assert got == 1, [e for e in self.events if e["ev"] == "applied"][-1]
+        for _ in range(200):
+            await asyncio.sleep(0.1)
+            if all(self.ready(p) for p in range(self.man["parts"])):
+                break
+        else:
+            raise AssertionError("not every partition found an owner")
+        await asyncio.sleep(1.0)
+
+    def ready(self, part: int) -> bool:
+        owner = self.owner(part)
+        return bool(owner) and any(n == owner and s.parts[part].ready for n, s in self.stores())
+
+
+assert HOST is not None
--- /dev/null
+++ b/sim/runner.py
@@ -0,0 +1,405 @@
+"""Runs scenarios: small text files that say fleet, load, faults at times, and what must hold.
+
+python -m sim.runner sim/scenarios/owner-power.txt [--seed 5]
+python -m sim.runner --all
+"""
+
+from __future__ import annotations
+
+import asyncio
+import operator
+import re
+import sys
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from bench.callers import Load
+from bench.plan import changed, manifest
+from postpass import events
+from sim.check import Bounds, History, breaches
+from sim.fleet import SimFleet
+from sim.loop import SimLoop, run_sim
+
+FOLDER = Path(__file__).parent / "scenarios"
+OPS: dict[str, Callable[[float, float], bool]] = {
+    ">=": operator.ge,
+    "<=": operator.le,
+    "==": operator.eq,
+    ">": operator.gt,
+    "<": operator.lt,
+}
+
+
+@dataclass(frozen=True)
+class Act:
+    at: float
+    verb: str
+    args: tuple[str, ...]
+
+
+@dataclass(eq=False)
+class Scenario:
+    """Invariant: what is not understood is refused with file and line, never skipped."""
+
+    name: str
+    why: str = ""
+    fleet: dict[str, Any] = field(default_factory=dict)
+    load: dict[str, str] = field(default_factory=dict)
+    set: list[tuple[str, Any]] = field(default_factory=list)
+    tune: dict[str, Any] = field(default_factory=dict)
+    disk: int = 64 << 20
+    run: float = 20.0
+    settle: float = 40.0
+    seeds: tuple[int, ...] = (1,)
+    acts: list[Act] = field(default_factory=list)
+    expect: list[tuple[str, str, float]] = field(default_factory=list)
+    excused: bool = False
+
+
+def value(text: str) -> Any:
+    if text in ("true", "false"):
+        return text == "true"
+    if text in ("none", "null"):
+        return None
+    if text.startswith("["):
+        return [value(t.strip()) for t in text[1:-1].split(",") if t.strip()]
+    for kind in (int, float):
+        try:
+            return kind(text)
+        except ValueError:
+            pass
+    return text.replace("~", " ")
+
+
+def parse(text: str, name: str) -> Scenario:
+    out = Scenario(name)
+    for number, line in enumerate(text.splitlines(), 1):
+        line = line.strip()
+        if not line:
+            continue
+        if line.startswith("#"):
+            out.why += line[1:].strip() + " "
+            continue
+        head, *rest = line.split()
+        pairs = dict(r.split("=", 1) for r in rest if "=" in r)
+        if head == "fleet":
+            out.fleet = {k: value(v) for k, v in pairs.items()}
+        elif head == "load":
+            out.load = pairs
+        elif head == "set":
+            out.set += [(k, value(v)) for k, v in pairs.items()]
+        elif head == "tune":
+            out.tune = {k: value(v) for k, v in pairs.items()}
+        elif head == "disk":
+            out.disk = int(rest[0])
+        elif head in ("run", "settle"):
+            setattr(out, head, float(rest[0]))
+        elif head == "seeds":
+            out.seeds = tuple(int(r) for r in rest)
+        elif head == "excused":
+            out.excused = True
+        elif head == "at" and rest[1] in VERBS:
+            out.acts.append(Act(float(rest[0]), rest[1], tuple(rest[2:])))
+        elif head == "expect" and len(rest) == 3 and rest[1] in OPS:
+            out.expect.append((rest[0], rest[1], float(rest[2])))
+        else:
+            raise ValueError(f"{name}:{number}: not understood: {line}")
+    return out
+
+
+def loaded(text: dict[str, str]) -> Load:
+    live, plain, lots, more = {}, {}, {}, {}
+    for key, val in text.items():
+        if "x" in val and key not in ("within", "once", "ends", "shared"):
+            rate, size = val.split("x")
+            lots[key] = (float(rate), int(size))
+        elif key in ("view", "tiles"):
+            plain[key] = float(val)
+        elif key in ("within", "once", "ends"):
+            more[key] = float(val)
+        else:
+            live[key] = float(val)
+    return Load(live, plain, lots, **more)  # type: ignore[arg-type]
+
+
+async def act(fleet: SimFleet, a: Act, later: Callable[[float, Callable[[], None]], None]) -> None:
+    """One fault or operation; `for S` at its end undoes it after S seconds."""
+    args = list(a.args)
+    span = 0.0
+    if len(args) >= 2 and args[-2] == "for":
+        span = float(args[-1])
+        args = args[:-2]
+    verb = a.verb
+    if verb in ("kill", "power", "wipe"):
+        name = fleet.pick(args[0])
+        getattr(fleet, verb)(name)
+        if span:
+            later(span, lambda: fleet.start(name))
+    elif verb == "start":
+        fleet.start(fleet.pick(args[0]))
+    elif verb == "freeze":
+        name = fleet.pick(args[0])
+        fleet.freeze(name)
+        later(span, lambda: fleet.thaw(name))
+    elif verb == "isolate":
+        name = fleet.pick(args[0])
+        fleet.isolate(name)
+        later(span, lambda: fleet.isolate(name, False))
+    elif verb in ("cut", "cutone"):
+        one, two = fleet.pick(args[0]), args[1]
+        others = (
+            fleet.controls()
+            if two == "control"
+            else [n for n in fleet.boxes if n in fleet.man["machines"]]
+            if two == "daemons"
+            else [fleet.pick(two)]
+        )
+        pairs = [p for o in others if o != one for p in ([(one, o)] if verb == "cutone" else [(one, o), (o, one)])]
+        for p in pairs:
+            fleet.cut(*p)
+
+        def heal() -> None:
+            for p in pairs:
+                fleet.cut(*p, on=False)
+
+        later(span, heal)
+    elif verb == "slow":
+        name = fleet.pick(args[0])
+        fleet.loop.net.slow[name] = float(args[1])
+        later(span, lambda: fleet.loop.net.slow.update({name: 0.0}))
+    elif verb in ("stall", "failsync", "fill", "damage"):
+        box = fleet.boxes[fleet.pick(args[0])]
+        disk = box.disk
+        assert disk is not None, f"{box.name} has no disk"
+        if verb == "stall":
+            disk.stall = float(args[1])
+            later(span, lambda: setattr(disk, "stall", 0.0))
+        elif verb == "failsync":
+            disk.fails = True
+            later(span, lambda: setattr(disk, "fails", False))
+        elif verb == "fill":
+            cap = disk.cap
+            disk.cap = sum(map(len, disk.files.values())) + int(args[1])
+            later(span, lambda: setattr(disk, "cap", cap))
+        else:
+            fleet.kill(box.name)
+            name = next(n for n in reversed(disk.names()) if n.startswith(args[1]))
+            disk.damage(name, len(disk.files[name]) // 3)
+            fleet.start(box.name)
+    elif verb == "fault":
+        thing = fleet.boxes[args[0]].thing
+        thing.fault = args[1]
+        later(span, lambda: setattr(thing, "fault", ""))
+    elif verb == "apply":
+        pairs_ = [x.split("=", 1) for x in args]
+        fleet.out(change(fleet, pairs_))
+    elif verb == "race":
+        # Two operators, each with a change of its own, made from the same edition.
+        for i, x in enumerate(args):
+            key, val = x.split("=", 1)
+            via = fleet.controls()[i % len(fleet.controls())]
+            fleet.out(fleet.apply(changed(fleet.man, key, value(val)), fleet.edition, f"op{i + 1}", via))
+    elif verb == "routes":
+        man = fleet.man
+        for i in range(int(args[0])):
+            man = changed(man, "ways", man["ways"] | {f"/r{fleet.edition}-{i}": "view"})
+        fleet.out(fleet.apply(man, fleet.edition, tries=6))
+    elif verb == "add":
+        # add NAME AREA DUTY: an empty machine at a new address, started and put in the manifest.
+        name, area, duty = args
+        spot = fleet.man["areas"].index(area) + 1
+        ip = f"127.{spot}.7.{len(fleet.boxes)}"
+        m = {"area": area, "peer": f"{ip}:7000", "http": f"{ip}:8000", "duties": duty.split("+")}
+        fleet.add_box(name, m)
+        man = changed(fleet.man, f"machines.{name}", m)
+        fleet.man = man
+        fleet.start(name)
+        fleet.out(fleet.apply(man, fleet.edition, tries=6))
+    elif verb == "replace":
+        # replace OLD NEW: the old machine is declared gone, an empty one takes its place.
+        old, new = fleet.pick(args[0]), args[1]
+        m = fleet.man["machines"][old]
+        ip = f"127.{fleet.man['areas'].index(m['area']) + 1}.7.{len(fleet.boxes)}"
+        fresh = {"area": m["area"], "peer": f"{ip}:7000", "http": f"{ip}:8000", "duties": m["duties"]}
+        fleet.kill(old, silent=True)
+        fleet.add_box(new, fresh)
+        man = changed(changed(fleet.man, f"machines.{old}.gone", True), f"machines.{new}", fresh)
+        fleet.man = man
+        fleet.start(new)
+        fleet.out(fleet.apply(man, fleet.edition, tries=6))
+    elif verb == "version":
+        name = fleet.pick(args[0])
+        fleet.version = args[1]
+        fleet.kill(name)
+        fleet.start(name)
+    elif verb == "read":
+        fleet.out(fleet.read_back())
+
+
+async def change(fleet: SimFleet, pairs: list[list[str]]) -> None:
+    man = fleet.man
+    for key, val in pairs:
+        man = changed(man, key, value(val))
+    got = await fleet.apply(man, fleet.edition, tries=10)
+    if got <= 0:
+        return
+    for key, val in pairs:
+        if key.endswith(".leave"):
+            fleet.log({"ev": "leave" if value(val) else "stay", "server": key.split(".")[-2]})
+        if key == "evacuated":
+            areas = value(val) or []
+            for area in fleet.man["areas"]:
+                fleet.log({"ev": "evacuated" if area in areas else "return", "area": area})
+
+
+VERBS = {"kill", "power", "wipe", "start", "freeze", "isolate", "cut", "cutone", "slow", "stall", "failsync", "fill", "damage",
+         "fault", "apply", "race", "routes", "add", "replace", "version", "read"}  # fmt: skip
+
+
+@dataclass(eq=False)
+class Report:
+    breaches: dict[str, list[str]]
+    stats: dict[str, float]
+    errors: list[str]
+    events: list[dict[str, Any]]
+    fleet: SimFleet | None = None
+
+
+def rank(vals: list[float], part: float) -> float:
+    return sorted(vals)[min(len(vals) - 1, int(len(vals) * part))] if vals else 0.0
+
+
+def stats_of(fleet: SimFleet, began: float) -> dict[str, float]:
+    seen = fleet.events
+    calls = [e for e in seen if e["ev"] == "call"]
+    ends = Counter(e["end"] for e in calls)
+    firsts = [e["first"] - e["began"] for e in calls if e["first"]]
+    lots = Counter(e["answer"] for e in seen if e["ev"] == "lot")
+    whole: dict[str, float] = {}
+    for e in seen:
+        if e["ev"] == "page" and e["whole"]:
+            whole.setdefault(e["id"], e["t"])
+    due = {e["id"]: e["due"] for e in seen if e["ev"] == "lot" and e["answer"] == "kept"}
+    out: dict[str, float] = {f"calls_{k}": v for k, v in ends.items()}
+    out |= {f"lots_{k}": v for k, v in lots.items()}
+    out |= {f"event_{n}": c for n, c in events.COUNTS.items()}
+    views = Counter(e["end"] for e in seen if e["ev"] == "view")
+    out |= {f"views_{k}": v for k, v in views.items()}
+    out["calls"] = len(calls)
+    out["calls_share"] = ends["done"] / len(calls) if calls else 1.0
+    out["views_share"] = views["done"] / views.total() if views else 1.0
+    out["first_p50"], out["first_p95"] = rank(firsts, 0.5), rank(firsts, 0.95)
+    out["lots_whole"] = len(whole)
+    out["lots_in_time"] = sum(whole.get(n, 1e18) <= d for n, d in due.items())
+    out["items"] = sum(1 for e in seen if e["ev"] == "took" and e["tag"].startswith("lot:"))
+    out["submit_p50"] = rank([e["t"] - e["began"] for e in seen if e["ev"] == "lot" and e["answer"] == "kept"], 0.5)
+    answers = Counter(e["answer"] for e in seen if e["ev"] == "applied")
+    out |= {f"applied_{k}": v for k, v in answers.items()}
+    # The longest time in which no live call was done, and in which no lot was kept.
+    for kind, times in (
+        ("calls_gap", [e["t"] for e in calls if e["end"] == "done"]),
+        ("kept_gap", [e["t"] for e in seen if e["ev"] == "lot" and e["answer"] == "kept"]),
+    ):
+        spots = [began, *times]
+        out[kind] = max((b - a for a, b in zip(spots, spots[1:], strict=False)), default=0.0)
+    out["losses"] = max([p.view.losses for _, s in fleet.stores() for p in s.parts.values()], default=0)
+    out["ran"] = fleet.loop.ran
+    out["edition"] = fleet.edition
+    return out
+
+
+def play(s: Scenario, seed: int, make: Callable[[Any], None] | None = None) -> Report:
+    """Runs one scenario under one seed, on simulated time."""
+    events.COUNTS.clear()
+
+    async def main(loop: SimLoop) -> Report:
+        man = manifest(**s.fleet)
+        for key, val in s.set:
+            man = changed(man, key, val)
+        fleet = SimFleet(loop, man, seed, tune=s.tune, make=make, disk_cap=s.disk)
+        await fleet.found()
+        began = loop.clock
+
+        def later(span: float, undo: Callable[[], None]) -> None:
+            loop.call_later(span, undo)
+
+        async def faults() -> None:
+            for a in sorted(s.acts, key=lambda a: a.at):
+                await asyncio.sleep(max(0.0, began + a.at - loop.clock))
+                await act(fleet, a, later)
+
+        async def outside() -> None:
+            async with fleet.session() as session:
+                callers = fleet.callers(loaded(s.load), session)
+                await callers.run(s.run)
+                await callers.audit(s.settle)
+
+        script = loop.create_task(faults())
+        load = fleet.out(outside())
+        await asyncio.wait([load])
+        load.result()
+        await script
+        await fleet.out(fleet.read_back())
+        bounds = Bounds(ramp=man["ramp"])
+        found = breaches(History(fleet.events, bounds, s.excused))
+        return Report(found, stats_of(fleet, began), loop.errors, fleet.events, fleet)
+
+    got: Report = run_sim(main, seed)
+    return got
+
+
+def judge(s: Scenario, r: Report) -> list[str]:
+    out = [f"{name}: {what}" for name, found in r.breaches.items() for what in found[:3]]
+    out += [
+        f"expected {k} {op} {want:g}, saw {r.stats.get(k, 0):g}"
+        for k, op, want in s.expect
+        if not OPS[op](r.stats.get(k, 0), want)
+    ]
+    return out + [f"error: {e}" for e in r.errors[:3]]
+
+
+def scenarios() -> list[Scenario]:
+    return [parse(p.read_text(), p.stem) for p in sorted(FOLDER.glob("*.txt"))]
+
+
+@pytest.mark.parametrize(("name", "seed"), [(s.name, seed) for s in scenarios() for seed in s.seeds])
+def test_scenario(name: str, seed: int) -> None:
+    s = parse((FOLDER / f"{name}.txt").read_text(), name)
+    assert judge(s, play(s, seed)) == []
+
+
+def test_what_is_not_understood_is_refused_with_its_line() -> None:
+    with pytest.raises(ValueError, match=re.escape("x:2: not understood: at 3 explode s1")):
+        parse("run 3\nat 3 explode s1", "x")
+
+
+def main(argv: list[str]) -> int:
+    names = [a for a in argv if not a.startswith("--")]
+    seeds = [int(argv[i + 1]) for i, a in enumerate(argv) if a == "--seed"]
+    names = [n for n in names if not n.isdigit()]
+    todo = scenarios() if "--all" in argv else [parse(Path(n).read_text(), Path(n).stem) for n in names]
+    bad = 0
+    for s in todo:
+        for seed in seeds or s.seeds:
+            r = play(s, seed)
+            flaws = judge(s, r)
+            bad += bool(flaws)
+            print(f"{'FAILED' if flaws else 'ok':6} {s.name} seed={seed}")
+            for flaw in flaws:
+                print("      ", flaw)
+            if "--stats" in argv:
+                print("      ", {k: round(v, 3) for k, v in sorted(r.stats.items())})
+            if "--events" in argv:
+                for n, text in events.RECENT:
+                    print("      ", n, text)
+            sys.stdout.flush()
+    return 1 if bad else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
