--- /dev/null
+++ b/bench/fleet.py
@@ -0,0 +1,378 @@
+"""Starts a whole deployment on loopback as real processes, applies its manifest, runs its callers, causes
+faults if asked to, prints a report, and stops everything that it started.
+
+    python -m bench.fleet run kompressorlab --seconds 60 --faults --out docs/reports/kompressorlab.md
+    python -m bench.fleet up couriers            # just the fleet, until Ctrl-C
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import random
+import shutil
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+from collections import Counter, defaultdict
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+import fire
+
+from bench.callers import Callers
+from bench.deploy import DEPLOYMENTS, Deployment
+from bench.plan import changed, config
+from sim.check import CHECKS, Bounds, History, breaches
+
+Event = dict[str, Any]
+
+
+@dataclass(eq=False)
+class Fleet:
+    """Invariant: every process in `procs` was started here, and is ended here."""
+
+    plan: Deployment
+    root: Path
+    procs: dict[str, subprocess.Popen[bytes]] = field(default_factory=dict)
+    events: list[Event] = field(default_factory=list)
+    edition: int = 0
+    since: dict[str, float] = field(default_factory=dict)
+    starts: Counter[str] = field(default_factory=Counter)
+
+    @property
+    def man(self) -> dict[str, Any]:
+        return self.plan.manifest
+
+    def tell(self, ev: str, **more: Any) -> None:
+        self.events.append({"t": time.time(), "ev": ev, **more})
+
+    def spawn(self, name: str, words: list[str]) -> None:
+        log = (self.root / f"{name}.log").open("ab")
+        env = os.environ | {"PYTHONPATH": str(Path(__file__).parent.parent)}
+        self.procs[name] = subprocess.Popen(
+            [sys.executable, "-m", *words], stdout=log, stderr=log, env=env, start_new_session=True
+        )
+        self.since[name] = time.time()
+        self.starts[name] += 1
+
+    def start(self, name: str) -> None:
+        if name in self.man["machines"]:
+            control = "control" in self.man["machines"][name]["duties"]
+            raw = config(self.man, name, str(self.root / "data" / name) if control or name.startswith("s") else "")
+            file = self.root / f"{name}.json"
+            file.write_text(json.dumps(raw))
+            peer = raw["peer"]
+            self.spawn(
+                name,
+                ["bench.lag", str(self.plan.delay), "ppc" if control else "ppd", f"--config={file}", f"--peer={peer}"],
+            )
+            return
+        for pool in self.man["pools"].values():
+            if name in pool["servers"]:
+                s = pool["servers"][name]
+                self.spawn(name, ["bench.standin", f"--kind={pool['kind']}", f"--name={name}", f"--http={s['url'][7:]}",
+                                  f"--log={self.root / name}.jsonl", f"--area={s['area']}", f"--slots={s['slots']}"])  # fmt: skip
+
+    def start_all(self) -> None:
+        for pool in self.man["pools"].values():
+            for name in pool["servers"]:
+                self.start(name)
+        for name in self.man["machines"]:
+            self.start(name)
+
+    def kill(self, name: str, sig: int = signal.SIGKILL) -> None:
+        self.procs[name].send_signal(sig)
+        if sig == signal.SIGKILL:
+            self.procs[name].wait()
+
+    def stop_all(self) -> dict[str, int]:
+        """SIGTERM, then SIGKILL for what has not left; returns exit codes."""
+        for proc in self.procs.values():
+            if proc.poll() is None:
+                proc.send_signal(signal.SIGCONT)
+                proc.terminate()
+        until = time.time() + 15
+        for proc in self.procs.values():
+            try:
+                proc.wait(max(0.1, until - time.time()))
+            except subprocess.TimeoutExpired:
+                proc.kill()
+                proc.wait()
+        return {n: p.returncode for n, p in self.procs.items()}
+
+    def urls(self, duty: str) -> dict[str, str]:
+        return {n: f"http://{m['http']}" for n, m in self.man["machines"].items() if duty in m["duties"]}
+
+    async def apply(self, session: aiohttp.ClientSession, man: dict[str, Any], base: int, who: str = "op") -> int:
+        for url in list(self.urls("control").values()) * 8:
+            began = time.time()
+            try:
+                async with session.put(
+                    f"{url}/v1/manifest",
+                    json=man,
+                    headers={"if-match": f'"{base}"'},
+                    timeout=aiohttp.ClientTimeout(total=6),
+                ) as got:
+                    edition = int(got.headers.get("etag", '"0"').strip('"'))
+                    self.tell("applied", who=who, answer=got.status, edition=edition, base=base, content=json.dumps(man, sort_keys=True),
+                              began=began, again=False)  # fmt: skip
+                    if got.status == 200:
+                        self.edition = edition
+                        return edition
+                    if got.status in (400, 412):
+                        raise RuntimeError(await got.text())
+            except (aiohttp.ClientError, OSError, TimeoutError):
+                pass
+            await asyncio.sleep(0.25)
+        raise RuntimeError("the manifest was not taken")
+
+    async def wait_ready(self, session: aiohttp.ClientSession, limit: float = 60) -> None:
+        until = time.time() + limit
+        while time.time() < until:
+            seen = await asyncio.gather(*(self.status(session, n) for n in self.urls("store")))
+            owned = {p["part"] for s in seen for p in s.get("store", {}).get("parts", []) if p["ready"]}
+            edges = await asyncio.gather(*(self.status(session, n) for n in self.urls("edge")))
+            up = all(s.get("servers") and not any(v["barred"] for v in s["servers"].values()) for s in edges)
+            if len(owned) == self.man["parts"] and up:
+                return
+            await asyncio.sleep(0.3)
+        raise RuntimeError("the fleet was not ready in time")
+
+    async def status(self, session: aiohttp.ClientSession, name: str) -> dict[str, Any]:
+        url = f"http://{self.man['machines'][name]['http']}/v1/status"
+        try:
+            async with session.get(url, timeout=aiohttp.ClientTimeout(total=1.5)) as got:
+                return dict(await got.json())
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            return {}
+
+    async def sample(self, session: aiohttp.ClientSession) -> None:
+        while True:
+            for name in self.man["machines"]:
+                began = time.time()
+                seen = await self.status(session, name)
+                if seen:
+                    fit = began - self.since[name] > 4
+                    self.events.append(
+                        {
+                            "t": began,
+                            "ev": "runs",
+                            "daemon": f"{name}/{self.starts[name]}",
+                            "edition": seen["edition"],
+                            "fit": fit,
+                        }
+                    )
+            await asyncio.sleep(0.5)
+
+    def collect(self) -> None:
+        """Takes in what the stand-in servers wrote down."""
+        for file in self.root.glob("*.jsonl"):
+            self.events += [json.loads(line) for line in file.read_text().splitlines() if line.endswith("}")]
+        self.events.sort(key=lambda e: e["t"])
+
+
+async def faults(fleet: Fleet, session: aiohttp.ClientSession, seconds: float, notes: list[str]) -> None:
+    """One process of each kind is killed during the load and started again; then operations."""
+    step = seconds / 9
+
+    async def down(name: str, what: str, away: float = 3.0) -> None:
+        notes.append(f"{what} {name} killed (SIGKILL), started again {away:g} s later")
+        fleet.kill(name)
+        await asyncio.sleep(away)
+        fleet.start(name)
+        await asyncio.sleep(max(0.0, step - away))
+
+    await asyncio.sleep(step)
+    await down("w2", "worker")
+    await down("p1", "plain back end")
+    await down("e3", "edge")
+    seen = {n: await fleet.status(session, n) for n in fleet.urls("store")}
+    busiest = max(seen, key=lambda n: sum(p["owning"] for p in seen[n].get("store", {}).get("parts", [])))
+    await down(busiest, "busiest store")
+    lead = [n for n in fleet.urls("control") if (await fleet.status(session, n)).get("control", {}).get("leads")]
+    await down(lead[0], "control primary")
+    active = [n for n in fleet.urls("edge") if (await fleet.status(session, n)).get("sched", {}).get("active")]
+    notes.append(f"scheduling edge {active[0]} frozen (SIGSTOP) for 3 s and woken")
+    fleet.kill(active[0], signal.SIGSTOP)
+    await asyncio.sleep(3)
+    fleet.kill(active[0], signal.SIGCONT)
+    fleet.since[active[0]] = time.time()
+    await asyncio.sleep(max(0.0, step - 3))
+    base = fleet.man
+    man = changed(changed(base, "evacuated", ["d"]), "pools.gpu.servers.w1.leave", True)
+    await fleet.apply(session, man, fleet.edition)
+    fleet.tell("evacuated", area="d")
+    fleet.tell("leave", server="w1")
+    notes.append("area d evacuated and worker w1 told to leave, by one manifest")
+    await asyncio.sleep(step)
+    fleet.tell("return", area="d")
+    fleet.tell("stay", server="w1")
+    await fleet.apply(session, base, fleet.edition)
+    notes.append("both taken back by applying the earlier manifest")
+
+
+def rank(vals: list[float], part: float) -> float:
+    return sorted(vals)[min(len(vals) - 1, int(len(vals) * part))] if vals else 0.0
+
+
+def report(fleet: Fleet, seconds: float, notes: list[str], codes: dict[str, int], command: str) -> str:
+    ev = fleet.events
+    found = breaches(History(ev, Bounds(ramp=fleet.man["ramp"])))
+    rows = []
+    calls: dict[str, list[Event]] = defaultdict(list)
+    for e in ev:
+        if e["ev"] in ("call", "view"):
+            calls[e["kind"]].append(e)
+    for kind, es in calls.items():
+        ends = Counter(e["end"] for e in es)
+        firsts = [e["first"] - e["began"] for e in es if e.get("first")]
+        whole = [e["t"] - e["began"] for e in es if e["end"] == "done"]
+        rows.append(f"| {kind} | {len(es)} | {ends['done']} | {ends['shed']} | {ends['error']} | {ends['broken']} | "
+                    f"{rank(firsts, 0.5) * 1e3:.0f} / {rank(firsts, 0.95) * 1e3:.0f} / {rank(firsts, 0.99) * 1e3:.0f} | "
+                    f"{rank(whole, 0.5) * 1e3:.0f} / {rank(whole, 0.95) * 1e3:.0f} / {rank(whole, 0.99) * 1e3:.0f} |")  # fmt: skip
+    lots = [e for e in ev if e["ev"] == "lot"]
+    answers = Counter(e["answer"] for e in lots)
+    first_whole: dict[str, float] = {}
+    for e in ev:
+        if e["ev"] == "page" and e["whole"]:
+            first_whole.setdefault(e["id"], e["t"])
+    kept = [e for e in lots if e["answer"] == "kept"]
+    on_time = sum(first_whole.get(e["id"], 1e18) <= e["due"] for e in kept)
+    late = sum(e["due"] < first_whole.get(e["id"], 0) for e in kept)
+    spans = [first_whole[e["id"]] - e["began"] for e in kept if e["id"] in first_whole]
+    submit = [e["t"] - e["began"] for e in kept]
+    errors = Counter(f"{e['end']}: {e['why'][:90]}" for es in calls.values() for e in es if e["end"] != "done")
+    lines = [
+        f"# {fleet.plan.name}: the main job on real processes", "",
+        f"Made by `{command}` on {time.strftime('%Y-%m-%d')}; {os.cpu_count()} cores shared by "
+        f"{len(fleet.procs)} processes and the callers, so absolute times mean little.", "",
+        f"{seconds:g} s of load; {fleet.plan.delay:g} ms each way between areas (asyncio timers round up to about 1 ms).", "",
+        "| class | calls | done | shed | error | broken | first piece, ms p50 / p95 / p99 | whole, ms p50 / p95 / p99 |",
+        "|---|---|---|---|---|---|---|---|", *rows, "",
+        f"Lots: {len(lots)} handed in, {answers['kept']} kept, {answers['shed']} shed, {answers['unknown']} unknown at the last ask, "
+        f"{answers['bad']} refused as bad; {on_time} whole by their due time, {late} late, {len(kept) - len(spans)} of the kept never seen whole.", "",
+        f"Time to `kept`: p50 {rank(submit, 0.5) * 1e3:.0f} ms, p95 {rank(submit, 0.95) * 1e3:.0f} ms, worst {max(submit, default=0):.2f} s. "
+        f"Handed in to whole: p50 {rank(spans, 0.5):.1f} s, p95 {rank(spans, 0.95):.1f} s.", "",
+        "Faults and operations: " + ("; ".join(notes) if notes else "none") + ".", "",
+        "## What must never happen", "",
+        *(f"- {CHECKS[n].__doc__.strip() if CHECKS[n].__doc__ else n}: " + (f"**{len(found[n])} breaches**, first: {found[n][0]}" if n in found else "none seen")  # type: ignore[union-attr]
+          for n in CHECKS), "",
+        "## Calls that were not done", "", *(f"- {n} x {w}" for w, n in errors.most_common(12)), "" if errors else "- none\n",
+        "Exit codes at SIGTERM: " + (", ".join(f"{n}: {c}" for n, c in sorted(codes.items()) if c != 0) or "0 of all") + ".", "",
+    ]  # fmt: skip
+    return "\n".join(lines)
+
+
+async def main_job(fleet: Fleet, seconds: float, with_faults: bool, notes: list[str]) -> None:
+    fleet.start_all()
+    async with aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=2)) as session:
+        await asyncio.sleep(2.0)
+        await fleet.apply(session, fleet.man, 0)
+        await fleet.wait_ready(session)
+        # Fresh workers warm up before the crowd comes: the ramp is held against the load by scenarios.
+        await asyncio.sleep(fleet.man["ramp"])
+        callers = Callers(
+            list(fleet.urls("edge").values()),
+            session,
+            random.Random(1),
+            time.time,
+            fleet.events.append,
+            fleet.plan.load,
+        )
+        sampler = asyncio.create_task(fleet.sample(session))
+        trouble = asyncio.create_task(faults(fleet, session, seconds, notes)) if with_faults else None
+        await callers.run(seconds)
+        if trouble is not None:
+            await trouble
+        await callers.audit(60)
+        sampler.cancel()
+
+
+class Commands:
+    """A deployment on loopback."""
+
+    def run(
+        self,
+        name: str,
+        seconds: float = 60,
+        faults: bool = False,
+        out: str = "",
+        keep: bool = False,
+        scale: float = 1.0,
+    ) -> int:
+        """Runs the main job and prints its report; exit 1 if anything happened that must never happen.
+
+        Args:
+          name: kompressorlab or couriers.
+          seconds: how long the callers call.
+          faults: kill one process of each kind during the load.
+          out: a file for the report.
+          keep: keep the folder with logs and data.
+          scale: a factor on the callers' rates.
+        """
+        plan = DEPLOYMENTS[name]
+        if scale != 1.0:
+            load = plan.load
+            plan = Deployment(plan.name, plan.manifest, type(load)(
+                {k: v * scale for k, v in load.live.items()}, {k: v * scale for k, v in load.plain.items()},
+                {k: (r * scale, n) for k, (r, n) in load.lots.items()}, load.within, load.pieces), plan.delay)  # fmt: skip
+        root = Path(tempfile.mkdtemp(prefix=f"postpass-{name}-"))
+        (root / "data").mkdir()
+        fleet, notes = Fleet(plan, root), list[str]()
+        try:
+            asyncio.run(main_job(fleet, seconds, faults, notes))
+        finally:
+            codes = fleet.stop_all()
+        fleet.collect()
+        command = (
+            f"python -m bench.fleet run {name} --seconds {seconds:g}"
+            + (" --faults" if faults else "")
+            + (f" --scale {scale:g}" if scale != 1 else "")
+        )
+        page = report(fleet, seconds, notes, codes, command)
+        print(page)
+        if out:
+            Path(out).parent.mkdir(parents=True, exist_ok=True)
+            Path(out).write_text(page)
+        if keep:
+            print(f"logs and data: {root}", file=sys.stderr)
+        else:
+            shutil.rmtree(root)
+        return 1 if breaches(History(fleet.events, Bounds(ramp=plan.manifest["ramp"]))) else 0
+
+    def up(self, name: str, folder: str = "run") -> int:
+        """Starts a deployment and leaves it running until Ctrl-C or SIGTERM.
+
+        Args:
+          name: kompressorlab or couriers.
+          folder: where logs and data go.
+        """
+        root = Path(folder).absolute()
+        (root / "data").mkdir(parents=True, exist_ok=True)
+        fleet = Fleet(DEPLOYMENTS[name], root)
+
+        async def hold() -> None:
+            stop = asyncio.Event()
+            for sig in (signal.SIGINT, signal.SIGTERM):
+                asyncio.get_running_loop().add_signal_handler(sig, stop.set)
+            fleet.start_all()
+            controls = ",".join(u[7:] for u in fleet.urls("control").values())
+            edges = ",".join(u[7:] for u in fleet.urls("edge").values())
+            print(f"export POSTPASS_CONTROL={controls}\nexport POSTPASS_EDGE={edges}", flush=True)
+            await stop.wait()
+
+        try:
+            asyncio.run(hold())
+        finally:
+            fleet.stop_all()
+        return 0
+
+
+if __name__ == "__main__":
+    sys.exit(fire.Fire(Commands(), serialize=lambda got: None if isinstance(got, int) else got))
--- /dev/null
+++ b/bench/lag.py
@@ -0,0 +1,152 @@
+"""Gives a loopback fleet the delay between its areas: python -m bench.lag MS ppd|ppc [flags of the daemon].
+
+Loopback has none. A connection that this process opens towards another area (the second number of the
+address) takes MS milliseconds each way; those within an area are left alone. The product knows nothing of it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from collections import deque
+from collections.abc import Callable
+from typing import Any
+
+
+class LagTransport(asyncio.Transport):
+    """Hands bytes on after the delay, in order. Invariant: what was written before close leaves before it."""
+
+    def __init__(self, real: asyncio.Transport, line: Line) -> None:
+        super().__init__()
+        self.real, self.line = real, line
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self.real, name)
+
+    def get_extra_info(self, name: str, default: Any = None) -> Any:
+        return self.real.get_extra_info(name, default)
+
+    def write(self, data: Any) -> None:
+        self.line.put(self.real.write, bytes(data))
+
+    def writelines(self, list_of_data: Any) -> None:
+        self.write(b"".join(list_of_data))
+
+    def close(self) -> None:
+        self.line.put(self.real.close)
+
+    def abort(self) -> None:
+        self.real.abort()
+
+    def is_closing(self) -> bool:
+        return self.real.is_closing()
+
+    def pause_reading(self) -> None:
+        self.real.pause_reading()
+
+    def resume_reading(self) -> None:
+        self.real.resume_reading()
+
+    def can_write_eof(self) -> bool:
+        return False
+
+
+class Line:
+    """Calls, in order, each `delay` after it was put in."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, delay: float) -> None:
+        self.loop, self.delay = loop, delay
+        self.due: deque[tuple[float, Callable[..., Any], tuple[Any, ...]]] = deque()
+
+    def put(self, call: Callable[..., Any], *args: Any) -> None:
+        self.due.append((self.loop.time() + self.delay, call, args))
+        if len(self.due) == 1:
+            self.loop.call_later(self.delay, self.turn)
+
+    def turn(self) -> None:
+        while self.due and self.due[0][0] <= self.loop.time() + 0.0002:
+            _, call, args = self.due.popleft()
+            call(*args)
+        if self.due:
+            self.loop.call_at(self.due[0][0], self.turn)
+
+
+class LagProtocol(asyncio.Protocol):
+    def __init__(self, inner: Any, loop: asyncio.AbstractEventLoop, delay: float) -> None:
+        self.inner, self.loop = inner, loop
+        self.out, self.back = Line(loop, delay), Line(loop, delay)
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = LagTransport(transport, self.out)
+        self.inner.connection_made(self.transport)
+
+    def data_received(self, data: bytes) -> None:
+        self.back.put(self.inner.data_received, data)
+
+    def eof_received(self) -> bool:
+        self.back.put(self.end)
+        return True
+
+    def end(self) -> None:
+        if not self.inner.eof_received():
+            self.transport.real.close()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.back.put(self.inner.connection_lost, exc)
+
+    def pause_writing(self) -> None:
+        self.inner.pause_writing()
+
+    def resume_writing(self) -> None:
+        self.inner.resume_writing()
+
+
+class LagLoop(asyncio.SelectorEventLoop):
+    delay = 0.0
+    area = ""
+
+    async def create_connection(self, protocol_factory: Any, host: Any = None, port: Any = None, **more: Any) -> Any:  # type: ignore[override]
+        sock = more.get("sock")
+        there = sock.getpeername()[0] if sock is not None else host
+        if self.delay <= 0 or not isinstance(there, str) or there.split(".")[1:2] == [self.area]:
+            return await super().create_connection(protocol_factory, host, port, **more)
+        inner = protocol_factory()
+        _, lag = await super().create_connection(lambda: LagProtocol(inner, self, self.delay), host, port, **more)
+        return lag.transport, inner
+
+
+class Policy(asyncio.DefaultEventLoopPolicy):
+    def new_event_loop(self) -> asyncio.AbstractEventLoop:
+        return LagLoop()
+
+
+def main() -> None:
+    delay, program, *flags = sys.argv[1:]
+    LagLoop.delay = float(delay) / 1000
+    LagLoop.area = next((f.split("=", 1)[1].split(".")[1] for f in flags if f.startswith("--peer=")), "")
+    asyncio.set_event_loop_policy(Policy())
+    sys.argv = [program, *flags]
+    if program == "ppd":
+        from postpass.ppd import main as run
+    else:
+        from postpass.ppc import main as run
+    run()
+
+
+if __name__ == "__main__":
+    main()
+
+
+def test_a_line_keeps_order_and_delays() -> None:
+    async def run() -> list[int]:
+        loop, out = asyncio.get_running_loop(), []  # type: ignore[var-annotated]
+        line = Line(loop, 0.0)
+        done = loop.create_future()
+        for i in range(5):
+            line.put(out.append, i)
+        line.put(done.set_result, None)
+        await done
+        return out
+
+    assert asyncio.run(run()) == [0, 1, 2, 3, 4]
