--- a/postpass/overview.py
+++ b/postpass/overview.py
@@ -70,7 +70,7 @@
     )
     for part, name, p in rows:
         crew = ", ".join(
-            f"{n}{'' if n == name else ' (%d)' % (p['last'] - p['mirrors'][n]['persisted']) if n in p['mirrors'] else ' (silent)'}"
+            n if n == name else f"{n} ({p['last'] - p['mirrors'][n]['persisted'] if n in p['mirrors'] else 'silent'})"
             for n in p["crew"]
         )
         lost = f" LOSSES {p['losses']}" if p["losses"] else ""
--- a/sim/runner.py
+++ b/sim/runner.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging as pylog
 import operator
 import re
 import sys
@@ -307,6 +308,13 @@
     ):
         spots = [began, *times]
         out[kind] = max((b - a for a, b in zip(spots, spots[1:], strict=False)), default=0.0)
+    wanted = {
+        p.id: set(s.news.order(p.id)) == set(p.view.crew) and len(p.view.crew) == fleet.man["copies"]
+        for _, s in fleet.stores()
+        for p in s.parts.values()
+        if p.owning
+    }
+    out["full_crews"] = float(len(wanted) == fleet.man["parts"] and all(wanted.values()))
     out["losses"] = max([p.view.losses for _, s in fleet.stores() for p in s.parts.values()], default=0)
     out["ran"] = fleet.loop.ran
     out["edition"] = fleet.edition
@@ -316,6 +324,8 @@
 def play(s: Scenario, seed: int, make: Callable[[Any], None] | None = None) -> Report:
     """Runs one scenario under one seed, on simulated time."""
     events.COUNTS.clear()
+    # Faults are caused on purpose here; what matters of them is in the history and in the events.
+    pylog.disable(pylog.CRITICAL)
 
     async def main(loop: SimLoop) -> Report:
         man = manifest(**s.fleet)
