After a loss beyond the tolerated one, service comes back and says so

Cause: stores that had all lost their disks formed their partitions anew without a word, with epochs from one again, since nobody remembered what had been. Change: daemons gossip the highest epoch seen of each partition; before blank stores form one, they ask.

--- a/postpass/daemon.py
+++ b/postpass/daemon.py
@@ -51,6 +51,9 @@
         self.registry = CollectorRegistry()
         self.failed: Fault | None = None
         self.clash = ""
+        # The highest epoch seen of each partition. Should all of its stores lose their disks, this is how
+        # they learn that there was something to lose, and which epochs are spent.
+        self.heights: dict[str, int] = {}
         Gauge("postpass_edition", "Edition of the manifest in force", registry=self.registry).set_function(
             lambda: self.news.edition
         )
@@ -146,6 +149,8 @@
 
     async def on_ping(self, body: Body) -> Result[Body, Fault]:
         """Answers for itself, or, asked to `reach` another, whether that one answers."""
+        if "heights" in body:
+            return Ok({"heights": self.heights})
         if "reach" in body:
             got = await self.lines.call(body["reach"], "ping", {}, self.conf.bounds.beat)
             return Ok({"reached": isinstance(got, Ok)})
@@ -157,7 +162,27 @@
         for card in body["cards"]:
             if card["name"] == self.conf.name and card["peer"] != self.conf.peer:
                 self.clash = f"{card['peer']} also calls itself {card['name']}"
-        return Ok({"cards": self.circle.answer(body["cards"]), "edition": self.news.edition})
+        self.rise_to(body.get("heights", {}))
+        return Ok({"cards": self.circle.answer(body["cards"]), "edition": self.news.edition, "heights": self.heights})
+
+    def rise_to(self, heights: dict[str, int]) -> None:
+        """Invariant: heights never fall, and there are no more of them than partitions."""
+        man = self.news.manifest
+        for part, epoch in heights.items():
+            if man is not None and part.isdigit() and int(part) < man["parts"]:
+                self.heights[part] = max(self.heights.get(part, 0), int(epoch))
+
+    async def ask_heights(self) -> int:
+        """Asks all machines for the heights they know; how many answered."""
+        man = self.news.manifest
+        addrs = [self.news.addr(n) for n in man["machines"] if n != self.conf.name] if man else []
+        got = await asyncio.gather(
+            *(self.lines.call(a, "ping", {"heights": 1}, self.conf.bounds.beat) for a in addrs if a)
+        )
+        for answer in got:
+            if isinstance(answer, Ok):
+                self.rise_to(answer.unwrap()["heights"])
+        return sum(isinstance(g, Ok) for g in got)
 
     async def on_follow(self, body: Body) -> Result[Body, Fault]:
         await self.news.wait(body["after"], min(float(body["wait"]), 10.0))
@@ -173,7 +198,7 @@
             addr = mate.card["peer"] if mate else self.world.chance.choice(self.conf.seeds)
             if addr == self.conf.peer:
                 continue
-            got = await self.lines.call(addr, "shuffle", {"cards": offer}, b.follow)
+            got = await self.lines.call(addr, "shuffle", {"cards": offer, "heights": self.heights}, b.follow)
             self.shuffles.labels("ok" if isinstance(got, Ok) else "failed").inc()
             if isinstance(got, Err):
                 if mate is not None:
@@ -181,6 +206,7 @@
                 continue
             there = got.unwrap()
             self.circle.take(there["cards"], offer[1:])
+            self.rise_to(there.get("heights", {}))
             if there["edition"] > self.news.edition:
                 await self.fetch(addr)
 
--- a/postpass/data.py
+++ b/postpass/data.py
@@ -31,6 +31,11 @@
         self.edge = self.sched = self.store = self.session = None
         if "store" in conf.duties:
             self.store = Store(conf, world, self.news, self.lines)
+            self.store.rise_to, self.store.ask_heights, self.store.heights = (
+                self.rise_to,
+                self.ask_heights,
+                self.heights,
+            )
 
     async def open(self) -> None:
         if self.store is not None:
--- a/postpass/store.py
+++ b/postpass/store.py
@@ -11,7 +11,7 @@
 import hashlib
 import json
 from collections import Counter, deque
-from collections.abc import Iterable, Iterator
+from collections.abc import Awaitable, Callable, Iterable, Iterator
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -68,6 +68,9 @@
     confirms: dict[int, asyncio.Task[bool]] = field(default_factory=dict)
     counts: Counter[str] = field(default_factory=Counter)
     vault: Vault | None = None
+    rise_to: Callable[[dict[str, int]], None] = lambda _: None
+    ask_heights: Callable[[], Awaitable[int]] | None = None
+    heights: dict[str, int] = field(default_factory=dict)
     # Of settings for measurements only: wait for each reply, as the source's rivals do.
     wait_each: bool = False
 
@@ -250,6 +253,15 @@
         if not normal and not every:
             part.heard = max(part.heard, back_off)
             return
+        if blank and self.ask_heights is not None:
+            # Nobody has anything. Was there never anything, or did all of it go? Others remember the epochs.
+            await self.ask_heights()
+            known = self.heights.get(str(part.id), 0)
+            if part.promised != epoch or part.owning or known >= epoch:
+                part.promised = max(part.promised, known)
+                part.heard = max(part.heard, back_off)
+                return
+            blank = known == 0
         try:
             self.settle(part, staged)
             self.rise(part, epoch, view, voters, blank, normal)
@@ -295,6 +307,7 @@
         made.append(part.make("mark", {}))
         part.mark = part.tape.last
         self.write(part, [r.entry(part.id) for r in made])
+        self.rise_to({str(part.id): epoch})
         self.counts["takeovers"] += 1
         events.emit(120, self.conf.name, part=part.id, epoch=epoch, last=part.tape.last)
         self.kick_all(part)
@@ -899,7 +912,8 @@
         if body["id"] in part.view.lost:
             return Err(Fault(step, self.conf.name, "this lot was lost", LACK))
         if lot is None or lot.body.get("caller", "") not in ("", body.get("caller", "")):
-            return Err(Fault(step, self.conf.name, "no such lot of this caller", LACK))
+            lost = f"; this partition lost lots {part.view.losses} time(s)" if part.view.losses else ""
+            return Err(Fault(step, self.conf.name, f"no such lot of this caller{lost}", LACK))
         if lot.seq > part.covered:
             return Err(Fault(step, self.conf.name, "not known yet", SLOW))
         return Ok((part, lot))
--- a/sim/fleet.py
+++ b/sim/fleet.py
@@ -76,6 +76,7 @@
     edition: int = 0
     make: Callable[[Daemon], None] | None = None  # settings of the simulator, laid on each new daemon
     disk_cap: int = 64 << 20
+    copies: list[int] = field(default_factory=list)
     version: str = ""
 
     def __post_init__(self) -> None:
@@ -320,6 +321,14 @@
         cut = sum((name, o) in self.loop.net.cuts or (o, name) in self.loop.net.cuts for o in others)
         return cut * 2 > len(others)
 
+    def heard(self, event: Event) -> None:
+        """Takes down what a caller saw; of a lot that was just called kept, also on how many disks it is synced."""
+        self.events.append(event)
+        if event["ev"] == "lot" and event["answer"] == "kept":
+            name = event["id"].encode()
+            disks = [b.disk for n, b in self.boxes.items() if n.startswith("s") and b.disk is not None]
+            self.copies.append(sum(any(name in data for data in d.kept.values()) for d in disks))
+
     def callers(self, what: Load, session: aiohttp.ClientSession, salt: str = "") -> Callers:
         edges = [f"http://{m['http']}" for m in self.man["machines"].values() if "edge" in m["duties"]]
         return Callers(
@@ -327,7 +336,7 @@
             session,
             random.Random(f"callers-{self.seed}{salt}"),
             lambda: self.loop.clock,
-            self.events.append,
+            self.heard,
             what,
         )
 
--- a/sim/runner.py
+++ b/sim/runner.py
@@ -14,6 +14,7 @@
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -139,10 +140,11 @@
     if args and verb not in ("apply", "race", "routes", "read", "add") and not fleet.pick(args[0]):
         return  # nobody holds that duty now
     if verb in ("kill", "power", "wipe"):
-        name = fleet.pick(args[0])
-        getattr(fleet, verb)(name)
-        if span:
-            later(span, lambda: fleet.start(name))
+        names = [fleet.pick(x) for x in args]  # all before the first falls: roles move at once
+        for name in names:
+            getattr(fleet, verb)(name)
+            if span:
+                later(span, partial(fleet.start, name))
     elif verb == "start":
         fleet.start(fleet.pick(args[0]))
     elif verb == "freeze":
@@ -244,6 +246,10 @@
     for key, val in pairs:
         man = changed(man, key, value(val))
     got = await fleet.apply(man, fleet.edition, tries=10)
+    if got == -412:
+        # As an operator does: looks at what is in force now, and makes the change from there.
+        fleet.edition = [e["edition"] for e in fleet.events if e["ev"] == "applied"][-1]
+        got = await fleet.apply(man, fleet.edition, tries=10)
     if got <= 0:
         return
     for key, val in pairs:
@@ -311,6 +317,7 @@
         for p in s.parts.values()
         if p.owning
     }
+    out["copies"] = min(fleet.copies, default=0)
     out["full_crews"] = float(len(wanted) == fleet.man["parts"] and all(wanted.values()))
     out["losses"] = max([p.view.losses for _, s in fleet.stores() for p in s.parts.values()], default=0)
     out["ran"] = fleet.loop.ran
