--- /dev/null
+++ b/plugins/example/postpass_example/__init__.py
@@ -0,0 +1,1 @@
+"""Example plug-ins for postpass."""
--- a/postpass/manifest.py
+++ b/postpass/manifest.py
@@ -216,7 +216,7 @@
     texts = {"predicate": main} | {
         f"classes.{n}.predicate": c["predicate"] for n, c in man["classes"].items() if "predicate" in c
     }
-    out: dict[str, None] = {}
+    out: dict[str, str] = {}  # the first flaw of each path
     for part in range(min(man["parts"], 64)):
         crew = members(man, part)
         for path, text in texts.items():
@@ -224,13 +224,13 @@
                 place = scene(man, crew, me)
                 flaw = loss_flaw(text, place)
                 if flaw:
-                    out.setdefault(f"{path}: {flaw}")
+                    out.setdefault(path, flaw)
                     break
                 base = build(main, place)
                 if path != "predicate" and isinstance(base, Ok) and weaker(text, main, place):
-                    out.setdefault(f"{path}: weaker than the default predicate; a class may only ask for more")
+                    out.setdefault(path, "weaker than the default predicate; a class may only ask for more")
                     break
-    return list(out)
+    return [f"{path}: {flaw}" for path, flaw in out.items()]
 
 
 def weaker(text: str, main: str, place: Scene) -> bool:
--- a/postpass/world.py
+++ b/postpass/world.py
@@ -20,7 +20,6 @@
 
 from postpass.disk import Disk
 
-
 T = TypeVar("T")
 
 
--- /dev/null
+++ b/sim/interface.py
@@ -0,0 +1,232 @@
+"""The callers' interface under bad input and odd timing, against a whole simulated fleet."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import aiohttp
+
+from bench.plan import changed, manifest
+from postpass.edge import Edge
+from sim.fleet import SimFleet
+from sim.loop import SimLoop, run_sim
+
+Say = Callable[..., Awaitable[tuple[int, Any, Any]]]
+
+
+def with_fleet(check: Callable[[SimFleet, Say], Awaitable[None]], **fleet: Any) -> None:
+    """Founds a fleet and runs `check` as a caller from outside."""
+
+    async def main(loop: SimLoop) -> None:
+        world = SimFleet(loop, manifest(**fleet), 1)
+        await world.found()
+
+        async def outside() -> None:
+            async with world.session() as session:
+
+                async def say(
+                    method: str, path: str, body: Any = None, heads: Any = None, to: str = "e1"
+                ) -> tuple[int, Any, Any]:
+                    url = f"http://{world.man['machines'][to]['http']}{path}"
+                    data = body if isinstance(body, (bytes, type(None))) else json.dumps(body).encode()
+                    async with session.request(method, url, data=data, headers=heads) as got:
+                        text = (await got.read()).decode()
+                        return got.status, json.loads(text) if text.startswith("{") else text, got.headers
+
+                await check(world, say)
+
+        await world.out(outside())
+
+    run_sim(main, 1)
+
+
+def taken(world: SimFleet) -> int:
+    return sum(e["ev"] == "took" for e in world.events)
+
+
+def lasts(world: SimFleet) -> int:
+    return sum(p.tape.last for _, s in world.stores() for p in s.parts.values() if p.owning)
+
+
+LOT = {"class": "lot", "items": ["a", "b"], "within": 30}
+BAD_LOTS: list[tuple[Any, int, str]] = [
+    (b"{", 400, "not JSON"),
+    (b"[" * 100000, 400, "not JSON"),
+    ([], 400, "want an object"),
+    ({"items": ["a"], "within": 3}, 400, "class: missing"),
+    (LOT | {"odd": 1}, 400, "odd: unknown key"),
+    (LOT | {"items": [1]}, 400, "items[0]: want a string"),
+    (LOT | {"items": []}, 400, "items: want at least one"),
+    (LOT | {"class": "ask"}, 400, "class: unknown batch class"),
+    (LOT | {"class": "nope"}, 400, "class: unknown batch class"),
+    (LOT | {"within": -1}, 400, "due: is in the past"),
+    ({"class": "lot", "items": ["a"], "due": 5}, 400, "due: is in the past"),
+    ({"class": "lot", "items": ["a"]}, 400, "due: want either"),
+    (LOT | {"id": "a/b"}, 400, "id: want 1 to 80"),
+    (LOT | {"items": ["x" * 70000]}, 400, "items[0]: at most 65536 bytes"),
+    (LOT | {"items": ["x"] * 5001}, 400, "items: at most 5000"),
+    (LOT | {"items": ["x" * 60000] * 60}, 400, "bytes in all"),
+    (b'{"class": "lot", "items": ["' + b"x" * (5 << 20) + b'"]}', 413, "at most 4194304 bytes"),
+]
+BAD_CALLS: list[tuple[Any, int, str]] = [
+    ({"class": "ask"}, 400, "own: missing"),
+    ({"class": "lot", "own": "x"}, 400, "class: unknown live class"),
+    ({"class": "ask", "own": 3}, 400, "own: want a string"),
+    ({"class": "ask", "own": "x", "deadline": -1}, 400, "deadline: is in the past"),
+    ({"class": "ask", "own": "x", "most": 0}, 400, "most: want 1 to"),
+    ({"class": "ask", "own": "x", "once": True, "key": "a b"}, 400, "key: want 1 to 80"),
+    ({"class": "ask", "own": "x", "shared": "no list"}, 400, "shared: want a list"),
+]
+
+
+def test_bad_bodies_get_a_4xx_naming_field_and_rule_and_touch_nothing() -> None:
+    async def check(world: SimFleet, say: Say) -> None:
+        before = lasts(world)
+        for path, cases in (("/v1/lots", BAD_LOTS), ("/v1/calls", BAD_CALLS)):
+            for body, status, why in cases:
+                got = await say("POST", path, body)
+                assert got[0] == status and why in got[1]["error"]["why"], (str(body)[:80], got)
+        for path, status in (("/nowhere", 404), ("/v1/lots/a%20b", 400), ("/v1/lots/none", 404), ("/v1/lots/none/results?start=-1", 400),
+                             ("/v1/lots/none/results?most=x", 400)):  # fmt: skip
+            assert (await say("GET", path))[0] == status, path
+        assert (lasts(world), taken(world)) == (before, 0)
+
+    with_fleet(check)
+
+
+def test_a_lot_sent_again_is_the_same_lot_and_other_content_is_refused() -> None:
+    async def check(world: SimFleet, say: Say) -> None:
+        lot = LOT | {"id": "mine"}
+        assert (await say("POST", "/v1/lots", lot))[0] == 201
+        await asyncio.sleep(1)
+        assert (await say("POST", "/v1/lots", lot, to="e2"))[1]["state"] == "kept"
+        assert (await say("POST", "/v1/lots", lot | {"items": ["c"]}))[0] == 409
+        await asyncio.sleep(3)
+        seen = (await say("GET", "/v1/lots/mine"))[1]
+        assert (seen["state"], seen["items"], seen["done"]) == ("done", 2, 2)
+        assert taken(world) == 2
+        page = (await say("GET", "/v1/lots/mine/results?most=1"))[1]
+        assert (len(page["results"]), page["next"], page["whole"]) == (1, 1, False)
+        assert (await say("DELETE", "/v1/lots/mine"))[1]["state"] == "done"
+
+    with_fleet(check)
+
+
+def test_a_lot_is_shown_to_its_caller_only() -> None:
+    async def check(world: SimFleet, say: Say) -> None:
+        await say("POST", "/v1/lots", LOT | {"id": "mine"}, {"x-caller": "me"})
+        assert (await say("GET", "/v1/lots/mine", heads={"x-caller": "you"}))[0] == 404
+        assert (await say("DELETE", "/v1/lots/mine"))[0] == 404
+        assert (await say("GET", "/v1/lots/mine/results", heads={"x-caller": "me"}))[0] == 200
+
+    with_fleet(check)
+
+
+def test_old_editions_and_bad_manifests_change_nothing() -> None:
+    async def check(world: SimFleet, say: Say) -> None:
+        man = world.man
+        got = await say("PUT", "/v1/manifest", man, to="c2")
+        assert got[0] == 428 and "If-Match" in got[1]["error"]["why"]
+        got = await say("PUT", "/v1/manifest", changed(man, "name", "other"), {"if-match": '"7"'}, to="c3")
+        assert got[0] == 412 and got[2]["etag"] == '"1"'
+        bad = changed(changed(man, "classes.ask.share", 2), "predicate", "MAX($ALLWNODES)")
+        got = await say("PUT", "/v1/manifest", bad, {"if-match": '"1"'}, to="c1")
+        assert got[0] == 400 and [f.split(":")[0] for f in got[1]["flaws"]] == [
+            "classes.ask.share",
+            "classes",
+            "predicate",
+        ]
+        got = await say("PUT", "/v1/manifest", changed(man, "parts", 9), {"if-match": '"1"'}, to="c1")
+        assert got[0] == 400 and "parts: stays 4" in got[1]["error"]["why"]
+        got = await say("PUT", "/v1/manifest", changed(man, "machines.s1.retire", True), {"if-match": '"1"'}, to="c1")
+        assert got[0] == 400 and "4 copies can't be held by 3 stores" in got[1]["error"]["why"]
+        assert (await say("PUT", "/v1/manifest", man, {"if-match": '"7"'}, to="c1"))[1] == {"edition": 1}
+        got = await say("GET", "/v1/manifest", to="c4")
+        assert got[1] == man and got[2]["etag"] == '"1"'
+
+    with_fleet(check)
+
+
+def test_a_caller_who_goes_has_its_work_cancelled_at_the_worker() -> None:
+    async def check(world: SimFleet, say: Say) -> None:
+        body = {"class": "ask", "own": "ask:1 long #n=400", "most": 400}
+        async with world.session() as session:
+            url = f"http://{world.man['machines']['e1']['http']}/v1/calls"
+            got = await session.post(url, json=body)
+            assert got.status == 200
+            await got.content.readline()
+            busy = [b.thing for n, b in world.boxes.items() if n.startswith("w") and b.thing.runs]
+            assert len(busy) == 1
+            got.close()
+            await asyncio.sleep(0.2)
+            assert not any(not r.gone for r in busy[0].runs)
+        edge = world.boxes["e1"].daemon.edge  # type: ignore[union-attr]
+        assert isinstance(edge, Edge)
+        assert edge.open.total() == 0 and edge.floor.spots[("gpu", busy[0].name)].mine.total() == 0
+
+    with_fleet(check)
+
+
+def test_a_once_call_with_a_key_runs_once_whichever_edge_it_is_sent_to() -> None:
+    async def check(world: SimFleet, say: Say) -> None:
+        body = {"class": "ask", "own": "ask:1 x", "once": True, "key": "k1"}
+        got = await asyncio.gather(say("POST", "/v1/calls", body, to="e1"), say("POST", "/v1/calls", body, to="e2"))
+        assert sorted(g[0] for g in got) == [200, 409]
+        assert (await say("POST", "/v1/calls", body, to="e2"))[0] == 409
+        assert taken(world) == 1
+
+    with_fleet(check)
+
+
+def test_a_full_backlog_is_told_at_once_and_when_to_come_back() -> None:
+    async def check(world: SimFleet, say: Say) -> None:
+        body = {"class": "ask", "own": "ask:1 x #n=300", "most": 300}
+
+        async def one() -> tuple[float, int, Any]:
+            began = world.loop.clock
+            got = await say("POST", "/v1/calls", body)
+            return world.loop.clock - began, got[0], got[2].get("retry-after")
+
+        got = await asyncio.gather(*(one() for _ in range(60)))
+        shed = [g for g in got if g[1] == 429]
+        assert shed and all(g[0] < 0.1 and int(g[2]) >= 1 for g in shed)
+        assert all(g[1] in (200, 429, 503, 504) for g in got) and sum(g[1] == 200 for g in got) >= 4
+
+    with_fleet(check, workers=1)
+
+
+def test_foreign_bytes_on_an_internal_port_harm_nobody() -> None:
+    async def check(world: SimFleet, say: Say) -> None:
+        for name in ("s1", "c1", "e1"):
+            host, port = world.man["machines"][name]["peer"].split(":")
+            for data in (
+                b"\x00" * 64,
+                b"\xff\xff\xff\xff",
+                b"\x7f\xff\xff\xffx",
+                b"\x00\x00\x00\x08garbage!",
+                b"GET / HTTP/1.0\r\n\r\n",
+            ):
+                reader, writer = await asyncio.open_connection(host, int(port))
+                writer.write(data)
+                assert await reader.read(10) == b""
+                writer.close()
+        assert (await say("POST", "/v1/lots", LOT))[0] == 201
+
+    with_fleet(check)
+
+
+def test_metrics_health_and_status_are_there() -> None:
+    async def check(world: SimFleet, say: Say) -> None:
+        for name in ("e1", "s1", "c1"):
+            assert (await say("GET", "/health", to=name))[1]["status"] == "serving"
+            assert (await say("GET", "/ready", to=name))[0] == 200
+            assert "postpass_edition 1.0" in (await say("GET", "/metrics", to=name))[1]
+            assert (await say("GET", "/v1/status", to=name))[1]["edition"] == 1
+
+    with_fleet(check)
+
+
+assert aiohttp
