--- a/bench/worker.py
+++ b/bench/worker.py
@@ -5,7 +5,6 @@
 
 import asyncio
 import json
-import math
 import random
 from collections import OrderedDict, deque
 from collections.abc import AsyncIterator, Callable
@@ -46,6 +45,7 @@
     step: float = 0.02
     chunk: int = 400  # prompt characters prefilled in a step, beside the decoding of others
     cache_size: int = 64
+    room: int = 100_000  # what the KV cache holds, in characters
     fault: str = ""  # cut, drop, garble, endless, refuse, sick, stall
     chance: random.Random = field(default_factory=lambda: random.Random(1))
     runs: list[Run] = field(default_factory=list)
@@ -152,7 +152,7 @@
 
     async def metrics(self, _request: Request) -> Response:
         live = sum(not r.gone for r in self.runs)
-        used = math.fsum([live / self.slots])
+        used = min(1.0, sum(len(r.prompt) + 6 * r.place for r in self.runs if not r.gone) / self.room)
         return PlainTextResponse(
             f"# TYPE vllm:num_requests_running gauge\nvllm:num_requests_running {live}\n"
             f"# TYPE vllm:num_requests_waiting gauge\nvllm:num_requests_waiting {sum(not r.gone for r in self.waiting)}\n"
--- a/postpass/daemon.py
+++ b/postpass/daemon.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import signal
-from collections import deque
 from collections.abc import Awaitable, Callable, Coroutine
 from dataclasses import dataclass, field
 from typing import Any
@@ -30,13 +29,12 @@
 
 @dataclass(eq=False)
 class Daemon:
-    """Invariant: `journal` is bounded; `stop` is set once and never cleared."""
+    """Invariants: `stop` is set once and never cleared; a task that fails ends the daemon."""
 
     conf: Config
     world: World
     version: str = VERSION
     stop: asyncio.Event = field(default_factory=asyncio.Event)
-    journal: deque[tuple[float, str]] = field(default_factory=lambda: deque(maxlen=200))
 
     def __post_init__(self) -> None:
         self.news = News(self.conf.name)
--- a/postpass/data.py
+++ b/postpass/data.py
@@ -71,8 +71,9 @@
         return out
 
     async def watch_batch(self) -> None:
-        """Only the scheduler that works polls, and twice as often: loans must go back in time."""
-        await self.batch.watch(self.conf.bounds.probe / 2, ("model",))
+        """The scheduler polls on its own, at its own pace: loans must go back in time."""
+        assert self.sched is not None
+        await self.batch.watch(self.sched.pace, ("model",))
 
     async def run(self) -> None:
         try:
--- a/postpass/edge.py
+++ b/postpass/edge.py
@@ -23,7 +23,7 @@
 from postpass.backlog import Backlog, Waiter
 from postpass.check import flaws
 from postpass.config import Config
-from postpass.fault import BAD, BROKE, CLASH, CROWD, FULL, LACK, MOVED, SHED, SLOW, Fault, Stop
+from postpass.fault import BROKE, CLASH, CROWD, FULL, LACK, MOVED, SHED, SLOW, Fault, Stop
 from postpass.floor import OVER, Floor
 from postpass.ledger import Ledger, next_move
 from postpass.manifest import Class, Manifest, part_of
@@ -730,4 +730,3 @@
     assert flaws(CallBody, {"class": "ask", "own": "x"}) == []
     assert flaws(CallBody, {"own": "x"}) == ["class: missing, want a string"]
     assert [f.split(":")[0] for f in flaws(LotBody, {"class": "lot", "items": [1], "odd": 2})] == ["odd", "items[0]"]
-    assert BAD == 400
--- a/postpass/floor.py
+++ b/postpass/floor.py
@@ -16,6 +16,7 @@
 from postpass.news import News
 from postpass.world import World, now
 
+CACHE = 0.95  # a worker whose KV cache is fuller than this gets nothing new
 OVER = 1.5  # how far all edges together may overrun a warm worker's slots
 
 
@@ -114,6 +115,8 @@
             return spot.why
         if now() - spot.at > stale:
             return "not heard of lately"
+        if spot.seen is not None and spot.seen.cache > CACHE:
+            return "its KV cache is full"
         return ""
 
     def warm(self, pool: str, name: str) -> float:
--- a/postpass/manifest.py
+++ b/postpass/manifest.py
@@ -28,7 +28,6 @@
     url: str
     area: str
     slots: int
-    tokens: NotRequired[int]
     weights: NotRequired[str]
     leave: NotRequired[bool]
 
--- a/postpass/pp.py
+++ b/postpass/pp.py
@@ -6,7 +6,6 @@
 import json
 import os
 import sys
-from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -317,9 +316,6 @@
     sys.exit(code if isinstance(code, int) else FINE)
 
 
-Run = Callable[[list[str]], int]
-
-
 def test_bad_input_gets_a_line_and_a_code(tmp_path: Path, capsys: Any) -> None:
     def run(*words: str) -> tuple[int, str]:
         try:
--- a/postpass/sched.py
+++ b/postpass/sched.py
@@ -146,7 +146,6 @@
         for i, name in enumerate(names):
             spot = self.floor.spot(c["pool"], name)
             slots = pool["servers"][name]["slots"]
-            mine = spot.mine.total()
             # Live use: what the worker reported, less what this scheduler ran there when it did.
             live = max(0, (spot.seen.running + spot.seen.waiting if spot.seen else 0) - spot.mine_seen)
             peak = max(0.0, spot.peak - spot.mine_seen)
@@ -154,7 +153,6 @@
             part = share_of(own, i, len(names))
             room = allowed(slots, part, live, keep, self.floor.warm(c["pool"], name) >= 1)
             out[name] = room if lent else min(room, part)
-            _ = mine
         return out
 
     def hand_back(self, man: Manifest, kind: str, room: dict[str, int]) -> None:
@@ -179,10 +177,17 @@
             events.emit(152, self.conf.name, server=name, items=spare)
 
     # --- the rounds
+    @property
+    def pace(self) -> float:
+        """How often workers and owners are asked: four times within the shortest hand-back, and often
+        enough for the leases."""
+        man = self.news.manifest
+        back = [c.get("handback", 1.0) for c in man["classes"].values() if c["kind"] == "batch"] if man else []
+        return min([self.conf.bounds.poll, *(b / 4 for b in back)])
+
     async def work(self) -> None:
-        b = self.conf.bounds
         while True:
-            await asyncio.sleep(b.poll * (0.9 + 0.2 * self.world.chance.random()))
+            await asyncio.sleep(self.pace * (0.9 + 0.2 * self.world.chance.random()))
             man = self.news.manifest
             if man is None or not self.active:
                 continue
--- a/postpass/seglog.py
+++ b/postpass/seglog.py
@@ -8,6 +8,7 @@
 import asyncio
 import struct
 import zlib
+from collections import deque
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 from typing import Any
@@ -65,7 +66,8 @@
     bad: str = ""
     held: int = 0
     snap: int = 0  # bytes of the last snapshot
-    group: bool = True
+    group: bool = True  # off only for measurements: a sync for each append
+    marks: deque[int] = field(default_factory=deque)
     dirty: asyncio.Event = field(default_factory=asyncio.Event)
     moved: asyncio.Event = field(default_factory=asyncio.Event)
     busy: asyncio.Lock = field(default_factory=asyncio.Lock)
@@ -123,6 +125,8 @@
         self.ends += len(data)
         self.size += len(data)
         self.total += len(data)
+        if not self.group:
+            self.marks.append(self.ends)
         self.dirty.set()
         return self.ends
 
@@ -136,6 +140,9 @@
     async def sync(self) -> None:
         async with self.busy:
             mark = self.ends
+            if not self.group and self.marks:
+                mark = self.marks.popleft()
+                self.dirty.set()
             if mark == self.synced:
                 return
             try:
--- a/postpass/store.py
+++ b/postpass/store.py
@@ -10,7 +10,7 @@
 import base64
 import hashlib
 import json
-from collections import Counter, deque
+from collections import Counter
 from collections.abc import Awaitable, Callable, Iterable, Iterator
 from dataclasses import dataclass, field
 from typing import Any
@@ -71,7 +71,7 @@
     rise_to: Callable[[dict[str, int]], None] = lambda _: None
     ask_heights: Callable[[], Awaitable[int]] | None = None
     heights: dict[str, int] = field(default_factory=dict)
-    # Of settings for measurements only: wait for each reply, as the source's rivals do.
+    # A setting for measurements only: wait for each mirror's reply before the next record goes out.
     wait_each: bool = False
 
     # --- start
@@ -428,7 +428,7 @@
                     continue
                 if not part.owning:
                     continue
-                sent |= self.push(part, link, f)
+                sent |= self.push(part, name, link, f)
                 if now() - beaten.get(part.id, 0.0) >= b.beat * 0.9 or beaten.get(part.id, 0) == 0:
                     beaten[part.id] = now()
                     self.put(link, part, "beat", part.tape.last, part.epoch, 0, b"")
@@ -467,18 +467,14 @@
                 index=i, total=total, body=body[i * PACKET : (i + 1) * PACKET], covered=part.covered,
             ))  # fmt: skip
 
-    def push(self, part: Part, link: Link, f: Follow) -> bool:
+    def push(self, part: Part, name: str, link: Link, f: Follow) -> bool:
         """Hands the mirror whatever it has not been sent, as far as a pass may take."""
         if f.next <= part.tape.base_seq:
             f.link = None  # the memory stream went past it; it is greeted anew and refilled
             return True
         size = 0
         while f.next <= part.tape.last and size < 256 << 10:
-            if (
-                self.wait_each
-                and f.next - 1 > part.recorder.get(f.disk.rsplit("-", 1)[0], f.disk, "persisted")
-                and f.next - 1 > f.since
-            ):
+            if self.wait_each and f.next - 1 > part.recorder.get(name, f.disk, "persisted"):
                 return False
             rec = part.tape.get(f.next)
             self.put(
@@ -554,11 +550,9 @@
         assert man is not None
         fresh = {n: f.disk for n, f in part.follows.items() if t - f.heard < b.detect}
         if not part.confirmed(fresh | {self.conf.name: self.disk_id}):
-            desk = self.desks[part.id]
             if t - part.heard > b.detect * 1.5:
                 self.fall(part, part.epoch)
                 return
-            _ = desk
         else:
             part.heard = t
         self.kick_all(part)
@@ -1071,4 +1065,3 @@
 
 def test_lots_hash_over_all_partitions() -> None:
     assert {part_of(f"lot-{i}", 8) for i in range(200)} == set(range(8))
-    assert deque([1], maxlen=1)
--- a/sim/disk.py
+++ b/sim/disk.py
@@ -18,7 +18,6 @@
     kept: dict[str, bytes] = field(default_factory=dict)
     fails: bool = False
     stall: float = 0.0
-    syncs: int = 0
 
     def names(self) -> list[str]:
         return sorted(self.files)
@@ -42,7 +41,6 @@
         await asyncio.sleep(self.pace * (0.5 + self.chance.random()) + self.stall)
         if self.fails:
             raise OSError(5, "Input/output error")
-        self.syncs += 1
         if file is not None and self.files.get(name) is file:
             self.kept[name] = bytes(file[:size])
 
@@ -51,7 +49,6 @@
         await asyncio.sleep(self.pace * (1 + self.chance.random()) + self.stall)
         if self.fails:
             raise OSError(5, "Input/output error")
-        self.syncs += 1
         self.files[name] = bytearray(data)
         self.kept[name] = bytes(data)
 
--- a/sim/fleet.py
+++ b/sim/fleet.py
@@ -16,17 +16,16 @@
 from bench.callers import Callers, Load
 from bench.plan import config
 from bench.worker import PlainServer, Worker
-from postpass.config import load, parse, split
+from postpass.config import parse, split
 from postpass.control import Control
 from postpass.daemon import Daemon
 from postpass.data import Data
 from postpass.world import World, serve_http
 from sim.check import Event
 from sim.disk import SimDisk
-from sim.loop import HOST, Host, SimLoop
+from sim.loop import Host, SimLoop
 
 EPOCH = 1_700_000_000.0
-assert load is not None
 
 
 class SimConnector(aiohttp.BaseConnector):
@@ -57,7 +56,6 @@
     thing: Any = None
     since: float = 0.0
     epoch: int = 0
-    freezes: int = 0
 
     @property
     def up(self) -> bool:
@@ -359,6 +357,3 @@
     def ready(self, part: int) -> bool:
         owner = self.owner(part)
         return bool(owner) and any(n == owner and s.parts[part].ready for n, s in self.stores())
-
-
-assert HOST is not None
--- a/sim/interface.py
+++ b/sim/interface.py
@@ -7,8 +7,6 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
-import aiohttp
-
 from bench.plan import changed, manifest
 from postpass.edge import Edge
 from sim.fleet import SimFleet
@@ -227,6 +225,3 @@
             assert (await say("GET", "/v1/status", to=name))[1]["edition"] == 1
 
     with_fleet(check)
-
-
-assert aiohttp
