--- a/postpass/store.py
+++ b/postpass/store.py
@@ -630,9 +630,13 @@
             elif self.world.wall() > lot.body["due"] + keep:
                 self.add(part, "end", {"id": lot.id})
                 return
-        if gone:
-            self.add(part, "drop", {"lots": gone[:200]})
-            for name in gone[:200]:
+        # Refusals and claims stay as long as finished lots do, counted from when this owner first saw them.
+        shed = [n for n in view.shed if now() - desk.done_at.setdefault(f"shed {n}", now()) > keep]
+        keys = [k for k in view.claims if now() - desk.done_at.setdefault(f"claim {k}", now()) > keep]
+        if gone or shed or keys:
+            self.add(part, "drop", {"lots": (gone + shed)[:200], "claims": keys[:200]})
+            names = [*gone, *(f"shed {n}" for n in shed), *(f"claim {k}" for k in keys)]
+            for name in names:
                 desk.done_at.pop(name, None)
 
     def add(self, part: Part, kind: str, body: Body, vital: bool = True) -> Record:
