Two edges of each area read the servers for all; edges left without a seat get one

Cause: each edge polls each worker, so with hundreds of edges the polls are the first thing that bends; and with more edges than seats the fixed parts leave edges without any, so that a third of the calls were shed while workers were idle. Ruled out: the readers' deaths (same share shed without them). Change: beyond 16 edges two of each area read the servers and hand their reading on; the others fall back to reading themselves. Remainders of the parts are tiled, and an edge without a part has one floating seat.

--- a/bench/measure.py
+++ b/bench/measure.py
@@ -419,11 +419,12 @@
 # --- size
 
 
-def size_run(job: tuple[int, int]) -> tuple[int, int, dict[str, float]]:
+def size_run(job: tuple[int, int, bool]) -> tuple[int, int, bool, dict[str, float]]:
     """Traffic of a quiet fleet of many daemons and routes, and of one change of the manifest."""
-    from postpass import wire
+    from postpass import floor, wire
 
-    edges, routes = job
+    edges, routes, shared = job
+    floor.FEW = 16 if shared else 10**6
     pylog.disable(pylog.CRITICAL)
 
     async def main(loop: SimLoop) -> dict[str, float]:
@@ -445,9 +446,12 @@
             await asyncio.sleep(4)
             sent.clear()
             ran = loop.ran
+            workers = [b.thing for n, b in fleet.boxes.items() if n.startswith("w")]
+            polls = sum(w.polls for w in workers)
             await asyncio.sleep(5)
             rest = {k: (len(v) / 5, sum(v) / 5) for k, v in sent.items()}
             steps = (loop.ran - ran) / 5
+            polled = (sum(w.polls for w in workers) - polls) / 5 / len(workers)
             sent.clear()
             began = loop.clock
             await fleet.out(fleet.apply(changed(man, "ways./extra", "view"), 1))
@@ -457,7 +461,7 @@
             await asyncio.sleep(1)
             many = len(fleet.man["machines"])
             return {
-                "daemons": many, "msgs": sum(a for a, _ in rest.values()) / many, "bytes": sum(b for _, b in rest.values()) / many,
+                "daemons": many, "polled": polled, "msgs": sum(a for a, _ in rest.values()) / many, "bytes": sum(b for _, b in rest.values()) / many,
                 "shuffle": rest.get("shuffle", (0, 0))[1] / many, "follow": rest.get("follow", (0, 0))[1] / many,
                 "ack": rest.get("ack", (0, 0))[1], "carry": rest.get("carry", (0, 0))[1], "steps": steps, "spread": spread_time,
                 "change": sum(sent.get("follow", [])) / many, "copy": sum(sent.get("copy", [])),
@@ -465,23 +469,33 @@
         finally:
             wire._message = original
 
-    return edges, routes, run_sim(main, 1)
+    return edges, routes, shared, run_sim(main, 1)
 
 
 def size(out: str = "") -> None:
     """How feed, membership and acknowledgements grow with daemons and routes."""
-    jobs = [(8, 1), (8, 600), (40, 1), (40, 600), (120, 1), (120, 600), (300, 1), (300, 600)]
+    jobs = [
+        (8, 1, True),
+        (8, 600, True),
+        (40, 1, True),
+        (40, 600, True),
+        (120, 1, True),
+        (120, 600, True),
+        (300, 1, True),
+        (300, 600, True),
+    ]
+    jobs += [(40, 1, False), (120, 1, False), (300, 1, False)]
     with multiprocessing.Pool(6) as pool:
         got = pool.map(size_run, jobs, chunksize=1)
     lines = [
         "# Size: what grows with daemons and routes", "",
         "Made by `python -m bench.measure size`: a quiet simulated fleet, 5 s; then one route is added. Bytes are of messages between",
         "own processes. Per daemon and second, but for the copies' traffic (acks, stream), which is the whole fleet's.", "",
-        "| daemons | routes | messages | bytes | of it shuffles | of it feed | acks, all | stream, all | one change: everywhere after, s | feed bytes a daemon for it | pair's copy, bytes |",
-        "|---|---|---|---|---|---|---|---|---|---|---|",
+        "| daemons | routes | readings of the servers | polls a worker gets a second | messages | bytes | of it shuffles | of it feed | acks, all | stream, all | one change: everywhere after, s | feed bytes a daemon for it | pair's copy, bytes |",
+        "|---|---|---|---|---|---|---|---|---|---|---|---|---|",
     ]  # fmt: skip
-    for _, routes, r in got:
-        lines.append(f"| {r['daemons']:g} | {routes} | {r['msgs']:.1f} | {r['bytes']:.0f} | {r['shuffle']:.0f} | {r['follow']:.0f} | {r['ack']:.0f} | "
+    for _, routes, shared, r in got:
+        lines.append(f"| {r['daemons']:g} | {routes} | {'two an area' if shared else 'every edge'} | {r['polled']:.1f} | {r['msgs']:.1f} | {r['bytes']:.0f} | {r['shuffle']:.0f} | {r['follow']:.0f} | {r['ack']:.0f} | "
                      f"{r['carry']:.0f} | {r['spread']:.2f} | {r['change']:.0f} | {r['copy']:.0f} |")  # fmt: skip
     put(lines, out)
 
--- a/bench/plan.py
+++ b/bench/plan.py
@@ -32,7 +32,7 @@
     for kind, many, digit in (("c", control, 3), ("s", stores, 2), ("e", edges, 1)):
         for i in range(many):
             spot = i % len(areas)
-            ip = f"127.{spot + 1}.{digit}.{i + 1}"
+            ip = f"127.{spot + 1}.{digit + 10 * (i // 200)}.{i % 200 + 1}"
             duties = {"c": ["control"], "s": ["store"], "e": ["edge"] + (["sched"] if i < scheds else [])}[kind]
             out[f"{kind}{i + 1}"] = {"area": areas[spot], "peer": f"{ip}:7000", "http": f"{ip}:8000", "duties": duties}
     return out
--- a/bench/worker.py
+++ b/bench/worker.py
@@ -53,6 +53,7 @@
     cache: OrderedDict[str, None] = field(default_factory=OrderedDict)
     wake: asyncio.Event = field(default_factory=asyncio.Event)
     hits: int = 0
+    polls: int = 0
     start: float = 0.0
 
     def app(self) -> Starlette:
@@ -148,6 +149,7 @@
         return JSONResponse({"version": self.edition})
 
     async def health(self, _request: Request) -> Response:
+        self.polls += 1
         return PlainTextResponse("", 503 if self.fault == "sick" else 200)
 
     async def metrics(self, _request: Request) -> Response:
--- a/postpass/control.py
+++ b/postpass/control.py
@@ -9,6 +9,7 @@
 from dataclasses import asdict, dataclass, field
 from typing import Any
 
+from prometheus_client import Gauge
 from result import Err, Ok, Result
 from starlette.requests import Request
 from starlette.responses import JSONResponse, Response
@@ -82,6 +83,17 @@
         self.lock, self.disk_lock, self.bad = asyncio.Lock(), asyncio.Lock(), ""
         self.fetches: set[asyncio.Task[None]] = set()
 
+        for name, text, read in (
+            ("control_leads", "1 while this machine is the primary", lambda: float(self.epoch > 0)),
+            ("control_epoch", "The epoch last granted here", lambda: float(self.witness.pair.epoch)),
+            (
+                "control_losses",
+                "How often acknowledged editions may have been lost",
+                lambda: float(self.held.state.losses),
+            ),
+        ):
+            Gauge(f"postpass_{name}", text, registry=self.registry).set_function(read)
+
     @property
     def disk(self) -> Disk:
         assert self.world.disk is not None
--- a/postpass/daemon.py
+++ b/postpass/daemon.py
@@ -4,12 +4,13 @@
 
 import asyncio
 import signal
-from collections.abc import Awaitable, Callable, Coroutine
+from collections.abc import Awaitable, Callable, Coroutine, Iterator
 from dataclasses import dataclass, field
 from typing import Any
 
 from absl import logging
 from prometheus_client import CollectorRegistry, Counter, Gauge, generate_latest
+from prometheus_client.core import CounterMetricFamily
 from result import Err, Ok, Result
 from starlette.requests import Request
 from starlette.responses import JSONResponse, PlainTextResponse, Response
@@ -27,6 +28,16 @@
 Task = Coroutine[Any, Any, None]
 
 
+class EventCounts:
+    """The numbered events of the log, as a metric."""
+
+    def collect(self) -> Iterator[CounterMetricFamily]:
+        family = CounterMetricFamily("postpass_events", "Events logged, by number", labels=["number"])
+        for number, count in sorted(events.COUNTS.items()):
+            family.add_metric([f"E{number:03d}"], count)
+        yield family
+
+
 @dataclass(eq=False)
 class Daemon:
     """Invariants: `stop` is set once and never cleared; a task that fails ends the daemon."""
@@ -58,6 +69,7 @@
         Gauge("postpass_neighbours", "Neighbours in the partial view", registry=self.registry).set_function(
             lambda: len(self.circle.mates)
         )
+        self.registry.register(EventCounts())
         self.shuffles = Counter("postpass_shuffles", "Shuffles with neighbours", ["end"], registry=self.registry)
         self.polls = Counter("postpass_feed_polls", "Polls of the feed", ["end"], registry=self.registry)
 
--- a/postpass/data.py
+++ b/postpass/data.py
@@ -2,15 +2,20 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
 import aiohttp
+from prometheus_client import Gauge
+from result import Ok, Result
 
 from postpass.config import Config
 from postpass.daemon import VERSION, Daemon, Task
 from postpass.edge import Edge
+from postpass.fault import Fault
 from postpass.floor import Floor
+from postpass.part import Part
 from postpass.sched import Sched
 from postpass.store import Store
 from postpass.wire import Body
@@ -37,13 +42,38 @@
                 self.heights,
             )
 
+    def gauges(self, store: Store) -> None:
+        def gauge(name: str, text: str, read: Callable[[], float]) -> None:
+            Gauge(f"postpass_{name}", text, registry=self.registry).set_function(read)
+
+        def owned() -> list[Part]:
+            return [p for p in store.parts.values() if p.owning]
+
+        gauge("parts_owned", "Partitions owned here", lambda: len(owned()))
+        gauge("records_not_covered", "Records of owned partitions beyond the frontier",
+              lambda: sum(p.tape.last - p.covered for p in owned()))  # fmt: skip
+        gauge("mirror_lag_records", "How far the furthest mirror is behind",
+              lambda: max((p.tape.last - p.recorder.get(n, f.disk, "persisted") for p in owned() for n, f in p.follows.items()), default=0))  # fmt: skip
+        gauge("lots_open", "Lots that are not finished", lambda: sum(
+            int(x.state == "open" and not x.whole) for p in owned() for x in p.view.lots.values()))  # fmt: skip
+        gauge("losses", "How often more was lost than is tolerated", lambda: sum(p.view.losses for p in owned()))
+        gauge(
+            "tape_bytes",
+            "Memory of records not yet folded away",
+            lambda: sum(p.tape.size for p in store.parts.values()),
+        )
+        gauge("disk_free_bytes", "Room left for the data folder", lambda: store.log.disk.room()[0])
+        gauge("takeovers", "Partitions taken over since the start", lambda: store.counts["takeovers"])
+        gauge("refills", "Snapshots sent to mirrors since the start", lambda: store.counts["refills"])
+
     async def open(self) -> None:
         if self.store is not None:
             await self.store.open()
+            self.gauges(self.store)
             self.circle.me["disk"] = self.store.disk_id
         if {"edge", "sched"} & set(self.conf.duties):
             self.session = self.world.session()
-            floor = Floor(self.conf.name, self.world, self.news, self.session)
+            floor = Floor(self.conf.name, self.world, self.news, self.session, lines=self.lines)
             self.floor = floor
             if "edge" in self.conf.duties:
                 self.edge = Edge(self.conf, self.world, self.news, self.lines, floor, self.session, self.registry)
@@ -55,7 +85,12 @@
                 )
 
     def handlers(self) -> dict[str, Any]:
-        return self.store.handlers() if self.store is not None else {}
+        mine = {"floor": self.on_floor} if "edge" in self.conf.duties else {}
+        return mine | (self.store.handlers() if self.store is not None else {})
+
+    async def on_floor(self, _body: Body) -> Result[Body, Fault]:
+        """What this edge has read off the servers, for edges of its area that don't ask them themselves."""
+        return Ok({"spots": self.floor.shown()})
 
     def routes(self) -> list[Any]:
         return self.edge.routes() if self.edge is not None else []
--- a/postpass/edge.py
+++ b/postpass/edge.py
@@ -145,7 +145,9 @@
         pool = self.man["pools"][c["pool"]]
         edges = self.news.duty("edge")
         rank = edges.index(self.conf.name) if self.conf.name in edges else 0
-        out = []
+        out: list[Seat] = []
+        spare: list[Seat] = []
+        quota = used = 0
         for name, server in pool["servers"].items():
             if self.floor.barred(c["pool"], name, self.stale):
                 continue
@@ -160,8 +162,18 @@
             else:
                 cap, load = server["slots"], mine
                 free = max(1, math.ceil(server["slots"] * OVER / max(1, len(edges)))) - mine
+            quota += free + mine
+            used += mine
             if free >= 1:
                 out.append(Seat(name, server["area"], free, max(cap, 1), load, name == fond))
+            elif pool["kind"] != "model" or self.floor.warm(c["pool"], name) >= 1:
+                spare.append(Seat(name, server["area"], 1, max(cap, 1), load, name == fond))
+        if quota <= 0 and used == 0 and spare:
+            # More edges than seats, and this one has a part of none that is up: one seat all the same, at the
+            # server its own name tends to, so that edges left out don't all go to one. It adds at the most
+            # one call an edge to the joint overrun, and none at a server whose reported load is at its bound.
+            best = fond_of(self.conf.name, sorted(s.name for s in spare))
+            return tuple(s for s in spare if s.name == best)
         return tuple(out)
 
     def pump(self) -> None:
--- a/postpass/floor.py
+++ b/postpass/floor.py
@@ -6,17 +6,21 @@
 import math
 from collections import Counter
 from dataclasses import dataclass, field
+from typing import Any
 
 import aiohttp
+from result import Ok
 
 from postpass import events
 from postpass.fault import Fault, Stop
 from postpass.manifest import Manifest, Server
 from postpass.models import Report, report
 from postpass.news import News
+from postpass.wire import Lines
 from postpass.world import World, now
 
 CACHE = 0.95  # a worker whose KV cache is fuller than this gets nothing new
+FEW = 16  # up to so many edges each reads the servers itself; beyond, two of each area do it for all
 OVER = 1.5  # how far all edges together may overrun a warm worker's slots
 
 
@@ -45,6 +49,7 @@
     world: World
     news: News
     session: aiohttp.ClientSession
+    lines: Lines | None = None
     spots: dict[tuple[str, str], Spot] = field(default_factory=dict)
     freed: asyncio.Event = field(default_factory=asyncio.Event)
 
@@ -55,6 +60,43 @@
         self.freed.set()
         self.freed = asyncio.Event()
 
+    def readers(self) -> list[str]:
+        """The edges of this area that read the servers themselves; with few edges, all of them do."""
+        man = self.news.manifest
+        if man is None or self.lines is None:
+            return [self.who]
+        edges = self.news.duty("edge")
+        if len(edges) <= FEW or self.who not in edges:
+            return [self.who]
+        here = man["machines"][self.who]["area"]
+        return [n for n in edges if man["machines"][n]["area"] == here][:2]
+
+    def shown(self) -> list[dict[str, Any]]:
+        return [
+            {"pool": p, "name": n, "why": s.why, "old": round(now() - s.at, 3), "seen": vars(s.seen) if s.seen else None, "peak": s.peak}
+            for (p, n), s in self.spots.items()
+        ]  # fmt: skip
+
+    async def copy(self, limit: float) -> bool:
+        """Takes over what a reader of this area has read; False if none of them answers."""
+        assert self.lines is not None
+        for name in self.readers():
+            addr = self.news.addr(name)
+            asked = now()
+            got = await self.lines.call(addr, "floor", {}, limit) if addr else None
+            if not isinstance(got, Ok):
+                continue
+            for row in got.unwrap()["spots"]:
+                spot = self.spot(row["pool"], row["name"])
+                at = asked - row["old"]
+                if at > spot.at:
+                    spot.at, spot.why, spot.peak = at, row["why"], row["peak"]
+                    spot.seen = Report(**row["seen"]) if row["seen"] else None
+                    spot.mine_seen = spot.mine.total()
+            self.signal()
+            return True
+        return False
+
     async def watch(self, every: float, kinds: tuple[str, ...] = ("model", "plain")) -> None:
         """Polls each server; a poll that fails is told once, by its change."""
         polls: dict[tuple[str, str], asyncio.Task[None]] = {}
@@ -69,7 +111,10 @@
                 }
                 for key in [k for k in self.spots if k not in want and not self.spots[k].mine.total()]:
                     del self.spots[key]
+                copied = self.who not in self.readers() and await self.copy(every)
                 for key, server in want.items():
+                    if copied:
+                        break
                     if key not in polls or polls[key].done():
                         polls[key] = asyncio.create_task(self.poll(man, *key, server, every * 2))
                 polls = {k: t for k, t in polls.items() if k in want or not t.done()}
@@ -142,9 +187,12 @@
         cap = self.cap(pool, name)
         man = self.news.manifest
         assert man is not None
-        turn = sorted(man["pools"][pool]["servers"]).index(name)
         total = math.ceil(cap * OVER) if self.warm(pool, name) >= 1 else cap
-        return share_of(total, rank + turn * 3, edges)
+        # Where one server's remainder ends the next one's begins, so that no edge is left out while another
+        # has two more than it.
+        servers = man["pools"][pool]["servers"]
+        before = sum(math.ceil(s["slots"] * OVER) % edges for n, s in servers.items() if n < name)
+        return share_of(total, (rank - before) % edges, edges)
 
 
 def test_quotas_add_up_to_the_bound() -> None:
--- a/postpass/idl/peer.thrift
+++ b/postpass/idl/peer.thrift
@@ -29,6 +29,7 @@
   string ping(1: string body) throws (1: Fault fault),
   string shuffle(1: string body) throws (1: Fault fault),
   string follow(1: string body) throws (1: Fault fault),
+  string floor(1: string body) throws (1: Fault fault),
 
   // control
   string look(1: string body) throws (1: Fault fault),
--- a/sim/interface.py
+++ b/sim/interface.py
@@ -223,5 +223,9 @@
             assert (await say("GET", "/ready", to=name))[0] == 200
             assert "postpass_edition 1.0" in (await say("GET", "/metrics", to=name))[1]
             assert (await say("GET", "/v1/status", to=name))[1]["edition"] == 1
+        words = {"e1": "postpass_open_calls 0.0", "s1": "postpass_parts_owned 1.0", "c1": "postpass_control_leads 1.0"}
+        for name, word in words.items():
+            text = (await say("GET", "/metrics", to=name))[1]
+            assert word in text and 'postpass_events_total{number="E100"}' in text
 
     with_fleet(check)
