Say what is not done; measure weaker predicates as they are

Cause: the comparison rows of the weaker predicates were the default's in truth, since the owner put the manifest's predicate back at once. Found because all three rows were the same. They are now applied with the check put aside.

--- a/bench/measure.py
+++ b/bench/measure.py
@@ -16,6 +16,7 @@
 from functools import partial
 from pathlib import Path
 from typing import Any
+from unittest.mock import patch
 
 import fire
 
@@ -52,16 +53,9 @@
     async def main(loop: SimLoop) -> list[tuple[float, float]]:
         loop.net.far = far
         man = manifest(edges=1, scheds=1, workers=1, parts=1)
-        man["classes"]["lot"]["predicate"] = predicate
+        man["predicate"] = predicate
         fleet = SimFleet(loop, man, seed, make=make)
-        if predicate in (ONE, TWO_AREAS):
-            # The weaker ones are refused at apply, rightly; they are laid under the daemons for the comparison.
-            del man["classes"]["lot"]["predicate"]
         await fleet.found()
-        if predicate in (ONE, TWO_AREAS):
-            for _, store in fleet.stores():
-                for part in store.parts.values():
-                    part.view.predicate = predicate
         out: list[tuple[float, float]] = []
         if hook is not None:
             hook(fleet)
@@ -90,7 +84,9 @@
         await fleet.out(outside())
         return [(t - start, d) for t, d in out]
 
-    got: list[tuple[float, float]] = run_sim(main, seed)
+    # The weaker predicates are refused at apply, rightly; for the comparison that check is put aside.
+    with patch("postpass.manifest.loss_flaw", lambda *_: ""):
+        got: list[tuple[float, float]] = run_sim(main, seed)
     return got
 
 
