A store is let go only once every wanted member is in and whole

Cause: a wanted member that had never answered had no disk id, and so did the members' record: none equalled none, and with few records it counted as whole. So a retired store's copies were dropped while the store to take them wasn't even running (found by a test that causes it with pp status, which then said 'complete'). Ruled out: the manifest's check (it allows the retirement, rightly, since the new store is declared). Change: a member counts as whole only with a known disk that the record names and all that is covered. Before: 'retire s2: complete' with three copies. After: pending until the fourth is whole, then complete. The doctor is now tested on live simulated fleets, each fault caused; a clash of names is seen in answers too.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -18,6 +18,7 @@
 import tempfile
 import time
 from collections import Counter, defaultdict
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -248,6 +249,26 @@
     spans = [first_whole[e["id"]] - e["began"] for e in kept if e["id"] in first_whole]
     submit = [e["t"] - e["began"] for e in kept]
     errors = Counter(f"{e['end']}: {e['why'][:90]}" for es in calls.values() for e in es if e["end"] != "done")
+
+    def last(kind: str, same: Callable[[Event, Event], bool]) -> str:
+        marks = [e for e in ev if e["ev"] == kind]
+        late = [
+            e["t"] - m["t"]
+            for m in marks
+            for e in ev
+            if e["ev"] == "took" and same(e, m) and 0 < e["t"] - m["t"] < seconds / 9
+        ]
+        return f"{max(late, default=0.0):.2f} s" if marks else "not caused"
+
+    acked = [e for e in ev if e["ev"] == "applied" and e["answer"] == 200 and e["base"] > 0]
+    behind = [
+        e["t"] - a["t"]
+        for a in acked
+        for e in ev
+        if e["ev"] == "runs" and e["fit"] and e["t"] > a["t"] and e["edition"] < a["edition"]
+    ]
+    kept_at = sorted(e["t"] for e in kept)
+    gap = max((b - a for a, b in zip(kept_at, kept_at[1:], strict=False)), default=0.0)
     lines = [
         f"# {fleet.plan.name}: the main job on real processes", "",
         f"Made by `{command}` on {time.strftime('%Y-%m-%d')}; {os.cpu_count()} cores shared by "
@@ -259,6 +280,10 @@
         f"{answers['bad']} refused as bad; {on_time} whole by their due time, {late} late, {len(kept) - len(spans)} of the kept never seen whole.", "",
         f"Time to `kept`: p50 {rank(submit, 0.5) * 1e3:.0f} ms, p95 {rank(submit, 0.95) * 1e3:.0f} ms, worst {max(submit, default=0):.2f} s. "
         f"Handed in to whole: p50 {rank(spans, 0.5):.1f} s, p95 {rank(spans, 0.95):.1f} s.", "",
+        f"Bounds as read here: a leaving worker's last new work {last('leave', lambda e, m: e['worker'] == m['server'])} after the answer (2 s), "
+        f"an evacuated area's {last('evacuated', lambda e, m: e['area'] == m['area'])} (5 s); a daemon still on an older edition "
+        f"{max(behind, default=0.0):.2f} s after the answer (2 s; each daemon is asked about every half second); longest time without a "
+        f"lot kept {gap:.1f} s, at {fleet.plan.load.lots[next(iter(fleet.plan.load.lots))][0]:g} lots a second (12 s).", "",
         "Faults and operations: " + ("; ".join(notes) if notes else "none") + ".", "",
         "## What must never happen", "",
         *("- " + " ".join((CHECKS[n].__doc__ or n).split()).rstrip(".") + ": " + (f"**{len(found[n])} breaches**, first: {found[n][0]}" if n in found else "none seen")  # type: ignore[union-attr]
--- a/postpass/daemon.py
+++ b/postpass/daemon.py
@@ -169,12 +169,16 @@
 
     async def on_shuffle(self, body: Body) -> Result[Body, Fault]:
         self.word()
-        for card in body["cards"]:
-            if card["name"] == self.conf.name and card["peer"] != self.conf.peer:
-                self.clash = f"{card['peer']} also calls itself {card['name']}"
+        self.meet(body["cards"])
         self.rise_to(body.get("heights", {}))
         return Ok({"cards": self.circle.answer(body["cards"]), "edition": self.news.edition, "heights": self.heights})
 
+    def meet(self, cards: list[Card]) -> None:
+        """Does another process go by this one's name?"""
+        for card in cards:
+            if card["name"] == self.conf.name and card["peer"] != self.conf.peer:
+                self.clash = f"{card['peer']} also calls itself {card['name']}"
+
     def rise_to(self, heights: dict[str, int]) -> None:
         """Invariant: heights never fall, and there are no more of them than partitions."""
         man = self.news.manifest
@@ -215,6 +219,7 @@
                     await self.doubt(mate.card["name"], addr)
                 continue
             there = got.unwrap()
+            self.meet(there["cards"])
             self.circle.take(there["cards"], offer[1:])
             self.rise_to(there.get("heights", {}))
             if there["edition"] > self.news.edition:
--- a/postpass/pp.py
+++ b/postpass/pp.py
@@ -6,6 +6,7 @@
 import json
 import os
 import sys
+from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -20,6 +21,8 @@
 from postpass.manifest import check
 
 FINE, REFUSED, USAGE, UNKNOWN = 0, 1, 2, 3
+# Another one in the simulator.
+CONNECTOR: Callable[[], aiohttp.BaseConnector | None] = lambda: None  # noqa: E731
 
 
 @dataclass(frozen=True)
@@ -53,7 +56,9 @@
 ) -> Got:
     """The first address that answers; a call that changes something isn't sent on after it may have left."""
     why = ""
-    async with aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=limit, sock_connect=2)) as session:
+    async with aiohttp.ClientSession(
+        connector=CONNECTOR(), timeout=aiohttp.ClientTimeout(total=limit, sock_connect=2)
+    ) as session:
         for addr in where:
             try:
                 async with session.request(method, f"http://{addr}{path}", json=body, headers=heads) as got:
--- a/postpass/store.py
+++ b/postpass/store.py
@@ -603,17 +603,20 @@
         disks = {n: f.disk for n, f in part.follows.items() if f.disk} | {self.conf.name: self.disk_id}
         for name in want:
             disk = disks.get(name, "")
-            whole = part.recorder.get(name, disk, "persisted") >= part.covered
-            if disk and view.crew.get(name) != disk and whole:
+            level = part.recorder.get(name, disk, "persisted") >= part.covered
+            if disk and view.crew.get(name) != disk and level:
                 self.add(part, "crew", {"crew": view.crew | {name: disk}})
                 events.emit(124, self.conf.name, part=part.id, joins=name, disk=disk)
                 return
         spare = [n for n in view.crew if n not in want and n != self.conf.name]
-        if spare and all(
-            view.crew.get(n) == disks.get(n)
-            and part.recorder.get(n, disks.get(n, ""), "persisted") >= part.covered - 64
-            for n in want
-        ):
+
+        def whole(name: str) -> bool:
+            disk = disks.get(name, "")
+            at = part.persisted if name == self.conf.name else part.recorder.get(name, disk, "persisted")
+            return disk != "" and view.crew.get(name) == disk and at >= part.covered
+
+        # Only once every wanted member is in and whole does a spare one leave.
+        if spare and all(whole(n) for n in want):
             self.add(part, "crew", {"crew": {n: d for n, d in view.crew.items() if n != spare[0]}})
             events.emit(124, self.conf.name, part=part.id, leaves=spare[0])
 
--- /dev/null
+++ b/sim/ailing.py
@@ -0,0 +1,184 @@
+"""`pp doctor` and `pp status` on a live simulated fleet: each fault is caused, and must be found."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import pytest
+
+from bench.plan import changed
+from postpass import pp
+from postpass.doctor import diagnose
+from postpass.overview import pending
+from sim.fleet import SimConnector, SimFleet
+from sim.interface import Say, with_fleet
+
+Cause = Callable[[SimFleet], Awaitable[None]]
+
+
+async def look(world: SimFleet) -> tuple[set[str], list[str]]:
+    """What the doctor finds in two looks, and what is pending."""
+    where = [world.man["machines"][n]["http"] for n in world.controls()]
+    first = await pp.statuses(where)
+    await asyncio.sleep(0.5)
+    second = await pp.statuses(where)
+    return {f.code for f in diagnose(first, second)}, pending(second)
+
+
+async def mirror_killed(world: SimFleet) -> None:
+    world.kill(world.pick("mirror:0"))
+    await asyncio.sleep(4)
+
+
+async def edge_frozen(world: SimFleet) -> None:
+    world.freeze("e2")
+
+
+async def old_edition(world: SimFleet) -> None:
+    for name in world.man["machines"]:
+        if name != "e2":
+            world.cut("e2", name)
+            world.cut(name, "e2")
+    await asyncio.sleep(1)
+    await world.apply(changed(world.man, "classes.ask.deadline", 14), 1)
+    await asyncio.sleep(3)
+
+
+async def wrong_weights(world: SimFleet) -> None:
+    world.boxes["w1"].thing.weights = "model-0"
+    world.boxes["w1"].thing.start += 1
+    await asyncio.sleep(2)
+
+
+async def disk_nearly_full(world: SimFleet) -> None:
+    disk = world.boxes["s3"].disk
+    assert disk is not None
+    disk.cap = sum(map(len, disk.files.values())) + 100
+
+
+async def other_config(world: SimFleet) -> None:
+    man = changed(world.man, "machines.e2.duties", ["edge"])
+    await world.apply(man, 1)
+    await asyncio.sleep(1)
+
+
+async def clashing_name(world: SimFleet) -> None:
+    """Another process is started under a name that is taken, at an address of its own."""
+    m = world.man["machines"]["e2"] | {"peer": "127.2.8.8:7000", "http": "127.2.8.8:8000"}
+    real = world.man
+    world.man = changed(real, "machines.double", m)
+    world.add_box("double", m)
+    world.man["machines"]["double"] = m
+    box = world.boxes["double"]
+    box.host = None
+    from bench.plan import config
+    from postpass.config import parse
+    from postpass.data import Data
+    from sim.loop import Host
+
+    host = world.loop.add(Host("double", box.ips, "b"))
+    conf = parse(config(world.man, "double") | {"name": "e2"}).unwrap()
+
+    async def boot() -> None:
+        await Data(conf, world.world("double", None)).run()
+
+    world.loop.create_task(boot(), context=host.context())
+    world.man = real
+    await asyncio.sleep(6)
+
+
+async def no_backup(world: SimFleet) -> None:
+    world.kill(world.pick("backup"))
+    await asyncio.sleep(0.2)
+
+
+async def other_version(world: SimFleet) -> None:
+    world.version = "0.9.9"
+    world.kill("e2")
+    world.start("e2")
+    await asyncio.sleep(2)
+
+
+async def lost(world: SimFleet) -> None:
+    for name in ("s1", "s2", "s3"):
+        world.wipe(name)
+    for name in ("s1", "s2", "s3"):
+        world.start(name)
+    await asyncio.sleep(12)
+
+
+async def owners_gone(world: SimFleet) -> None:
+    for name in ("s1", "s2", "s3"):
+        world.kill(name)
+    await asyncio.sleep(6)
+
+
+async def control_gone(world: SimFleet) -> None:
+    for name in ("c1", "c2", "c3"):
+        world.kill(name)
+    await asyncio.sleep(6)
+
+
+CASES: dict[str, tuple[Cause, set[str]]] = {
+    "sound": (lambda world: asyncio.sleep(0), set()),
+    "mirror killed": (mirror_killed, {"D02", "D07"}),
+    "edge frozen": (edge_frozen, {"D02"}),
+    "old edition": (old_edition, {"D03"}),
+    "wrong weights": (wrong_weights, {"D12"}),
+    "disk nearly full": (disk_nearly_full, {"D09"}),
+    "other config": (other_config, {"D05"}),
+    "clashing name": (clashing_name, {"D04"}),
+    "no backup": (no_backup, {"D02", "D11"}),
+    "other version": (other_version, {"D14"}),
+    "lost": (lost, {"D13"}),
+    "owners gone": (owners_gone, {"D02", "D08"}),
+}
+
+
+@pytest.mark.parametrize("name", CASES)
+def test_the_doctor_finds_what_was_caused(name: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(pp, "CONNECTOR", lambda: SimConnector(limit=0))
+    cause, want = CASES[name]
+
+    async def check(world: SimFleet, say: Say) -> None:
+        await cause(world)
+        found, _ = await look(world)
+        assert found >= want if want else not found, found
+
+    with_fleet(check)
+
+
+def test_without_a_majority_of_control_the_manifest_cannot_be_read(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(pp, "CONNECTOR", lambda: SimConnector(limit=0))
+
+    async def check(world: SimFleet, say: Say) -> None:
+        await control_gone(world)
+        with pytest.raises(pp.Exit) as seen:
+            await look(world)
+        assert seen.value.code == pp.UNKNOWN
+
+    with_fleet(check)
+
+
+def test_operations_are_pending_until_they_are_complete(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(pp, "CONNECTOR", lambda: SimConnector(limit=0))
+
+    async def check(world: SimFleet, say: Say) -> None:
+        man: dict[str, Any] = changed(world.man, "evacuated", ["b"])
+        m = {"area": "b", "peer": "127.2.7.7:7000", "http": "127.2.7.7:8000", "duties": ["store"]}
+        man = changed(changed(man, "machines.s5", m), "machines.s2.retire", True)
+        await world.apply(man, 1)
+        await asyncio.sleep(2)
+        _, todo = await look(world)
+        # The one that should take the copies isn't running yet: nothing leaves s2, and it says so.
+        assert todo[0] == "retire s2: pending, still a member of partitions [0, 1, 2, 3]"
+        world.man = man
+        world.add_box("s5", m)
+        world.start("s5")
+        await asyncio.sleep(8)
+        _, todo = await look(world)
+        assert todo == ["retire s2: complete, no partition counts on it", "evacuate b: complete"]
+
+    with_fleet(check)
