--- a/bench/measure.py
+++ b/bench/measure.py
@@ -329,8 +329,9 @@
         by[(name, variant)].append(row)
     lines = [
         "# Sharing of workers, measured", "",
-        f"Made by `python -m bench.measure sharing`: simulated time, {seconds:g} s of the callers' full load, {seeds} seeds, the same for each",
-        "variant; the deployments' own workers, four edges (half of today's, to keep the run short). Median over seeds, with the range.",
+        f"Made by `python -m bench.measure sharing`: simulated time, {seconds:g} s of the callers' full load, {seeds} seeds; callers draw as",
+        "they go, so that variants of a seed differ a little in load. The deployments' own workers, four edges (half of today's, to keep the run",
+        "short). The upper median over seeds, with the range.",
         "`x2` is a crowded day: twice the live traffic, three times the lots. `no reserve` and `no borrowing` are settings of the simulator, as plain baselines.", "",
         "| deployment | variant | first piece p50, ms | p95, ms | p99, ms | calls done | slots in use | prefix found in cache | lots in time | lot whole p50, s | p95, s | loans handed back, worst s |",
         "|---|---|---|---|---|---|---|---|---|---|---|---|",
