Cause faults at named points of a run; a moment that never comes fails it

Cause: scenarios could only strike at a time, so the moment that a promise hangs on was met by luck. A process that is dead can't touch its disk any more, one that is frozen hands its bytes over on waking, and errors of tasks that nobody looked at fail a run. The product carries no code for it.

--- a/bench/worker.py
+++ b/bench/worker.py
@@ -47,6 +47,7 @@
     cache_size: int = 64
     room: int = 100_000  # what the KV cache holds, in characters
     fault: str = ""  # cut, drop, garble, endless, refuse, sick, stall
+    tap: Callable[[int], None] = lambda _: None  # told before each piece leaves
     chance: random.Random = field(default_factory=lambda: random.Random(1))
     runs: list[Run] = field(default_factory=list)
     waiting: deque[Run] = field(default_factory=deque)
@@ -125,6 +126,7 @@
         try:
             while (text := await run.pieces.get()) is not None:
                 count += 1
+                self.tap(count)
                 if (self.fault == "cut" and count == 3) or (self.fault == "drop" and count == 1):
                     raise ConnectionError("a fault was asked for")
                 if self.fault == "garble" and count == 2:
--- a/sim/disk.py
+++ b/sim/disk.py
@@ -4,8 +4,11 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from sim.loop import HOST, Gone
+
 
 @dataclass
 class SimDisk:
@@ -18,6 +21,16 @@
     kept: dict[str, bytes] = field(default_factory=dict)
     fails: bool = False
     stall: float = 0.0
+    tap: Callable[[str], None] = lambda _: None  # told of syncs that begin and that held
+
+    def _alive(self) -> None:
+        host = HOST.get()
+        if host is not None and host.dead:
+            raise Gone
+
+    def _told(self, what: str, name: str) -> None:
+        self.tap(f"{what}.{name.partition('-')[0]}")
+        self._alive()
 
     def names(self) -> list[str]:
         return sorted(self.files)
@@ -32,10 +45,12 @@
             raise OSError(28, "No space left on device")
 
     def append(self, name: str, data: bytes) -> None:
+        self._alive()
         self._need(len(data))
         self.files.setdefault(name, bytearray()).extend(data)
 
     async def sync(self, name: str) -> None:
+        self._told("starts", name)
         size = len(self.files.get(name, b""))
         file = self.files.get(name)
         await asyncio.sleep(self.pace * (0.5 + self.chance.random()) + self.stall)
@@ -43,24 +58,30 @@
             raise OSError(5, "Input/output error")
         if file is not None and self.files.get(name) is file:
             self.kept[name] = bytes(file[:size])
+        self._told("synced", name)
 
     async def write(self, name: str, data: bytes) -> None:
+        self._told("starts", name)
         self._need(len(data))
         await asyncio.sleep(self.pace * (1 + self.chance.random()) + self.stall)
         if self.fails:
             raise OSError(5, "Input/output error")
         self.files[name] = bytearray(data)
         self.kept[name] = bytes(data)
+        self._told("synced", name)
 
     def cut(self, name: str, size: int) -> None:
+        self._alive()
         del self.files[name][size:]
         self.kept[name] = self.kept.get(name, b"")[:size]
 
     def remove(self, name: str) -> None:
+        self._alive()
         del self.files[name]
         self.kept.pop(name, None)
 
     def rename(self, name: str, new: str) -> None:
+        self._alive()
         self.files[new] = self.files.pop(name)
         self.kept[new] = self.kept.pop(name, b"")
 
--- a/sim/fleet.py
+++ b/sim/fleet.py
@@ -20,10 +20,12 @@
 from postpass.control import Control
 from postpass.daemon import Daemon
 from postpass.data import Data
+from postpass.manifest import part_of
 from postpass.world import World, serve_http
 from sim.check import Event
 from sim.disk import SimDisk
 from sim.loop import Host, SimLoop
+from sim.points import Points, hit
 
 EPOCH = 1_700_000_000.0
 
@@ -76,9 +78,11 @@
     disk_cap: int = 64 << 20
     copies: list[int] = field(default_factory=list)
     version: str = ""
+    here: tuple[str, str] = ("", "")  # the machine that met the point at which a fault is caused, and its peer
 
     def __post_init__(self) -> None:
         self.chance = random.Random(f"fleet-{self.seed}")
+        self.points = self.loop.points = Points()
         for name, m in self.man["machines"].items():
             self.add_box(name, m)
         for pool in self.man["pools"].values():
@@ -94,6 +98,8 @@
             if {"store", "control"} & set(m["duties"])
             else None
         )
+        if disk is not None:
+            disk.tap = hit
         self.boxes[name] = Box(name, m["area"], ips, disk)
 
     def wall(self) -> float:
@@ -101,6 +107,10 @@
 
     def log(self, event: Event) -> None:
         self.events.append({"t": self.loop.clock} | event)
+        if event["ev"] == "took":
+            self.points.hit("took", event["worker"])
+        elif event["ev"] == "applied":
+            self.points.hit(f"applied.{event['answer']}", event.get("via", ""))
 
     def world(self, name: str, disk: SimDisk | None) -> World:
         self.boxes[name].epoch += 1
@@ -152,6 +162,7 @@
             worker = Worker(
                 box.name, log, self.wall, slots=server["slots"], chance=random.Random(f"{box.name}-{self.seed}")
             )
+            worker.tap = lambda k: hit(f"piece.{k}")
             box.thing = worker
             asyncio.create_task(worker.engine())
         else:
@@ -208,8 +219,10 @@
         return max(owning)[1] if owning else ""
 
     def pick(self, word: str) -> str:
-        """Names or roles: owner:P, mirror:P, busiest, primary, backup, witness, sched."""
+        """Names or roles: owner:P, mirror:P, busiest, primary, backup, witness, sched, and, at a point, here and there."""
         kind, _, rest = word.partition(":")
+        if word in ("here", "there"):
+            return self.here[word == "there"]
         if kind == "owner":
             return self.owner(int(rest or 0))
         if kind == "mirror":
@@ -322,6 +335,10 @@
     def heard(self, event: Event) -> None:
         """Takes down what a caller saw; of a lot that was just called kept, also on how many disks it is synced."""
         self.events.append(event)
+        word = {"lot": event.get("answer", ""), "ended": "ended", "page": "paged"}.get(event["ev"], "")
+        if word in ("kept", "shed", "unknown", "ended", "paged"):
+            part = part_of(event["id"], self.man["parts"])
+            self.points.hit(word, self.owner(part) if self.points.watchers else "")
         if event["ev"] == "lot" and event["answer"] == "kept":
             name = event["id"].encode()
             disks = [b.disk for n, b in self.boxes.items() if n.startswith("s") and b.disk is not None]
--- a/sim/loop.py
+++ b/sim/loop.py
@@ -18,6 +18,11 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+
+class Gone(BaseException):
+    """Raised into a process that is dead already, should it touch its disk before its callback ends."""
+
+
 HOST: contextvars.ContextVar[Host | None] = contextvars.ContextVar("host", default=None)
 WINDOW = 256 << 10  # bytes under way on one connection before its writer must wait
 
@@ -57,13 +62,22 @@
         self.set_task_factory(self._make_task)  # type: ignore[arg-type]
         self.set_exception_handler(self._seen)
         self.errors: list[str] = []
+        self.points: Any = None  # told of what the run passes, see sim.points
 
     def _seen(self, _loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
         bad = context.get("exception")
         text = str(context.get("message"))
-        if not isinstance(bad, (ConnectionError, asyncio.CancelledError)):
+        if not isinstance(bad, (ConnectionError, asyncio.CancelledError, Gone)):
             self.errors.append(f"{text}: {bad!r}")
 
+    def unretrieved(self) -> list[str]:
+        """Tasks that ended with an error which nobody has looked at."""
+        return [
+            f"a task's error was never looked at: {t.get_coro()}: {t._exception!r}"  # type: ignore[attr-defined]
+            for t in self.tasks
+            if t.done() and t._log_traceback and not isinstance(t._exception, Gone)  # type: ignore[attr-defined]
+        ]
+
     def _make_task(self, loop: Any, coro: Any, **more: Any) -> asyncio.Task[Any]:
         task: asyncio.Task[Any] = asyncio.Task(coro, loop=loop, **more)
         self.tasks.append(task)
@@ -251,6 +265,10 @@
     def write(self, data: Any) -> None:
         if self.closing or self.lost or not data:
             return
+        if self.host.frozen:
+            # Stopped in the midst of a callback: what it was about to hand to the kernel it hands over on waking.
+            self.host.parked.append(events.Handle(self.write, (data,), self.loop, self.ctx))
+            return
         self._send(bytes(data))
 
     def writelines(self, list_of_data: Any) -> None:
@@ -269,6 +287,9 @@
         return self.closing or self.lost
 
     def close(self) -> None:
+        if self.host.frozen:
+            self.host.parked.append(events.Handle(self.close, (), self.loop, self.ctx))
+            return
         if not self.closing and not self.lost:
             self.closing = True
             self._send(None)
--- /dev/null
+++ b/sim/points.py
@@ -0,0 +1,158 @@
+"""Named points that a run passes: what is synced, sent, taken, answered, logged, and seen from outside.
+
+A fault can be caused right at a point (`when` in a scenario), or at each point in turn (`sim.crash`). The product
+carries no code for it: its journal of numbered events, its links and the simulated disk are tapped here.
+
+| point | is met |
+|---|---|
+| `E120` … | as a numbered event of the journal is logged |
+| `sends.VERB`, `takes.VERB`, `answers.VERB`, `hears.VERB` | by a message between own processes: before its bytes go, as its handler begins, before the answer's bytes go, as the answer is here |
+| `starts.FILE`, `synced.FILE` | by a file of a disk: before a sync, and right after it held (`log`, `snap`, `state`, `epochs`, `identity`) |
+| `places`, `gate.open`, `gate.shut` | by a call or item about to go to a worker: before the connection, after the last check |
+| `took`, `piece.K` | at a worker, as it takes a call, and as its piece K is about to leave |
+| `kept`, `shed`, `unknown`, `ended`, `paged`, `applied.CODE` | as a caller or operator has the answer |
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from postpass import edge, events, models, sched, wire
+from sim.loop import HOST, SimLoop
+
+VERBS = frozenset(wire.IDL.Peer.thrift_services)
+FILES = frozenset({"log", "snap", "state", "epochs", "identity"})
+OTHERS = frozenset({"places", "gate.open", "gate.shut", "took", "kept", "shed", "unknown", "ended", "paged"})
+
+
+def known(name: str) -> bool:
+    """Is this the name of a point that a run can pass?"""
+    head, _, rest = name.partition(".")
+    return (
+        name in OTHERS
+        or (head in ("sends", "takes", "answers", "hears") and rest in VERBS)
+        or (head in ("starts", "synced") and rest in FILES)
+        or (head in ("piece", "applied") and rest.isdigit())
+        or (name[:1] == "E" and name[1:].isdigit() and int(name[1:]) in events.CATALOGUE)
+    )
+
+
+@dataclass(frozen=True)
+class Point:
+    """Invariant: `number` grows by one with every point passed in a run, so that a seed and it name one moment."""
+
+    number: int
+    name: str
+    host: str
+    peer: str
+
+
+@dataclass(eq=False)
+class Points:
+    """Invariant: a watcher is called in the very callback that passes the point, before it goes on."""
+
+    count: int = 0
+    seen: Counter[str] = field(default_factory=Counter)
+    watchers: list[Callable[[Point], None]] = field(default_factory=list)
+    busy: bool = False
+
+    def hit(self, name: str, host: str, peer: str = "") -> None:
+        if self.busy:
+            return
+        self.count += 1
+        self.seen[name] += 1
+        if self.watchers:
+            self.busy = True  # what a fault itself passes is no point of the run
+            try:
+                point = Point(self.count, name, host, peer)
+                for watcher in list(self.watchers):
+                    watcher(point)
+            finally:
+                self.busy = False
+
+
+def hit(name: str, peer: str = "") -> None:
+    """Tells the running simulated world, if there is one, of a point that the current host passes."""
+    try:
+        loop = asyncio.get_running_loop()
+    except RuntimeError:
+        return
+    host = HOST.get()
+    if isinstance(loop, SimLoop) and loop.points is not None and host is not None and not host.dead:
+        there = loop.hosts.get(peer.rpartition(":")[0]) if peer else None
+        loop.points.hit(name, host.name, there.name if there is not None else "")
+
+
+def _tap() -> None:
+    put, call, answer, emit, plain = wire.Link.put, wire.Link.call, wire.Port._answer, events.emit, models.complete
+    init = wire.Port.__init__
+
+    def tapped_put(self: wire.Link, name: str, *vals: Any) -> int:
+        hit(f"sends.{name}", self.addr)
+        return put(self, name, *vals)
+
+    async def tapped_call(self: wire.Link, name: str, body: Any, wait: float) -> Any:
+        got = await call(self, name, body, wait)
+        if got.is_ok():
+            hit(f"hears.{name}", self.addr)
+        return got
+
+    async def tapped_answer(self: wire.Port, name: str, seq: int, val: Any, writer: Any) -> None:
+        hit(f"takes.{name}")
+        await answer(self, name, seq, val, writer)
+
+    def tapped_emit(number: int, who: str, **more: object) -> None:
+        emit(number, who, **more)
+        hit(f"E{number}")
+
+    def tapped_init(self: wire.Port, *args: Any, **more: Any) -> None:
+        init(self, *args, **more)
+
+        def around(name: str, handler: wire.Handler) -> wire.Handler:
+            async def run(val: Any) -> Any:
+                if wire._oneway(name):
+                    hit(f"takes.{name}")
+                    return await handler(val)
+                got = await handler(val)
+                hit(f"answers.{name}")
+                return got
+
+            return run
+
+        self.handlers = {n: around(n, h) for n, h in self.handlers.items()}
+
+    def tapped_complete(session: Any, url: str, model: str, prompt: Any, gate: Any, *rest: Any) -> Any:
+        there = url.removeprefix("http://")
+
+        def asked() -> str:
+            why: str = gate()
+            hit("gate.shut" if why else "gate.open", there)
+            return why
+
+        hit("places", there)
+        return plain(session, url, model, prompt, asked, *rest)
+
+    wire.Link.put, wire.Link.call, wire.Port._answer = tapped_put, tapped_call, tapped_answer  # type: ignore[method-assign]
+    wire.Port.__init__ = tapped_init  # type: ignore[method-assign]
+    events.emit = tapped_emit
+    for module in (edge, sched):
+        setattr(module, "complete", tapped_complete)  # noqa: B010
+
+
+_tap()
+
+
+def test_points_are_met_in_order_and_unknown_names_are_told() -> None:
+    assert known("sends.carry") and known("E120") and known("synced.log") and known("piece.3") and known("applied.202")
+    assert not known("sends.nothing") and not known("E999") and not known("synced.x") and not known("kept.1")
+    points = Points()
+    got: list[tuple[int, str]] = []
+    points.watchers.append(lambda p: got.append((p.number, p.name)))
+    points.watchers.append(lambda p: points.hit("kept", "x"))  # passed by the fault: no point
+    points.hit("took", "w1")
+    points.hit("kept", "e1")
+    assert got == [(1, "took"), (2, "kept")] and points.seen["kept"] == 1
--- a/sim/runner.py
+++ b/sim/runner.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextvars
 import logging as pylog
 import operator
 import re
@@ -26,6 +27,7 @@
 from sim.check import Bounds, History, breaches
 from sim.fleet import SimFleet
 from sim.loop import SimLoop, run_sim
+from sim.points import Point, known
 
 FOLDER = Path(__file__).parent / "scenarios"
 OPS: dict[str, Callable[[float, float], bool]] = {
@@ -44,6 +46,20 @@
     args: tuple[str, ...]
 
 
+@dataclass(frozen=True)
+class When:
+    """A fault right at a point: `when EVENT[@WHO] [N] [from T] [within D] VERB …` is caused as the N-th such point
+    from T on is passed, which has to come by T + D."""
+
+    line: int
+    event: str
+    who: str
+    nth: int
+    start: float
+    limit: float
+    act: Act
+
+
 @dataclass(eq=False)
 class Scenario:
     """Invariant: what is not understood is refused with file and line, never skipped."""
@@ -59,6 +75,7 @@
     settle: float = 40.0
     seeds: tuple[int, ...] = (1,)
     acts: list[Act] = field(default_factory=list)
+    whens: list[When] = field(default_factory=list)
     expect: list[tuple[str, str, float]] = field(default_factory=list)
     excused: bool = False
 
@@ -78,6 +95,22 @@
     return text.replace("~", " ")
 
 
+def parse_when(words: list[str], line: int) -> When | None:
+    event, _, who = words[0].partition("@")
+    rest = words[1:]
+    nth = int(rest.pop(0)) if rest and rest[0].isdigit() else 1
+    start = limit = 0.0
+    while len(rest) > 2 and rest[0] in ("from", "within"):
+        if rest[0] == "from":
+            start = float(rest[1])
+        else:
+            limit = float(rest[1])
+        rest = rest[2:]
+    if not rest or rest[0] not in VERBS or not known(event) or nth < 1:
+        return None
+    return When(line, event, who, nth, start, limit or 1e9, Act(0.0, rest[0], tuple(rest[1:])))
+
+
 def parse(text: str, name: str) -> Scenario:
     out = Scenario(name)
     for number, line in enumerate(text.splitlines(), 1):
@@ -107,6 +140,8 @@
             out.excused = True
         elif head == "at" and rest[1] in VERBS:
             out.acts.append(Act(float(rest[0]), rest[1], tuple(rest[2:])))
+        elif head == "when" and len(rest) > 1 and (when := parse_when(rest, number)) is not None:
+            out.whens.append(when)
         elif head == "expect" and len(rest) == 3 and rest[1] in OPS:
             out.expect.append((rest[0], rest[1], float(rest[2])))
         else:
@@ -129,7 +164,7 @@
     return Load(live, plain, lots, **more)  # type: ignore[arg-type]
 
 
-async def act(fleet: SimFleet, a: Act, later: Callable[[float, Callable[[], None]], None]) -> None:
+def act(fleet: SimFleet, a: Act, later: Callable[[float, Callable[[], None]], None]) -> None:
     """One fault or operation; `for S` at its end undoes it after S seconds."""
     args = list(a.args)
     span = 0.0
@@ -325,10 +360,32 @@
     out["full_crews"] = float(len(wanted) == fleet.man["parts"] and all(wanted.values()))
     out["losses"] = max([p.view.losses for _, s in fleet.stores() for p in s.parts.values()], default=0)
     out["ran"] = fleet.loop.ran
+    out |= {f"point_{n}": c for n, c in fleet.points.seen.items()}
     out["edition"] = fleet.edition
     return out
 
 
+def watch(s: Scenario, fleet: SimFleet, began: float, later: Callable[[float, Callable[[], None]], None]) -> list[When]:
+    """Causes what the scenario says `when` its points are passed; returns those that have yet to come."""
+    left = list(s.whens)
+    seen: Counter[int] = Counter()
+
+    def look(p: Point) -> None:
+        for w in [w for w in left if w.event == p.name]:
+            age = fleet.loop.clock - began
+            if age < w.start or age > w.start + w.limit or (w.who and fleet.pick(w.who) != p.host):
+                continue
+            seen[w.line] += 1
+            if seen[w.line] == w.nth:
+                left.remove(w)
+                fleet.here = (p.host, p.peer)
+                act(fleet, w.act, later)
+
+    if left:
+        fleet.points.watchers.append(look)
+    return left
+
+
 def play(s: Scenario, seed: int, make: Callable[[Any], None] | None = None) -> Report:
     """Runs one scenario under one seed, on simulated time."""
     events.COUNTS.clear()
@@ -344,12 +401,14 @@
         began = loop.clock
 
         def later(span: float, undo: Callable[[], None]) -> None:
-            loop.call_later(span, undo)
+            loop.call_later(span, undo, context=contextvars.Context())
+
+        late = watch(s, fleet, began, later)
 
         async def faults() -> None:
             for a in sorted(s.acts, key=lambda a: a.at):
                 await asyncio.sleep(max(0.0, began + a.at - loop.clock))
-                await act(fleet, a, later)
+                act(fleet, a, later)
 
         async def outside() -> None:
             async with fleet.session() as session:
@@ -365,7 +424,9 @@
         await fleet.out(fleet.read_back())
         bounds = Bounds(ramp=man["ramp"], retention=man["retention"])
         found = breaches(History(fleet.events, bounds, s.excused))
-        return Report(found, stats_of(fleet, began), loop.errors, fleet.events, fleet)
+        errors = loop.errors + loop.unretrieved()
+        errors += [f"{s.name}:{w.line}: {w.event} never came so that its fault was caused" for w in late]
+        return Report(found, stats_of(fleet, began), errors, fleet.events, fleet)
 
     got: Report = run_sim(main, seed)
     return got
@@ -392,8 +453,23 @@
 
 
 def test_what_is_not_understood_is_refused_with_its_line() -> None:
-    with pytest.raises(ValueError, match=re.escape("x:2: not understood: at 3 explode s1")):
-        parse("run 3\nat 3 explode s1", "x")
+    for line in (
+        "at 3 explode s1",
+        "when nothing kill s1",
+        "when kept 0 kill s1",
+        "when kept explode s1",
+        "when E999 kill s1",
+    ):
+        with pytest.raises(ValueError, match=re.escape(f"x:2: not understood: {line}")):
+            parse(f"run 3\n{line}", "x")
+
+
+def test_a_moment_that_never_came_fails_the_run_with_its_line() -> None:
+    text = "load lot=4x2\nrun 3\nsettle 5\nwhen kept kill here for 1\nwhen E125 kill s1\nwhen took within 0.001 kill w1"
+    assert [f for f in judge(parse(text, "x"), play(parse(text, "x"), 1)) if "never came" in f] == [
+        "error: x:5: E125 never came so that its fault was caused",
+        "error: x:6: took never came so that its fault was caused",
+    ]
 
 
 def main(argv: list[str]) -> int:
