Answer an apply once it is in force, and give no new work while hearing nobody

Now 200 means that every machine has said it runs the edition or refuses connections; 202 names the rest. A daemon that hears no other for 3/4 of the leave bound places nothing; a started one serves only on proved fresh news.

--- a/bench/worker.py
+++ b/bench/worker.py
@@ -189,6 +189,7 @@
     async def view(self, request: Request) -> Response:
         from bench.words import plain
 
+        self.log({"ev": "took", "worker": self.name, "tag": f"plain:{request.url.path}", "busy": 0, "age": 1e9})
         await asyncio.sleep(self.pause)
         data = plain(request.url.path)
         if self.fault == "cut":
--- a/postpass/config.py
+++ b/postpass/config.py
@@ -44,6 +44,7 @@
     - lease + poll <= end: an ended lot's items stop before its bound.
     - follow * 2 <= manifest: a daemon asks twice within the bound.
     - probe * 3 <= leave: a worker's leaving is read thrice within the bound.
+    - follow * 2 < deaf < leave: who hears nobody is sure of it, and stops, before the leaving of a worker binds it.
     """
 
     end: float = 3.0
@@ -77,6 +78,10 @@
     def lease(self) -> float:
         return self.end / 3
 
+    @property
+    def deaf(self) -> float:
+        return self.leave * 3 / 4
+
     @property
     def poll(self) -> float:
         return self.end / 12
@@ -190,6 +195,7 @@
     assert b.lease + b.poll <= b.end
     assert b.follow * 2 <= b.manifest
     assert b.probe * 3 <= b.leave
+    assert b.follow * 2 < b.deaf < b.leave
 
 
 def test_config_is_refused_whole_with_key_and_want() -> None:
--- a/postpass/control.py
+++ b/postpass/control.py
@@ -471,6 +471,61 @@
 
     # --- the operators' part
     async def on_apply(self, body: Body) -> Answer:
+        """Takes a whole manifest, and answers once it is in force, or names those that have not said so in time."""
+        before = self.held.state.manifest
+        asked = now()
+        got = await self.take(body)
+        if isinstance(got, Err):
+            return got
+        edition = got.unwrap()["edition"]
+        return Ok({"edition": edition, "waits": await self.in_force(edition, before, body["manifest"], asked)})
+
+    async def in_force(self, edition: int, before: Manifest | None, after: Manifest, asked: float) -> list[str]:
+        """Who of the old and the new manifest has neither said that it runs this edition nor is shown not to run.
+
+        A process whose address refuses is not there; one that starts later serves only on fresh news, which are no
+        older than this edition, since it was taken before.
+        """
+        until = asked + self.conf.bounds.manifest
+        mine = self.news.addr(self.conf.name)
+        every = {n: m for man in (before, after) if man for n, m in man["machines"].items()}
+        gone = {n for n, m in after["machines"].items() if m.get("gone")}
+        waits = {n: m["peer"] for n, m in every.items() if n != self.conf.name and n not in gone}
+
+        b, peers = self.conf.bounds, dict(waits)
+
+        def word(got: Answer) -> bool:
+            """Does this answer settle it: the edition runs there, or nothing does?"""
+            if isinstance(got, Err):
+                return got.unwrap_err().hint == "refused"
+            return bool(got.unwrap().get("refused")) or got.unwrap().get("edition", 0) >= edition
+
+        async def one(name: str, addr: str) -> None:
+            turn = 0
+            while name in waits and (left := until - now()) > 0:
+                if turn % 2 == 0:
+                    wait = min(left, b.follow)
+                    ask = {"want": edition, "at": mine, "wait": wait * 0.9}
+                    done = word(await self.lines.call(addr, "ping", ask, wait))
+                else:
+                    # The way from here may be cut, and another's not.
+                    others = self.world.chance.sample(sorted(n for n in peers if n != name), min(3, len(peers) - 1))
+                    ask = {"reach": addr, "want": edition}
+                    got = await asyncio.gather(
+                        *(self.lines.call(peers[o], "ping", ask, min(left, b.follow)) for o in others)
+                    )
+                    done = any(g.is_ok() and word(g) for g in got)
+                if done:
+                    waits.pop(name, None)
+                    return
+                turn += 1
+                await asyncio.sleep(min(left, b.follow / 8))
+
+        await asyncio.gather(*(one(n, a) for n, a in peers.items()))
+        events.emit(144, self.conf.name, edition=edition, waits=",".join(sorted(waits)) or "for nobody")
+        return sorted(waits)
+
+    async def take(self, body: Body) -> Answer:
         """Takes a whole manifest if it was made from the present edition."""
         step, me = "apply", self.conf.name
         got = check(body["manifest"])
@@ -534,7 +589,7 @@
         good = {n: str(a["disk"]) for n, a in looks.items() if a["ok"]} | {self.conf.name: self.disk_id}
         return self.epoch == epoch and majority(pair.voters, good)
 
-    async def on_read(self, _body: Body) -> Answer:
+    async def on_read(self, body: Body) -> Answer:
         if not self.epoch:
             hint = self.witness.pair.primary if self.witness.pair.primary != self.conf.name else ""
             return Err(Fault("read", self.conf.name, "not the primary", MOVED, hint))
@@ -543,6 +598,8 @@
             state = self.held.state
             if not await self.sure():
                 return Err(Fault("read", self.conf.name, "could not be confirmed; ask again", SLOW))
+        if body.get("brief"):
+            return Ok({"edition": state.edition})
         return Ok({"edition": state.edition, "manifest": state.manifest, "losses": state.losses})
 
     async def pass_on(self, verb: str, body: Body) -> Answer:
@@ -559,7 +616,8 @@
             addr = self.addr(todo[0])
             if not addr:
                 continue
-            there = await self.lines.call(addr, verb, body, self.conf.bounds.manifest)
+            # An apply may use the whole bound, and more for the disks before it.
+            there = await self.lines.call(addr, verb, body, self.conf.bounds.manifest * (2 if verb == "apply" else 1))
             if isinstance(there, Err) and there.unwrap_err().unsent:
                 got = Err(Fault(verb, todo[0], there.unwrap_err().why, MOVED))
             else:
@@ -596,8 +654,12 @@
             got = await self.pass_on("apply", {"manifest": raw, "base": int(match)})
         if isinstance(got, Ok):
             body = got.unwrap()
-            shown = body["manifest"] if request.method == "GET" else {"edition": body["edition"]}
-            return JSONResponse(shown, headers={"etag": f'"{body["edition"]}"'})
+            etag = {"etag": f'"{body["edition"]}"'}
+            if request.method == "GET":
+                return JSONResponse(body["manifest"], headers=etag)
+            waits = body["waits"]
+            more = {"unconfirmed": waits} if waits else {}
+            return JSONResponse({"edition": body["edition"]} | more, 202 if waits else 200, headers=etag)
         flaw = got.unwrap_err()
         code = {BAD: 400, OLD: 412, MOVED: 503, SLOW: 503, SHED: 503, CLASH: 409}.get(
             flaw.code, 502 if flaw.code == BROKE else 503
--- a/postpass/daemon.py
+++ b/postpass/daemon.py
@@ -119,6 +119,7 @@
             for name, task in [
                 ("gossip", self.gossip()),
                 ("feed", self.follow()),
+                ("listen", self.listen()),
                 *((getattr(t, "__name__", "task"), t) for t in self.tasks()),
             ]
         ]
@@ -163,8 +164,15 @@
         if "heights" in body:
             return Ok({"heights": self.heights})
         if "reach" in body:
-            got = await self.lines.call(body["reach"], "ping", {}, self.conf.bounds.beat)
-            return Ok({"reached": isinstance(got, Ok)})
+            ask = {"want": body.get("want", 0), "at": self.conf.peer, "wait": self.conf.bounds.beat * 0.9}
+            got = await self.lines.call(body["reach"], "ping", ask, self.conf.bounds.beat)
+            if isinstance(got, Err):
+                return Ok({"reached": False, "refused": got.unwrap_err().hint == "refused"})
+            return Ok({"reached": True, "edition": got.unwrap()["edition"]})
+        if body.get("want", 0) > self.news.edition:
+            # Control has taken a newer edition and wants to know when it is in force here.
+            self.spawn(self.fetch(body["at"]))
+            await self.news.wait(body["want"] - 1, min(float(body["wait"]), self.conf.bounds.manifest))
         return Ok({"name": self.conf.name, "inc": self.inc, "edition": self.news.edition, "version": self.version,
                    "ready": self.ready()})  # fmt: skip
 
@@ -221,6 +229,7 @@
             addr = mate.card["peer"] if mate else self.world.chance.choice(self.conf.seeds)
             if addr == self.conf.peer:
                 continue
+            asked = now()
             got = await self.lines.call(addr, "shuffle", {"cards": offer, "heights": self.heights}, b.follow)
             self.shuffles.labels("ok" if isinstance(got, Ok) else "failed").inc()
             if isinstance(got, Err):
@@ -233,6 +242,7 @@
             self.rise_to(there.get("heights", {}))
             if there["edition"] > self.news.edition:
                 await self.fetch(addr)
+            self.news.hear(there["edition"], asked)
 
     async def doubt(self, name: str, addr: str) -> None:
         """A neighbour that doesn't answer is asked for through others before it is believed gone."""
@@ -268,6 +278,7 @@
                 continue
             addr = sources[turn % len(sources)]
             turn += 1
+            asked = now()
             got = await self.lines.call(
                 addr,
                 "follow",
@@ -281,8 +292,64 @@
                 if mates:
                     await self.fetch(self.world.chance.choice(mates), b.follow / 2)
                 await asyncio.sleep(b.follow / 4)
-            elif not self.news.follow(got.unwrap()):
-                await self.fetch(addr)
+            else:
+                if not self.news.follow(got.unwrap()):
+                    await self.fetch(addr)
+                self.news.hear(got.unwrap()["edition"], asked)
+
+    async def learn(self, addrs: list[str]) -> int:
+        """Asks many which edition they run, and fetches the newest; how many answered."""
+        asked = now()
+        got = await asyncio.gather(*(self.lines.call(a, "ping", {}, self.conf.bounds.follow) for a in addrs))
+        seen = {a: g.unwrap()["edition"] for a, g in zip(addrs, got, strict=True) if isinstance(g, Ok)}
+        best = max(seen, key=lambda a: seen[a], default="")
+        if best and seen[best] > self.news.edition:
+            await self.fetch(best)
+        if best:
+            self.news.hear(seen[best], asked)
+        return len(seen)
+
+    async def listen(self) -> None:
+        """Notices that nobody is heard any more: asks around before it is too late, and tells when it is."""
+        b = self.conf.bounds
+        told = False
+        while True:
+            await asyncio.sleep(b.deaf / 4)
+            man = self.news.manifest
+            if man is not None and now() - self.news.heard > b.deaf / 2:
+                others = sorted(
+                    m["peer"] for n, m in man["machines"].items() if n != self.conf.name and not m.get("gone")
+                )
+                await self.learn(self.world.chance.sample(others, min(len(others), 16)))
+            deaf = man is not None and now() - self.news.heard > b.deaf
+            if deaf != told:
+                told = deaf
+                events.emit(143, self.conf.name, hears="nobody" if deaf else "others")
+
+    async def freshen(self) -> None:
+        """Before a started daemon serves: what it knows must be no older than what was in force at its start.
+
+        Control confirms the edition in force by a round trip between its machines. Without control, an edition
+        that was acknowledged runs at all that serve: more than half of the other machines are asked for theirs.
+        """
+        b = self.conf.bounds
+        began = now()
+        while not self.news.fresh:
+            await asyncio.sleep(b.follow / 4)
+            for addr in self.sources() if self.news.manifest is not None else []:
+                got = await self.lines.call(addr, "read", {"brief": 1}, b.follow)
+                if isinstance(got, Ok):
+                    edition = got.unwrap()["edition"]
+                    if edition > self.news.edition:
+                        await self.fetch(addr)
+                    self.news.fresh = edition <= self.news.edition
+                    break
+            man = self.news.manifest
+            if man is not None and not self.news.fresh and now() - began > b.manifest:
+                others = [m["peer"] for n, m in man["machines"].items() if n != self.conf.name and not m.get("gone")]
+                edition = self.news.edition
+                self.news.fresh = 2 * await self.learn(others) > len(others) and edition == self.news.edition
+        events.emit(142, self.conf.name, edition=self.news.edition, after=f"{now() - began:.2f}")
 
     # --- operators
     async def http_health(self, _request: Request) -> Response:
@@ -299,6 +366,7 @@
         return JSONResponse({
             "name": self.conf.name, "area": self.conf.area, "peer": self.conf.peer, "http": self.conf.http,
             "duties": list(self.conf.duties), "version": self.version, "edition": self.news.edition,
+            "fresh": self.news.fresh, "deaf": self.news.manifest is not None and now() - self.news.heard > self.conf.bounds.deaf,
             "up": round(now() - self.started, 3), "ready": self.ready(), "clash": self.clash,
             "neighbours": sorted(self.circle.mates), **await self.more_status(),
         })  # fmt: skip
--- a/postpass/data.py
+++ b/postpass/data.py
@@ -73,13 +73,13 @@
             self.circle.me["disk"] = self.store.disk_id
         if {"edge", "sched"} & set(self.conf.duties):
             self.session = self.world.session()
-            floor = Floor(self.conf.name, self.world, self.news, self.session, lines=self.lines)
+            floor = Floor(self.conf.name, self.world, self.news, self.session, self.conf.bounds.deaf, lines=self.lines)
             self.floor = floor
             if "edge" in self.conf.duties:
                 self.edge = Edge(self.conf, self.world, self.news, self.lines, floor, self.session, self.registry)
             if "sched" in self.conf.duties:
                 # Its own floor: what the edge of the same machine places is live traffic to the scheduler.
-                self.batch = Floor(self.conf.name, self.world, self.news, self.session)
+                self.batch = Floor(self.conf.name, self.world, self.news, self.session, self.conf.bounds.deaf)
                 self.sched = Sched(
                     self.conf, self.world, self.news, self.lines, self.batch, self.session, self.registry
                 )
@@ -92,11 +92,14 @@
         """What this edge has read off the servers, for edges of its area that don't ask them themselves."""
         return Ok({"spots": self.floor.shown()})
 
+    def ready(self) -> str:
+        return super().ready() or ("" if self.news.fresh else "no fresh news yet")
+
     def routes(self) -> list[Any]:
         return self.edge.routes() if self.edge is not None else []
 
     def tasks(self) -> list[Task]:
-        out: list[Task] = []
+        out: list[Task] = [self.freshen()]
         if self.store is not None:
             out += self.store.tasks()
         if self.edge is not None:
--- a/postpass/edge.py
+++ b/postpass/edge.py
@@ -24,7 +24,7 @@
 from postpass.check import flaws
 from postpass.config import Config
 from postpass.fault import BROKE, CLASH, CROWD, FULL, LACK, MOVED, SHED, SLOW, Fault, Stop
-from postpass.floor import OVER, Floor
+from postpass.floor import DEAF, OVER, Floor
 from postpass.ledger import Ledger, next_move
 from postpass.manifest import Class, Manifest, part_of
 from postpass.models import Prompt, complete
@@ -224,6 +224,8 @@
         log = self.backlogs.setdefault(kind, Backlog())
         if self.news.evacuated(self.conf.name):
             return Err(Fault("let in", self.conf.name, EVACUATED, SHED, hint="another edge"))
+        if now() - self.news.heard > self.conf.bounds.deaf:
+            return Err(Fault("let in", self.conf.name, DEAF, SHED, hint="another edge"))
         if log.size >= self.bound(kind):
             return Err(Fault("let in", self.conf.name, f"the backlog of {kind} is full ({log.size})", CROWD))
         if self.ahead(kind) > left:
@@ -342,7 +344,9 @@
 
     def unready(self) -> JSONResponse | None:
         if self.news.manifest is None:
-            return fault_response(Fault("let in", self.conf.name, "no manifest yet"), 503)
+            return fault_response(Fault("let in", self.conf.name, "no manifest yet", hint="another edge"), 503)
+        if not self.news.fresh:
+            return fault_response(Fault("let in", self.conf.name, "no fresh news yet", hint="another edge"), 503)
         return None
 
     def lot_flaw(self, raw: Any) -> str:
@@ -686,6 +690,11 @@
                 break
             began, started = now(), False
             try:
+                # After a freeze the seat may be an old one: what bars the server now is asked right before it goes.
+                bar = edge.floor.barred(c["pool"], name, edge.stale)
+                if bar:
+                    last = Fault("pass", name, bar, SHED, unsent=True)
+                    continue
                 url = edge.man["pools"][c["pool"]]["servers"][name]["url"]
                 query = scope["query_string"].decode("latin-1")
                 heads = {
--- a/postpass/floor.py
+++ b/postpass/floor.py
@@ -20,6 +20,7 @@
 from postpass.world import World, now
 
 CACHE = 0.95  # a worker whose KV cache is fuller than this gets nothing new
+DEAF = "this daemon hears no other, so it may be out of date"
 FEW = 16  # up to so many edges each reads the servers itself; beyond, two of each area do it for all
 OVER = 1.5  # how far all edges together may overrun a warm worker's slots
 
@@ -49,6 +50,7 @@
     world: World
     news: News
     session: aiohttp.ClientSession
+    deaf: float = 1e18  # who hears no other daemon for so long may place nothing
     lines: Lines | None = None
     spots: dict[tuple[str, str], Spot] = field(default_factory=dict)
     freed: asyncio.Event = field(default_factory=asyncio.Event)
@@ -151,6 +153,8 @@
         server = man["pools"].get(pool, {"servers": {}})["servers"].get(name) if man else None  # type: ignore[call-overload]
         if man is None or server is None:
             return "not in the manifest"
+        if now() - self.news.heard > self.deaf:
+            return DEAF
         if server.get("leave"):
             return "leaving"
         if server["area"] in man.get("evacuated", []):
--- a/postpass/news.py
+++ b/postpass/news.py
@@ -34,12 +34,16 @@
 @dataclass(eq=False)
 class News:
     """Invariants: `edition` only grows, and `manifest` is the checked one of that edition; `feed` holds the
-    last changes, each based on the one before it."""
+    last changes, each based on the one before it; `heard` is the time of the last question that another daemon
+    answered which knew no newer edition; `fresh` is set once, when what is known here is proved to be no older
+    than what was in force as this process started."""
 
     who: str
     manifest: Manifest | None = None
     edition: int = 0
     feed: deque[Change] = field(default_factory=lambda: deque(maxlen=KEPT))
+    heard: float = -1e9
+    fresh: bool = False
     changed: asyncio.Event = field(default_factory=asyncio.Event)
 
     def take(self, edition: int, raw: Any) -> bool:
@@ -57,6 +61,11 @@
         self.changed = asyncio.Event()
         return True
 
+    def hear(self, edition: int, asked: float) -> None:
+        """Another daemon, asked at that time, answered and told the edition it runs."""
+        if edition <= self.edition:
+            self.heard = max(self.heard, asked)
+
     def since(self, place: int) -> dict[str, Any]:
         """What a follower at `place` lacks: the changes from there on, or a snapshot."""
         if place >= self.edition or self.manifest is None:
--- a/postpass/pp.py
+++ b/postpass/pp.py
@@ -20,7 +20,7 @@
 from postpass.doctor import diagnose
 from postpass.manifest import check
 
-FINE, REFUSED, USAGE, UNKNOWN = 0, 1, 2, 3
+FINE, REFUSED, USAGE, UNKNOWN, PENDING = 0, 1, 2, 3, 4
 # Another one in the simulator.
 CONNECTOR: Callable[[], aiohttp.BaseConnector | None] = lambda: None  # noqa: E731
 
@@ -148,6 +148,11 @@
         if got.status == 200:
             print(f"edition {got.body['edition']} is in force")
             return FINE
+        if got.status == 202:
+            names = ", ".join(got.body["unconfirmed"])
+            print(f"edition {got.body['edition']} is taken; not yet confirmed by {names}")
+            print("`pp status` shows when it is complete; applying the same again asks them anew", file=sys.stderr)
+            return PENDING
         if got.status == 412:
             raise Exit(
                 REFUSED,
--- a/postpass/sched.py
+++ b/postpass/sched.py
@@ -189,7 +189,7 @@
         while True:
             await asyncio.sleep(self.pace * (0.9 + 0.2 * self.world.chance.random()))
             man = self.news.manifest
-            if man is None or not self.active:
+            if man is None or not self.active or not self.news.fresh:
                 continue
             kinds = [n for n, c in man["classes"].items() if c["kind"] == "batch"]
             rooms = {k: self.room(man, k) for k in kinds}
--- a/postpass/wire.py
+++ b/postpass/wire.py
@@ -113,7 +113,9 @@
         try:
             reader, writer = await asyncio.wait_for(asyncio.open_connection(host, port, limit=1 << 20), wait)
         except (TimeoutError, OSError) as bad:
-            return Err(Fault("connect", addr, str(bad) or "no answer in time", unsent=True))
+            # Only a refusal proves that no process listens there.
+            hint = "refused" if isinstance(bad, ConnectionRefusedError) else ""
+            return Err(Fault("connect", addr, str(bad) or "no answer in time", hint=hint, unsent=True))
         link = cls(addr, reader, writer)
         link.pump = asyncio.create_task(link._read())
         return Ok(link)
@@ -315,6 +317,7 @@
                 got = await handler(body)
         except (KeyError, TypeError, ValueError) as bad:
             got = Err(Fault(name, self.who, f"{bad!r:.160}", BROKE))
+            events.emit(104, self.who, step=name, peer=str(writer.get_extra_info("peername")), why=f"{bad!r:.160}")
         if isinstance(got, Ok):
             out.success = json.dumps(got.unwrap(), separators=(",", ":"))
         else:
