Bring each dangerous moment about; mend what showed: false ends, stuck owners

Cause: the stream of the published interface numbers nothing. Model servers are now asked for text_offset, and each piece must stand where the last one ended (pools: offsets). Ruled out as causes: sched and edge ledgers (no item done from a cut), the predicate (majority of five held).

--- a/bench/callers.py
+++ b/bench/callers.py
@@ -33,6 +33,8 @@
     once: float = 0.1
     shared: int = 400
     ends: float = 0.0  # part of the lots that are ended soon after they were kept
+    echo: float = 0.0  # part of the lots that are handed in at two edges at once
+    keyed: float = 0.0  # part of the `once` calls that carry a key, and are sent again under it if the answer is unsure
 
 
 @dataclass(eq=False)
@@ -101,7 +103,9 @@
         self, kind: str, once: bool | None = None, key: bool = False, tag: str = "", edge: str = "", hops: int = 3
     ) -> None:
         tag = tag or self.tag(kind)
-        once = self.chance.random() < self.load.once if once is None else once
+        if once is None:
+            once = self.chance.random() < self.load.once
+            key = once and self.load.keyed > 0 and self.chance.random() < self.load.keyed
         group = self.chance.randrange(6)
         size = self.load.pieces.get(kind, 6)
         shared = [f"{kind} handbook {group} " + "x" * self.load.shared]
@@ -165,6 +169,10 @@
             return
         self.tell("call", tag=tag, kind=kind, once=once, key=key, began=began, first=first, end=end, ran=ran, status=status, why=why,
                   retry=wait, got=got, want=words("\n".join([*shared, own])))  # fmt: skip
+        if key and end in ("broken", "error") and status != 409 and hops:
+            # Safe under the key, whatever became of the first: it runs once, or not again.
+            await asyncio.sleep(0.3 * self.chance.random())
+            await self.live(kind, True, True, tag, self.another(edge), hops - 1)
 
     async def view(self, kind: str, edge: str = "", hops: int = 3) -> None:
         path = f"/{kind}/{self.chance.randrange(400)}"
@@ -192,37 +200,37 @@
         self.count += 1
         name = f"{kind}-{self.chance.getrandbits(40):010x}-{self.count}"
         items = [f"lot:{name}:{i} reading #n={3 + self.chance.randrange(4)}" for i in range(size)]
-        began, answer, status, why = self.clock(), "unknown", 0, ""
+        began = self.clock()
         body = {"id": name, "class": kind, "items": items, "within": self.load.within}
-        for _ in range(8):
-            try:
-                async with self.session.post(
-                    f"{self.edge()}/v1/lots", json=body, timeout=aiohttp.ClientTimeout(total=20)
-                ) as got:
-                    status = got.status
-                    raw = json.loads(await got.read())
-                    answer = (
-                        raw["state"]
-                        if status == 201
-                        else raw["error"].get("state", "unknown" if "hint" in raw["error"] else "bad")
-                    )
-                    why = "" if status == 201 else raw["error"]["why"]
-            except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as bad:
-                why = repr(bad)[:100]
-            if answer in ("kept", "shed", "bad") or self.stopped:
-                break
-            await asyncio.sleep(0.5)
-        self.tell(
-            "lot",
-            id=name,
-            kind=kind,
-            size=size,
-            began=began,
-            answer=answer,
-            status=status,
-            why=why,
-            due=began + self.load.within,
-        )
+
+        async def hand_in(tries: int) -> str:
+            answer, status, why = "unknown", 0, ""
+            for _ in range(tries):
+                try:
+                    async with self.session.post(
+                        f"{self.edge()}/v1/lots", json=body, timeout=aiohttp.ClientTimeout(total=20)
+                    ) as got:
+                        status = got.status
+                        raw = json.loads(await got.read())
+                        if status == 201:
+                            answer, why = raw["state"], ""
+                        else:
+                            answer = raw["error"].get("state", "unknown" if "hint" in raw["error"] else "bad")
+                            why = raw["error"]["why"]
+                except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as bad:
+                    why = repr(bad)[:100]
+                if answer in ("kept", "shed", "bad") or self.stopped:
+                    break
+                await asyncio.sleep(0.5)
+            self.tell("lot", id=name, kind=kind, size=size, began=began, answer=answer, status=status, why=why,
+                      due=began + self.load.within)  # fmt: skip
+            return answer
+
+        if self.load.echo > 0 and self.chance.random() < self.load.echo:
+            both = await asyncio.gather(hand_in(8), hand_in(3))
+            answer = "shed" if "shed" in both else "kept" if "kept" in both else both[0]
+        else:
+            answer = await hand_in(8)
         if answer != "kept":
             return
         self.kept.append(name)
--- a/bench/plan.py
+++ b/bench/plan.py
@@ -97,7 +97,7 @@
     spot = out
     *heads, last = path.split(".")
     for head in heads:
-        spot = spot[head]
+        spot = spot.setdefault(head, {})
     if value is None:
         spot.pop(last, None)
     else:
--- a/bench/worker.py
+++ b/bench/worker.py
@@ -46,7 +46,9 @@
     chunk: int = 400  # prompt characters prefilled in a step, beside the decoding of others
     cache_size: int = 64
     room: int = 100_000  # what the KV cache holds, in characters
-    fault: str = ""  # cut, drop, garble, endless, refuse, sick, stall
+    # At piece K: cut:K, garble:K, repeat:K, skip:K, swap:K (with the next), endless:K, end:K (without a last word),
+    # done:K (without a reason). Of the whole: refuse, sick, stall, vary (another answer each time).
+    fault: str = ""
     tap: Callable[[int], None] = lambda _: None  # told before each piece leaves
     chance: random.Random = field(default_factory=lambda: random.Random(1))
     runs: list[Run] = field(default_factory=list)
@@ -56,6 +58,7 @@
     hits: int = 0
     polls: int = 0
     start: float = 0.0
+    count: int = 0
 
     def app(self) -> Starlette:
         self.start = self.wall()
@@ -109,35 +112,55 @@
             self.cache["\n".join(parts[:i])] = None
         while len(self.cache) > self.cache_size:
             self.cache.popitem(last=False)
-        out = words(prompt)[: int(body.get("max_tokens", 256))]
+        self.count += 1
+        asked = words(prompt) if self.fault != "vary" else words(f"{self.name} {self.count} {prompt}")
+        out = asked[: int(body.get("max_tokens", 256))]
         run = Run(prompt, out, max(len(prompt) - known, 1))
         self.log({"ev": "took", "worker": self.name, "tag": tag_of(prompt), "busy": len(self.runs) + len(self.waiting) + 1,
                   "age": self.wall() - self.start})  # fmt: skip
         self.waiting.append(run)
         self.wake.set()
-        return StreamingResponse(self.stream(run), media_type="text/event-stream")
+        return StreamingResponse(self.stream(run, body.get("logprobs") is not None), media_type="text/event-stream")
 
-    async def stream(self, run: Run) -> AsyncIterator[bytes]:
-        def line(text: str, end: str | None) -> bytes:
-            return b"data: " + json.dumps({"object": "text_completion", "choices": [
-                {"index": 0, "text": text, "finish_reason": end}]}).encode() + b"\n\n"  # fmt: skip
+    async def stream(self, run: Run, offsets: bool) -> AsyncIterator[bytes]:
+        def line(text: str, end: str | None, place: int = 0) -> bytes:
+            choice: dict[str, Any] = {"index": 0, "text": text, "finish_reason": end}
+            if offsets:
+                choice["logprobs"] = {"tokens": [text], "text_offset": [place]}
+            return b"data: " + json.dumps({"object": "text_completion", "choices": [choice]}).encode() + b"\n\n"
 
-        count = 0
+        count = place = 0
+        held = b""
         try:
             while (text := await run.pieces.get()) is not None:
                 count += 1
                 self.tap(count)
-                if (self.fault == "cut" and count == 3) or (self.fault == "drop" and count == 1):
+                kind, _, at = self.fault.partition(":")
+                now = kind if at and int(at) == count else ""
+                out = line(text, None, place)
+                place += len(text)
+                if now == "cut":
                     raise ConnectionError("a fault was asked for")
-                if self.fault == "garble" and count == 2:
+                if now == "garble":
                     yield b"data: {garbled\n\n"
                     return
-                yield line(text, None)
-                while self.fault == "endless" or run.endless:
+                if now == "end":
+                    return
+                if now == "done":
+                    yield b"data: [DONE]\n\n"
+                    return
+                if now == "swap":
+                    held = out
+                    continue
+                if now != "skip":
+                    yield out + held + (out if now == "repeat" else b"")
+                held = b""
+                while now == "endless" or run.endless:
                     run.endless = True
-                    yield line("more ", None)
+                    yield line("more ", None, place)
+                    place += len("more ")
                     await asyncio.sleep(self.step / 50)
-            yield line("", "stop")
+            yield held + line("", "stop", place)
             yield b"data: [DONE]\n\n"
         finally:
             run.gone = True
@@ -192,11 +215,14 @@
         self.log({"ev": "took", "worker": self.name, "tag": f"plain:{request.url.path}", "busy": 0, "age": 1e9})
         await asyncio.sleep(self.pause)
         data = plain(request.url.path)
-        if self.fault == "cut":
+        kind, _, at = self.fault.partition(":")
+        if kind in ("cut", "bare"):
+            # cut:N after N bytes of a known length; bare:N after N bytes of an answer that tells no length.
 
             async def half() -> AsyncIterator[bytes]:
-                yield data[: len(data) // 2]
+                yield data[: int(at)]
                 raise ConnectionError("a fault was asked for")
 
-            return StreamingResponse(half(), media_type="text/plain", headers={"content-length": str(len(data))})
+            heads = {"content-length": str(len(data))} if kind == "cut" else {}
+            return StreamingResponse(half(), media_type="text/plain", headers=heads)
         return Response(data, media_type="text/plain")
--- a/postpass/edge.py
+++ b/postpass/edge.py
@@ -566,7 +566,7 @@
                 async with asyncio.timeout(until - now()):
                     async for text in complete(
                         edge.session, server["url"], model, prompt, lambda name=name: edge.floor.barred(c["pool"], name, edge.stale),  # type: ignore[misc]
-                        sent, max(0.1, until - now()), edge.news.limit("pieces"),
+                        sent, max(0.1, until - now()), edge.news.limit("pieces"), edge.man["pools"][pool].get("offsets", True),
                     ):  # fmt: skip
                         if count == 0:
                             ledger = ledger.mark("first")
@@ -708,6 +708,10 @@
                         headers=heads, allow_redirects=False,
                     ) as got,
                 ):  # fmt: skip
+                    known = {"content-length", "transfer-encoding"} & {k.lower() for k in got.headers}
+                    if not known and scope["method"] != "HEAD" and got.status not in (204, 304):
+                        # Its end would be the connection's, which looks the same when it is cut.
+                        raise aiohttp.ClientPayloadError("an answer without a length")
                     if got.status == 503 and again:
                         last = Fault("pass", url, "status 503", SHED)
                         continue
--- a/postpass/manifest.py
+++ b/postpass/manifest.py
@@ -36,6 +36,8 @@
     kind: Literal["model", "plain"]
     servers: dict[str, Server]
     weights: NotRequired[str]
+    # Are model servers asked for the place of each piece? Yes if left out.
+    offsets: NotRequired[bool]
 
 
 class Class(TypedDict):
--- a/postpass/models.py
+++ b/postpass/models.py
@@ -10,6 +10,7 @@
 import json
 from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass
+from typing import Any
 
 import aiohttp
 from prometheus_client.parser import text_string_to_metric_families
@@ -80,6 +81,12 @@
         return "\n".join([*self.shared, self.own])
 
 
+def place_of(choice: dict[str, Any]) -> int:
+    """Where a piece stands in the text, or -1 if the worker doesn't tell."""
+    places = (choice.get("logprobs") or {}).get("text_offset") or [-1]
+    return int(places[0])
+
+
 async def complete(
     session: aiohttp.ClientSession,
     url: str,
@@ -89,16 +96,19 @@
     sent: Callable[[], None],
     idle: float,
     pieces: int,
+    offsets: bool = False,
 ) -> AsyncIterator[str]:
     """Streams a completion's pieces; ends normally only if the worker said that it was whole.
 
+    With `offsets` the worker is asked for the place of each piece in the text (`logprobs.text_offset`, as the
+    interface calls it), so that a piece that is skipped, repeated or out of order is told from the next one.
+
     `gate` is asked right before the body's bytes go out: a word from it closes the call unsent. `sent`
     is told at that moment. Any fault is raised as Stop; `unsent` in it is a proof.
     """
     left = False
-    data = json.dumps(
-        {"model": model, "prompt": prompt.text, "stream": True, "max_tokens": prompt.most}, ensure_ascii=False
-    ).encode()
+    ask = {"model": model, "prompt": prompt.text, "stream": True, "max_tokens": prompt.most}
+    data = json.dumps(ask | ({"logprobs": 0} if offsets else {}), ensure_ascii=False).encode()
 
     async def body() -> AsyncIterator[bytes]:
         nonlocal left
@@ -111,6 +121,7 @@
 
     heads = {"content-type": "application/json", "content-length": str(len(data))}
     count = 0
+    first, size = -1, 0  # where the text begins, and how much of it has come
     ended = ""
     limit = aiohttp.ClientTimeout(total=None, sock_connect=1.0, sock_read=idle)
     try:
@@ -139,6 +150,18 @@
                 text, ended = choice["text"], choice.get("finish_reason") or ""
                 if not isinstance(text, str):
                     raise Stop(Fault("complete", url, "a piece that is no text", BROKE))
+                place = place_of(choice) if offsets else -1
+                if not text and place >= 0 and first >= 0 and place != first + size:
+                    raise Stop(Fault("complete", url, f"cut after {count} pieces: the end is out of place", BROKE))
+                if text and offsets:
+                    if place < 0:
+                        why = "pieces without their place in the text; set offsets: false on its pool"
+                        raise Stop(Fault("complete", url, why, BROKE))
+                    if first < 0 and place in (0, len(prompt.text)):  # some servers count from the prompt's start
+                        first = place
+                    if first < 0 or place != first + size:
+                        raise Stop(Fault("complete", url, f"cut after {count} pieces: the next is out of place", BROKE))
+                    size += len(text)
                 if text:
                     count += 1
                     if count > pieces:
--- a/postpass/part.py
+++ b/postpass/part.py
@@ -74,6 +74,7 @@
     recorder: Recorder = field(default_factory=Recorder)
     follows: dict[str, Follow] = field(default_factory=dict)
     waits: list[tuple[int, str, asyncio.Future[bool]]] = field(default_factory=list)
+    stuck: float = 0.0  # since when no covering set is left, though all have answered; 0 if one is
     areas: dict[str, str] = field(default_factory=dict)
 
     # as mirror: packets of a record that is not yet whole
@@ -164,6 +165,13 @@
     def can_cover(self, names: set[str]) -> bool:
         return all(covers(self.pred(t, c), names & set(c)) for c, t in self.rules(self.view))
 
+    def hopeless(self, disks: Crew) -> bool:
+        """With these disks for good, can some rule that counts never be met again?"""
+        return any(
+            not covers(self.pred(t, c), {n for n, d in c.items() if disks.get(n) == d})
+            for c, t in self.rules(self.view)
+        )
+
     def lead(self, epoch: int) -> None:
         self.epoch, self.owner, self.aligned = epoch, self.me, epoch
         self.view = head(self.tape)
@@ -173,7 +181,7 @@
         self.follows, self.gather, self.waits = {}, [], []
 
     def step_down(self) -> None:
-        self.epoch, self.aligned, self.mark = 0, 0, 0
+        self.epoch, self.aligned, self.mark, self.stuck = 0, 0, 0, 0.0
         self.view, self.recorder, self.follows = LotView(), Recorder(), {}
         for _, _, future in self.waits:
             if not future.done():
--- a/postpass/sched.py
+++ b/postpass/sched.py
@@ -310,7 +310,7 @@
             model = spot.seen.weights if spot.seen else ""
             async for text in complete(
                 self.session, url, model, job.prompt, lambda: self.gate(job, pool), lambda: None,
-                self.conf.bounds.recover, self.news.limit("pieces"),
+                self.conf.bounds.recover, self.news.limit("pieces"), man["pools"][pool].get("offsets", True),
             ):  # fmt: skip
                 out.append(text)
                 job.pieces += 1
--- a/postpass/store.py
+++ b/postpass/store.py
@@ -556,6 +556,14 @@
         else:
             part.heard = t
         self.kick_all(part)
+        if self.lost_cover(part):
+            part.stuck = part.stuck or t
+            if t - part.stuck > b.detect:
+                # Nothing can be covered any more from here: only an election, which all answer, may go on.
+                self.fall(part, part.epoch)
+                return
+        else:
+            part.stuck = 0.0
         if not part.ready:
             return
         try:
@@ -577,6 +585,15 @@
                     self.hand_on(part, name)
                     return
 
+    def lost_cover(self, part: Part) -> bool:
+        """Have all members answered, or been declared gone, and no covering set of their disks is left?"""
+        t, b = now(), self.conf.bounds
+        names = [n for n in self.names(part, part.view) if self.news.addr(n)]
+        there = {n: f for n in names if (f := part.follows.get(n)) is not None and f.disk}
+        if len(there) < len(names) or any(f.silent or t - f.heard > b.detect for f in there.values()):
+            return False
+        return part.hopeless({n: f.disk for n, f in there.items()} | {self.conf.name: self.disk_id})
+
     def hand_on(self, part: Part, name: str) -> None:
         events.emit(126, self.conf.name, part=part.id, to=name, epoch=part.epoch)
         epoch = part.epoch
--- a/sim/broken.py
+++ b/sim/broken.py
@@ -178,10 +178,10 @@
 CASES: dict[str, tuple[Patch, str]] = {
     "lost": (kept_at_once, "load lot=24x2\nrun 6\nsettle 10\nat 3 cut owner:0 stores for 1.2\nat 4.1 wipe owner:0 for 1"),
     "changed": (last_result_wins, "load lot=1x6\nrun 6\nsettle 10"),
-    "unwhole": (cut_is_an_end, "load lot=1x6\nrun 8\nsettle 10\nat 2 fault w1 cut for 5"),
+    "unwhole": (cut_is_an_end, "load lot=1x6\nrun 8\nsettle 10\nat 2 fault w1 cut:3 for 5"),
     "refused_ran": (refuses_what_it_took, "load lot=1x6\nrun 8\nsettle 5"),
     "ended_ran": (ending_is_forgotten, "fleet workers=1 slots=2\nload lot=1x60 ends=1\nrun 6\nsettle 1"),
-    "twice": (once_is_ignored, "load ask=8 once=0.9\nrun 8\nat 2 fault w1 drop for 3"),
+    "twice": (once_is_ignored, "load ask=8 once=0.9\nrun 8\nat 2 fault w1 cut:1 for 3"),
     "spliced": (goes_on_elsewhere, CRASHES),
     "wrong_caller": (mixes_up_prompts, "load ask=5\nrun 4"),
     "leaving": (leaving_is_ignored, "load ask=6\nrun 12\nat 2 apply pools.gpu.servers.w1.leave=true"),
--- a/sim/fleet.py
+++ b/sim/fleet.py
@@ -303,6 +303,17 @@
                 await asyncio.sleep(0.4)
         return 0
 
+    async def get(self, via: str) -> tuple[dict[str, Any], int] | None:
+        """The manifest in force and its edition, as a control machine tells them."""
+        url = f"http://{self.man['machines'][via]['http']}/v1/manifest"
+        try:
+            async with self.session() as session:
+                async with session.get(url, timeout=aiohttp.ClientTimeout(total=3, sock_connect=0.5)) as got:
+                    edition = int(got.headers.get("etag", '"0"').strip('"'))
+                    return (await got.json(), edition) if got.status == 200 else None
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            return None
+
     async def read_back(self) -> None:
         """Reads the manifest back at each control machine in turn."""
         async with self.session() as session:
--- a/sim/runner.py
+++ b/sim/runner.py
@@ -152,12 +152,12 @@
 def loaded(text: dict[str, str]) -> Load:
     live, plain, lots, more = {}, {}, {}, {}
     for key, val in text.items():
-        if "x" in val and key not in ("within", "once", "ends", "shared"):
+        if "x" in val and key not in ("within", "once", "ends", "shared", "echo", "keyed"):
             rate, size = val.split("x")
             lots[key] = (float(rate), int(size))
         elif key in ("view", "tiles"):
             plain[key] = float(val)
-        elif key in ("within", "once", "ends"):
+        elif key in ("within", "once", "ends", "echo", "keyed"):
             more[key] = float(val)
         else:
             live[key] = float(val)
@@ -172,7 +172,7 @@
         span = float(args[-1])
         args = args[:-2]
     verb = a.verb
-    if args and verb not in ("apply", "race", "routes", "read", "add") and not fleet.pick(args[0]):
+    if args and verb not in ("apply", "race", "routes", "read", "add", "area") and not fleet.pick(args[0]):
         return  # nobody holds that duty now
     if verb in ("kill", "power", "wipe"):
         names = [fleet.pick(x) for x in args]  # all before the first falls: roles move at once
@@ -180,6 +180,12 @@
             getattr(fleet, verb)(name)
             if span:
                 later(span, partial(fleet.start, name))
+    elif verb == "area":
+        # area power|wipe|kill WHO: all machines, workers and back ends that stand where WHO stands.
+        spot = fleet.boxes[fleet.pick(args[1])].area
+        for name in [n for n, b in fleet.boxes.items() if b.area == spot and b.up]:
+            getattr(fleet, args[0])(name)
+            later(span, partial(fleet.start, name))
     elif verb == "start":
         fleet.start(fleet.pick(args[0]))
     elif verb == "freeze":
@@ -234,11 +240,10 @@
         pairs_ = [x.split("=", 1) for x in args]
         fleet.out(change(fleet, pairs_))
     elif verb == "race":
-        # Two operators, each with a change of its own, made from the same edition.
+        # Several operators, each with a change of its own, made from the same edition, at a control machine of its own.
         for i, x in enumerate(args):
             key, val = x.split("=", 1)
-            via = fleet.controls()[i % len(fleet.controls())]
-            fleet.out(fleet.apply(changed(fleet.man, key, value(val)), fleet.edition, f"op{i + 1}", via))
+            fleet.out(one_operator(fleet, key, value(val), f"op{i + 1}", i))
     elif verb == "routes":
         man = fleet.man
         for i in range(int(args[0])):
@@ -276,6 +281,19 @@
         fleet.out(fleet.read_back())
 
 
+async def one_operator(fleet: SimFleet, key: str, val: Any, who: str, first: int) -> None:
+    """Makes a change as one of several operators: who loses gets the manifest anew and makes the change from there."""
+    man, base = fleet.man, fleet.edition
+    for i in range(first, first + 6):
+        via = fleet.controls()[i % len(fleet.controls())]
+        got = await fleet.apply(changed(man, key, val), base, who, via)
+        if got > 0:
+            return
+        seen = await fleet.get(via)
+        if seen is not None:
+            man, base = seen
+
+
 async def change(fleet: SimFleet, pairs: list[list[str]]) -> None:
     man = fleet.man
     for key, val in pairs:
@@ -307,7 +325,7 @@
 
 
 VERBS = {"kill", "power", "wipe", "start", "freeze", "isolate", "cut", "cutone", "slow", "stall", "failsync", "fill", "damage",
-         "fault", "apply", "race", "routes", "add", "replace", "version", "read"}  # fmt: skip
+         "fault", "apply", "race", "routes", "add", "replace", "version", "read", "area"}  # fmt: skip
 
 
 @dataclass(eq=False)
--- a/sim/sweep.py
+++ b/sim/sweep.py
@@ -27,7 +27,7 @@
     s = Scenario(f"sweep-{seed}")
     s.fleet = {"edges": 3, "workers": chance.choice([2, 3, 4]), "scheds": 3, "slots": chance.choice([4, 8])}
     s.load = {"ask": str(chance.choice([2, 5])), "lot": f"{chance.choice([1, 2])}x5", "view": "1", "within": "90",
-              "ends": str(chance.choice([0, 0.2, 0.5])), "once": str(chance.choice([0.1, 0.6]))}  # fmt: skip
+              "ends": str(chance.choice([0, 0.2, 0.5])), "once": str(chance.choice([0.1, 0.6])), "keyed": "0.5", "echo": str(chance.choice([0, 0.5]))}  # fmt: skip
     s.run, s.settle = SPAN + 4, 80.0
     s.tune = {"segment_bytes": chance.choice([8192, 65536, 1 << 20]), "buffer_bytes": chance.choice([65536, 1 << 20])}
     rest = 9.0
@@ -75,7 +75,20 @@
                     "fault",
                     (
                         chance.choice(["w1", "w2"]),
-                        chance.choice(["cut", "drop", "garble", "endless", "refuse", "sick"]),
+                        chance.choice(
+                            [
+                                "cut:3",
+                                "cut:1",
+                                "garble:2",
+                                "repeat:2",
+                                "swap:1",
+                                "skip:2",
+                                "end:2",
+                                "endless:2",
+                                "refuse",
+                                "sick",
+                            ]
+                        ),
                         "for",
                         span,
                     ),
