--- a/postpass/config.py
+++ b/postpass/config.py
@@ -66,6 +66,15 @@
     def stagger(self) -> float:
         return self.recover / 24
 
+    @property
+    def drain(self) -> float:
+        """How long calls under way may take to come to their end once the daemon was told to leave."""
+        return self.recover * 2
+
+    @property
+    def hand(self) -> float:
+        return self.leave / 2
+
     @property
     def promise(self) -> float:
         return self.recover / 12
--- a/postpass/control.py
+++ b/postpass/control.py
@@ -125,7 +125,7 @@
 
     def handlers(self) -> dict[str, Any]:
         return {"look": self.on_look, "grant": self.on_grant, "copy": self.on_copy, "apply": self.on_apply,
-                "read": self.on_read}  # fmt: skip
+                "read": self.on_read, "adopt": self.on_adopt}  # fmt: skip
 
     def routes(self) -> list[Any]:
         return [Route("/v1/manifest", self.http_manifest, methods=["GET", "PUT"])]
@@ -147,6 +147,7 @@
             events.emit(113, self.conf.name, why=self.bad)
             self.failed = Fault("sync", self.conf.name, self.bad)
             self.stop.set()
+            self.closed.set()
             raise Stop(self.failed) from bad
 
     def about(self) -> Body:
@@ -355,7 +356,10 @@
         # One at most joins or leaves the voters in an epoch, unless all of them have answered.
         now_voters = got if every else voters
         rest = [n for n in self.crew(man) if n != me and n in good]
-        liked = sorted(rest, key=lambda n: (n == start.pair.primary and why == "primary lost", self.crew(man).index(n)))
+        liked = sorted(
+            rest,
+            key=lambda n: (n == start.pair.primary and why in ("primary lost", "handed over"), self.crew(man).index(n)),
+        )
         backup = liked[0] if liked else ""
         pair = Pair(epoch, me, backup, now_voters)
         held = Held(epoch, pair, state)
@@ -404,7 +408,7 @@
             try:
                 if self.epoch:
                     await self.lead(man)
-                else:
+                elif not self.leaving:
                     await self.watch(man)
             except Stop as bad:
                 events.emit(103, self.conf.name, step=bad.fault.step, why=bad.fault.why)
@@ -576,6 +580,25 @@
                 return Err(Fault(step, me, "not known whether it was taken; ask again", SLOW))
             return Ok({"edition": state.edition + 1})
 
+    async def depart(self) -> None:
+        """A primary that leaves asks its backup to lead, instead of being missed."""
+        async with self.lock:
+            epoch, addr = self.epoch, self.addr(self.held.pair.backup)
+            if not epoch or not addr:
+                return
+            self.epoch = 0
+            events.emit(131, self.conf.name, epoch=epoch, seen="handed over")
+        await self.lines.call(addr, "adopt", {"epoch": epoch}, self.conf.bounds.promise * 2)
+
+    async def on_adopt(self, body: Body) -> Answer:
+        """The primary of an epoch leaves and won't write under it again: its backup may stand at once."""
+        man = self.known()
+        async with self.lock:
+            if man is None or self.epoch or self.held.whole != body["epoch"] or self.conf.name != self.held.pair.backup:
+                return Ok({"ok": False})
+            got = await self.stand(man, "handed over")
+        return Ok({"ok": isinstance(got, Ok)})
+
     async def sure(self) -> bool:
         """A round trip to the backup, or without one to most voters: no one else leads."""
         epoch, pair = self.epoch, self.held.pair
--- a/postpass/daemon.py
+++ b/postpass/daemon.py
@@ -40,12 +40,15 @@
 
 @dataclass(eq=False)
 class Daemon:
-    """Invariants: `stop` is set once and never cleared; a task that fails ends the daemon."""
+    """Invariants: `stop` is set once and never cleared; a task that fails ends the daemon; `closed` follows `stop`,
+    after what is done here has been handed over if that is possible."""
 
     conf: Config
     world: World
     version: str = VERSION
     stop: asyncio.Event = field(default_factory=asyncio.Event)
+    closed: asyncio.Event = field(default_factory=asyncio.Event)
+    leaving: bool = False
 
     def __post_init__(self) -> None:
         self.news = News(self.conf.name)
@@ -91,6 +94,9 @@
         """Empty if ready to serve; else what is lacking."""
         return "" if self.news.manifest else "no manifest yet"
 
+    async def depart(self) -> None:
+        """Hands over what only one daemon does; called once, when this one has been told to leave."""
+
     async def more_status(self) -> Body:
         return {}
 
@@ -120,6 +126,7 @@
                 ("gossip", self.gossip()),
                 ("feed", self.follow()),
                 ("listen", self.listen()),
+                ("leave", self.leave()),
                 *((getattr(t, "__name__", "task"), t) for t in self.tasks()),
             ]
         ]
@@ -131,7 +138,7 @@
             http=self.conf.http,
         )
         try:
-            await serve_http(self.app(), host, number, self.stop)
+            await serve_http(self.app(), host, number, self.closed, self.conf.bounds.drain)
         finally:
             await port.close()
             self.lines.close()
@@ -139,6 +146,18 @@
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
 
+    async def leave(self) -> None:
+        """Told to leave: hands over first; one that failed just goes."""
+        await self.stop.wait()
+        if self.failed is None:
+            self.leaving = True
+            events.emit(105, self.conf.name)
+            try:
+                await asyncio.wait_for(self.depart(), self.conf.bounds.recover / 4)
+            except (TimeoutError, Stop):
+                pass
+        self.closed.set()
+
     async def guard(self, name: str, task: Task) -> None:
         """A task that ends with an error ends the daemon: better gone, and seen, than half alive."""
         try:
@@ -149,11 +168,13 @@
             self.failed = bad.fault
             events.emit(103, self.conf.name, task=name, step=bad.fault.step, peer=bad.fault.peer, why=bad.fault.why)
             self.stop.set()
+            self.closed.set()
         except Exception as bad:
             self.failed = Fault(name, self.conf.name, repr(bad))
             events.emit(103, self.conf.name, task=name, why=repr(bad))
             logging.exception("task %s", name)
             self.stop.set()
+            self.closed.set()
 
     # --- neighbours
     def word(self) -> Card:
@@ -174,7 +195,7 @@
             self.spawn(self.fetch(body["at"]))
             await self.news.wait(body["want"] - 1, min(float(body["wait"]), self.conf.bounds.manifest))
         return Ok({"name": self.conf.name, "inc": self.inc, "edition": self.news.edition, "version": self.version,
-                   "ready": self.ready()})  # fmt: skip
+                   "ready": self.ready(), "leaving": self.leaving})  # fmt: skip
 
     async def on_shuffle(self, body: Body) -> Result[Body, Fault]:
         self.word()
@@ -366,7 +387,7 @@
         return JSONResponse({
             "name": self.conf.name, "area": self.conf.area, "peer": self.conf.peer, "http": self.conf.http,
             "duties": list(self.conf.duties), "version": self.version, "edition": self.news.edition,
-            "fresh": self.news.fresh, "deaf": self.news.manifest is not None and now() - self.news.heard > self.conf.bounds.deaf,
+            "fresh": self.news.fresh, "leaving": self.leaving, "deaf": self.news.manifest is not None and now() - self.news.heard > self.conf.bounds.deaf,
             "up": round(now() - self.started, 3), "ready": self.ready(), "clash": self.clash,
             "neighbours": sorted(self.circle.mates), **await self.more_status(),
         })  # fmt: skip
--- a/postpass/data.py
+++ b/postpass/data.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
@@ -92,7 +93,23 @@
         """What this edge has read off the servers, for edges of its area that don't ask them themselves."""
         return Ok({"spots": self.floor.shown()})
 
+    async def depart(self) -> None:
+        """New calls go to other edges at once; the schedule, then the partitions, go to whoever comes next. Kept
+        connections get a moment in which their next call is told to go elsewhere, rather than being cut."""
+        if self.edge is not None:
+            self.edge.leaving = True
+        if self.sched is not None:
+            self.sched.leave()
+        if self.store is not None:
+            await self.store.leave()
+        if self.edge is not None:
+            await asyncio.sleep(self.conf.bounds.hand)
+        if self.sched is not None:
+            await self.sched.drain()
+
     def ready(self) -> str:
+        if self.leaving:
+            return "it is leaving"
         return super().ready() or ("" if self.news.fresh else "no fresh news yet")
 
     def routes(self) -> list[Any]:
--- a/postpass/edge.py
+++ b/postpass/edge.py
@@ -35,6 +35,7 @@
 
 NAME = re.compile(r"[A-Za-z0-9._\-]{1,80}")
 TRIES = 3
+LEAVING = "this edge is leaving; use another edge"
 EVACUATED = "this area is evacuated; use another edge"
 
 
@@ -65,6 +66,8 @@
     """One JSON shape for every refusal; where waiting helps, it says how long."""
     wait = more.pop("wait", 1 if code in (429, 503, 504, 507) else 0)
     heads = {"retry-after": str(max(1, math.ceil(wait)))} if wait else {}
+    if flaw.why == LEAVING:
+        heads["connection"] = "close"
     return JSONResponse({"error": flaw.as_json() | more}, code, headers=heads)
 
 
@@ -85,6 +88,7 @@
     pace: dict[str, float] = field(default_factory=dict)  # seconds a call takes, by class, smoothed
     owners: dict[int, str] = field(default_factory=dict)
     retries: float = 10.0
+    leaving: bool = False
 
     def __post_init__(self) -> None:
         reg = self.registry
@@ -222,6 +226,8 @@
     def let_in(self, kind: str, left: float) -> Result[None, Fault]:
         """Sheds early: a call that would wait past its deadline is told so now."""
         log = self.backlogs.setdefault(kind, Backlog())
+        if self.leaving:
+            return Err(Fault("let in", self.conf.name, LEAVING, SHED, hint="another edge"))
         if self.news.evacuated(self.conf.name):
             return Err(Fault("let in", self.conf.name, EVACUATED, SHED, hint="another edge"))
         if now() - self.news.heard > self.conf.bounds.deaf:
@@ -381,8 +387,9 @@
         flaw = self.lot_flaw(raw)
         if flaw:
             return fault_response(Fault("read body", self.conf.name, flaw), 400)
-        if self.news.evacuated(self.conf.name):
-            return fault_response(Fault("let in", self.conf.name, EVACUATED, hint="another edge"), 503)
+        if self.leaving or self.news.evacuated(self.conf.name):
+            why = LEAVING if self.leaving else EVACUATED
+            return fault_response(Fault("let in", self.conf.name, why, hint="another edge"), 503)
         named = "id" in raw
         lot: Body = {
             "id": raw["id"] if named else f"lot-{self.world.chance.getrandbits(64):016x}", "class": raw["class"],
--- a/postpass/events.py
+++ b/postpass/events.py
@@ -10,6 +10,7 @@
 CATALOGUE: dict[int, tuple[str, str]] = {
     100: ("started", "A daemon serves; its duties and addresses follow."),
     101: ("stopping", "SIGTERM or SIGINT was taken; open calls come to their end, then the process leaves."),
+    105: ("handing-over", "This daemon leaves: what it owns, schedules or leads goes to another before it stops."),
     102: ("link-closed", "An internal link was closed; step and peer follow. Foreign or oversized bytes end here too."),
     103: ("task-failed", "A task of the daemon ended with an error it did not expect; it is started again."),
     104: ("handler-failed", "A message of a peer met an error in its handler; step and peer follow, the peer is told."),
--- a/postpass/sched.py
+++ b/postpass/sched.py
@@ -74,6 +74,7 @@
     jobs: dict[tuple[int, str, int], Job] = field(default_factory=dict)
     leases: dict[int, float] = field(default_factory=dict)
     owners: dict[int, str] = field(default_factory=dict)
+    leaving: bool = False
     # Settings of the simulator, to measure against a plain baseline.
     borrow: bool = True
     reserve: bool = True
@@ -110,10 +111,12 @@
             for name, answer in zip(before, got, strict=True):
                 alive = isinstance(answer, Ok) and not answer.unwrap()["ready"]
                 missed[name] = 0 if alive else missed[name] + 1
+                if isinstance(answer, Ok) and answer.unwrap()["leaving"]:
+                    missed[name] = 1 << 20  # it has said so: nothing to wait for
             dead = all(missed[n] * b.beat >= b.detect / 2 for n in before)
             if self.active and before and any(missed[n] == 0 for n in before):
                 self.turn(False, "one before it is back")
-            elif not self.active and dead:
+            elif not self.active and dead and not self.leaving:
                 self.turn(True, "the first live one")
 
     def turn(self, on: bool, why: str) -> None:
@@ -128,6 +131,17 @@
                 self.drop(job)
             self.leases.clear()
 
+    def leave(self) -> None:
+        """Takes and sends no more; what runs may come to its end."""
+        self.leaving = True
+        for job in [j for j in self.jobs.values() if j.task is None]:
+            self.drop(job)
+
+    async def drain(self) -> None:
+        while running := [j.task for j in self.jobs.values() if j.task is not None]:
+            await asyncio.wait(running)
+        self.turn(False, "it is leaving")
+
     def drop(self, job: Job) -> None:
         self.jobs.pop(job.key, None)
         if job.task is not None:
@@ -191,6 +205,10 @@
             man = self.news.manifest
             if man is None or not self.active or not self.news.fresh:
                 continue
+            if self.leaving:
+                # Keeps the leases of what still runs here.
+                await asyncio.gather(*(self.poll(part, {}) for part in {j.part for j in self.jobs.values()}))
+                continue
             kinds = [n for n, c in man["classes"].items() if c["kind"] == "batch"]
             rooms = {k: self.room(man, k) for k in kinds}
             for kind in kinds:
--- a/postpass/store.py
+++ b/postpass/store.py
@@ -71,6 +71,7 @@
     rise_to: Callable[[dict[str, int]], None] = lambda _: None
     ask_heights: Callable[[], Awaitable[int]] | None = None
     heights: dict[str, int] = field(default_factory=dict)
+    leaving: bool = False
     # A setting for measurements only: wait for each mirror's reply before the next record goes out.
     wait_each: bool = False
 
@@ -173,7 +174,7 @@
         order = self.news.order(part.id)
         crew = part.tape.base.crew if isinstance(part.tape.base, LotView) else {}
         ranks = order + [n for n in sorted(crew) if n not in order]
-        if self.conf.name not in ranks or part.trial:
+        if self.conf.name not in ranks or part.trial or self.leaving:
             return
         b = self.conf.bounds
         if now() - part.heard > b.detect + ranks.index(self.conf.name) * b.stagger:
@@ -575,13 +576,7 @@
         if order and order[0] != self.conf.name:
             for name in order[: order.index(self.conf.name)] if self.conf.name in order else order:
                 f = part.follows.get(name)
-                well = f is not None and not f.silent and t - f.heard < b.beat * 4 and t - f.since > b.detect
-                if (
-                    well
-                    and f is not None
-                    and part.view.crew.get(name) == f.disk
-                    and part.recorder.get(name, f.disk, "persisted") >= part.covered
-                ):
+                if f is not None and t - f.since > b.detect and self.fit(part, name):
                     self.hand_on(part, name)
                     return
 
@@ -594,6 +589,24 @@
             return False
         return part.hopeless({n: f.disk for n, f in there.items()} | {self.conf.name: self.disk_id})
 
+    async def leave(self) -> None:
+        """Hands each partition that is owned here to the first in its order that has all of it."""
+        self.leaving = True
+        for part in [p for p in self.parts.values() if p.owning and p.ready]:
+            able = [n for n in self.names(part, part.view) if self.fit(part, n)]
+            if able:
+                self.hand_on(part, able[0])
+        await asyncio.gather(*self.trials)
+        # The handed-on lots find their owner before this one stops pointing the way.
+        await asyncio.sleep(self.conf.bounds.beat)
+
+    def fit(self, part: Part, name: str) -> bool:
+        """Could this member own the partition now, without anything to wait for?"""
+        f, b, t = part.follows.get(name), self.conf.bounds, now()
+        if f is None or f.silent or t - f.heard >= b.beat * 4 or part.view.crew.get(name) != f.disk:
+            return False
+        return part.recorder.get(name, f.disk, "persisted") >= part.covered
+
     def hand_on(self, part: Part, name: str) -> None:
         events.emit(126, self.conf.name, part=part.id, to=name, epoch=part.epoch)
         epoch = part.epoch
@@ -687,7 +700,7 @@
         part, epoch = self.part(body["part"]), body["epoch"]
         about: Body = {"disk": self.disk_id, "promised": part.promised}
         if body.get("hand"):
-            if part.aligned == epoch and not part.trial and not part.owning:
+            if part.aligned == epoch and not part.trial and not part.owning and not self.leaving:
                 self.stand_soon(part, epoch)
             return Ok(about | {"ok": True})
         if body.get("confirm"):
--- a/sim/check.py
+++ b/sim/check.py
@@ -118,8 +118,14 @@
         if e["once"] and ran[e["tag"]] > 1
     ]
     last = {e["tag"]: e for e in h.of("call")}
-    return out + [f"{tag} was said never to run and ran {ran[tag]} times" for tag, e in last.items()
-                  if e["ran"] == "never" and ran[tag] > sum(x["ran"] != "never" for x in h.of("call") if x["tag"] == tag)]  # fmt: skip
+    sent: dict[str, int] = defaultdict(int)
+    for e in h.of("call"):
+        sent[e["tag"]] += e["ran"] != "never"
+    return out + [
+        f"{tag} was said never to run and ran {ran[tag]} times"
+        for tag, e in last.items()
+        if e["ran"] == "never" and ran[tag] > sent[tag]
+    ]
 
 
 def spliced(h: History) -> list[str]:
--- a/sim/fleet.py
+++ b/sim/fleet.py
@@ -175,6 +175,12 @@
             self.loop.kill(box.host, silent)
         box.daemon = None
 
+    def term(self, name: str) -> None:
+        """SIGTERM: the daemon is told to leave, and does so by itself."""
+        daemon = self.boxes[name].daemon
+        if daemon is not None:
+            daemon.stop.set()
+
     def power(self, name: str) -> None:
         self.kill(name, silent=True)
         disk = self.boxes[name].disk
@@ -307,10 +313,10 @@
         """The manifest in force and its edition, as a control machine tells them."""
         url = f"http://{self.man['machines'][via]['http']}/v1/manifest"
         try:
-            async with self.session() as session:
-                async with session.get(url, timeout=aiohttp.ClientTimeout(total=3, sock_connect=0.5)) as got:
-                    edition = int(got.headers.get("etag", '"0"').strip('"'))
-                    return (await got.json(), edition) if got.status == 200 else None
+            limit = aiohttp.ClientTimeout(total=3, sock_connect=0.5)
+            async with self.session() as session, session.get(url, timeout=limit) as got:
+                edition = int(got.headers.get("etag", '"0"').strip('"'))
+                return (await got.json(), edition) if got.status == 200 else None
         except (aiohttp.ClientError, OSError, TimeoutError):
             return None
 
--- a/sim/runner.py
+++ b/sim/runner.py
@@ -8,13 +8,14 @@
 
 import asyncio
 import contextvars
+import copy
 import logging as pylog
 import operator
 import re
 import sys
 from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from functools import partial
 from pathlib import Path
 from typing import Any
@@ -22,6 +23,7 @@
 import pytest
 
 from bench.callers import Load
+from bench.deploy import DEPLOYMENTS
 from bench.plan import changed, manifest
 from postpass import events
 from sim.check import Bounds, History, breaches
@@ -30,6 +32,7 @@
 from sim.points import Point, known
 
 FOLDER = Path(__file__).parent / "scenarios"
+EXTRAS = ("within", "once", "ends", "echo", "keyed")
 OPS: dict[str, Callable[[float, float], bool]] = {
     ">=": operator.ge,
     "<=": operator.le,
@@ -78,6 +81,7 @@
     whens: list[When] = field(default_factory=list)
     expect: list[tuple[str, str, float]] = field(default_factory=list)
     excused: bool = False
+    deployment: str = ""  # one of the brief's, whole: its machines, servers, callers and delays
 
 
 def value(text: str) -> Any:
@@ -136,6 +140,8 @@
             setattr(out, head, float(rest[0]))
         elif head == "seeds":
             out.seeds = tuple(int(r) for r in rest)
+        elif head == "deployment" and rest and rest[0] in DEPLOYMENTS:
+            out.deployment = rest[0]
         elif head == "excused":
             out.excused = True
         elif head == "at" and rest[1] in VERBS:
@@ -150,18 +156,20 @@
 
 
 def loaded(text: dict[str, str]) -> Load:
-    live, plain, lots, more = {}, {}, {}, {}
+    live, plain, lots = {}, {}, {}
     for key, val in text.items():
-        if "x" in val and key not in ("within", "once", "ends", "shared", "echo", "keyed"):
+        if "x" in val and key not in EXTRAS:
             rate, size = val.split("x")
             lots[key] = (float(rate), int(size))
         elif key in ("view", "tiles"):
             plain[key] = float(val)
-        elif key in ("within", "once", "ends", "echo", "keyed"):
-            more[key] = float(val)
-        else:
+        elif key not in EXTRAS:
             live[key] = float(val)
-    return Load(live, plain, lots, **more)  # type: ignore[arg-type]
+    return Load(live, plain, lots, **extras(text))  # type: ignore[arg-type]
+
+
+def extras(text: dict[str, str]) -> dict[str, Any]:
+    return {k: float(v) for k, v in text.items() if k in EXTRAS}
 
 
 def act(fleet: SimFleet, a: Act, later: Callable[[float, Callable[[], None]], None]) -> None:
@@ -180,6 +188,11 @@
             getattr(fleet, verb)(name)
             if span:
                 later(span, partial(fleet.start, name))
+    elif verb == "term":
+        name = fleet.pick(args[0])
+        fleet.term(name)
+        if span:
+            later(span + 3.0, partial(fleet.start, name))
     elif verb == "area":
         # area power|wipe|kill WHO: all machines, workers and back ends that stand where WHO stands.
         spot = fleet.boxes[fleet.pick(args[1])].area
@@ -325,7 +338,7 @@
 
 
 VERBS = {"kill", "power", "wipe", "start", "freeze", "isolate", "cut", "cutone", "slow", "stall", "failsync", "fill", "damage",
-         "fault", "apply", "race", "routes", "add", "replace", "version", "read", "area"}  # fmt: skip
+         "fault", "apply", "race", "routes", "add", "replace", "version", "read", "area", "term"}  # fmt: skip
 
 
 @dataclass(eq=False)
@@ -429,7 +442,10 @@
     pylog.disable(pylog.CRITICAL)
 
     async def main(loop: SimLoop) -> Report:
-        man = manifest(**s.fleet)
+        whole = DEPLOYMENTS.get(s.deployment)
+        man = copy.deepcopy(whole.manifest) if whole else manifest(**s.fleet)
+        if whole:
+            loop.net.far = whole.delay / 1000
         for key, val in s.set:
             man = changed(man, key, val)
         fleet = SimFleet(loop, man, seed, tune=s.tune, make=make, disk_cap=s.disk)
@@ -459,7 +475,8 @@
 
         async def outside() -> None:
             async with fleet.session() as session:
-                callers = fleet.callers(loaded(s.load), session)
+                load = replace(whole.load, **extras(s.load)) if whole else loaded(s.load)
+                callers = fleet.callers(load, session)
                 await callers.run(s.run)
                 await callers.audit(s.settle)
 
