An acknowledged counter that goes back is a damaged disk, not a torn tail

Cause: damage to the last synced entries of a log looks like a write torn by a power loss, so it was cut and the disk kept its voice, though it had acknowledged more. The owner holds what each disk acknowledged under its epoch; one that comes back with less is told so, leaves, and is refilled under a new identity.

--- a/postpass/store.py
+++ b/postpass/store.py
@@ -72,6 +72,7 @@
     ask_heights: Callable[[], Awaitable[int]] | None = None
     heights: dict[str, int] = field(default_factory=dict)
     leaving: bool = False
+    spoiled: asyncio.Future[Fault] = field(default_factory=lambda: asyncio.get_running_loop().create_future())
     # A setting for measurements only: wait for each mirror's reply before the next record goes out.
     wait_each: bool = False
 
@@ -110,7 +111,11 @@
         return self.parts[number]
 
     def tasks(self) -> list[Any]:
-        return [self.log.keep(), self.watch_sync(), self.tick()]
+        return [self.log.keep(), self.watch_sync(), self.tick(), self.watch_disk()]
+
+    async def watch_disk(self) -> None:
+        """Ends the process once a peer has shown that this disk lost what it had synced."""
+        raise Stop(await self.spoiled)
 
     def handlers(self) -> dict[str, Any]:
         return {
@@ -507,6 +512,17 @@
             if there["promised"] > epoch:
                 self.fall(part, there["promised"])
             return False
+        acked = part.recorder.get(name, there["disk"], "persisted")
+        if there["last"] < acked:
+            # It acknowledged more under this very epoch: its disk lost what it had synced. That is no torn tail.
+            events.emit(112, self.conf.name, part=part.id, mirror=name, last=there["last"], acknowledged=acked)
+            await link.call(
+                "hello",
+                {"part": part.id, "epoch": epoch, "who": self.conf.name, "spoiled": there["disk"]},
+                self.conf.bounds.promise,
+            )
+            link.close("its disk lost what it had acknowledged")
+            return False
         marks = [(e, s) for e, s in there["marks"]]
         meet = match(part.tape.marks(), part.tape.last, marks, there["last"])
         f.link, f.epoch, f.disk = link, epoch, there["disk"]
@@ -703,6 +719,13 @@
             if part.aligned == epoch and not part.trial and not part.owning and not self.leaving:
                 self.stand_soon(part, epoch)
             return Ok(about | {"ok": True})
+        if body.get("spoiled"):
+            if body["spoiled"] == self.disk_id and epoch == part.promised:
+                why = f"partition {part.id}: {body['who']} holds acknowledgements of more than this log has"
+                self.log.bad = why
+                if not self.spoiled.done():
+                    self.spoiled.set_result(Fault("read log", self.conf.name, why))
+            return Ok(about | {"ok": False})
         if body.get("confirm"):
             return Ok(about | {"ok": part.promised <= epoch})
         if epoch < part.promised or (part.owning and part.epoch >= epoch):
--- a/sim/promises.py
+++ b/sim/promises.py
@@ -82,7 +82,7 @@
     Row("Restarts by SIGTERM", "handed over before it stops", ("restarts-by-sigterm", "rolling-versions"), ("E105", "E126"), "kept_gap"),
     Row("The control core cut off or split", "the data plane serves on; a majority grants", ("control-gone", "control-split"), ("E130",), "calls_gap"),
     Row("A store cut off or split", "fenced by promises", ("store-isolated", "one-way-cut", "beyond-not-by-a-cut"), ("E121", "E122"), "kept_gap"),
-    Row("Disks full, failing, damaged", "room held back; nothing trusted after a failed sync", ("disk-full", "disk-sync-fails", "disk-damaged"), ("E114", "E113", "E112"), "kept_gap"),
+    Row("Disks full, failing, damaged", "room held back; nothing trusted after a failed sync", ("disk-full", "disk-sync-fails", "disk-damaged", "disk-spoiled-at-the-end"), ("E114", "E113", "E112"), "kept_gap"),
     Row("Many changes, many routes", "a numbered feed of changes", ("routes-grow", "predicate-changes"), ("E140",), "late_edition"),
     Row("A day that wipes what was acknowledged", "the best log or edition that is left, told as a loss", ("beyond-stores-wiped", "beyond-all-wiped", "beyond-control-wiped", "beyond-pair-wiped"), ("E125", "E133"), "kept_gap"),
 )  # fmt: skip
--- a/sim/runner.py
+++ b/sim/runner.py
@@ -226,7 +226,7 @@
         name = fleet.pick(args[0])
         fleet.loop.net.slow[name] = float(args[1])
         later(span, lambda: fleet.loop.net.slow.update({name: 0.0}))
-    elif verb in ("stall", "failsync", "fill", "damage"):
+    elif verb in ("stall", "failsync", "fill", "damage", "spoil"):
         box = fleet.boxes[fleet.pick(args[0])]
         disk = box.disk
         assert disk is not None, f"{box.name} has no disk"
@@ -240,6 +240,12 @@
             cap = disk.cap
             disk.cap = sum(map(len, disk.files.values())) + int(args[1])
             later(span, lambda: setattr(disk, "cap", cap))
+        elif verb == "spoil":
+            # spoil NAME N: the last N bytes of its log, synced and acknowledged, don't read back any more.
+            fleet.kill(box.name)
+            last = max(n for n in disk.names() if n.startswith("log-") and len(disk.files[n]) > int(args[1]))
+            disk.damage(last, len(disk.files[last]) - int(args[1]))
+            fleet.start(box.name)
         else:
             fleet.kill(box.name)
             name = next(n for n in reversed(disk.names()) if n.startswith(args[1]))
@@ -338,7 +344,7 @@
 
 
 VERBS = {"kill", "power", "wipe", "start", "freeze", "isolate", "cut", "cutone", "slow", "stall", "failsync", "fill", "damage",
-         "fault", "apply", "race", "routes", "add", "replace", "version", "read", "area", "term"}  # fmt: skip
+         "fault", "apply", "race", "routes", "add", "replace", "version", "read", "area", "term", "spoil"}  # fmt: skip
 
 
 @dataclass(eq=False)
