Links tell their wire numbers first; folders carry a format; names are held to the users' list

The first message on a link tells the lowest and highest wire number; without a common one nothing else is said (E106). A folder of a later format is refused and left as it is. A class of lots that promises once is refused by its path.

--- a/postpass/control.py
+++ b/postpass/control.py
@@ -17,17 +17,15 @@
 
 from postpass import events
 from postpass.config import Config
-from postpass.daemon import VERSION, Daemon, Task
+from postpass.daemon import Daemon, Task
 from postpass.disk import Disk
 from postpass.epochs import Pair, Voters, Witness, majority, may_lead
 from postpass.fault import BAD, BROKE, CLASH, MOVED, OLD, SHED, SLOW, Fault, Stop
 from postpass.manifest import Manifest, check, dump, with_duty
 from postpass.vault import open_vault
-from postpass.wire import Body
+from postpass.wire import RELEASE, Body, PeerResponse
 from postpass.world import World, hear, now
 
-Answer = Result[Body, Fault]
-
 
 @dataclass(frozen=True)
 class State:
@@ -76,8 +74,8 @@
     disk_lock: asyncio.Lock = field(default_factory=asyncio.Lock)
     bad: str = ""
 
-    def __init__(self, conf: Config, world: World, version: str = "") -> None:
-        super().__init__(conf, world, version or VERSION)
+    def __init__(self, conf: Config, world: World, release: str = "") -> None:
+        super().__init__(conf, world, release or RELEASE)
         self.witness, self.held, self.disk_id, self.epoch = Witness(), Held(), "", 0
         self.heard = self.backup_heard = 0.0
         self.lock, self.disk_lock, self.bad = asyncio.Lock(), asyncio.Lock(), ""
@@ -127,7 +125,7 @@
         return {"look": self.on_look, "grant": self.on_grant, "copy": self.on_copy, "apply": self.on_apply,
                 "read": self.on_read, "adopt": self.on_adopt}  # fmt: skip
 
-    def routes(self) -> list[Any]:
+    def ways(self) -> list[Any]:
         return [Route("/v1/manifest", self.http_manifest, methods=["GET", "PUT"])]
 
     def tasks(self) -> list[Task]:
@@ -156,7 +154,7 @@
             "whole": self.held.whole, "edition": self.held.state.edition, "news": self.news.edition,
         }  # fmt: skip
 
-    async def on_look(self, body: Body) -> Answer:
+    async def on_look(self, body: Body) -> PeerResponse:
         if body.get("probe"):
             # Would this one back a new primary? Not while it hears the present one.
             alive = self.epoch > 0 or now() - self.heard < self.conf.bounds.detect * 0.9
@@ -166,14 +164,14 @@
             return Ok(self.about() | {"ok": False})
         return await self.promise(new)
 
-    async def on_grant(self, body: Body) -> Answer:
+    async def on_grant(self, body: Body) -> PeerResponse:
         new = self.witness.grant(Pair(**body["pair"]), body["who"])
         if new is None:
             return Ok(self.about() | {"ok": False})
         self.heard = now()
         return await self.promise(new)
 
-    async def promise(self, new: Witness) -> Answer:
+    async def promise(self, new: Witness) -> PeerResponse:
         self.witness = new
         if self.epoch and new.promised > self.epoch:
             self.fall(new.promised)
@@ -190,7 +188,7 @@
         self.heard = now()
 
     # --- the pair
-    async def on_copy(self, body: Body) -> Answer:
+    async def on_copy(self, body: Body) -> PeerResponse:
         """From the primary to its backup: the state to sync, or just a round trip under the epoch."""
         if body["epoch"] < self.witness.promised:
             return Ok({"ok": False, "promised": self.witness.promised, "disk": self.disk_id})
@@ -282,7 +280,7 @@
 
     # --- takeover
     async def ask_all(self, verb: str, body: Body, names: list[str], man: Manifest) -> dict[str, Body]:
-        async def one(name: str) -> Answer:
+        async def one(name: str) -> PeerResponse:
             m = man["machines"].get(name)
             if not m or m.get("gone"):
                 return Err(Fault(verb, name, "gone"))
@@ -290,7 +288,7 @@
                 return await getattr(self, f"on_{verb}")(body)  # type: ignore[no-any-return]
             return await self.lines.call(m["peer"], verb, body, self.conf.bounds.promise)
 
-        def enough(got: dict[str, Answer]) -> bool:
+        def enough(got: dict[str, PeerResponse]) -> bool:
             return 2 * sum(isinstance(g, Ok) for g in got.values()) > len(names)
 
         got = await hear({n: one(n) for n in names}, enough, self.conf.bounds.beat)
@@ -474,7 +472,7 @@
         return not able and all(n in every for n in self.crew(man))
 
     # --- the operators' part
-    async def on_apply(self, body: Body) -> Answer:
+    async def on_apply(self, body: Body) -> PeerResponse:
         """Takes a whole manifest, and answers once it is in force, or names those that have not said so in time."""
         before = self.held.state.manifest
         asked = now()
@@ -498,7 +496,7 @@
 
         b, peers = self.conf.bounds, dict(waits)
 
-        def word(got: Answer) -> bool:
+        def word(got: PeerResponse) -> bool:
             """Does this answer settle it: the edition runs there, or nothing does?"""
             if isinstance(got, Err):
                 return got.unwrap_err().hint == "refused"
@@ -529,7 +527,7 @@
         events.emit(144, self.conf.name, edition=edition, waits=",".join(sorted(waits)) or "for nobody")
         return sorted(waits)
 
-    async def take(self, body: Body) -> Answer:
+    async def take(self, body: Body) -> PeerResponse:
         """Takes a whole manifest if it was made from the present edition."""
         step, me = "apply", self.conf.name
         got = check(body["manifest"])
@@ -590,7 +588,7 @@
             events.emit(131, self.conf.name, epoch=epoch, seen="handed over")
         await self.lines.call(addr, "adopt", {"epoch": epoch}, self.conf.bounds.promise * 2)
 
-    async def on_adopt(self, body: Body) -> Answer:
+    async def on_adopt(self, body: Body) -> PeerResponse:
         """The primary of an epoch leaves and won't write under it again: its backup may stand at once."""
         man = self.known()
         async with self.lock:
@@ -612,7 +610,7 @@
         good = {n: str(a["disk"]) for n, a in looks.items() if a["ok"]} | {self.conf.name: self.disk_id}
         return self.epoch == epoch and majority(pair.voters, good)
 
-    async def on_read(self, body: Body) -> Answer:
+    async def on_read(self, body: Body) -> PeerResponse:
         if not self.epoch:
             hint = self.witness.pair.primary if self.witness.pair.primary != self.conf.name else ""
             return Err(Fault("read", self.conf.name, "not the primary", MOVED, hint))
@@ -625,9 +623,9 @@
             return Ok({"edition": state.edition})
         return Ok({"edition": state.edition, "manifest": state.manifest, "losses": state.losses})
 
-    async def pass_on(self, verb: str, body: Body) -> Answer:
+    async def pass_on(self, verb: str, body: Body) -> PeerResponse:
         """To the primary, wherever it is."""
-        got: Answer = await getattr(self, f"on_{verb}")(body)
+        got: PeerResponse = await getattr(self, f"on_{verb}")(body)
         tried = {self.conf.name}
         names = [n for n in self.crew() if n != self.conf.name]
         while isinstance(got, Err) and got.unwrap_err().code == MOVED:
--- a/postpass/daemon.py
+++ b/postpass/daemon.py
@@ -21,10 +21,9 @@
 from postpass.fault import Fault, Stop
 from postpass.member import Card, Circle
 from postpass.news import News
-from postpass.wire import Body, Lines, Port
+from postpass.wire import RELEASE, Body, Lines, Port
 from postpass.world import World, now, serve_http
 
-VERSION = "0.1.0"
 Task = Coroutine[Any, Any, None]
 
 
@@ -45,7 +44,7 @@
 
     conf: Config
     world: World
-    version: str = VERSION
+    release: str = RELEASE
     stop: asyncio.Event = field(default_factory=asyncio.Event)
     closed: asyncio.Event = field(default_factory=asyncio.Event)
     leaving: bool = False
@@ -57,7 +56,7 @@
         self.started = 0.0
         card = Card(
             name=self.conf.name, peer=self.conf.peer, area=self.conf.area, duties=list(self.conf.duties), inc=self.inc,
-            beat=0, edition=0, version=self.version, disk="",
+            beat=0, edition=0, release=self.release, disk="",
         )  # fmt: skip
         self.circle = Circle(card, self.world.chance)
         self.registry = CollectorRegistry()
@@ -81,7 +80,7 @@
     def handlers(self) -> dict[str, Any]:
         return {}
 
-    def routes(self) -> list[Any]:
+    def ways(self) -> list[Any]:
         return []
 
     def tasks(self) -> list[Task]:
@@ -109,7 +108,7 @@
             Route("/metrics", self.http_metrics),
             Route("/v1/status", self.http_status),
         ]
-        return Starlette(routes=[*own, *self.routes()])
+        return Starlette(routes=[*own, *self.ways()])
 
     # --- run
     async def run(self) -> None:
@@ -194,7 +193,7 @@
             # Control has taken a newer edition and wants to know when it is in force here.
             self.spawn(self.fetch(body["at"]))
             await self.news.wait(body["want"] - 1, min(float(body["wait"]), self.conf.bounds.manifest))
-        return Ok({"name": self.conf.name, "inc": self.inc, "edition": self.news.edition, "version": self.version,
+        return Ok({"name": self.conf.name, "inc": self.inc, "edition": self.news.edition, "release": self.release,
                    "ready": self.ready(), "leaving": self.leaving})  # fmt: skip
 
     async def on_shuffle(self, body: Body) -> Result[Body, Fault]:
@@ -204,7 +203,7 @@
             # Whoever knows more has just reached this one: it can be asked, even if nobody else can.
             self.spawn(self.fetch(body["cards"][0]["peer"]))
         self.rise_to(body.get("heights", {}))
-        return Ok({"cards": self.circle.answer(body["cards"]), "edition": self.news.edition, "heights": self.heights})
+        return Ok({"cards": self.circle.respond(body["cards"]), "edition": self.news.edition, "heights": self.heights})
 
     def meet(self, cards: list[Card]) -> None:
         """Does another process go by this one's name?"""
@@ -374,7 +373,7 @@
 
     # --- operators
     async def http_health(self, _request: Request) -> Response:
-        return JSONResponse({"name": self.conf.name, "status": "serving", "version": self.version})
+        return JSONResponse({"name": self.conf.name, "status": "serving", "release": self.release})
 
     async def http_ready(self, _request: Request) -> Response:
         lack = self.ready()
@@ -386,7 +385,7 @@
     async def http_status(self, _request: Request) -> Response:
         return JSONResponse({
             "name": self.conf.name, "area": self.conf.area, "peer": self.conf.peer, "http": self.conf.http,
-            "duties": list(self.conf.duties), "version": self.version, "edition": self.news.edition,
+            "duties": list(self.conf.duties), "release": self.release, "edition": self.news.edition,
             "fresh": self.news.fresh, "leaving": self.leaving, "deaf": self.news.manifest is not None and now() - self.news.heard > self.conf.bounds.deaf,
             "up": round(now() - self.started, 3), "ready": self.ready(), "clash": self.clash,
             "neighbours": sorted(self.circle.mates), **await self.more_status(),
@@ -413,6 +412,9 @@
         except OSError as bad:
             logging.error("%s cannot start: %s", daemon.conf.name, bad)
             code = 1
+        except Stop as bad:
+            logging.error("%s left: %s", daemon.conf.name, bad)
+            code = 3
         if daemon.failed is not None:
             logging.error("%s left: %s", daemon.conf.name, daemon.failed)
             code = 3
--- a/postpass/data.py
+++ b/postpass/data.py
@@ -12,14 +12,14 @@
 from result import Ok, Result
 
 from postpass.config import Config
-from postpass.daemon import VERSION, Daemon, Task
+from postpass.daemon import Daemon, Task
 from postpass.edge import Edge
 from postpass.fault import Fault
 from postpass.floor import Floor
 from postpass.part import Part
 from postpass.sched import Sched
 from postpass.store import Store
-from postpass.wire import Body
+from postpass.wire import RELEASE, Body
 from postpass.world import World
 
 
@@ -32,8 +32,8 @@
     store: Store | None = None
     session: aiohttp.ClientSession | None = None
 
-    def __init__(self, conf: Config, world: World, version: str = "") -> None:
-        super().__init__(conf, world, version or VERSION)
+    def __init__(self, conf: Config, world: World, release: str = "") -> None:
+        super().__init__(conf, world, release or RELEASE)
         self.edge = self.sched = self.store = self.session = None
         if "store" in conf.duties:
             self.store = Store(conf, world, self.news, self.lines)
@@ -112,8 +112,8 @@
             return "it is leaving"
         return super().ready() or ("" if self.news.fresh else "no fresh news yet")
 
-    def routes(self) -> list[Any]:
-        return self.edge.routes() if self.edge is not None else []
+    def ways(self) -> list[Any]:
+        return self.edge.ways() if self.edge is not None else []
 
     def tasks(self) -> list[Task]:
         out: list[Task] = [self.freshen()]
--- a/postpass/doctor.py
+++ b/postpass/doctor.py
@@ -52,7 +52,7 @@
         out += _store(name, m.get("store"), man)
         out += [Finding("D12", f"{name} {key}", s["barred"], "load the right weights, or correct them in the manifest")
                 for key, s in m.get("servers", {}).items() if s["barred"].startswith("weights")]  # fmt: skip
-    out += _parts(man, live) + _control(live) + _versions(live)
+    out += _parts(man, live) + _control(live) + _releases(live)
     seen: set[tuple[str, str, str]] = set()
     return [f for f in out if (k := (f.code, f.where.split(" ")[-1], f.what)) not in seen and not seen.add(k)]  # type: ignore[func-returns-value]
 
@@ -134,13 +134,13 @@
     return out + [Finding("D10", n, c["bad"], "replace the disk and restart") for n, c in views.items() if c["bad"]]
 
 
-def _versions(live: dict[str, Any]) -> list[Finding]:
-    many = Counter(m["version"] for m in live.values())
+def _releases(live: dict[str, Any]) -> list[Finding]:
+    many = Counter(m["release"] for m in live.values())
     if len(many) < 2:
         return []
     told = ", ".join(f"{v}: {n}" for v, n in sorted(many.items()))
     return [
-        Finding("D14", "fleet", f"daemons of {len(many)} versions run ({told})", "finish the roll-out, or take it back")
+        Finding("D14", "fleet", f"daemons of {len(many)} releases run ({told})", "finish the roll-out, or take it back")
     ]
 
 
@@ -184,4 +184,4 @@
     barred = {"gpu/w1": {"barred": "weights b, want a", "mine": 0, "weights": "b", "running": 0, "waiting": 0}}
     assert found(machine("e1", servers=barred)) == {"D12"}
     assert found(part(losses=1)) == {"D13"}
-    assert found(machine("e1", version="0.2")) == {"D14"}
+    assert found(machine("e1", release="0.2")) == {"D14"}
--- a/postpass/edge.py
+++ b/postpass/edge.py
@@ -100,7 +100,7 @@
         )
         Gauge("postpass_open_calls", "Calls under way", registry=reg).set_function(lambda: self.open.total())
 
-    def routes(self) -> list[Any]:
+    def ways(self) -> list[Any]:
         return [
             Route("/v1/calls", Calls(self), methods=["POST"]),
             Route("/v1/lots", self.http_send, methods=["POST"]),
@@ -416,7 +416,7 @@
         self.lots.labels("unknown").inc()
         return fault_response(bad, 504, id=lot["id"], state="unknown", ask=f"/v1/lots/{lot['id']}")
 
-    async def lot_answer(self, request: Request, verb: str, body: Body, wait: float) -> Response:
+    async def lot_response(self, request: Request, verb: str, body: Body, wait: float) -> Response:
         if (lack := self.unready()) is not None:
             return lack
         lot = request.path_params["lot"]
@@ -435,7 +435,7 @@
 
     async def http_lot(self, request: Request) -> Response:
         verb = "finish" if request.method == "DELETE" else "show"
-        return await self.lot_answer(request, verb, {}, self.conf.bounds.recover)
+        return await self.lot_response(request, verb, {}, self.conf.bounds.recover)
 
     async def http_results(self, request: Request) -> Response:
         try:
@@ -446,7 +446,7 @@
             return fault_response(
                 Fault("read query", self.conf.name, "start: want 0 or more; most: want 1 to 500"), 400
             )
-        return await self.lot_answer(request, "page", {"start": start, "most": most}, self.conf.bounds.recover)
+        return await self.lot_response(request, "page", {"start": start, "most": most}, self.conf.bounds.recover)
 
     async def claim(self, key: str, until: float) -> Result[bool, Fault]:
         nonce = f"{self.conf.name}-{self.world.chance.getrandbits(64):016x}"
--- a/postpass/idl/peer.thrift
+++ b/postpass/idl/peer.thrift
@@ -2,6 +2,9 @@
 
 exception Fault { 1: string step, 2: string peer, 3: string why, 4: i32 code, 5: string hint }
 
+// The first message on a link: the lowest and highest wire number that a side speaks, and its release.
+struct Hi { 1: i32 low, 2: i32 high, 3: string release }
+
 // A piece of one sequenced record, at most 8 KB of it. Kinds: rec, beat, start, snap.
 struct Packet {
   1: i32 part, 2: i64 epoch, 3: string owner, 4: string kind, 5: i64 seq,
@@ -20,6 +23,8 @@
 struct Entry { 1: i32 part, 2: string op, 3: i64 seq, 4: i64 epoch, 5: string kind, 6: binary body }
 
 service Peer {
+  Hi hi(1: Hi hi) throws (1: Fault fault),
+
   // FIFO stream of the owner to a mirror, never answered.
   oneway void carry(1: Packet packet),
   // Control path back, on a link of its own.
--- a/postpass/manifest.py
+++ b/postpass/manifest.py
@@ -183,6 +183,8 @@
         for key, low in (("deadline", 0), ("handback", 0), ("backlog", 0), ("reserve", -1e-9)):
             if key in c and not cast(float, c[key]) > low:  # type: ignore[literal-required]
                 out.append(f"{path}.{key}: want more than {max(low, 0)}, got {c[key]}")  # type: ignore[literal-required]
+        if c.get("once") and c["kind"] != "live":
+            out.append(f"{path}.once: only a live class can promise it; items of lots may run more than once")
         for kind in ("place", "prefix"):
             if kind in c and c[kind] not in plugs(kind):  # type: ignore[literal-required]
                 out.append(f"{path}.{kind}: no plug-in {c[kind]!r} is installed; there are {sorted(plugs(kind))}")  # type: ignore[literal-required]
@@ -288,11 +290,12 @@
     bad["evacuated"] = ["a", "b", "c", "d"]
     bad["pools"]["gpu"]["servers"]["w1"]["url"] = "http://worker:1"
     bad["classes"]["ask"]["place"] = "nowhere"
+    bad["classes"]["lot"]["once"] = True
     seen = check(bad).unwrap_err()
     paths = [s.split(":")[0] for s in seen]
     assert paths == [
         "evacuated", "pools.gpu.servers.w1.url", "pools.gpu", "pools.app", "classes.ask.place",
-        "classes.lot.borrows[0]", "classes.lot.borrows[1]", "classes", "ways.view", "ways.view",
+        "classes.lot.borrows[0]", "classes.lot.borrows[1]", "classes.lot.once", "classes", "ways.view", "ways.view",
     ]  # fmt: skip
 
 
--- a/postpass/member.py
+++ b/postpass/member.py
@@ -19,7 +19,7 @@
     inc: int
     beat: int
     edition: int
-    version: str
+    release: str
     disk: str
 
 
@@ -60,7 +60,7 @@
         self.mates[mate.card["name"]] = replace(mate, age=0)
         return mate, [self.me, *(self.mates[n].card for n in picked)]
 
-    def answer(self, offered: Iterable[Card]) -> list[Card]:
+    def respond(self, offered: Iterable[Card]) -> list[Card]:
         names = sorted(self.mates)
         picked = [self.mates[n].card for n in self.chance.sample(names, min(self.sample - 1, len(names)))]
         self.take(offered, picked)
@@ -97,7 +97,7 @@
 
 
 def _card(name: str, beat: int = 0, inc: int = 1) -> Card:
-    return Card(name=name, peer=f"{name}:1", area="a", duties=[], inc=inc, beat=beat, edition=0, version="1", disk="")
+    return Card(name=name, peer=f"{name}:1", area="a", duties=[], inc=inc, beat=beat, edition=0, release="1", disk="")
 
 
 def test_shuffles_join_everyone_and_views_stay_bounded() -> None:
@@ -112,7 +112,7 @@
             mate, offer = c.begin()
             if mate is not None:
                 given = offer[1:]
-                c.take(circles[mate.card["name"]].answer(offer), given)
+                c.take(circles[mate.card["name"]].respond(offer), given)
     assert all(len(c.mates) <= 8 and n not in c.mates for n, c in circles.items())
     seen, edge = {"n5"}, ["n5"]
     while edge:
--- a/postpass/overview.py
+++ b/postpass/overview.py
@@ -40,7 +40,7 @@
 def overview(seen: dict[str, Any]) -> list[str]:
     man, machines = seen["manifest"], seen["machines"]
     out = [f"manifest {man['name']} edition {seen['edition']}", ""]
-    out.append(f"{'machine':10} {'area':8} {'edition':>7} {'version':>8} duties / state")
+    out.append(f"{'machine':10} {'area':8} {'edition':>7} {'release':>8} duties / state")
     for name, m in machines.items():
         area = man["machines"][name]["area"]
         if "unreachable" in m:
@@ -60,7 +60,7 @@
             more.append(f"scheduling, {m['sched']['running']} running")
         if m["ready"]:
             more.append(f"NOT READY: {m['ready']}")
-        out.append(f"{name:10} {area:8} {m['edition']:>7} {m['version']:>8} {' '.join(more)}")
+        out.append(f"{name:10} {area:8} {m['edition']:>7} {m['release']:>8} {' '.join(more)}")
     out += [
         "",
         f"{'part':>4} {'owner':8} {'epoch':>5} {'last':>7} {'covered':>7} {'lots':>5} {'open':>5} members (behind)",
@@ -91,7 +91,7 @@
     mirrors = {n: {"persisted": 5, "silent": False, "full": False, "disk": n} for n in ("s2", "s3", "s4")}
     part = {"owning": True, "ready": True, "epoch": 1, "last": 5, "covered": 5, "persisted": 5, "owner": "s1", "lots": 1, "open": 0,
             "losses": 0, "crew": {f"s{i}": f"s{i}" for i in range(1, 5)}, "mirrors": mirrors, "bytes": 10}  # fmt: skip
-    base = {"edition": 3, "version": "0.1.0", "ready": "", "clash": "", "up": 9.0}
+    base = {"edition": 3, "release": "0.1.0", "ready": "", "clash": "", "up": 9.0}
     machines: dict[str, Any] = {n: base | {"name": n, "duties": [d for d in m["duties"] if d != "control"], "http": m["http"], "peer": m["peer"]}
                                 for n, m in man["machines"].items()}  # fmt: skip
     store = {"free": 90, "size": 100, "bad": "", "held": 1, "disk": "x"}
--- a/postpass/store.py
+++ b/postpass/store.py
@@ -26,11 +26,9 @@
 from postpass.part import Follow, Part, fresh_tape, head
 from postpass.tape import Record, Tape, match
 from postpass.vault import Vault, distrust, open_vault
-from postpass.wire import IDL, PACKET, Body, Lines, Link
+from postpass.wire import IDL, PACKET, Body, Lines, Link, PeerResponse
 from postpass.world import World, hear, now
 
-Answer = Result[Body, Fault]
-
 
 @dataclass(eq=False)
 class Lease:
@@ -198,7 +196,7 @@
         )
         return [n for n in every if n != self.conf.name]
 
-    async def ask(self, name: str, verb: str, body: Body) -> Answer:
+    async def ask(self, name: str, verb: str, body: Body) -> PeerResponse:
         addr = self.news.addr(name)
         if not addr:
             return Err(Fault(verb, name, "gone or unknown", LACK))
@@ -208,7 +206,7 @@
     async def poll(self, part: Part, view: LotView, names: list[str], body: Body) -> dict[str, Body]:
         """Asks for promises; waits for the last ones only as long as it hasn't got enough."""
 
-        def enough(got: dict[str, Answer]) -> bool:
+        def enough(got: dict[str, PeerResponse]) -> bool:
             voters = {n: str(g.unwrap()["disk"]) for n, g in got.items() if isinstance(g, Ok) and g.unwrap()["ok"]}
             return part.may_lead(view, voters | {self.conf.name: self.disk_id})
 
@@ -343,7 +341,7 @@
                 return None
         return staged
 
-    async def fetch(self, body: Body) -> Answer:
+    async def fetch(self, body: Body) -> PeerResponse:
         part = self.part(body["part"])
         if part.promised != body["epoch"] or part.owning:
             return Err(Fault("fetch", self.conf.name, f"promised to epoch {part.promised}", MOVED))
@@ -360,7 +358,7 @@
                 break
         return Ok(out)
 
-    async def promise(self, body: Body) -> Answer:
+    async def promise(self, body: Body) -> PeerResponse:
         """A promise not to accept anything below an epoch; synced before it is told."""
         part, epoch, b = self.part(body["part"]), body["epoch"], self.conf.bounds
         about = {"disk": self.disk_id, "promised": part.promised}
@@ -712,7 +710,7 @@
         return rec
 
     # --- mirror
-    async def hello(self, body: Body) -> Answer:
+    async def hello(self, body: Body) -> PeerResponse:
         part, epoch = self.part(body["part"]), body["epoch"]
         about: Body = {"disk": self.disk_id, "promised": part.promised}
         if body.get("hand"):
@@ -895,7 +893,7 @@
         man = self.news.manifest
         return man["classes"][name].get("predicate", "") if man and name in man["classes"] else ""
 
-    async def submit(self, body: Body) -> Answer:
+    async def submit(self, body: Body) -> PeerResponse:
         """Takes a lot: `kept` only past the frontier; refused only if nothing was sequenced, or once a
         refusal that wins over the lot is itself covered; otherwise unknown."""
         lot = body["lot"]
@@ -940,7 +938,7 @@
             return Fault("submit", self.conf.name, "the disks of the mirrors are full", FULL)
         return None
 
-    async def shed(self, part: Part, body: Body, flaw: Fault, limit: float) -> Answer:
+    async def shed(self, part: Part, body: Body, flaw: Fault, limit: float) -> PeerResponse:
         if not body.get("again"):
             return Err(flaw)
         try:
@@ -972,7 +970,7 @@
             return Err(Fault(step, self.conf.name, "not known yet", SLOW))
         return Ok((part, lot))
 
-    async def show(self, body: Body) -> Answer:
+    async def show(self, body: Body) -> PeerResponse:
         got = await self._read(body, "show")
         if isinstance(got, Err):
             return got
@@ -986,7 +984,7 @@
             "due": lot.body["due"], "caller": lot.body.get("caller", ""), "losses": part.view.losses,
         })  # fmt: skip
 
-    async def page(self, body: Body) -> Answer:
+    async def page(self, body: Body) -> PeerResponse:
         got = await self._read(body, "page")
         if isinstance(got, Err):
             return got
@@ -994,7 +992,7 @@
         rows, spot, done = page(lot, part.covered, body["start"], min(body["most"], 500))
         return Ok({"id": lot.id, "results": rows, "next": spot, "whole": done})
 
-    async def finish(self, body: Body) -> Answer:
+    async def finish(self, body: Body) -> PeerResponse:
         got = await self._read(body, "end")
         if isinstance(got, Err):
             return got
@@ -1008,7 +1006,7 @@
             return Err(Fault("end", self.conf.name, "not known yet", SLOW))
         return Ok({"id": lot.id, "state": "done" if lot.whole and lot.state == "open" else "ended"})
 
-    async def claim(self, body: Body) -> Answer:
+    async def claim(self, body: Body) -> PeerResponse:
         """One edge may run a call that may not be repeated: the first claim wins, once it is covered."""
         got = self.lead_of(body["part"], "claim")
         if isinstance(got, Err):
@@ -1025,7 +1023,7 @@
         return Ok({"won": won["nonce"] == body["nonce"]})
 
     # --- schedulers
-    async def take(self, body: Body) -> Answer:
+    async def take(self, body: Body) -> PeerResponse:
         """Hands out items of covered, open lots, nearest due time first, to the one scheduler of the
         highest term; a lower one is refused."""
         got = self.lead_of(body["part"], "take")
@@ -1072,7 +1070,7 @@
                 need[kind] -= 1
         return Ok({"items": out, "stop": stop, "ahead": ahead})
 
-    async def done(self, body: Body) -> Answer:
+    async def done(self, body: Body) -> PeerResponse:
         """Records an item's result; only a whole output comes here as done. The first one wins."""
         got = self.lead_of(body["part"], "done")
         if isinstance(got, Err):
@@ -1099,7 +1097,7 @@
         return Ok({"taken": True})
 
     # --- for operators
-    async def status(self, _body: Body) -> Answer:
+    async def status(self, _body: Body) -> PeerResponse:
         free, whole = self.log.disk.room()
         rows = [
             {
--- a/postpass/vault.py
+++ b/postpass/vault.py
@@ -10,10 +10,11 @@
 
 from postpass import events
 from postpass.disk import Disk
-from postpass.fault import Stop
+from postpass.fault import Fault, Stop
 from postpass.seglog import SegLog
 
 MARK = "identity"
+FORMAT = 1  # of the files in a folder; a later one is left alone
 
 
 @dataclass(frozen=True)
@@ -34,7 +35,11 @@
     ident = ""
     if MARK in names:
         try:
-            ident = str(json.loads(disk.read(MARK))["disk"])
+            mark = json.loads(disk.read(MARK))
+            ident = str(mark["disk"])
+            if mark.get("format", 1) > FORMAT:
+                why = f"the folder has format {mark['format']}, this release reads up to {FORMAT}; nothing was touched"
+                raise Stop(Fault("open data folder", who, why))
         except (ValueError, KeyError, TypeError):
             events.emit(112, who, file=MARK, why="unreadable")
     entries: list[Any] = []
@@ -53,7 +58,7 @@
         for name in old:
             disk.remove(name)
         ident = f"{who}-{chance.getrandbits(48):012x}"
-        await disk.write(MARK, json.dumps({"disk": ident}).encode())
+        await disk.write(MARK, json.dumps({"disk": ident, "format": FORMAT}).encode())
         events.emit(110, who, disk=ident)
         return Vault(ident, True, log, [])
     return Vault(ident, False, log, entries)
@@ -87,3 +92,20 @@
     assert "damaged-log-00000000" in disk.names()
     distrust(disk)
     assert opened().name not in (first.name, worse.name)
+
+
+def test_a_folder_of_a_later_format_is_refused_and_left_as_it_was() -> None:
+    from sim.disk import SimDisk
+
+    disk = SimDisk(random.Random(1))
+    asyncio.run(open_vault("s1", disk, random.Random(2), 1 << 20, 0))
+    later = json.dumps(json.loads(disk.read(MARK)) | {"format": FORMAT + 1}).encode()
+    asyncio.run(disk.write(MARK, later))
+    before = dict(disk.kept)
+    try:
+        asyncio.run(open_vault("s1", disk, random.Random(2), 1 << 20, 0))
+    except Stop as bad:
+        assert (bad.fault.step, bad.fault.peer) == ("open data folder", "s1") and "format 2" in bad.fault.why
+    else:
+        raise AssertionError("a later format was taken")
+    assert disk.kept == before
--- a/postpass/wire.py
+++ b/postpass/wire.py
@@ -30,9 +30,14 @@
 IDL: Any = thriftpy2.load(str(Path(__file__).parent / "idl" / "peer.thrift"), module_name="postpass_peer_thrift")
 PACKET = 8 << 10
 FRAME = 8 << 20  # the longest frame that is taken
+# Wire numbers that this release speaks. One grows when a message changes in a way that the other side can't skip; then
+# the release speaks both until every daemon does.
+SPEAKS = (1, 1)
+RELEASE = "0.2.0"
 _FACTORY = TBinaryProtocolFactory()
 
 Body = dict[str, Any]
+PeerResponse = Result[Body, Fault]
 Handler = Callable[[Any], Awaitable[Any]]
 
 
@@ -108,7 +113,7 @@
     heard: float = -1.0
 
     @classmethod
-    async def open(cls, addr: str, wait: float) -> Result[Link, Fault]:
+    async def open(cls, addr: str, wait: float, speaks: tuple[int, int] = SPEAKS) -> Result[Link, Fault]:
         host, port = split(addr)
         try:
             reader, writer = await asyncio.wait_for(asyncio.open_connection(host, port, limit=1 << 20), wait)
@@ -118,7 +123,27 @@
             return Err(Fault("connect", addr, str(bad) or "no answer in time", hint=hint, unsent=True))
         link = cls(addr, reader, writer)
         link.pump = asyncio.create_task(link._read())
-        return Ok(link)
+        got = await link.hi(wait, speaks)
+        return Ok(link) if got is None else Err(got)
+
+    async def hi(self, wait: float, speaks: tuple[int, int]) -> Fault | None:
+        """Tells which wire numbers this side speaks; None if the other speaks one of them."""
+        future: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
+        self.waits[self.put("hi", IDL.Hi(low=speaks[0], high=speaks[1], release=RELEASE))] = future
+        try:
+            got = await asyncio.wait_for(future, wait)
+        except TimeoutError:
+            self.close("no word on its wire numbers in time")
+            return Fault("hi", self.addr, "no answer in time", unsent=True)
+        if isinstance(got, Fault):
+            return Fault("hi", self.addr, f"{got.why} before it told its wire numbers", unsent=True)
+        bad = getattr(got, "fault", None)
+        if bad is None and getattr(got, "success", None) is not None:
+            return None
+        why = bad.why if bad is not None else str(getattr(got, "message", "it knows no wire numbers"))
+        events.emit(106, self.addr, step="hi", why=why)
+        self.close(why)
+        return Fault("hi", self.addr, why, unsent=True)
 
     async def _read(self) -> None:
         why = "the peer closed"
@@ -275,6 +300,7 @@
         peer = str(writer.get_extra_info("peername"))
         self.links.add(writer)
         frames = Frames(_Stream(reader, writer))
+        met = False
         try:
             while True:
                 data = await frames.next()
@@ -287,11 +313,16 @@
                 val = getattr(args, args.thrift_spec[1][1])
                 if val is None:
                     raise ValueError(f"{name} without its argument")
+                if name == "hi":
+                    met = self.meets(val, seq, writer)
+                    continue
+                if not met:
+                    raise ValueError(f"{name} before any wire number was agreed on: another release, or no postpass")
                 if _oneway(name):
                     if name in self.handlers:
                         await self.handlers[name](val)
                 else:
-                    task = asyncio.create_task(self._answer(name, seq, val, writer))
+                    task = asyncio.create_task(self._respond(name, seq, val, writer))
                     self.tasks.add(task)
                     task.add_done_callback(self.tasks.discard)
         except (asyncio.IncompleteReadError, ConnectionError, EOFError):
@@ -304,7 +335,23 @@
             self.links.discard(writer)
             writer.close()
 
-    async def _answer(self, name: str, seq: int, val: str, writer: asyncio.StreamWriter) -> None:
+    def meets(self, there: Any, seq: int, writer: asyncio.StreamWriter) -> bool:
+        """Responds to the first message; False if there is no wire number that both speak."""
+        (low, high), out = SPEAKS, IDL.Peer.hi_result()
+        if there.low is not None and there.high is not None and there.low <= high and there.high >= low:
+            out.success = IDL.Hi(low=low, high=high, release=RELEASE)
+        else:
+            why = (
+                f"this is release {RELEASE} with wire numbers {low} to {high}; "
+                f"the other is {there.release} with {there.low} to {there.high}"
+            )
+            out.fault = IDL.Fault(step="hi", peer=self.who, why=why, code=BROKE, hint="")
+            events.emit(106, self.who, step="hi", peer=str(writer.get_extra_info("peername")), why=why)
+        data = _message("hi", TMessageType.REPLY, seq, out)
+        writer.write(struct.pack("!i", len(data)) + data)
+        return out.fault is None
+
+    async def _respond(self, name: str, seq: int, val: str, writer: asyncio.StreamWriter) -> None:
         out = getattr(IDL.Peer, name + "_result")()
         try:
             handler = self.handlers.get(name)
@@ -331,6 +378,41 @@
             pass
 
 
+def test_releases_without_a_common_wire_number_are_refused_by_both_numbers() -> None:
+    from sim.loop import Host, SimLoop, run_sim
+
+    async def main(loop: SimLoop) -> list[Any]:
+        one, two = (loop.add(Host(n, (n,), "a")) for n in ("1", "2"))
+        heard: list[int] = []
+
+        async def serve() -> None:
+            async def carry(packet: Any) -> None:
+                heard.append(packet.seq)
+
+            await Port("two", {"carry": carry}).listen("2:7")
+
+        async def call() -> list[Any]:
+            good = (await Link.open("2:7", 1, (SPEAKS[1], SPEAKS[1] + 5))).unwrap()
+            good.put("carry", IDL.Packet(part=0, seq=1))
+            bad = (await Link.open("2:7", 1, (SPEAKS[1] + 1, SPEAKS[1] + 2))).unwrap_err()
+            # One that speaks first without a wire number, as releases before 0.2.0 did, is cut off.
+            reader, writer = await asyncio.open_connection("2", 7)
+            data = _message("carry", TMessageType.ONEWAY, 1, IDL.Peer.carry_args(packet=IDL.Packet(part=0, seq=2)))
+            writer.write(struct.pack("!i", len(data)) + data)
+            return [
+                bad.step,
+                bad.peer,
+                "wire numbers 1 to 1" in bad.why and "2 to 3" in bad.why,
+                await reader.read(),
+                heard,
+            ]
+
+        await loop.create_task(serve(), context=two.context())
+        return await loop.create_task(call(), context=one.context())
+
+    assert run_sim(main) == ["hi", "2:7", True, b"", [1]]
+
+
 def test_calls_share_a_link_and_foreign_bytes_close_only_their_own() -> None:
     from sim.loop import Host, SimLoop, run_sim
 
--- a/sim/ailing.py
+++ b/sim/ailing.py
@@ -95,7 +95,7 @@
 
 
 async def other_version(world: SimFleet) -> None:
-    world.version = "0.9.9"
+    world.release = "0.9.9"
     world.kill("e2")
     world.start("e2")
     await asyncio.sleep(2)
--- a/sim/fleet.py
+++ b/sim/fleet.py
@@ -77,7 +77,7 @@
     make: Callable[[Daemon], None] | None = None  # settings of the simulator, laid on each new daemon
     disk_cap: int = 64 << 20
     copies: list[int] = field(default_factory=list)
-    version: str = ""
+    release: str = ""
     here: tuple[str, str] = ("", "")  # the machine that met the point at which a fault is caused, and its peer
 
     def __post_init__(self) -> None:
@@ -137,7 +137,7 @@
             conf = parse(raw, control).unwrap()
 
             async def boot() -> None:
-                daemon: Daemon = (Control if control else Data)(conf, self.world(name, box.disk), self.version)
+                daemon: Daemon = (Control if control else Data)(conf, self.world(name, box.disk), self.release)
                 box.daemon = daemon
                 if self.make is not None:
                     self.make(daemon)
--- a/sim/points.py
+++ b/sim/points.py
@@ -88,7 +88,7 @@
 
 
 def _tap() -> None:
-    put, call, answer, emit, plain = wire.Link.put, wire.Link.call, wire.Port._answer, events.emit, models.complete
+    put, call, answer, emit, plain = wire.Link.put, wire.Link.call, wire.Port._respond, events.emit, models.complete
     init = wire.Port.__init__
 
     def tapped_put(self: wire.Link, name: str, *vals: Any) -> int:
@@ -101,7 +101,7 @@
             hit(f"hears.{name}", self.addr)
         return got
 
-    async def tapped_answer(self: wire.Port, name: str, seq: int, val: Any, writer: Any) -> None:
+    async def tapped_respond(self: wire.Port, name: str, seq: int, val: Any, writer: Any) -> None:
         hit(f"takes.{name}")
         await answer(self, name, seq, val, writer)
 
@@ -136,7 +136,7 @@
         hit("places", there)
         return plain(session, url, model, prompt, asked, *rest)
 
-    wire.Link.put, wire.Link.call, wire.Port._answer = tapped_put, tapped_call, tapped_answer  # type: ignore[method-assign]
+    wire.Link.put, wire.Link.call, wire.Port._respond = tapped_put, tapped_call, tapped_respond  # type: ignore[method-assign]
     wire.Port.__init__ = tapped_init  # type: ignore[method-assign]
     events.emit = tapped_emit
     for module in (edge, sched):
--- a/sim/runner.py
+++ b/sim/runner.py
@@ -293,7 +293,7 @@
         fleet.out(fleet.apply(man, fleet.edition, tries=6))
     elif verb == "version":
         name = fleet.pick(args[0])
-        fleet.version = args[1]
+        fleet.release = args[1]
         fleet.kill(name)
         fleet.start(name)
     elif verb == "read":
