A scheduler's poll no longer grows with all items that wait

Cause: every poll listed the free items of every open lot just to count them. Before, one partition with 2,000 open lots of 100 items: 63.7 ms a poll; after: 11.2 ms (100 lots: 2.2 to 0.5 ms). Ruled out: sorting the lots, which is what is left. Same items, same counts in both.

--- a/postpass/store.py
+++ b/postpass/store.py
@@ -13,6 +13,7 @@
 from collections import Counter
 from collections.abc import Awaitable, Callable, Iterable, Iterator
 from dataclasses import dataclass, field
+from itertools import islice
 from typing import Any
 
 from result import Err, Ok, Result
@@ -1045,7 +1046,9 @@
         for key in held:
             desk.leases[key] = Lease(body["sched"], until)
         for key in [
-            k for k, lease in desk.leases.items() if k not in held and (lease.until < t or lease.sched != body["sched"])
+            k
+            for k, lease in desk.leases.items()
+            if k[0] not in part.view.lots or (k not in held and (lease.until < t or lease.sched != body["sched"]))
         ]:
             del desk.leases[key]
         stop = [
@@ -1058,12 +1061,14 @@
             key=lambda x: (x.body["due"], x.seq),
         )
         need = dict(body["room"])
+        out_of = Counter(lot for lot, item in desk.leases if item not in part.view.lots[lot].results)
         out, ahead = [], dict.fromkeys(need, 0)
         for lot in lots:
             kind = lot.body["class"]
-            free = [i for i in range(lot.size) if i not in lot.results and (lot.id, i) not in desk.leases]
-            ahead[kind] = ahead.get(kind, 0) + len(free)
-            for i in free[: max(need.get(kind, 0), 0)]:
+            # Counted, not listed: what a poll costs must not grow with all items that wait.
+            ahead[kind] = ahead.get(kind, 0) + lot.size - len(lot.results) - out_of[lot.id]
+            free = (i for i in range(lot.size) if i not in lot.results and (lot.id, i) not in desk.leases)
+            for i in list(islice(free, max(need.get(kind, 0), 0))):
                 desk.leases[(lot.id, i)] = Lease(body["sched"], until)
                 out.append({"lot": lot.id, "item": i, "class": kind, "due": lot.body["due"], "text": lot.body["items"][i],
                             "shared": lot.body.get("shared", []), "caller": lot.body.get("caller", "")})  # fmt: skip
