Refuse a manifest that some daemon doesn't know, naming the daemon

Cause: a key or plug-in that only some daemons knew was taken by control and then refused by those daemons alone, who stayed an edition behind. Now, if new keys or plug-ins come, every daemon is asked before anything is written.

--- a/postpass/control.py
+++ b/postpass/control.py
@@ -21,7 +21,7 @@
 from postpass.disk import Disk
 from postpass.epochs import Pair, Voters, Witness, majority, may_lead
 from postpass.fault import BAD, BROKE, CLASH, MOVED, OLD, SHED, SLOW, Fault, Stop
-from postpass.manifest import Manifest, check, dump, with_duty
+from postpass.manifest import Manifest, check, dump, shape, with_duty
 from postpass.vault import open_vault
 from postpass.wire import RELEASE, Body, PeerResponse
 from postpass.world import World, hear, now
@@ -527,6 +527,24 @@
         events.emit(144, self.conf.name, edition=edition, waits=",".join(sorted(waits)) or "for nobody")
         return sorted(waits)
 
+    async def strangers(self, before: Manifest | None, after: Manifest) -> list[str]:
+        """If keys or plug-ins come that were not used before: which daemons say that they don't know them."""
+        if before is None or shape(after) <= shape(before):
+            return []
+        names = [n for n, m in after["machines"].items() if n != self.conf.name and not m.get("gone")]
+        got = await asyncio.gather(
+            *(
+                self.lines.call(after["machines"][n]["peer"], "ping", {"fits": after}, self.conf.bounds.follow)
+                for n in names
+            )
+        )
+        return [
+            f"machines.{n}: it does not know this manifest: {flaw}"
+            for n, g in zip(names, got, strict=True)
+            if isinstance(g, Ok)
+            for flaw in g.unwrap().get("flaws", [])[:3]
+        ]
+
     async def take(self, body: Body) -> PeerResponse:
         """Takes a whole manifest if it was made from the present edition."""
         step, me = "apply", self.conf.name
@@ -566,6 +584,9 @@
                 return Err(Fault(step, me, f"parts: stays {state.manifest['parts']}; lots are spread by it", BAD))
             if not set(self.crew(man)) & {me, self.held.pair.backup}:
                 return Err(Fault(step, me, "machines: neither primary nor backup stays a control machine", BAD))
+            strange = await self.strangers(state.manifest, man)
+            if strange:
+                return Err(Fault(step, me, "\n".join(strange), BAD))
             try:
                 done = await self.commit(State(state.edition + 1, man, state.losses))
             except Stop as bad:
--- a/postpass/daemon.py
+++ b/postpass/daemon.py
@@ -19,6 +19,7 @@
 from postpass import events
 from postpass.config import Config, split
 from postpass.fault import Fault, Stop
+from postpass.manifest import check
 from postpass.member import Card, Circle
 from postpass.news import News
 from postpass.wire import RELEASE, Body, Lines, Port
@@ -183,6 +184,8 @@
         """Answers for itself, or, asked to `reach` another, whether that one answers."""
         if "heights" in body:
             return Ok({"heights": self.heights})
+        if "fits" in body:
+            return Ok({"flaws": self.fits(body["fits"])})
         if "reach" in body:
             ask = {"want": body.get("want", 0), "at": self.conf.peer, "wait": self.conf.bounds.beat * 0.9}
             got = await self.lines.call(body["reach"], "ping", ask, self.conf.bounds.beat)
@@ -205,6 +208,10 @@
         self.rise_to(body.get("heights", {}))
         return Ok({"cards": self.circle.respond(body["cards"]), "edition": self.news.edition, "heights": self.heights})
 
+    def fits(self, raw: Any) -> list[str]:
+        """What this release, with the plug-ins installed here, finds wrong with a manifest."""
+        return check(raw).err() or []
+
     def meet(self, cards: list[Card]) -> None:
         """Does another process go by this one's name?"""
         for card in cards:
--- a/postpass/manifest.py
+++ b/postpass/manifest.py
@@ -247,6 +247,16 @@
     )
 
 
+def shape(man: Manifest) -> set[str]:
+    """The keys that a manifest uses, and the plug-ins: what an older daemon may not know."""
+    groups: list[tuple[str, Any]] = [
+        ("", [man]), ("machines.", man["machines"].values()), ("pools.", man["pools"].values()), ("limits.", [man.get("limits", {})]),
+        ("servers.", [s for p in man["pools"].values() for s in p["servers"].values()]), ("classes.", man["classes"].values()),
+    ]  # fmt: skip
+    plugged = {f"{k}={c[k]}" for c in man["classes"].values() for k in ("place", "prefix") if k in c}  # type: ignore[literal-required]
+    return {f"{name}{key}" for name, things in groups for thing in things for key in thing} | plugged
+
+
 def check(raw: Any) -> Result[Manifest, list[str]]:
     seen = flaws(Manifest, raw)
     if seen:
