--- a/postpass/daemon.py
+++ b/postpass/daemon.py
@@ -184,6 +184,8 @@
         """Answers for itself, or, asked to `reach` another, whether that one answers."""
         if "heights" in body:
             return Ok({"heights": self.heights})
+        if "kept" in body:
+            return Ok({"lots": self.kept_lots(int(body["kept"]))})
         if "fits" in body:
             return Ok({"flaws": self.fits(body["fits"])})
         if "reach" in body:
@@ -208,6 +210,19 @@
         self.rise_to(body.get("heights", {}))
         return Ok({"cards": self.circle.respond(body["cards"]), "edition": self.news.edition, "heights": self.heights})
 
+    def kept_lots(self, part: int) -> list[str]:
+        """Names of lots of a partition that this daemon knows to have been kept lately."""
+        return []
+
+    async def ask_kept(self, part: int) -> list[str]:
+        """All such names that anyone knows; asked only after a loss."""
+        man = self.news.manifest
+        addrs = [self.news.addr(n) for n in man["machines"] if n != self.conf.name] if man else []
+        got = await asyncio.gather(
+            *(self.lines.call(a, "ping", {"kept": part}, self.conf.bounds.beat) for a in addrs if a)
+        )
+        return sorted({n for g in got if isinstance(g, Ok) for n in g.unwrap().get("lots", [])})
+
     def fits(self, raw: Any) -> list[str]:
         """What this release, with the plug-ins installed here, finds wrong with a manifest."""
         return check(raw).err() or []
--- a/postpass/data.py
+++ b/postpass/data.py
@@ -37,6 +37,7 @@
         self.edge = self.sched = self.store = self.session = None
         if "store" in conf.duties:
             self.store = Store(conf, world, self.news, self.lines)
+            self.store.ask_kept = self.ask_kept
             self.store.rise_to, self.store.ask_heights, self.store.heights = (
                 self.rise_to,
                 self.ask_heights,
@@ -107,6 +108,9 @@
         if self.sched is not None:
             await self.sched.drain()
 
+    def kept_lots(self, part: int) -> list[str]:
+        return self.edge.known(part) if self.edge is not None and self.news.manifest is not None else []
+
     def ready(self) -> str:
         if self.leaving:
             return "it is leaving"
--- a/postpass/edge.py
+++ b/postpass/edge.py
@@ -8,6 +8,7 @@
 import math
 import re
 from collections import Counter as Tally
+from collections import deque
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Any, NotRequired, TypedDict, cast
@@ -89,6 +90,9 @@
     owners: dict[int, str] = field(default_factory=dict)
     retries: float = 10.0
     leaving: bool = False
+    # The newest lots that callers were told are kept, with the time: should more be lost than is tolerated, their
+    # names are not lost with them. Bounded.
+    kept: deque[tuple[str, float]] = field(default_factory=lambda: deque(maxlen=4000))
 
     def __post_init__(self) -> None:
         reg = self.registry
@@ -112,6 +116,11 @@
     def tasks(self) -> list[Any]:
         return [self.pump_on()]
 
+    def known(self, part: int) -> list[str]:
+        """Lots of a partition that were called kept so lately that none of them can have left by the retention."""
+        young = now() - self.man.get("retention", 3600.0)
+        return [n for n, at in self.kept if at > young and part_of(n, self.man["parts"]) == part]
+
     # --- seats
     @property
     def man(self) -> Manifest:
@@ -404,6 +413,7 @@
         answer = await self.to_owner(part, "submit", {"lot": lot, "again": named}, now() + self.conf.bounds.recover)
         if isinstance(answer, Ok):
             self.lots.labels("kept").inc()
+            self.kept.append((lot["id"], now()))
             return JSONResponse(answer.unwrap(), 201)
         bad = answer.unwrap_err()
         if bad.code == CLASH:
--- a/postpass/lots.py
+++ b/postpass/lots.py
@@ -68,6 +68,7 @@
         lot = body["id"]
         if lot not in self.lots and lot not in self.shed:
             self.lots[lot] = Lot(lot, seq, body, digest(body))
+            self.lost.pop(lot, None)  # handed in anew
 
     def _shed(self, seq: int, body: Body) -> None:
         if body["id"] not in self.lots:
@@ -88,6 +89,7 @@
         for lot in body["lots"]:
             self.lots.pop(lot, None)
             self.shed.pop(lot, None)
+            self.lost.pop(lot, None)
         for key in body.get("claims", []):
             self.claims.pop(key, None)
 
@@ -104,7 +106,7 @@
         self.losses = max(self.losses + 1, body["edition"])
         self.crew = self.old_crew = body["crew"]
         self.crew_seq = seq
-        self.lost |= dict.fromkeys(body["lots"], seq)
+        self.lost |= {n: seq for n in body["lots"] if n not in self.lots}
 
     def dump(self) -> bytes:
         flat = {k: v for k, v in vars(self).items() if k != "lots"}
--- a/postpass/store.py
+++ b/postpass/store.py
@@ -69,6 +69,7 @@
     vault: Vault | None = None
     rise_to: Callable[[dict[str, int]], None] = lambda _: None
     ask_heights: Callable[[], Awaitable[int]] | None = None
+    ask_kept: Callable[[int], Awaitable[list[str]]] | None = None
     heights: dict[str, int] = field(default_factory=dict)
     leaving: bool = False
     spoiled: asyncio.Future[Fault] = field(default_factory=lambda: asyncio.get_running_loop().create_future())
@@ -267,9 +268,15 @@
                 part.heard = max(part.heard, back_off)
                 return
             blank = known == 0
+        names_lost: list[str] = []
+        if not normal and not blank and self.ask_kept is not None:
+            names_lost = [n for n in await self.ask_kept(part.id) if n not in view.lots]
+            if part.promised != epoch or part.owning:
+                part.heard = max(part.heard, back_off)
+                return
         try:
             self.settle(part, staged)
-            self.rise(part, epoch, view, voters, blank, normal)
+            self.rise(part, epoch, view, voters, blank, normal, names_lost)
         except Stop:
             part.step_down()
             part.heard = now()
@@ -298,16 +305,24 @@
         part.covered = max(part.covered, part.tape.base_seq)
         self.write(part, entries)
 
-    def rise(self, part: Part, epoch: int, view: LotView, voters: dict[str, str], blank: bool, normal: bool) -> None:
+    def rise(
+        self, part: Part, epoch: int, view: LotView, voters: dict[str, str], blank: bool, normal: bool, lost: list[str]
+    ) -> None:
         part.lead(epoch)
         self.desks[part.id] = Desk()
         made: list[Record] = []
         if blank:
             made.append(part.make("crew", {"crew": voters}))
         elif not normal:
-            made.append(part.make("loss", {"crew": voters, "edition": view.losses + 1, "lots": []}))
+            made.append(part.make("loss", {"crew": voters, "edition": view.losses + 1, "lots": lost}))
             events.emit(
-                125, self.conf.name, part=part.id, edition=view.losses + 1, last=part.tape.last, voters=",".join(voters)
+                125,
+                self.conf.name,
+                part=part.id,
+                edition=view.losses + 1,
+                last=part.tape.last,
+                voters=",".join(voters),
+                lots=len(lost),
             )
         made.append(part.make("mark", {}))
         part.mark = part.tape.last
@@ -681,9 +696,10 @@
         # Refusals and claims stay as long as finished lots do, counted from when this owner first saw them.
         shed = [n for n in view.shed if now() - desk.done_at.setdefault(f"shed {n}", now()) > keep]
         keys = [k for k in view.claims if now() - desk.done_at.setdefault(f"claim {k}", now()) > keep]
-        if gone or shed or keys:
-            self.add(part, "drop", {"lots": (gone + shed)[:200], "claims": keys[:200]})
-            names = [*gone, *(f"shed {n}" for n in shed), *(f"claim {k}" for k in keys)]
+        lost = [n for n in view.lost if now() - desk.done_at.setdefault(f"lost {n}", now()) > keep]
+        if gone or shed or keys or lost:
+            self.add(part, "drop", {"lots": (gone + shed + lost)[:200], "claims": keys[:200]})
+            names = [*gone, *(f"lost {n}" for n in lost), *(f"shed {n}" for n in shed), *(f"claim {k}" for k in keys)]
             for name in names:
                 desk.done_at.pop(name, None)
 
--- a/sim/runner.py
+++ b/sim/runner.py
@@ -434,6 +434,8 @@
     out["log_bytes"] = max(
         (sum(map(len, b.disk.files.values())) for n, b in fleet.boxes.items() if b.disk and n[0] == "s"), default=0
     )
+    out["lots_told_lost"] = len({e["id"] for e in seen if e["ev"] == "missing" and "this lot was lost" in e["why"]})
+    out["lots_missing"] = len({e["id"] for e in seen if e["ev"] == "missing"})
     out["copies"] = min(fleet.copies, default=0)
     out["full_crews"] = float(len(wanted) == fleet.man["parts"] and all(wanted.values()))
     out["losses"] = max([p.view.losses for _, s in fleet.stores() for p in s.parts.values()], default=0)
