--- a/postpass/config.py
+++ b/postpass/config.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from typing import Any, Literal, NotRequired, TypedDict, cast
 
@@ -20,6 +21,13 @@
     silent: float
 
 
+class ToleranceFile(TypedDict, total=False):
+    """How many machines with a disk, or whole areas, may be lost at once."""
+
+    disks: int
+    areas: int
+
+
 class ConfigFile(TypedDict):
     name: str
     area: str
@@ -29,6 +37,13 @@
     duties: NotRequired[list[Literal["edge", "sched", "store"]]]
     data: NotRequired[str]
     bounds: NotRequired[BoundsFile]
+    announce: NotRequired[bool]
+    bootstrap: NotRequired[bool]
+    areas: NotRequired[list[str]]
+    ready: NotRequired[str]
+    tolerate: NotRequired[ToleranceFile]
+    beat: NotRequired[float]
+    more: NotRequired[dict[str, float]]
     buffer_bytes: NotRequired[int]
     segment_bytes: NotRequired[int]
     disk_bytes: NotRequired[int]
@@ -116,6 +131,17 @@
     duties: tuple[str, ...] = ()
     data: str = ""
     bounds: Bounds = field(default_factory=Bounds)
+    # Nobody lists the machines: this one announces itself to control, which the seeds found if `bootstrap` is set and
+    # their disks are blank.
+    announce: bool = False
+    bootstrap: bool = False
+    areas: tuple[str, ...] = ()
+    ready: str = ""  # IP:PORT at which readiness is told, beside `http`
+    disks_lost: int = 1  # what may be lost at once
+    areas_lost: int = 1
+    beat: float = 1.0  # how often workers beat, in seconds
+    # Further bounds by name, in the unit of the platform that set them.
+    more: Mapping[str, float] = field(default_factory=dict)
     # Memory for records not yet delivered everywhere; a mirror past it is refilled from the log.
     buffer_bytes: int = 4 << 20
     segment_bytes: int = 1 << 20
@@ -143,10 +169,13 @@
     seen = [
         *addr_flaws("peer", file["peer"]),
         *addr_flaws("http", file["http"]),
+        *(addr_flaws("ready", file["ready"]) if file.get("ready") else []),
         *(f for i, s in enumerate(file["seeds"]) for f in addr_flaws(f"seeds[{i}]", s)),
     ]
-    if len(file["seeds"]) != 3:
+    if len(file["seeds"]) != 3 and not file.get("announce"):
         seen.append(f"seeds: want three addresses, got {len(file['seeds'])}")
+    elif not 1 <= len(file["seeds"]) <= 3:
+        seen.append(f"seeds: want one to three addresses, got {len(file['seeds'])}")
     if not file["name"]:
         seen.append("name: want a name, got an empty string")
     if (want_data or "store" in file.get("duties", [])) and not file.get("data"):
@@ -163,12 +192,16 @@
     ]
     if seen:
         return Err(seen)
-    rest: Any = {k: v for k, v in file.items() if k not in ("bounds", "seeds", "duties")}
+    rest: Any = {k: v for k, v in file.items() if k not in ("bounds", "seeds", "duties", "areas", "tolerate")}
+    lost = file.get("tolerate", {})
     return Ok(
         Config(
             seeds=tuple(file["seeds"]),
             duties=tuple(file.get("duties", [])),
             bounds=Bounds(**file.get("bounds", {})),
+            areas=tuple(file.get("areas", [])),
+            disks_lost=lost.get("disks", 1),
+            areas_lost=lost.get("areas", 1),
             **rest,
         )
     )
--- a/postpass/data.py
+++ b/postpass/data.py
@@ -13,6 +13,7 @@
 
 from postpass.config import Config
 from postpass.daemon import Daemon, Task
+from postpass.dialect import Dialect
 from postpass.edge import Edge
 from postpass.fault import Fault
 from postpass.floor import Floor
@@ -32,8 +33,9 @@
     store: Store | None = None
     session: aiohttp.ClientSession | None = None
 
-    def __init__(self, conf: Config, world: World, release: str = "") -> None:
+    def __init__(self, conf: Config, world: World, release: str = "", dialect: Dialect | None = None) -> None:
         super().__init__(conf, world, release or RELEASE)
+        self.dialect = dialect or Dialect()
         self.edge = self.sched = self.store = self.session = None
         if "store" in conf.duties:
             self.store = Store(conf, world, self.news, self.lines)
--- a/postpass/manifest.py
+++ b/postpass/manifest.py
@@ -22,6 +22,9 @@
     # retire: its copies move elsewhere, then it is reported empty. gone: declared lost for good.
     retire: NotRequired[bool]
     gone: NotRequired[bool]
+    # In an announced fleet: the incarnation that announced itself last, and the identity of its disk.
+    born: NotRequired[int]
+    disk: NotRequired[str]
 
 
 class Server(TypedDict):
@@ -30,6 +33,8 @@
     slots: int
     weights: NotRequired[str]
     leave: NotRequired[bool]
+    # In an announced fleet: still slow after its start, or again.
+    cold: NotRequired[bool]
 
 
 class Pool(TypedDict):
@@ -38,6 +43,35 @@
     weights: NotRequired[str]
     # Are model servers asked for the place of each piece? Yes if left out.
     offsets: NotRequired[bool]
+    # Terms of a pool that relayed calls use.
+    health: NotRequired[str]  # path
+    conns: NotRequired[int]  # connections a server takes from all daemons together
+    cold_rate: NotRequired[float]  # calls a second that a cold server takes from all together; 0: no such bound
+    kv: NotRequired[int]  # tokens of memory of a model server; 0 or left out: not a model
+
+
+class Split(TypedDict):
+    pool: str
+    weight: int
+
+
+class Route(TypedDict):
+    """Requests for a host under a prefix go, bytes untouched, to a worker of one of its pools. Times in seconds."""
+
+    host: str
+    prefix: str
+    kind: Literal["idem", "once", "stream", "lot"]
+    split: list[Split]
+    timeout: float  # the longest a call is held
+    target: float  # inside which an answer (for a stream its first piece, for a lot its acceptance) is worth most
+    rank: int  # 0 is the highest
+    tries: int  # workers that one call may go to; failures that an item may have
+    resumable: bool
+    gap: float  # the longest pause between pieces that is still in time; 0: none told
+    tokens: bool  # calls tell the parts of their prompt
+    quota: int  # tokens that may wait in lots; 0: no bound
+    due: float  # after a lot came
+    expire: float
 
 
 class Class(TypedDict):
@@ -64,6 +98,9 @@
     lot_bytes: int
     pieces: int
     open_lots: int
+    head_bytes: int
+    head_ms: int
+    idle_ms: int
 
 
 class Manifest(TypedDict):
@@ -80,11 +117,15 @@
     retention: NotRequired[float]
     limits: NotRequired[Limits]
     ramp: NotRequired[float]
+    # Of announced fleets: the operator's own number, and the relayed routes by name.
+    announced: NotRequired[bool]
+    version: NotRequired[int]
+    routes: NotRequired[dict[str, Route]]
 
 
 LIMITS: dict[str, int] = {
     "body_bytes": 4 << 20, "item_bytes": 64 << 10, "lot_items": 5000, "lot_bytes": 2 << 20,
-    "pieces": 4096, "open_lots": 2000,
+    "pieces": 4096, "open_lots": 2000, "head_bytes": 16 << 10, "head_ms": 5000, "idle_ms": 15000,
 }  # fmt: skip
 
 
@@ -99,9 +140,10 @@
 
 def members(man: Manifest, part: int) -> tuple[str, ...]:
     """Who should keep a partition: in distinct areas while there are enough, in an agreed order that
-    the partition's number turns, so that ownership is spread."""
+    the partition's number turns, so that ownership is spread. In an announced fleet nobody, until as many stores as
+    it takes have announced themselves."""
     pool = [n for n in with_duty(man, "store") if not man["machines"][n].get("retire")]
-    if not pool:
+    if not pool or (man.get("announced") and len(pool) < man["copies"]):
         return ()
     ranked = sorted(pool, key=lambda n: hashlib.sha256(f"{part}/{n}".encode()).digest())
     first = {man["machines"][n]["area"]: n for n in reversed(ranked)}
@@ -147,7 +189,7 @@
                 seen[addr] = f"machines.{name}.{key}"
     evacuated = man.get("evacuated", [])
     out += [f"evacuated[{i}]: unknown area {a}" for i, a in enumerate(evacuated) if a not in areas]
-    if areas and set(areas) <= set(evacuated):
+    if areas and set(areas) <= set(evacuated) and not man.get("announced"):
         out.append("evacuated: the last area can't be evacuated; nothing would serve")
     for name, pool in pools.items():
         for who, s in pool["servers"].items():
@@ -160,7 +202,7 @@
             if not s["url"].startswith("http://") or addr_flaws("", host):
                 out.append(f"{path}.url: want http://IP:PORT, got {s['url']!r:.60}")
         live = [s for s in pool["servers"].values() if not s.get("leave") and s["area"] not in evacuated]
-        if pool["servers"] and not live:
+        if pool["servers"] and not live and not man.get("announced"):
             out.append(f"pools.{name}: every server leaves or stands in an evacuated area")
     shares: dict[str, float] = {}
     for name, c in man["classes"].items():
@@ -204,7 +246,31 @@
     if "ramp" in man and not man["ramp"] >= 0:
         out.append(f"ramp: want 0 or more, got {man['ramp']}")
     out += [f"limits.{k}: want at least 1, got {v}" for k, v in man.get("limits", {}).items() if cast(int, v) < 1]
-    return out + store_flaws(man)
+    for name, route in man.get("routes", {}).items():
+        out += route_flaws(f"routes.{name}", route, man)
+    taken: dict[tuple[str, str], str] = {}
+    for name, route in man.get("routes", {}).items():
+        other = taken.setdefault((route["host"].lower(), route["prefix"]), name)
+        if other != name:
+            out.append(f"routes.{name}.prefix: {route['host']}{route['prefix']} is also that of {other}")
+    return out + ([] if man.get("announced") else store_flaws(man))
+
+
+def route_flaws(path: str, route: Route, man: Manifest) -> list[str]:
+    out = [
+        f"{path}.split[{i}].pool: unknown pool {s['pool']}"
+        for i, s in enumerate(route["split"])
+        if s["pool"] not in man["pools"]
+    ]
+    if any(s["weight"] < 0 for s in route["split"]) or sum(s["weight"] for s in route["split"]) <= 0:
+        out.append(f"{path}.split: want weights of 0 or more that add up to more than 0")
+    if not route["timeout"] > 0:
+        out.append(f"{path}.timeout: want more than 0, got {route['timeout']}")
+    if not (route["prefix"].startswith("/") and route["prefix"].endswith("/")):
+        out.append(f"{path}.prefix: want a path that begins and ends with a slash, got {route['prefix']!r:.60}")
+    if not route["host"]:
+        out.append(f"{path}.host: want a host, got an empty string")
+    return out
 
 
 def store_flaws(man: Manifest) -> list[str]:
