--- a/postpass/control.py
+++ b/postpass/control.py
@@ -6,7 +6,8 @@
 import asyncio
 import hashlib
 import json
-from dataclasses import asdict, dataclass, field
+from collections.abc import Callable
+from dataclasses import asdict, dataclass, field, replace
 from typing import Any
 
 from prometheus_client import Gauge
@@ -15,26 +16,28 @@
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
 
-from postpass import events
+from postpass import events, roster
 from postpass.config import Config
 from postpass.daemon import Daemon, Task
 from postpass.disk import Disk
 from postpass.epochs import Pair, Voters, Witness, majority, may_lead
-from postpass.fault import BAD, BROKE, CLASH, MOVED, OLD, SHED, SLOW, Fault, Stop
-from postpass.manifest import Manifest, check, dump, shape, with_duty
+from postpass.fault import BAD, BROKE, CLASH, LACK, MOVED, OLD, SHED, SLOW, Fault, Stop
+from postpass.manifest import Manifest, check, deep_flaws, dump, members, shape, with_duty
+from postpass.roster import Entry, Standing, State, Translator
 from postpass.vault import open_vault
 from postpass.wire import RELEASE, Body, PeerResponse
 from postpass.world import World, hear, now
 
+Fold = Callable[[State], Result[State, Fault]]
 
-@dataclass(frozen=True)
-class State:
-    """Control state. Invariant: `edition` grows by one with every write, and never falls; `losses` counts
-    how often acknowledged state may have been lost."""
 
-    edition: int = 0
-    manifest: Manifest | None = None
-    losses: int = 0
+@dataclass(eq=False)
+class Edit:
+    """A change of the state that waits to be written, with others. Invariant: `fold` gives the same when it is laid on a
+    state that has it already."""
+
+    fold: Fold
+    done: asyncio.Future[Result[int, Fault]]
 
 
 @dataclass(frozen=True)
@@ -46,8 +49,12 @@
     pair: Pair = Pair()
     state: State = State()
 
+    def raw(self) -> Body:
+        """As JSON has it; shares what it can with this one."""
+        return {"whole": self.whole, "pair": asdict(self.pair), "state": dict(vars(self.state))}
+
     def dump(self) -> bytes:
-        body = json.dumps(asdict(self), separators=(",", ":"))
+        body = json.dumps(self.raw(), separators=(",", ":"))
         return json.dumps({"sum": hashlib.sha256(body.encode()).hexdigest(), "body": body}).encode()
 
     @classmethod
@@ -59,6 +66,9 @@
         return cls(body["whole"], Pair(**body["pair"]), State(**body["state"]))
 
 
+INFINITY = float("inf")
+
+
 @dataclass(eq=False)
 class Control(Daemon):
     """Invariants: writes go one at a time under `lock`; `epoch` > 0 only while this is the primary of it;
@@ -74,8 +84,19 @@
     disk_lock: asyncio.Lock = field(default_factory=asyncio.Lock)
     bad: str = ""
 
-    def __init__(self, conf: Config, world: World, release: str = "") -> None:
+    def __init__(self, conf: Config, world: World, release: str = "", translator: Translator | None = None) -> None:
         super().__init__(conf, world, release or RELEASE)
+        self.translator = translator
+        self.edits: list[Edit] = []
+        self.due, self.hurry = INFINITY, asyncio.Event()
+        # What was heard last, by this machine's clock: workers and machines that spoke here or at another control
+        # machine; when a machine's name was first heard; and, here alone, the primary's last word.
+        self.beats: dict[str, float] = {}
+        self.seqnos: dict[str, int] = {}
+        self.spoke: dict[str, float] = {}
+        self.met: dict[str, float] = {}
+        self.since = self.touched = 0.0
+        self.leader = ""
         self.witness, self.held, self.disk_id, self.epoch = Witness(), Held(), "", 0
         self.heard = self.backup_heard = 0.0
         self.lock, self.disk_lock, self.bad = asyncio.Lock(), asyncio.Lock(), ""
@@ -117,19 +138,31 @@
             # An older edition is better than none to find the others by; it may be behind, never ahead
             # of what this pair's disk took.
             self.seen = self.held.state.manifest
+        self.circle.me["disk"] = self.disk_id
         self.heard = now()
 
     seen: Manifest | None = None
 
     def handlers(self) -> dict[str, Any]:
         return {"look": self.on_look, "grant": self.on_grant, "copy": self.on_copy, "apply": self.on_apply,
-                "read": self.on_read, "adopt": self.on_adopt}  # fmt: skip
+                "read": self.on_read, "adopt": self.on_adopt, "hear": self.on_hear,
+                "join": self.onward("join"), "beat": self.onward("beat"), "order": self.onward("order")}  # fmt: skip
+
+    def onward(self, verb: str) -> Callable[[Body], Any]:
+        """The handler of a verb that any control machine takes and the primary does."""
+
+        async def handle(body: Body) -> PeerResponse:
+            if body.get("passed"):
+                return await getattr(self, f"on_{verb}")(body)  # type: ignore[no-any-return]
+            return await self.pass_on(verb, body, self.conf.bounds.manifest / 4)
+
+        return handle
 
     def ways(self) -> list[Any]:
         return [Route("/v1/manifest", self.http_manifest, methods=["GET", "PUT"])]
 
     def tasks(self) -> list[Task]:
-        return [self.tick()]
+        return [self.tick(), *([self.found(), self.write(), self.report()] if self.conf.announce else [])]
 
     # --- the witnesses' part
     async def keep(self, name: str, data: bytes) -> None:
@@ -162,6 +195,8 @@
         new = self.witness.look(body["epoch"], body["who"])
         if new is None:
             return Ok(self.about() | {"ok": False})
+        # Whoever asks may soon lead: this one's own try can wait for that.
+        self.heard = max(self.heard, now() - self.conf.bounds.detect + self.conf.bounds.promise)
         return await self.promise(new)
 
     async def on_grant(self, body: Body) -> PeerResponse:
@@ -193,6 +228,7 @@
         if body["epoch"] < self.witness.promised:
             return Ok({"ok": False, "promised": self.witness.promised, "disk": self.disk_id})
         self.heard = now()
+        self.leader = body.get("who", "")
         if "held" in body:
             raw = body["held"]
             new = Held(raw["whole"], Pair(**raw["pair"]), State(**raw["state"]))
@@ -209,8 +245,8 @@
         if edition > self.news.edition:
             if self.held.whole == body["epoch"] and self.held.state.edition == edition:
                 self.publish()
-            elif self.addr(body["who"]):
-                task = asyncio.create_task(self.fetch(self.addr(body["who"])))
+            elif at := self.addr(body["who"]) or body.get("at", ""):
+                task = asyncio.create_task(self.fetch(at))
                 self.fetches.add(task)
                 task.add_done_callback(self.fetches.discard)
         return Ok({"ok": True, "promised": self.witness.promised, "disk": self.disk_id})
@@ -219,10 +255,12 @@
         addr = self.addr(to)
         if not addr:
             return False
-        body: Body = {"epoch": epoch, "who": self.conf.name, "edition": self.news.edition}
+        body: Body = {"epoch": epoch, "who": self.conf.name, "edition": self.news.edition, "at": self.conf.peer}
         if held:
-            body["held"] = asdict(held)
-        got = await self.lines.call(addr, "copy", body, self.conf.bounds.promise)
+            body["held"] = held.raw()
+        # Where machines announce themselves another backup is soon found; an order doesn't wait long for this one.
+        wait = self.conf.bounds.promise / (2 if self.conf.announce else 1)
+        got = await self.lines.call(addr, "copy", body, wait)
         if isinstance(got, Err):
             return False
         if not got.unwrap()["ok"]:
@@ -353,10 +391,20 @@
                     return Err(Fault(step, me, flaw, SLOW))
         # One at most joins or leaves the voters in an epoch, unless all of them have answered.
         now_voters = got if every else voters
+        if not every and self.conf.announce:
+            # Not all have answered, and some may never: whoever has come is let in and whoever was dropped leaves, if
+            # most of the voters before and most of those after grant it.
+            crew = [n for n in self.crew(man) if n in got or n in voters]
+            now_voters = {n: got.get(n, voters.get(n, "")) for n in crew}
         rest = [n for n in self.crew(man) if n != me and n in good]
+        area = {n: man["machines"][n]["area"] for n in self.crew(man)}
         liked = sorted(
             rest,
-            key=lambda n: (n == start.pair.primary and why in ("primary lost", "handed over"), self.crew(man).index(n)),
+            key=lambda n: (
+                n == start.pair.primary and why in ("primary lost", "handed over"),
+                self.conf.announce and area[n] == self.conf.area,
+                self.crew(man).index(n),
+            ),
         )
         backup = liked[0] if liked else ""
         pair = Pair(epoch, me, backup, now_voters)
@@ -373,7 +421,9 @@
         enough = majority(now_voters, granted) and (every or majority(voters, granted))
         if not enough or self.witness.promised != epoch:
             return Err(Fault(step, me, "too few granted the epoch", SLOW))
-        self.epoch, self.backup_heard = epoch, now()
+        self.epoch, self.backup_heard, self.leader = epoch, now(), me
+        if why not in ("backup lost", "no backup") and not why.startswith("voters"):
+            self.since, self.beats = now(), {}
         events.emit(133 if loss else 130, self.conf.name, epoch=epoch, backup=backup, edition=state.edition, why=why)
         for name in sorted(set(now_voters) - {n for n, d in voters.items() if now_voters.get(n) == d}):
             events.emit(134, self.conf.name, joins=name)
@@ -419,7 +469,7 @@
                 await self.copy(None, epoch, pair.backup)
         # Witnesses hear that there is a primary, and tell if they promised a higher epoch.
         others = [n for n in self.crew(man) if n not in (self.conf.name, pair.backup)]
-        told = {"epoch": epoch, "who": self.conf.name, "edition": self.news.edition}
+        told = {"epoch": epoch, "who": self.conf.name, "edition": self.news.edition, "at": self.conf.peer}
         looks = await self.ask_all("copy", told, others, man)
         if self.epoch != epoch:
             return
@@ -427,6 +477,10 @@
             if not answer["ok"] and answer["promised"] > epoch:
                 self.fall(answer["promised"])
                 return
+        if man.get("announced"):
+            self.spoke |= dict.fromkeys([*looks, self.conf.name], now())
+            self.spoke[pair.backup] = max(self.backup_heard, self.spoke.get(pair.backup, 0.0))
+            self.spawn(self.tend())
         lost = bool(pair.backup) and now() - self.backup_heard > b.detect
         alone = not pair.backup and bool(looks)
         odd = [n for n, a in looks.items() if pair.voters.get(n) != a["disk"]]
@@ -482,18 +536,25 @@
         edition = got.unwrap()["edition"]
         return Ok({"edition": edition, "waits": await self.in_force(edition, before, body["manifest"], asked)})
 
-    async def in_force(self, edition: int, before: Manifest | None, after: Manifest, asked: float) -> list[str]:
+    async def in_force(
+        self, edition: int, before: Manifest | None, after: Manifest, asked: float, limit: float = 0.0
+    ) -> list[str]:
         """Who of the old and the new manifest has neither said that it runs this edition nor is shown not to run.
 
         A process whose address refuses is not there; one that starts later serves only on fresh news, which are no
         older than this edition, since it was taken before.
         """
-        until = asked + self.conf.bounds.manifest
+        until = asked + (limit or self.conf.bounds.manifest)
         mine = self.news.addr(self.conf.name)
         every = {n: m for man in (before, after) if man for n, m in man["machines"].items()}
         gone = {n for n, m in after["machines"].items() if m.get("gone")}
         waits = {n: m["peer"] for n, m in every.items() if n != self.conf.name and n not in gone}
 
+        if after.get("announced"):
+            # Those that send to workers and were heard lately; the others start afresh or are out of touch.
+            quiet = now() - self.conf.bounds.detect
+            sends = {n for n, m in after["machines"].items() if {"edge", "sched"} & set(m["duties"])}
+            waits = {n: a for n, a in waits.items() if n in sends and max(self.spoke.get(n, 0), self.since) > quiet}
         b, peers = self.conf.bounds, dict(waits)
 
         def word(got: PeerResponse) -> bool:
@@ -642,9 +703,11 @@
                 return Err(Fault("read", self.conf.name, "could not be confirmed; ask again", SLOW))
         if body.get("brief"):
             return Ok({"edition": state.edition})
+        if body.get("source"):
+            return Ok({"edition": state.edition, "source": state.source, "version": state.man.get("version", 0)})
         return Ok({"edition": state.edition, "manifest": state.manifest, "losses": state.losses})
 
-    async def pass_on(self, verb: str, body: Body) -> PeerResponse:
+    async def pass_on(self, verb: str, body: Body, limit: float = 0.0) -> PeerResponse:
         """To the primary, wherever it is."""
         got: PeerResponse = await getattr(self, f"on_{verb}")(body)
         tried = {self.conf.name}
@@ -659,13 +722,367 @@
             if not addr:
                 continue
             # An apply may use the whole bound, and more for the disks before it.
-            there = await self.lines.call(addr, verb, body, self.conf.bounds.manifest * (2 if verb == "apply" else 1))
+            limit = limit or self.conf.bounds.manifest * (2 if verb == "apply" else 1)
+            there = await self.lines.call(addr, verb, body | {"passed": 1}, limit)
             if isinstance(there, Err) and there.unwrap_err().unsent:
                 got = Err(Fault(verb, todo[0], there.unwrap_err().why, MOVED))
             else:
                 got = there
         return got
 
+    # --- announced fleets: founding and joining
+    def elsewhere(self, step: str) -> Fault:
+        hint = self.leader if self.leader != self.conf.name else ""
+        return Fault(step, self.conf.name, "not the primary", MOVED, hint)
+
+    async def leading(self) -> bool:
+        """Is this the primary? While it takes another backup or voter it is for a moment not, and soon again."""
+        if not self.epoch and self.leader == self.conf.name and self.lock.locked():
+            async with self.lock:
+                pass
+        return self.epoch > 0
+
+    def blank(self) -> bool:
+        return self.known() is None and self.held.whole == 0 and self.witness.pair.epoch == 0
+
+    async def on_ping(self, body: Body) -> PeerResponse:
+        if "entry" in body:
+            return Ok({"entry": self.entry(), "blank": self.blank()})
+        return await super().on_ping(body)
+
+    async def on_follow(self, body: Body) -> PeerResponse:
+        if "who" in body:
+            self.spoke[body["who"]] = now()
+        return await super().on_follow(body)
+
+    async def found(self) -> None:
+        """The seeds of a blank fleet found it: the first of them, or the next if that one doesn't come to it."""
+        b, seeds = self.conf.bounds, sorted(set(self.conf.seeds))
+        if not self.conf.bootstrap or self.conf.peer not in seeds:
+            return
+        await asyncio.sleep(b.detect * seeds.index(self.conf.peer))
+        while self.blank():
+            asks = [
+                self.lines.call(a, "ping", {"entry": 1}, b.beat if a != self.conf.peer else 0)
+                for a in seeds
+                if a != self.conf.peer
+            ]
+            got = await asyncio.gather(*asks)
+            if all(isinstance(g, Ok) and g.unwrap().get("blank") for g in got) and self.blank():
+                entries: list[Entry] = [self.entry(), *(g.unwrap()["entry"] for g in got)]
+                man = roster.founded(entries, self.conf.areas, self.conf.disks_lost)
+                async with self.lock:
+                    done = await self.stand(man, "founded", State(1, man))
+                if isinstance(done, Ok):
+                    events.emit(135, self.conf.name, machines=",".join(e["name"] for e in entries))
+                    return
+            await asyncio.sleep(b.beat / 4 * (0.8 + 0.4 * self.world.chance.random()))
+
+    async def on_join(self, body: Body) -> PeerResponse:
+        step, entry = "join", body["entry"]
+        if not await self.leading():
+            return Err(self.elsewhere(step))
+        flaws = roster.entry_flaws(entry, self.conf.areas)
+        if flaws:
+            return Err(Fault(step, self.conf.name, "\n".join(flaws), BAD))
+        self.spoke[entry["name"]] = now()
+        self.met.setdefault(entry["name"], now())
+        got = await self.change(lambda s: Ok(roster.joined(s, entry)), self.conf.bounds.beat / 4)
+        if isinstance(got, Err):
+            return Err(got.unwrap_err())
+        events.emit(136, self.conf.name, joins=entry["name"], duties=",".join(entry["duties"]), edition=got.unwrap())
+        return Ok({"edition": got.unwrap()})
+
+    # --- announced fleets: writing
+    async def change(self, fold: Fold, pause: float) -> Result[int, Fault]:
+        """Writes a change, with others that come within the pause; the edition that has it, once it is durable."""
+        if not await self.leading():
+            return Err(self.elsewhere("write"))
+        edit = Edit(fold, asyncio.get_running_loop().create_future())
+        self.edits.append(edit)
+        if now() + pause < self.due:
+            self.due = now() + pause
+            self.hurry.set()
+        return await edit.done
+
+    async def write(self) -> None:
+        while True:
+            if not self.edits:
+                self.due = INFINITY
+            left = self.due - now()
+            if left > 0:
+                self.hurry.clear()
+                try:
+                    await asyncio.wait_for(self.hurry.wait(), None if left == INFINITY else left)
+                except TimeoutError:
+                    pass
+                continue
+            edits, self.edits, self.due = self.edits, [], INFINITY
+            async with self.lock:
+                try:
+                    got = await self.fold(edits)
+                except Stop as bad:
+                    got = [Err(bad.fault) for _ in edits]
+            for edit, result in zip(edits, got, strict=True):
+                if not edit.done.done():
+                    edit.done.set_result(result)
+
+    async def fold(self, edits: list[Edit]) -> list[Result[int, Fault]]:
+        """One write for many changes. If the backup is silent another one is taken, and all are laid on once more."""
+        me, b = self.conf.name, self.conf.bounds
+        for _ in range(2):
+            epoch, before = self.epoch, self.held.state
+            if not epoch or before.manifest is None:
+                break
+            state, out = before, []
+            for edit in edits:
+                got = edit.fold(state)
+                state = got.unwrap_or(state)
+                out.append(got)
+            if state is not before:
+                state = replace(state, edition=before.edition + 1)
+                done = await self.commit(state)
+            else:
+                done = await self.sure()
+            if done:
+                return [Ok(state.edition) if isinstance(g, Ok) else Err(g.unwrap_err()) for g in out]
+            if self.epoch == epoch:
+                self.epoch = 0
+                again = await self.stand(state.man, "backup lost")
+                if isinstance(again, Err):
+                    self.heard = now() - b.detect
+                else:
+                    events.emit(132, me, backup=self.held.pair.backup, why="it did not take a write")
+        return [Err(Fault("write", me, "not known whether it was taken; ask again", SLOW)) for _ in edits]
+
+    # --- announced fleets: who is heard
+    async def report(self) -> None:
+        """Tells the primary whom this machine has heard, so that nobody is missed who beats elsewhere."""
+        b, period = self.conf.bounds, self.conf.beat / 2
+        while True:
+            await asyncio.sleep(period * (0.8 + 0.4 * self.world.chance.random()))
+            if self.epoch:
+                self.touched = now()
+                continue
+            addr = self.addr(self.leader)
+            if not addr:
+                continue
+            t = now()
+            ages = {
+                key: {n: round(t - at, 3) for n, at in seen.items() if t - at < 2 * self.conf.beat + period}
+                for key, seen in (("beats", self.beats), ("spoke", self.spoke))
+            }
+            got = await self.lines.call(addr, "hear", ages, min(period, b.beat * 2))
+            if isinstance(got, Ok) and got.unwrap()["leads"]:
+                self.touched = t
+            self.beats = {n: at for n, at in self.beats.items() if t - at < 8 * self.conf.beat}
+            self.spoke = {n: at for n, at in self.spoke.items() if t - at < 8 * self.conf.beat}
+
+    async def on_hear(self, body: Body) -> PeerResponse:
+        for key, seen in (("beats", self.beats), ("spoke", self.spoke)):
+            for name, age in body[key].items():
+                seen[name] = max(seen.get(name, -INFINITY), now() - float(age))
+        return Ok({"leads": self.epoch > 0})
+
+    async def tend(self) -> None:
+        """The primary's care: who is gone, and how many copies there can be."""
+        state, t, b = self.held.state, now(), self.conf.bounds
+        if not self.epoch or state.manifest is None:
+            return
+        man = state.manifest
+        silent = {n: t - max(self.spoke.get(n, -INFINITY), self.since) for n in man["machines"]}
+        every = roster.everyone(state)
+        quiet = {w: t - max(self.beats.get(w, -INFINITY), self.since) for w in every}
+        late = [w for w, q in quiet.items() if q > 3.5 * self.conf.beat]
+        if 2 * len(late) > max(len(every), 4):
+            # So many at once: it may well be the way to here that is cut, and no beat can come.
+            late = [w for w, q in quiet.items() if q > 10 * self.conf.beat]
+        gone = roster.replaced(man, silent, self.met, self.since, t, self.patience)
+        joined = max((self.met.get(n, 0.0) for n in with_duty(man, "store")), default=t)
+        few = t - max(joined, self.since) > b.recover / 4
+
+        def fold(s: State) -> Result[State, Fault]:
+            if late:
+                s = roster.expired(s, late)
+            if gone:
+                s = roster.dropped(s, gone)
+            return Ok(roster.settled(s, self.conf.disks_lost, few))
+
+        if fold(state).unwrap() is not state:
+            got = await self.change(fold, 0.0)
+            if isinstance(got, Ok):
+                events.emit(137, self.conf.name, machines=",".join(gone), workers=",".join(late), edition=got.unwrap())
+
+    @property
+    def patience(self) -> float:
+        """How long a machine is not heard before another may take its place."""
+        return min(self.conf.more.get("syncS", INFINITY), self.conf.bounds.recover / 2) / 2
+
+    # --- announced fleets: workers
+    async def beat_worker(self, who: str, standing: Standing, seqno: int) -> PeerResponse:
+        if seqno and seqno < self.seqnos.get(who, 0):
+            return Ok({})
+        if seqno:
+            self.seqnos[who] = seqno
+        if len(self.seqnos) > 4096:
+            self.seqnos = dict(list(self.seqnos.items())[-1024:])
+        lately = self.epoch > 0 or now() - self.touched < 1.5 * self.conf.beat
+        if lately and roster.unchanged(self.news.manifest, who, standing):
+            self.beats[who] = now()
+            return Ok({})
+        return await self.pass_on(
+            "beat", {"who": who, "standing": standing, "seqno": seqno}, self.conf.bounds.leave / 3
+        )
+
+    async def leave_worker(self, who: str) -> PeerResponse:
+        return await self.pass_on("beat", {"who": who, "standing": None, "seqno": 0}, self.conf.bounds.leave / 3)
+
+    async def on_beat(self, body: Body) -> PeerResponse:
+        """What changes a worker's standing is written; that it leaves is also made known before it is told so."""
+        if not await self.leading():
+            return Err(self.elsewhere("beat"))
+        b, who, seqno, asked = self.conf.bounds, body["who"], body["seqno"], now()
+        standing: Standing | None = body["standing"]
+        if seqno and seqno < self.seqnos.get(who, 0):
+            return Ok({})
+        if seqno:
+            self.seqnos[who] = seqno
+        self.beats[who] = now()
+
+        def fold(s: State) -> Result[State, Fault]:
+            return Ok(roster.ended(s, [who]) if standing is None else roster.stood(s, who, standing))
+
+        got = await self.change(fold, b.leave / 100)
+        if isinstance(got, Err):
+            return Err(got.unwrap_err())
+        if standing is None or standing.get("leave"):
+            await self.in_force(got.unwrap(), None, self.held.state.man, asked, b.leave / 6)
+        return Ok({"edition": got.unwrap()})
+
+    # --- announced fleets: the operators' part
+    async def apply_source(self, source: Any, base: int) -> PeerResponse:
+        """The operator's document as a whole, made on top of version `base`."""
+        return await self.command({"what": "source", "source": source, "base": base})
+
+    async def patch_source(self, change: Any, base: int) -> PeerResponse:
+        return await self.command({"what": "patch", "source": change, "base": base})
+
+    async def read_source(self) -> PeerResponse:
+        return await self.pass_on("read", {"source": 1}, self.conf.bounds.manifest / 4)
+
+    async def evacuate(self, area: str, away: bool) -> PeerResponse:
+        return await self.command({"what": "evacuate" if away else "return", "area": area})
+
+    async def retire(self, name: str) -> PeerResponse:
+        return await self.command({"what": "retire", "name": name})
+
+    async def retired(self, name: str) -> PeerResponse:
+        return await self.command({"what": "retired", "name": name})
+
+    async def command(self, body: Body) -> PeerResponse:
+        return await self.pass_on("order", body, self.conf.bounds.manifest / 2)
+
+    async def on_order(self, body: Body) -> PeerResponse:
+        if not await self.leading():
+            return Err(self.elsewhere("order"))
+        asked, what = now(), body["what"]
+        if what == "retired":
+            return await self.emptied(body["name"])
+        got = await self.change(self.folding(body), 0.0)
+        if isinstance(got, Err):
+            return Err(got.unwrap_err())
+        edition = got.unwrap()
+        events.emit(138, self.conf.name, what=what, edition=edition)
+        waits = await self.in_force(edition, None, self.held.state.man, asked, self.conf.bounds.manifest / 5)
+        return Ok({"edition": edition, "waits": waits})
+
+    def folding(self, body: Body) -> Fold:
+        what = body["what"]
+        if what == "source":
+            return self.document(body["source"], body["base"], False)
+        if what == "patch":
+            return self.document(body["source"], body["base"], True)
+        if what in ("evacuate", "return"):
+            area = body["area"]
+            if area not in self.conf.areas:
+                return lambda s: Err(Fault(what, self.conf.name, f"unknown area {area!r:.60}", LACK))
+            return lambda s: Ok(roster.evacuated(s, area) if what == "evacuate" else roster.returned(s, area))
+        if what == "retire":
+
+            def retire(s: State) -> Result[State, Fault]:
+                flaw = roster.retire_flaw(s, body["name"])
+                if flaw:
+                    return Err(Fault("retire", self.conf.name, flaw[1], flaw[0]))
+                return Ok(roster.retiring(s, body["name"]))
+
+            return retire
+        return lambda s: Err(Fault("order", self.conf.name, f"unknown order {what!r:.60}", BAD))
+
+    def document(self, sent: Any, base: int, change: bool) -> Fold:
+        """The operator's document, whole or as a change of the one of version `base`."""
+        step, me = "configure", self.conf.name
+        order = roster.digest(f"patch {base}" if change else "source", sent)
+        translator = self.translator
+        flaws: list[str] = []
+        if translator is not None and not change:
+            flaws = translator.terms(sent).err() or []
+
+        def fold(s: State) -> Result[State, Fault]:
+            if order in s.orders:
+                return Ok(s)
+            if translator is None:
+                return Err(Fault(step, me, "this process reads no documents", BAD))
+            current = s.man.get("version", 0)
+            if flaws:
+                return Err(Fault(step, me, "\n".join(flaws), BAD))
+            if base != current:
+                return Err(Fault(step, me, f"version {current} is current, this builds on {base}", OLD, str(current)))
+            whole = translator.patched(s.source, sent) if change else Ok(sent)
+            if isinstance(whole, Err):
+                return Err(Fault(step, me, "\n".join(whole.unwrap_err()), BAD))
+            source = whole.unwrap()
+            terms = translator.terms(source)
+            if isinstance(terms, Err):
+                return Err(Fault(step, me, "\n".join(terms.unwrap_err()), BAD))
+            if terms.unwrap()["version"] <= current:
+                return Err(Fault(step, me, f"version: want more than {current}, got {terms.unwrap()['version']}", BAD))
+            new = roster.configured(s, terms.unwrap(), source, order)
+            odd = deep_flaws(new.man)
+            return Err(Fault(step, me, "\n".join(odd), BAD)) if odd else Ok(new)
+
+        return fold
+
+    async def emptied(self, name: str) -> PeerResponse:
+        """Does a store hold nothing any more that counts? Once that is so, it is no machine of the fleet any longer."""
+        state = self.held.state
+        if not await self.sure():
+            return Err(Fault("retire", self.conf.name, "could not be confirmed; ask again", SLOW))
+        if name in state.retired:
+            return Ok({"done": True})
+        man = state.man
+        if name not in man["machines"]:
+            return Err(Fault("retire", self.conf.name, f"no store {name!r:.60}", LACK))
+        if not man["machines"][name].get("retire") or not await self.holds_nothing(name, man):
+            return Ok({"done": False})
+        got = await self.change(lambda s: Ok(roster.emptied(s, name)), 0.0)
+        return Ok({"done": isinstance(got, Ok)})
+
+    async def holds_nothing(self, name: str, man: Manifest) -> bool:
+        """Every partition has an owner that says, from its covered record, that its members are others."""
+        stores = [n for n in with_duty(man, "store") if n != name]
+        got = await asyncio.gather(
+            *(self.lines.call(man["machines"][n]["peer"], "parts", {}, self.conf.bounds.follow) for n in stores)
+        )
+        best: dict[int, Body] = {}
+        for g in got:
+            for row in g.unwrap()["parts"] if isinstance(g, Ok) else []:
+                if row["owning"] and row["ready"] and row["epoch"] > best.get(row["part"], {"epoch": -1})["epoch"]:
+                    best[row["part"]] = row
+        return all(
+            part in best and name not in best[part]["crew"] and name not in members(man, part)
+            for part in range(man["parts"])
+        )
+
     async def http_manifest(self, request: Request) -> Response:
         if request.method == "GET":
             got = await self.pass_on("read", {})
--- a/postpass/daemon.py
+++ b/postpass/daemon.py
@@ -18,10 +18,11 @@
 
 from postpass import events
 from postpass.config import Config, split
-from postpass.fault import Fault, Stop
+from postpass.fault import SHED, Fault, Stop
 from postpass.manifest import check
 from postpass.member import Card, Circle
 from postpass.news import News
+from postpass.roster import Entry, placed
 from postpass.wire import RELEASE, Body, Lines, Port
 from postpass.world import World, now, serve_http
 
@@ -64,6 +65,8 @@
         self.failed: Fault | None = None
         self.spawned: set[asyncio.Task[None]] = set()
         self.clash = ""
+        self.known_here = False  # was this life found in the manifest once?
+        self.missed: dict[str, float] = {}  # sources that did not answer, and when
         # The highest epoch seen of each partition. Should all of its stores lose their disks, this is how
         # they learn that there was something to lose, and which epochs are spent.
         self.heights: dict[str, int] = {}
@@ -92,7 +95,11 @@
 
     def ready(self) -> str:
         """Empty if ready to serve; else what is lacking."""
-        return "" if self.news.manifest else "no manifest yet"
+        if self.news.manifest is None:
+            return "no manifest yet"
+        # One that control doesn't know yet isn't counted by the others; if control can't be reached it serves all the same.
+        waits = self.conf.announce and not self.known_here and now() - self.started < self.conf.bounds.recover / 2
+        return "not announced yet" if waits else ""
 
     async def depart(self) -> None:
         """Hands over what only one daemon does; called once, when this one has been told to leave."""
@@ -116,7 +123,8 @@
         self.started = now()
         await self.open()
         port = Port(self.conf.name, {
-            "ping": self.on_ping, "shuffle": self.on_shuffle, "follow": self.on_follow, **self.handlers(),
+            "ping": self.on_ping, "shuffle": self.on_shuffle, "follow": self.on_follow, "join": self.on_join,
+            **self.handlers(),
         })  # fmt: skip
         await port.listen(self.conf.peer)
         host, number = split(self.conf.http)
@@ -127,6 +135,7 @@
                 ("feed", self.follow()),
                 ("listen", self.listen()),
                 ("leave", self.leave()),
+                *([("announce", self.announce())] if self.conf.announce else []),
                 *((getattr(t, "__name__", "task"), t) for t in self.tasks()),
             ]
         ]
@@ -201,6 +210,43 @@
         return Ok({"name": self.conf.name, "inc": self.inc, "edition": self.news.edition, "release": self.release,
                    "ready": self.ready(), "leaving": self.leaving})  # fmt: skip
 
+    # --- announced fleets
+    def entry(self) -> Entry:
+        return {
+            "name": self.conf.name, "area": self.conf.area, "peer": self.conf.peer, "http": self.conf.http,
+            "duties": list(self.conf.duties) or ["control"], "born": self.inc, "disk": self.circle.me["disk"],
+        }  # fmt: skip
+
+    async def announce(self) -> None:
+        """Tells control of this life until the manifest has it, and again should it be dropped from there."""
+        b, turn = self.conf.bounds, self.world.chance.randrange(64)
+        while True:
+            if placed(self.news.manifest, self.entry()):
+                self.known_here = True
+                await self.news.wait(self.news.edition, b.recover)
+                continue
+            mates = [m.card["peer"] for _, m in sorted(self.circle.mates.items())]
+            near = [a for a in dict.fromkeys([*self.sources(), *mates]) if a != self.conf.peer]
+            if not near:
+                await asyncio.sleep(b.beat / 2)
+                continue
+            turn += 1
+            addr = near[turn % len(near)]
+            got = await self.lines.call(addr, "join", {"entry": self.entry()}, b.follow * 2)
+            if isinstance(got, Ok) and got.unwrap()["edition"] > self.news.edition:
+                await self.news.wait(got.unwrap()["edition"] - 1, b.beat / 4)
+                if got.unwrap()["edition"] > self.news.edition:
+                    await self.fetch(addr)
+            if not placed(self.news.manifest, self.entry()):
+                await asyncio.sleep(b.beat / 2 * (0.6 + 0.8 * self.world.chance.random()))
+
+    async def on_join(self, body: Body) -> Result[Body, Fault]:
+        """One that knows no control machine asks any neighbour, which passes it on, once."""
+        addr = next((a for a in self.sources() if a != self.conf.peer), "")
+        if not addr or body.get("hop"):
+            return Err(Fault("join", self.conf.name, "no control machine is known here", SHED))
+        return await self.lines.call(addr, "join", body | {"hop": 1}, self.conf.bounds.follow)
+
     async def on_shuffle(self, body: Body) -> Result[Body, Fault]:
         self.word()
         self.meet(body["cards"])
@@ -306,8 +352,13 @@
 
     def sources(self) -> list[str]:
         """Whom to follow: the control machines, once they are known."""
-        control = [self.news.addr(n) for n in self.news.duty("control") if n != self.conf.name]
-        return [a for a in control if a] or [s for s in self.conf.seeds if s != self.conf.peer]
+        control = [a for n in self.news.duty("control") if n != self.conf.name and (a := self.news.addr(n))]
+        seeds = [s for s in self.conf.seeds if s != self.conf.peer]
+        if not self.conf.announce:
+            return control or seeds
+        # Control machines come and go: those that did not answer lately stand back while others do.
+        every, late = list(dict.fromkeys([*control, *seeds])), now() - self.conf.bounds.detect * 2
+        return [a for a in every if self.missed.get(a, -1e9) < late] or every
 
     async def follow(self) -> None:
         """Follows the numbered feed from the own place on, turning from one source to the next."""
@@ -324,9 +375,15 @@
             got = await self.lines.call(
                 addr,
                 "follow",
-                {"after": self.news.edition, "wait": b.follow * (1 + self.world.chance.random())},
+                {
+                    "after": self.news.edition,
+                    "wait": b.follow * (1 + self.world.chance.random()),
+                    "who": self.conf.name,
+                },
                 b.follow * 3,
             )
+            if isinstance(got, Err):
+                self.missed[addr] = now()
             self.polls.labels("ok" if isinstance(got, Ok) else "failed").inc()
             if isinstance(got, Err):
                 # This source can't be reached; perhaps none can. A neighbour may know more.
--- a/postpass/delta.py
+++ b/postpass/delta.py
@@ -9,6 +9,8 @@
 
 def delta(old: Any, new: Any, path: tuple[str, ...] = ()) -> Delta:
     """Invariant: patch(old, delta(old, new)) == new, keys in the order of `new`'s additions."""
+    if old is new:
+        return []
     if not isinstance(old, dict) or not isinstance(new, dict):
         return [] if old == new else [[list(path), new]]
     gone: Delta = [[[*path, k]] for k in old if k not in new]
--- a/postpass/epochs.py
+++ b/postpass/epochs.py
@@ -67,7 +67,8 @@
         return "no majority answered"
     valid = {n for n, d in voters.items() if got.get(n) == d}
     for pair in {p.epoch: p for p in pairs.values() if p.epoch > whole}.values():
-        granted = {n for n in valid if pairs.get(n) == pair}
+        # One that has granted a later one may have granted this one before.
+        granted = {n for n in valid if n in pairs and pairs[n].epoch >= pair.epoch}
         missing = set(voters) - valid
         if 2 * len(granted | missing) > len(voters):
             return f"epoch {pair.epoch} of {pair.primary} may stand"
--- a/postpass/events.py
+++ b/postpass/events.py
@@ -32,6 +32,13 @@
     132: ("backup", "The primary took another backup, under a new epoch."),
     133: ("control-loss", "Primary and backup lost their state: rebuilt from the newest edition that daemons hold."),
     134: ("voter", "A control machine with a new disk was admitted to vote."),
+    135: ("founded", "The seeds have founded an announced fleet; its first control machines follow."),
+    136: ("joined", "A machine that announced itself is known to control."),
+    137: (
+        "dropped",
+        "Machines or workers that are not heard any more were dropped, or the number of copies was settled.",
+    ),
+    138: ("ordered", "An order of the operator was taken and is durable."),
     140: ("manifest", "A newer edition of the manifest is in force here."),
     141: ("manifest-shed", "A manifest was refused; the flaws follow."),
     142: ("fresh", "A started daemon has news that are proved fresh; only now does it take or place any work."),
--- a/postpass/idl/peer.thrift
+++ b/postpass/idl/peer.thrift
@@ -43,6 +43,11 @@
   string adopt(1: string body) throws (1: Fault fault),
   string apply(1: string body) throws (1: Fault fault),
   string read(1: string body) throws (1: Fault fault),
+  // of announced fleets: a machine, a worker, an order of the operator, whom a control machine has heard
+  string join(1: string body) throws (1: Fault fault),
+  string beat(1: string body) throws (1: Fault fault),
+  string order(1: string body) throws (1: Fault fault),
+  string hear(1: string body) throws (1: Fault fault),
 
   // store
   string promise(1: string body) throws (1: Fault fault),
--- a/postpass/news.py
+++ b/postpass/news.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import hashlib
+import json
 from collections import deque
 from dataclasses import dataclass, field
 from typing import Any
@@ -17,7 +18,32 @@
 KEPT = 64  # changes a daemon can hand on before it must hand on a snapshot
 
 
-def seal(man: Any) -> str:
+DEPTH = 4  # a manifest's parts down to the single server are summed each for itself
+
+
+def mass(tree: Any, path: str = "", depth: int = 0) -> int:
+    """A sum over the parts of a tree, which can be brought up to date by what changed."""
+    if isinstance(tree, dict) and tree and depth < DEPTH:
+        return sum(mass(v, f"{path}/{k}", depth + 1) for k, v in tree.items())
+    text = f"{path} {json.dumps(tree, separators=(',', ':'), sort_keys=True)}"
+    return int.from_bytes(hashlib.sha256(text.encode()).digest()[:8], "big")
+
+
+def shift(old: Any, new: Any, path: str = "", depth: int = 0) -> int:
+    """mass(new) - mass(old), without a look at what both share."""
+    if old is new:
+        return 0
+    if not (isinstance(old, dict) and isinstance(new, dict) and old and new and depth < DEPTH):
+        return mass(new, path, depth) - mass(old, path, depth)
+    out = sum(shift(old[k], v, f"{path}/{k}", depth + 1) for k, v in new.items() if k in old)
+    out += sum(mass(v, f"{path}/{k}", depth + 1) for k, v in new.items() if k not in old)
+    return out - sum(mass(v, f"{path}/{k}", depth + 1) for k, v in old.items() if k not in new)
+
+
+def seal(man: Any, weight: int | None = None) -> str:
+    """Of an announced fleet, which changes often, the sum of the parts; else of the whole."""
+    if isinstance(man, dict) and man.get("announced"):
+        return f"{(mass(man) if weight is None else weight) % (1 << 64):016x}"
     return hashlib.sha256(dump(man).encode()).hexdigest()[:16]
 
 
@@ -45,17 +71,25 @@
     heard: float = -1e9
     fresh: bool = False
     changed: asyncio.Event = field(default_factory=asyncio.Event)
+    weight: int = 0  # the mass of the manifest of an announced fleet
 
-    def take(self, edition: int, raw: Any) -> bool:
+    def take(self, edition: int, raw: Any, change: Delta | None = None, weight: int | None = None) -> bool:
+        """Takes a newer edition; `change` leads to it from the present one, `weight` is its mass, if these are known."""
         if edition <= self.edition:
             return False
-        got = check(raw)
-        if not isinstance(got, Ok):
-            events.emit(141, self.who, edition=edition, flaws=got.unwrap_err()[:3])
-            return False
+        # Of an announced fleet control has checked it, and machines and workers change it many times a minute.
+        announced = isinstance(raw, dict) and raw.get("announced") is True
+        if not announced:
+            got = check(raw)
+            if not isinstance(got, Ok):
+                events.emit(141, self.who, edition=edition, flaws=got.unwrap_err()[:3])
+                return False
+        elif weight is None:
+            weight = mass(raw) if self.manifest is None else self.weight + shift(self.manifest, raw)
         if self.manifest is not None:
-            self.feed.append(Change(edition, self.edition, delta(self.manifest, raw), seal(raw)))
-        self.manifest, self.edition = got.unwrap(), edition
+            change = delta(self.manifest, raw) if change is None else change
+            self.feed.append(Change(edition, self.edition, change, seal(raw, weight)))
+        self.manifest, self.edition, self.weight = raw, edition, weight or 0
         events.emit(140, self.who, edition=edition)
         self.changed.set()
         self.changed = asyncio.Event()
@@ -73,7 +107,7 @@
         tail = [c for c in self.feed if c.base >= place]
         if tail and tail[0].base == place:
             return {"edition": self.edition, "changes": [vars(c) for c in tail]}
-        return {"edition": self.edition, "snapshot": self.manifest, "seal": seal(self.manifest)}
+        return {"edition": self.edition, "snapshot": self.manifest, "seal": seal(self.manifest, self.weight)}
 
     def follow(self, got: dict[str, Any]) -> bool:
         """Takes what `since` gave; False if it doesn't fit, so that a snapshot is wanted."""
@@ -85,7 +119,10 @@
             if c["base"] != self.edition:
                 return False
             raw = patch(self.manifest, c["change"])
-            if seal(raw) != c["seal"] or not self.take(c["edition"], raw):
+            weight = None
+            if isinstance(raw, dict) and raw.get("announced"):
+                weight = self.weight + shift(self.manifest, raw) if self.manifest is not None else mass(raw)
+            if seal(raw, weight) != c["seal"] or not self.take(c["edition"], raw, c["change"], weight):
                 return False
         return True
 
--- /dev/null
+++ b/postpass/roster.py
@@ -0,0 +1,351 @@
+"""Who is there and what is wanted, as control keeps it for an announced fleet: pure functions from what machines, workers
+and operators say to the next state. A function that changes nothing returns the very state it was given."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass, field, replace
+from typing import Any, NotRequired, TypedDict, cast
+
+from result import Result
+
+from postpass.config import addr_flaws
+from postpass.manifest import Limits, Machine, Manifest, Pool, Route, Server, with_duty
+
+PARTS = 8  # partitions of a fleet that founds itself
+ORDERS = 16  # accepted orders that are known again when they are resent
+LEFT = 512  # lives of workers that are known to have ended, so that a late word doesn't bring them back
+
+
+class Entry(TypedDict):
+    """What a machine says of itself when it announces itself. `born` grows with every start of its process."""
+
+    name: str
+    area: str
+    peer: str
+    http: str
+    duties: list[Any]
+    born: int
+    disk: str
+
+
+class Standing(TypedDict):
+    """What a worker says of itself. Invariant: one id is one life; `leave`, once said, is never taken back."""
+
+    pool: str
+    url: str
+    area: str
+    slots: int
+    leave: NotRequired[bool]
+    cold: NotRequired[bool]
+
+
+class Terms(TypedDict):
+    """The operator's part of the manifest; its pools have no servers."""
+
+    version: int
+    routes: dict[str, Route]
+    pools: dict[str, Pool]
+    limits: Limits
+
+
+@dataclass(frozen=True)
+class Translator:
+    """How the operator's own document is read: as terms, and with a change laid on it; else every flaw as one line."""
+
+    terms: Callable[[Any], Result[Terms, list[str]]]
+    patched: Callable[[Any, Any], Result[Any, list[str]]]
+
+
+@dataclass(frozen=True)
+class State:
+    """Control state. Invariant: `edition` grows by one with every write, and never falls; `losses` counts
+    how often acknowledged state may have been lost.
+
+    Of announced fleets only: `source` is the operator's document as sent, or as changed since; `orders` are digests of
+    the last orders taken; `aside` holds workers by the pools that they name and that no terms have; `left` are workers
+    that said they end; `retired` are emptied stores, by name, with the disk that was emptied."""
+
+    edition: int = 0
+    manifest: Manifest | None = None
+    losses: int = 0
+    source: Any = None
+    orders: list[str] = field(default_factory=list)
+    aside: dict[str, dict[str, Server]] = field(default_factory=dict)
+    left: list[str] = field(default_factory=list)
+    retired: dict[str, str] = field(default_factory=dict)
+
+    @property
+    def man(self) -> Manifest:
+        assert self.manifest is not None
+        return self.manifest
+
+
+def digest(what: str, body: Any) -> str:
+    """Names an order by its content, whatever the order of its keys."""
+    return hashlib.sha256(f"{what} {json.dumps(body, sort_keys=True)}".encode()).hexdigest()[:24]
+
+
+def edit(state: State, **parts: Any) -> State:
+    """The state with some parts of its manifest put in place of the present ones."""
+    return replace(state, manifest=cast(Manifest, {**state.man, **parts}))
+
+
+# --- machines
+def entry_flaws(entry: Any, areas: Iterable[str]) -> list[str]:
+    if not isinstance(entry, dict) or set(entry) != set(Entry.__annotations__):
+        return [f"entry: want {', '.join(Entry.__annotations__)}, got {entry!r:.80}"]
+    out = addr_flaws("peer", str(entry["peer"])) + addr_flaws("http", str(entry["http"]))
+    if not entry["name"] or not isinstance(entry["name"], str):
+        out.append(f"name: want a name, got {entry['name']!r:.40}")
+    if entry["area"] not in areas:
+        out.append(f"area: unknown area {entry['area']!r:.40}")
+    if not isinstance(entry["born"], int) or not isinstance(entry["disk"], str):
+        out.append("born, disk: want a whole number and a string")
+    if not set(entry["duties"]) <= {"edge", "sched", "store", "control"}:
+        out.append(f"duties: unknown one in {entry['duties']!r:.80}")
+    return out
+
+
+def machine(entry: Entry) -> Machine:
+    made: Machine = {
+        "area": entry["area"], "peer": entry["peer"], "http": entry["http"], "duties": entry["duties"],
+        "born": entry["born"],
+    }  # fmt: skip
+    return {**made, "disk": entry["disk"]} if entry["disk"] else made
+
+
+def wanted_copies(lost: int) -> int:
+    return max(4, 2 * lost + 1)
+
+
+def founded(entries: Iterable[Entry], areas: Iterable[str], lost: int) -> Manifest:
+    """The first manifest: nothing but the control machines that found the fleet."""
+    return {
+        "name": "announced", "announced": True, "version": 0, "areas": list(areas),
+        "machines": {e["name"]: machine(e) for e in entries}, "parts": PARTS, "copies": wanted_copies(lost),
+        "classes": {}, "pools": {}, "ways": {}, "routes": {}, "evacuated": [],
+    }  # fmt: skip
+
+
+def joined(state: State, entry: Entry) -> State:
+    """A machine's word is taken unless a later start of it was heard, or it was emptied to be taken away."""
+    man, name = state.man, entry["name"]
+    have = man["machines"].get(name)
+    if have is not None and have.get("born", 0) > entry["born"]:
+        return state
+    if name in state.retired and state.retired[name] == entry["disk"]:
+        return state
+    new = machine(entry)
+    if have is not None and have.get("retire"):
+        new["retire"] = True
+    if have == new:
+        return state
+    # Whoever had this address is there no more.
+    rest = {n: m for n, m in man["machines"].items() if n == name or m["peer"] != new["peer"]}
+    return edit(state, machines=rest | {name: new})
+
+
+def dropped(state: State, names: Iterable[str]) -> State:
+    out = set(names) & set(state.man["machines"])
+    return edit(state, machines={n: m for n, m in state.man["machines"].items() if n not in out}) if out else state
+
+
+def placed(man: Manifest | None, entry: Entry) -> bool:
+    """Is this very life of a machine known?"""
+    have = man["machines"].get(entry["name"]) if man else None
+    return have is not None and {k: v for k, v in have.items() if k != "retire"} == machine(entry)
+
+
+def replaced(
+    man: Manifest, silent: Mapping[str, float], met: Mapping[str, float], since: float, clock: float, patience: float
+) -> list[str]:
+    """Machines gone for good. `silent` tells for how long a machine was not heard, `met` when a name was first heard.
+
+    An edge is dropped for its silence alone. A machine with a disk is dropped once another one, with the same duties
+    in the same area, has come since it was last heard, or, where this can't be known because `since` is later, has
+    started later than it. At most one at a time; and neither fewer control machines than three nor fewer stores than
+    copies stay.
+    """
+    machines = man["machines"]
+    out: list[str] = []
+    for name, m in machines.items():
+        quiet = silent.get(name, 0.0)
+        if quiet <= patience:
+            continue
+        if set(m["duties"]) == {"edge"}:
+            if quiet > 4 * patience:
+                out.append(name)
+            continue
+        peers = [
+            n for n, o in machines.items()
+            if n != name and set(o["duties"]) == set(m["duties"]) and silent.get(n, 0.0) <= patience
+        ]  # fmt: skip
+        heir = any(
+            met.get(n, -1e9) > clock - quiet
+            or (clock - quiet <= since and quiet > 2 * patience and machines[n].get("born", 0) > m.get("born", 0))
+            for n in peers
+            if machines[n]["area"] == m["area"]
+        )
+        least = man["copies"] if "store" in m["duties"] else 3
+        if heir and len(peers) >= least:
+            out.append(name)
+            break
+    return out
+
+
+def settled(state: State, lost: int, late: bool) -> State:
+    """`copies` follows the stores there are: up to what is wanted, and below it only in a fleet that has stayed small."""
+    man = state.man
+    stores = [n for n in with_duty(man, "store") if not man["machines"][n].get("retire")]
+    want = min(wanted_copies(lost), max(len(stores), 1))
+    if man["copies"] < want or (late and stores and want < man["copies"]):
+        return edit(state, copies=want)
+    return state
+
+
+# --- workers
+def find(state: State, who: str) -> tuple[str, Server] | None:
+    for name, pool in state.man["pools"].items():
+        if who in pool["servers"]:
+            return name, pool["servers"][who]
+    return next(((name, group[who]) for name, group in state.aside.items() if who in group), None)
+
+
+def everyone(state: State) -> dict[str, Server]:
+    out: dict[str, Server] = {}
+    for group in (*(p["servers"] for p in state.man["pools"].values()), *state.aside.values()):
+        out.update(group)
+    return out
+
+
+def server(standing: Standing) -> Server:
+    made: Server = {"url": standing["url"], "area": standing["area"], "slots": standing["slots"]}
+    if standing.get("leave"):
+        made["leave"] = True
+    if standing.get("cold"):
+        made["cold"] = True
+    return made
+
+
+def unchanged(man: Manifest | None, who: str, standing: Standing) -> bool:
+    """Does the manifest say of this worker what it says of itself?"""
+    pool = man["pools"].get(standing["pool"]) if man else None
+    have = pool["servers"].get(who) if pool else None
+    return have is not None and have == server(standing)
+
+
+def _without(state: State, names: Iterable[str]) -> State:
+    out = set(names)
+    for name, pool in state.man["pools"].items():
+        if out & set(pool["servers"]):
+            rest: Pool = {**pool, "servers": {w: s for w, s in pool["servers"].items() if w not in out}}
+            state = edit(state, pools={**state.man["pools"], name: rest})
+    if any(out & set(group) for group in state.aside.values()):
+        aside = {n: {w: s for w, s in g.items() if w not in out} for n, g in state.aside.items()}
+        state = replace(state, aside={n: g for n, g in aside.items() if g})
+    return state
+
+
+def _ended(state: State, names: Iterable[str]) -> State:
+    new = [n for n in names if n not in state.left]
+    return replace(state, left=[*state.left, *new][-LEFT:]) if new else state
+
+
+def stood(state: State, who: str, standing: Standing) -> State:
+    """A worker's word of itself."""
+    if who in state.left:
+        return state
+    have = find(state, who)
+    new = server(standing)
+    if have is not None and have[1].get("leave"):
+        new["leave"] = True
+    if have == (standing["pool"], new):
+        return state
+    # Another life had this address: it is over.
+    before = [w for w, s in everyone(state).items() if s["url"] == new["url"] and w != who]
+    if before:
+        state = _ended(_without(state, before), before)
+    if have is not None and have[0] != standing["pool"]:
+        state = _without(state, [who])
+    pools = state.man["pools"]
+    if standing["pool"] in pools:
+        pool = pools[standing["pool"]]
+        made: Pool = {**pool, "servers": {**pool["servers"], who: new}}
+        return edit(state, pools={**pools, standing["pool"]: made})
+    group = {**state.aside.get(standing["pool"], {}), who: new}
+    return replace(state, aside={**state.aside, standing["pool"]: group})
+
+
+def ended(state: State, names: Iterable[str]) -> State:
+    """Workers that said they end: whatever comes of them later is late."""
+    names = list(names)
+    return _ended(_without(state, names), names)
+
+
+def expired(state: State, names: Iterable[str]) -> State:
+    """Workers that are not heard any more; one that was leaving doesn't come back, any other may."""
+    names = list(names)
+    every = everyone(state)
+    return _ended(_without(state, names), [n for n in names if n in every and every[n].get("leave")])
+
+
+# --- the operator
+def configured(state: State, terms: Terms, source: Any, order: str) -> State:
+    """The operator's terms with the workers that are there: those of pools that went stand aside."""
+    every = {**{n: p["servers"] for n, p in state.man["pools"].items()}, **state.aside}
+    pools = {n: cast(Pool, {**p, "servers": every.get(n, {})}) for n, p in terms["pools"].items()}
+    aside = {n: g for n, g in every.items() if n not in pools and g}
+    new = edit(state, version=terms["version"], routes=terms["routes"], pools=pools, limits=terms["limits"])
+    return replace(new, source=source, aside=aside, orders=[*state.orders, order][-ORDERS:])
+
+
+def evacuated(state: State, area: str) -> State:
+    now = state.man.get("evacuated", [])
+    return state if area in now else edit(state, evacuated=[*now, area])
+
+
+def returned(state: State, area: str) -> State:
+    """An evacuation is taken back: the area's workers count as cold until they say otherwise."""
+    now = state.man.get("evacuated", [])
+    if area not in now:
+        return state
+
+    def chill(group: dict[str, Server]) -> dict[str, Server]:
+        return {w: cast(Server, {**s, "cold": True}) if s["area"] == area else s for w, s in group.items()}
+
+    pools = {n: cast(Pool, {**p, "servers": chill(p["servers"])}) for n, p in state.man["pools"].items()}
+    new = edit(state, evacuated=[a for a in now if a != area], pools=pools)
+    return replace(new, aside={n: chill(g) for n, g in state.aside.items()})
+
+
+def retire_flaw(state: State, name: str) -> tuple[int, str] | None:
+    """Why a store can't be emptied, with the code of the fault; None if it can."""
+    if name in state.retired:
+        return None
+    man = state.man
+    if name not in with_duty(man, "store"):
+        return 404, f"no store {name!r:.60}"
+    if man["machines"][name].get("retire"):
+        return None
+    stay = [n for n in with_duty(man, "store") if n != name and not man["machines"][n].get("retire")]
+    if len(stay) < man["copies"]:
+        return 409, f"{man['copies']} copies can't be held by the {len(stay)} stores that would stay"
+    return None
+
+
+def retiring(state: State, name: str) -> State:
+    have = state.man["machines"].get(name)
+    if have is None or have.get("retire"):
+        return state
+    return edit(state, machines={**state.man["machines"], name: cast(Machine, {**have, "retire": True})})
+
+
+def emptied(state: State, name: str) -> State:
+    """A store that holds nothing any more goes, and doesn't come back with the same disk."""
+    if name in state.retired:
+        return state
+    disk = state.man["machines"].get(name, cast(Machine, {})).get("disk", "")
+    return replace(dropped(state, [name]), retired={**state.retired, name: disk})
--- /dev/null
+++ b/tests/test_announced_control.py
@@ -0,0 +1,175 @@
+"""Announced fleets: founding, joining, workers, orders and replacement, in the simulator."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+from postpass.control import Control
+from postpass.roster import Standing
+from sim.loop import SimLoop, run_sim
+from tests.announced import Fleet
+from tests.test_platform_configuration import document
+
+
+def standing(n: int, **more: Any) -> Standing:
+    return {"pool": "llm", "url": f"http://10.9.0.{n}:9000", "area": "a", "slots": 8, **more}  # type: ignore[typeddict-item]
+
+
+def play(scene: Any, seed: int = 1, **sizes: Any) -> Any:
+    async def main(loop: SimLoop) -> Any:
+        fleet = Fleet(loop, **sizes)
+        fleet.start()
+        return await scene(fleet)
+
+    return run_sim(main, seed)
+
+
+def test_a_blank_fleet_founds_itself_and_everyone_joins_with_few_editions() -> None:
+    async def scene(f: Fleet) -> tuple[float, int, int]:
+        took = await f.until(f.joined, 10)
+        lead = f.primary()
+        assert lead is not None
+        await f.until(lambda: len(lead.held.pair.voters) == f.control, 5)
+        assert lead.held.pair.voters.keys() == {f"c{i}" for i in range(1, f.control + 1)}
+        return took, lead.news.edition, lead.held.state.man["copies"]
+
+    took, edition, copies = play(scene)
+    assert 0 < took < 1.5 and edition < 12 and copies == 4
+    took, edition, copies = play(scene, control=5, stores=8, edges=40, lost=2)
+    assert 0 < took < 2 and edition < 16 and copies == 5
+
+
+def test_copies_follow_the_stores_of_a_small_fleet() -> None:
+    async def scene(f: Fleet) -> tuple[int, int]:
+        await f.until(f.joined, 10)
+        lead = f.primary()
+        assert lead is not None
+        few = await f.until(lambda: lead.held.state.man["copies"] == 3, 8)
+        assert few > 0
+        f.first = False
+        f.add("s4", "store", "d", "10.1.4.1")
+        await f.until(lambda: lead.held.state.man["copies"] == 4, 8)
+        return 3, lead.held.state.man["copies"]
+
+    assert play(scene, stores=3) == (3, 4)
+
+
+def test_workers_and_orders_survive_the_primary() -> None:
+    async def scene(f: Fleet) -> None:
+        await f.until(f.joined, 10)
+        # A worker may beat before there is any document.
+        assert (await f.ask("c2", lambda c: c.beat_worker("w1", standing(1), 1))).is_ok()
+        got = await f.ask("c3", lambda c: c.apply_source(document(3), 0))
+        assert got.is_ok() and got.unwrap()["waits"] == [], got
+        lead = f.primary()
+        assert lead is not None and list(lead.held.state.man["pools"]["llm"]["servers"]) == ["w1"]
+        assert (await f.ask("c1", lambda c: c.beat_worker("w2", standing(2, cold=True), 1))).is_ok()
+        edition = lead.news.edition
+        assert (await f.ask("c1", lambda c: c.beat_worker("w2", standing(2, cold=True), 2))).is_ok()
+        assert lead.news.edition == edition
+        began = f.loop.clock
+        assert (await f.ask("c2", lambda c: c.beat_worker("w2", standing(2, leave=True), 3))).is_ok()
+        assert f.loop.clock - began < 0.3
+        for n in f.nodes.values():
+            assert n.daemon is not None and n.daemon.news.manifest is not None
+            if n.conf.duties:
+                assert n.daemon.news.manifest["pools"]["llm"]["servers"]["w2"].get("leave")
+        # A late word doesn't bring it back.
+        assert (await f.ask("c2", lambda c: c.beat_worker("w2", standing(2), 2))).is_ok()
+        name = lead.conf.name
+        f.kill(name, silent=True)
+        other = next(n for n in ("c1", "c2", "c3") if n != name)
+        took = await f.until(lambda: f.primary() is not None, 6)
+        assert 0 < took < 4
+        assert (await f.ask(other, lambda c: c.apply_source(document(3), 0))).is_ok()
+        stale = await f.ask(other, lambda c: c.apply_source(document(4), 0))
+        assert stale.unwrap_err().code == 412
+        assert (await f.ask(other, lambda c: c.read_source())).unwrap()["source"] == document(3)
+        assert (await f.ask(other, lambda c: c.apply_source(document(9), 3))).is_ok()
+        low = await f.ask(other, lambda c: c.apply_source(document(8), 9))
+        assert low.unwrap_err().code == 400
+
+    play(scene)
+
+
+def test_workers_that_are_not_heard_any_more_are_dropped_and_others_stay() -> None:
+    async def scene(f: Fleet) -> list[str]:
+        await f.until(f.joined, 10)
+        await f.ask("c1", lambda c: c.apply_source(document(3), 0))
+        for turn in range(12):
+            for n in (1, 2, 3, 4) if turn < 2 else (1, 2, 3):
+                via = f"c{(turn + n) % 3 + 1}"
+
+                async def call(c: Control, n: int = n, turn: int = turn) -> Any:
+                    return await c.beat_worker(f"w{n}", standing(n), turn + 1)
+
+                assert (await f.ask(via, call)).is_ok()
+            await asyncio.sleep(1.2)
+        lead = f.primary()
+        assert lead is not None
+        return sorted(lead.held.state.man["pools"]["llm"]["servers"])
+
+    assert play(scene) == ["w1", "w2", "w3"]
+
+
+def test_a_lost_control_machine_is_replaced_by_an_empty_one_again_and_again() -> None:
+    async def scene(f: Fleet) -> list[float]:
+        await f.until(f.joined, 10)
+        await f.ask("c1", lambda c: c.apply_source(document(3), 0))
+        f.first = False
+        out = []
+        for turn in range(4):
+            await f.until(f.primary, 3)
+            lead = f.primary()
+            assert lead is not None
+            name = lead.conf.name if turn % 2 else next(c.conf.name for c in f.controls() if not c.epoch)
+            area = f.nodes[name].conf.area
+            f.kill(name, silent=True)
+            await asyncio.sleep(4)
+            live = [f.nodes[c.conf.name].conf.peer for c in f.controls()][:3]
+            f.add(f"n{turn}", "control", area, f"10.0.{20 + turn}.1", seeds=live)
+
+            def done(new: str = f"n{turn}", old: str = name) -> bool:
+                lead = f.primary()
+                voters = lead.held.pair.voters if lead else {}
+                return new in voters and old not in voters and len(voters) == f.control
+
+            out.append(await f.until(done, 20))
+            assert out[-1] > 0, (turn, name)
+        got = await f.ask("n3", lambda c: c.read_source())
+        assert got.unwrap()["source"] == document(3)
+        return out
+
+    for control in (3, 4, 5):
+        took = play(scene, control=control, edges=2)
+        assert max(took) < 4.7, took
+
+
+def test_evacuation_and_retirement_are_taken_by_any_control_machine() -> None:
+    async def scene(f: Fleet) -> None:
+        await f.until(f.joined, 10)
+        await f.ask("c1", lambda c: c.apply_source(document(3), 0))
+        await f.ask("c1", lambda c: c.beat_worker("w1", standing(1), 1))
+        lead = f.primary()
+        assert lead is not None
+        assert (await f.ask("c2", lambda c: c.evacuate("a", True))).is_ok()
+        assert (await f.ask("c3", lambda c: c.evacuate("a", True))).is_ok()
+        assert lead.held.state.man.get("evacuated") == ["a"]
+        assert (await f.ask("c2", lambda c: c.evacuate("a", False))).is_ok()
+        assert lead.held.state.man.get("evacuated") == []
+        assert lead.held.state.man["pools"]["llm"]["servers"]["w1"].get("cold")
+        assert (await f.ask("c2", lambda c: c.evacuate("z", True))).unwrap_err().code == 404
+        assert (await f.ask("c2", lambda c: c.retire("s9"))).unwrap_err().code == 404
+        assert (await f.ask("c2", lambda c: c.retire("s1"))).is_ok()
+        assert (await f.ask("c2", lambda c: c.retire("s2"))).unwrap_err().code == 409
+        for _ in range(100):
+            got = await f.ask("c3", lambda c: c.retired("s1"))
+            if got.is_ok() and got.unwrap()["done"]:
+                break
+            await asyncio.sleep(0.2)
+        assert got.unwrap()["done"]
+        assert "s1" not in f.primary().held.state.man["machines"]  # type: ignore[union-attr]
+        assert (await f.ask("c1", lambda c: c.retired("s1"))).unwrap()["done"]
+
+    play(scene, stores=5)
