--- a/postpass/data.py
+++ b/postpass/data.py
@@ -85,11 +85,14 @@
                 # Its own floor: what the edge of the same machine places is live traffic to the scheduler.
                 self.batch = Floor(self.conf.name, self.world, self.news, self.session, self.conf.bounds.deaf)
                 self.sched = Sched(
-                    self.conf, self.world, self.news, self.lines, self.batch, self.session, self.registry
-                )
+                    self.conf, self.world, self.news, self.lines, self.batch, self.session, self.registry,
+                    dialect=self.dialect,
+                )  # fmt: skip
 
     def handlers(self) -> dict[str, Any]:
-        mine = {"floor": self.on_floor} if "edge" in self.conf.duties else {}
+        mine: dict[str, Any] = {"floor": self.on_floor} if "edge" in self.conf.duties else {}
+        if self.sched is not None:
+            mine |= {"wake": self.sched.on_wake}
         return mine | (self.store.handlers() if self.store is not None else {})
 
     async def on_floor(self, _body: Body) -> Result[Body, Fault]:
--- a/postpass/edge.py
+++ b/postpass/edge.py
@@ -10,7 +10,7 @@
 from collections import Counter as Tally
 from collections import deque
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any, NotRequired, TypedDict, cast
 
 import aiohttp
@@ -320,8 +320,8 @@
                     tried = [name] if last.code == BROKE else []
                     await asyncio.sleep(b.beat / 8)
                 continue
-            return got
-        return Err(Fault(verb, last.peer, last.why, SLOW, unsent=not unsure))
+            return Err(replace(last, unsure=unsure))
+        return Err(Fault(verb, last.peer, last.why, SLOW, unsent=not unsure, unsure=unsure))
 
     def caller(self, request: Request) -> str:
         return request.headers.get("x-caller", "")[:80]
--- a/postpass/fault.py
+++ b/postpass/fault.py
@@ -29,6 +29,8 @@
     hint: str = ""
     # True only if it is proved that no byte of the call left this process.
     unsent: bool = False
+    # True if an earlier try at the same thing was left without an answer.
+    unsure: bool = False
 
     def __str__(self) -> str:
         return f"{self.step} at {self.peer}: {self.why}"
--- a/postpass/idl/peer.thrift
+++ b/postpass/idl/peer.thrift
@@ -55,5 +55,13 @@
   string take(1: string body) throws (1: Fault fault),
   string done(1: string body) throws (1: Fault fault),
   string claim(1: string body) throws (1: Fault fault),
-  string parts(1: string body) throws (1: Fault fault)
+  string parts(1: string body) throws (1: Fault fault),
+
+  // lots of routes
+  string accept(1: string body) throws (1: Fault fault),
+  string results(1: string body) throws (1: Fault fault),
+  string item(1: string body) throws (1: Fault fault),
+  string reserve(1: string body) throws (1: Fault fault),
+  string waiting(1: string body) throws (1: Fault fault),
+  string wake(1: string body) throws (1: Fault fault)
 }
--- a/postpass/lots.py
+++ b/postpass/lots.py
@@ -15,9 +15,16 @@
 def digest(body: Body) -> str:
     """What makes a lot the same lot: its content, and its due time as the caller said it."""
     core = {k: body.get(k) for k in ("items", "shared", "class", "said", "caller")}
+    if "route" in body:
+        core["route"] = body["route"]
     return hashlib.sha256(json.dumps(core, sort_keys=True).encode()).hexdigest()[:32]
 
 
+def kind_of(body: Body) -> str:
+    """What a lot's items run as: a class, or a route."""
+    return f"route:{body['route']}" if "route" in body else str(body["class"])
+
+
 @dataclass(eq=False)
 class Lot:
     """Invariants: `state` moves from open to ended, never back; an item's first result stays; `results`
--- /dev/null
+++ b/postpass/routed.py
@@ -0,0 +1,307 @@
+"""The owner's side of lots that come by a route: accepting under the route's quota, reading, ending, expiry."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from collections.abc import Coroutine
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
+
+from result import Err, Ok, Result
+
+from postpass.fault import CLASH, CROWD, FULL, LACK, MOVED, SLOW, Fault, Stop
+from postpass.lots import Lot, digest
+from postpass.manifest import part_of
+from postpass.part import Part
+from postpass.quota import Budget
+from postpass.wire import Body, PeerResponse
+from postpass.world import now
+
+if TYPE_CHECKING:
+    from postpass.store import Store
+
+PAGE = 900_000  # bytes of texts in one page of results
+
+
+@dataclass(eq=False)
+class Routed:
+    """Invariants: a lot is sequenced only under a grant of the route's holder that `pending` counts from before it is
+    asked for until the lot is in the view; one task at a time tries to take a lot, and all that send it share it."""
+
+    store: Store
+    taking: dict[tuple[int, str], asyncio.Task[PeerResponse]] = field(default_factory=dict)
+    pending: dict[int, Counter[str]] = field(default_factory=dict)  # partition -> route -> tokens asked for
+    numbers: Counter[int] = field(default_factory=Counter)  # partition -> number of the last count told
+    budgets: dict[tuple[int, int, str], Budget] = field(default_factory=dict)  # (holder's partition, epoch, route)
+    turns: dict[tuple[int, str], asyncio.Lock] = field(default_factory=dict)
+    seen: dict[tuple[int, int, str], float] = field(default_factory=dict)  # (partition, epoch, lot) -> when
+    told: dict[tuple[int, str], tuple[int, int]] = field(default_factory=dict)  # -> (epoch, count) last told
+    holders: dict[int, str] = field(default_factory=dict)
+
+    def handlers(self) -> dict[str, Any]:
+        return {
+            "accept": self.accept, "results": self.results, "item": self.item, "reserve": self.reserve,
+            "waiting": self.waiting,
+        }  # fmt: skip
+
+    def forget(self, part: int) -> None:
+        """A new ownership begins: nothing of the one before counts."""
+        self.pending.pop(part, None)
+        for table in (self.budgets, self.seen):
+            for key in [k for k in table if k[0] == part]:
+                del table[key]  # type: ignore[attr-defined]
+
+    # --- accepting
+    def route(self, name: str) -> Any:
+        man = self.store.news.manifest
+        return man.get("routes", {}).get(name) if man else None
+
+    async def accept(self, body: Body) -> PeerResponse:
+        """Kept only once covered. Refused (CROWD, FULL) only if nothing was sequenced and nothing that was sent here
+        before may still be; otherwise unknown."""
+        got = self.store.lead_of(body["part"], "accept")
+        if isinstance(got, Err):
+            return got
+        part, lot = got.unwrap(), body["lot"]
+        limit = min(float(body.get("wait", 5.0)), self.store.conf.bounds.recover)
+        if lot["id"] not in part.view.lots:
+            key = (part.id, lot["id"])
+            task = self.taking.get(key)
+            if task is None:
+                task = self.taking[key] = asyncio.create_task(self.take(part, part.epoch, lot, limit))
+                task.add_done_callback(lambda _: self.taking.pop(key, None))
+            done, _ = await asyncio.wait([task], timeout=limit)
+            if not done:
+                return Err(Fault("accept", self.store.conf.name, "not known yet", SLOW))
+            answer = task.result()
+            if isinstance(answer, Err):
+                return answer
+        have = part.view.lots.get(lot["id"])
+        if have is None:
+            return Err(Fault("accept", self.store.conf.name, "not known yet", SLOW))
+        if have.digest != digest(lot):
+            return Err(Fault("accept", self.store.conf.name, "a lot with this id and other content is here", CLASH))
+        if await part.wait(have.seq, "", limit):
+            self.wake(part)
+            return Ok({"id": lot["id"], "state": "kept"})
+        return Err(Fault("accept", self.store.conf.name, "not covered yet", SLOW))
+
+    async def take(self, part: Part, epoch: int, lot: Body, limit: float) -> PeerResponse:
+        store = self.store
+        flaw = store.no_room(part)
+        if flaw is not None:
+            return Err(flaw)
+        tokens, name = sum(i["tokens"] for i in lot["items"]), lot["route"]
+        pending = self.pending.setdefault(part.id, Counter())
+        quota = (self.route(name) or {}).get("quota", 0)
+        pending[name] += tokens
+        try:
+            if quota:
+                async with self.turns.setdefault((part.id, name), asyncio.Lock()):
+                    # What this lot asks for is not in the count yet, but in `want`.
+                    pending[name] -= tokens
+                    count = self.count(part, name)
+                    pending[name] += tokens
+                    got = await self.ask_holder(part, name, count, tokens, limit)
+                if isinstance(got, Err):
+                    return got
+            if part.epoch != epoch:
+                return Err(Fault("accept", store.conf.name, "not the owner any more", MOVED))
+            try:
+                store.add(part, "lot", lot, vital=False)
+            except Stop as bad:
+                return Err(
+                    bad.fault if bad.fault.code == FULL else Fault("accept", store.conf.name, bad.fault.why, SLOW)
+                )
+        finally:
+            pending[name] -= tokens
+        return Ok({})
+
+    def wake(self, part: Part) -> None:
+        """Tells the scheduler that there is something to take."""
+        name = self.store.desks[part.id].sched
+        addr = self.store.news.addr(name) if name else ""
+        if addr:
+            self.spawn(self.store.lines.call(addr, "wake", {"part": part.id}, self.store.conf.bounds.beat))
+
+    # --- quota
+    def count(self, part: Part, name: str) -> int:
+        """Tokens that wait here on a route: of kept lots, and asked for."""
+        held = sum(
+            int(item["tokens"])
+            for lot in part.view.lots.values()
+            if lot.state == "open" and not lot.whole and lot.body.get("route") == name
+            for i, item in enumerate(lot.body["items"])
+            if i not in lot.results
+        )
+        return held + self.pending.get(part.id, Counter())[name]
+
+    async def ask_holder(self, part: Part, name: str, count: int, want: int, limit: float) -> PeerResponse:
+        man = self.store.news.manifest
+        assert man is not None
+        home = part_of(f"route:{name}", man["parts"])
+        self.numbers[part.id] += 1
+        body = {"part": home, "route": name, "from": part.id, "epoch": part.epoch, "number": self.numbers[part.id],
+                "count": count, "want": want}  # fmt: skip
+        got = await self.ask_owner(home, "reserve", body, limit)
+        if isinstance(got, Err):
+            # Whatever went wrong there, nothing was sequenced here: the answer may be a refusal, and is no certainty
+            # of the quota.
+            return (
+                got
+                if got.unwrap_err().code == CROWD
+                else Err(Fault("reserve", f"partition {home}", got.unwrap_err().why, FULL))
+            )
+        self.told[(part.id, name)] = (part.epoch, count + want)
+        return got
+
+    async def ask_owner(self, number: int, verb: str, body: Body, limit: float) -> PeerResponse:
+        """Asks a partition's owner, following where it is said to be."""
+        store, until = self.store, now() + limit * 0.8
+        last: PeerResponse = Err(Fault(verb, store.conf.name, "no owner known", SLOW))
+        turn = 0
+        while now() < until:
+            order = store.news.order(number)
+            mine = store.parts.get(number)
+            name = self.holders.get(number) or (mine.owner if mine is not None else "")
+            if not name and order:
+                name, turn = order[turn % len(order)], turn + 1
+            got = await store.ask(name, verb, body | {"part": number}) if name else last
+            if isinstance(got, Ok):
+                self.holders[number] = name
+                return got
+            last, flaw = got, got.unwrap_err()
+            if flaw.code not in (MOVED, SLOW, LACK) and not flaw.unsent and flaw.code != 502:
+                return got
+            hint = flaw.hint if flaw.code == MOVED and flaw.hint != name else ""
+            self.holders[number] = hint
+            if not hint:
+                await asyncio.sleep(store.conf.bounds.beat / 8)
+        return last
+
+    async def reserve(self, body: Body) -> PeerResponse:
+        """As holder of a route's budget: hears an owner's count and grants what it wants if it fits."""
+        store, name = self.store, body["route"]
+        got = store.lead_of(body["part"], "reserve")
+        if isinstance(got, Err):
+            return got
+        part = got.unwrap()
+        man = store.news.manifest
+        assert man is not None
+        budget = self.budgets.setdefault((part.id, part.epoch, name), Budget())
+        epoch = part.epoch
+        if not body["want"]:
+            budget.hear(body["from"], body["epoch"], body["number"], body["count"])
+            return Ok({})
+        lacks = [p for p in budget.lacks(man["parts"]) if p != body["from"]]
+        if lacks:
+            await asyncio.gather(*(self.learn(budget, p, name) for p in lacks))
+            if [p for p in budget.lacks(man["parts"]) if p != body["from"]]:
+                return Err(Fault("reserve", store.conf.name, "not all partitions have told their counts", SLOW))
+        # Under the epoch: a holder that comes later asks every owner, which counts what it asked for here.
+        if not await store.confirm(part) or part.epoch != epoch:
+            return Err(Fault("reserve", store.conf.name, "could not be confirmed", SLOW))
+        if not budget.hear(body["from"], body["epoch"], body["number"], body["count"]):
+            return Err(Fault("reserve", store.conf.name, "a later word came before this one", FULL))
+        most = (self.route(name) or {}).get("quota", 0)
+        if most and not budget.take(body["from"], body["want"], most):
+            return Err(Fault("reserve", store.conf.name, f"{budget.tokens} of {most} tokens wait on the route", CROWD))
+        return Ok({})
+
+    async def learn(self, budget: Budget, number: int, name: str) -> None:
+        got = await self.ask_owner(number, "waiting", {"route": name}, self.store.conf.bounds.beat)
+        if isinstance(got, Ok):
+            told = got.unwrap()
+            budget.hear(number, told["epoch"], told["number"], told["count"])
+
+    async def waiting(self, body: Body) -> PeerResponse:
+        got = self.store.lead_of(body["part"], "waiting")
+        if isinstance(got, Err):
+            return got
+        part = got.unwrap()
+        if not await self.store.confirm(part):
+            return Err(Fault("waiting", self.store.conf.name, "could not be confirmed", SLOW))
+        self.numbers[part.id] += 1
+        return Ok({"epoch": part.epoch, "number": self.numbers[part.id], "count": self.count(part, body["route"])})
+
+    def report(self) -> None:
+        """Tells the holders what came to an end here; once a beat."""
+        man = self.store.news.manifest
+        names = [n for n, r in man.get("routes", {}).items() if r["kind"] == "lot" and r["quota"]] if man else []
+        for part in [p for p in self.store.parts.values() if p.owning and p.ready] if names else []:
+            for name in names:
+                self.spawn(self.tell(part, name))
+
+    def spawn(self, coro: Coroutine[Any, Any, Any]) -> None:
+        task = asyncio.create_task(coro)
+        self.store.trials.add(task)
+        task.add_done_callback(self.store.trials.discard)
+
+    async def tell(self, part: Part, name: str) -> None:
+        count = self.count(part, name)
+        turn = self.turns.setdefault((part.id, name), asyncio.Lock())
+        if self.told.get((part.id, name), (0, 0)) == (part.epoch, count) or turn.locked():
+            return
+        async with turn:
+            got = await self.ask_holder(part, name, self.count(part, name), 0, self.store.conf.bounds.beat)
+        if isinstance(got, Ok):
+            self.told[(part.id, name)] = (part.epoch, count)
+
+    # --- reading
+    async def read(self, body: Body, step: str) -> Result[tuple[Part, Lot], Fault]:
+        got = await self.store._read(body, step)
+        if isinstance(got, Ok) and "route" not in got.unwrap()[1].body:
+            return Err(Fault(step, self.store.conf.name, "no such lot", LACK))
+        return got
+
+    async def results(self, body: Body) -> PeerResponse:
+        """Covered results from a position on, held until there is one."""
+        until = now() + float(body.get("hold", 0.0))
+        while True:
+            got = await self.read(body, "results")
+            if isinstance(got, Err):
+                return got
+            part, lot = got.unwrap()
+            rows: list[Body] = []
+            size, start = 0, body["start"]
+            for i in lot.order[start : start + 500]:
+                seq, state, text = lot.results[i]
+                size += len(text) + 128
+                if seq > part.covered or (rows and size > PAGE):
+                    break
+                rows.append({"id": lot.body["items"][i]["id"], "state": state, "text": text})
+            if rows or now() >= until or lot.state != "open" or start >= lot.size:
+                return Ok({"total": lot.size, "results": rows, "next": start + len(rows)})
+            # Until the next one is covered; then it is read anew, and confirmed anew.
+            seq = lot.results[lot.order[start]][0] if len(lot.order) > start else part.tape.last + 1
+            if not await part.wait(seq, "", max(0.0, until - now())) and part.owning:
+                continue
+
+    async def item(self, body: Body) -> PeerResponse:
+        """The body of an item that isn't listed yet."""
+        got = await self.read(body, "item")
+        if isinstance(got, Err):
+            return got
+        part, lot = got.unwrap()
+        spot = next((i for i, x in enumerate(lot.body["items"]) if x["id"] == body["item"]), -1)
+        listed = spot in lot.results and lot.results[spot][0] <= part.covered
+        if spot < 0 or listed or lot.state == "ended":
+            return Err(Fault("item", self.store.conf.name, "no such item that waits", LACK))
+        return Ok({"body": lot.body["items"][spot]["body"]})
+
+    # --- time
+    def over(self, part: Part, lot: Lot) -> bool:
+        """May the lot leave? Gives up what has expired. Times count from when this owner saw the lot first: later than
+        it was sent, never earlier, whatever the wall clocks do."""
+        store = self.store
+        age = now() - self.seen.setdefault((part.id, part.epoch, lot.id), now())
+        man = store.news.manifest
+        keep = store.conf.more.get("pollS", man.get("retention", 3600.0) if man else 3600.0)
+        if lot.whole or lot.state == "ended":
+            return age > keep * 1.1
+        if age > lot.body["expire"] and lot.seq <= part.covered:
+            for i in range(lot.size):
+                if i not in lot.results:
+                    store.add(part, "result", {"id": lot.id, "item": i, "status": "abandoned", "output": ""})
+        return False
--- a/postpass/sched.py
+++ b/postpass/sched.py
@@ -19,9 +19,11 @@
 
 from postpass import events
 from postpass.config import Config
+from postpass.dialect import Dialect
 from postpass.fault import CLASH, MOVED, Fault, Stop
 from postpass.floor import Floor, share_of
-from postpass.manifest import Manifest
+from postpass.items import Text, Workers, run_item
+from postpass.manifest import Manifest, Route
 from postpass.models import Prompt, complete
 from postpass.news import News
 from postpass.plug import Ask, Seat, fond_of, place, prefix
@@ -45,18 +47,55 @@
     task: asyncio.Task[None] | None = None
     began: float = 0.0
     pieces: int = 0
+    # An item of a route: the call, the pool it was placed in, what is known of its text, and when it may go out.
+    call: Body = field(default_factory=dict)
+    tries: int = 0
+    pool: str = ""
+    text: Text = field(default_factory=Text)
+    after: float = 0.0
 
     @property
     def key(self) -> tuple[int, str, int]:
         return (self.part, self.lot, self.item)
 
 
+def weighted(key: str, split: list[tuple[str, int]]) -> str:
+    """One of some pools by their weights, the same for the same key."""
+    at = int.from_bytes(hashlib.sha256(key.encode()).digest()[:8], "big") % max(1, sum(w for _, w in split))
+    for pool, weight in split:
+        at -= weight
+        if at < 0:
+            return pool
+    return split[0][0]
+
+
+def prefix_of(headers: dict[str, str], dialect: Dialect) -> str:
+    """The first shared part of an item's prompt."""
+    parts = next((v for k, v in headers.items() if k.lower() == dialect.prompt), "")
+    return parts.split(",")[0].split(":")[0] if "," in parts else ""
+
+
 def allowed(slots: int, own: int, live: int, reserve: int, warm: bool) -> int:
     """Batch room at one worker: its own share, or what live calls and the reserve leave, if that is more.
     A worker that still warms up gets none."""
     return max(own, slots - live - reserve) if warm else 0
 
 
+@dataclass(eq=False)
+class Room:
+    """What is known of one worker's room for items of routes. Invariant: `most` is 1 to half of the slots."""
+
+    most: float
+    shut: float = 0.0  # takes none before
+    running: int = 0
+
+    def turned_away(self, t: float, pause: float) -> None:
+        self.most, self.shut = max(1.0, self.most / 2), t + pause
+
+    def ran(self, slots: int) -> None:
+        self.most = min(max(1.0, slots / 2), self.most + 0.5)
+
+
 @dataclass(eq=False)
 class Sched:
     """Invariants: nothing is dispatched for a partition once `leases[part]` has passed, and that is checked
@@ -81,6 +120,12 @@
     loans: list[tuple[float, float]] = field(default_factory=list)  # (when live came back, seconds to hand back)
     over_since: dict[tuple[str, str], float] = field(default_factory=dict)
     ahead: Tally[str] = field(default_factory=Tally)
+    # Items of routes: how they reach workers, and what workers say of their room.
+    workers: Workers | None = None
+    dialect: Dialect = field(default_factory=Dialect)
+    rooms: dict[tuple[str, str], Room] = field(default_factory=dict)
+    woken: set[int] = field(default_factory=set)
+    kick: asyncio.Event = field(default_factory=asyncio.Event)
 
     def __post_init__(self) -> None:
         self.items = Counter("postpass_items", "Items by class and end", ["kind", "end"], registry=self.registry)
@@ -200,9 +245,19 @@
         return min([self.conf.bounds.poll, *(b / 4 for b in back)])
 
     async def work(self) -> None:
+        polled = 0.0
         while True:
-            await asyncio.sleep(self.pace * (0.9 + 0.2 * self.world.chance.random()))
+            pause, woken = self.pace * (0.9 + 0.2 * self.world.chance.random()), True
+            try:
+                async with asyncio.timeout(max(0.0, polled + pause - now())):
+                    await self.kick.wait()
+            except TimeoutError:
+                polled, woken = now(), False
+            self.kick.clear()
             man = self.news.manifest
+            if woken and man is not None and self.active and not self.leaving:
+                await self.between(man)
+                continue
             if man is None or not self.active or not self.news.fresh:
                 continue
             if self.leaving:
@@ -221,9 +276,12 @@
                 ready = sum(j.kind == kind and j.task is None for j in self.jobs.values())
                 want[kind] = max(0, free - ready)
             self.ahead.clear()
+            want |= self.wants(man)
+            self.woken.clear()
             await asyncio.gather(*(self.poll(part, want) for part in range(man["parts"])))
             if self.active:
                 self.dispatch(man, rooms)
+                self.place_calls(man)
 
     async def poll(self, part: int, want: dict[str, int]) -> None:
         """Renews the lease of a partition and takes items; the lease runs from when it was asked for."""
@@ -255,8 +313,10 @@
                 row["item"],
                 row["class"],
                 row["due"],
-                Prompt(tuple(row["shared"]), row["text"]),
+                Prompt(tuple(row.get("shared", [])), row.get("text", "")),
                 row["caller"],
+                call=row.get("call", {}),
+                tries=row.get("tries", 0),
             )
             self.jobs.setdefault(job.key, job)
 
@@ -288,7 +348,9 @@
         """Nearest due first, and fair between callers among equals."""
         turn: Tally[str] = Tally()
         ready = []
-        for job in sorted((j for j in self.jobs.values() if j.task is None), key=lambda j: (j.due, j.lot, j.item)):
+        for job in sorted(
+            (j for j in self.jobs.values() if j.task is None and not j.call), key=lambda j: (j.due, j.lot, j.item)
+        ):
             turn[job.caller] += 1
             ready.append((math.floor(job.due), turn[job.caller], job.due, job.item, job))
         for *_, job in sorted(ready, key=lambda r: r[:4]):
@@ -311,6 +373,133 @@
             job.began, job.pieces = now(), 0
             job.task = asyncio.create_task(self.run(man, c["pool"], job))
 
+    # --- items of routes
+    async def on_wake(self, body: Body) -> Any:
+        self.woken.add(body["part"])
+        self.kick.set()
+        return Ok({})
+
+    async def between(self, man: Manifest) -> None:
+        """Between two rounds: asks only the owners that have said they have something, and fills places."""
+        parts, self.woken = self.woken, set()
+        want = self.wants(man)
+        if parts and any(want.values()) and self.news.fresh:
+            await asyncio.gather(*(self.poll(part, want) for part in parts))
+        if self.active:
+            self.place_calls(man)
+
+    def free(self, man: Manifest, pool: str) -> dict[str, int]:
+        """Places for items at each worker of a pool that may be sent to."""
+        servers, out = man["pools"][pool]["servers"], {}
+        for name, server in servers.items():
+            if self.shut_out(man, pool, name):
+                continue
+            room = self.rooms.setdefault((pool, name), Room(max(1.0, server["slots"] / 2)))
+            out[name] = max(0, int(room.most) - room.running) if now() >= room.shut else 0
+        return out
+
+    def shut_out(self, man: Manifest, pool: str, name: str) -> str:
+        server = man["pools"][pool]["servers"].get(name) if pool in man["pools"] else None
+        if server is None:
+            return "it left the manifest"
+        if server.get("leave") or server.get("cold"):
+            return "it leaves" if server.get("leave") else "it is cold"
+        return "its area is evacuated" if server["area"] in man.get("evacuated", []) else ""
+
+    def wants(self, man: Manifest) -> dict[str, int]:
+        """How many items of each route to ask for: what the free places take, and half as many again to go on with."""
+        for key in [k for k in self.rooms if k[0] not in man["pools"] or k[1] not in man["pools"][k[0]]["servers"]]:
+            if self.rooms[key].running == 0:
+                del self.rooms[key]
+        if self.workers is None:
+            return {}
+        out = {}
+        for name, route in man.get("routes", {}).items():
+            if route["kind"] != "lot":
+                continue
+            pools = [s["pool"] for s in route["split"] if s["weight"] > 0]
+            free = sum(sum(self.free(man, p).values()) for p in pools)
+            whole = sum(x["slots"] for p in pools for x in man["pools"][p]["servers"].values()) // 4
+            ready = sum(j.task is None for j in self.jobs.values() if j.kind == f"route:{name}")
+            out[f"route:{name}"] = max(0, free + whole - ready)
+        return out
+
+    def place_calls(self, man: Manifest) -> None:
+        """Nearest due first; the items of a lot, whose prompts begin alike, go to few workers."""
+        ready = [j for j in self.jobs.values() if j.task is None and j.call and j.after <= now()]
+        if not ready or self.workers is None:
+            return
+        free: dict[str, dict[str, int]] = {}
+        for job in sorted(ready, key=lambda j: (j.due, j.lot, j.item)):
+            route = man.get("routes", {}).get(job.kind.removeprefix("route:"))
+            if route is None or now() >= self.leases.get(job.part, 0.0):
+                continue
+            split = [(s["pool"], s["weight"]) for s in route["split"] if s["weight"] > 0 and s["pool"] in man["pools"]]
+            job.pool = job.pool if job.pool in dict(split) else weighted(job.call["id"], split)
+            rooms = free.setdefault(job.pool, self.free(man, job.pool))
+            names = [n for n, f in rooms.items() if f > 0]
+            if not names:
+                continue
+            key = prefix_of(job.call["headers"], self.dialect) or job.lot
+            job.server = max(names, key=lambda n: hashlib.sha256(f"{key}/{n}".encode()).digest())
+            rooms[job.server] -= 1
+            job.began = now()
+            self.rooms[(job.pool, job.server)].running += 1
+            job.task = asyncio.create_task(self.run_call(man, route, job))
+
+    def call_gate(self, job: Job, pool: str, server: str) -> str:
+        """Asked right before the bytes go out, also after a freeze."""
+        man = self.news.manifest
+        if not self.active or self.jobs.get(job.key) is not job:
+            return "the item went back"
+        if now() >= self.leases.get(job.part, 0.0):
+            return "the lease has passed"
+        if now() - self.news.heard > self.conf.bounds.deaf:
+            return "no news for too long"
+        route = man.get("routes", {}).get(job.kind.removeprefix("route:")) if man else None
+        if man is None or route is None or pool not in [s["pool"] for s in route["split"] if s["weight"] > 0]:
+            return "the route goes elsewhere now"
+        return self.shut_out(man, pool, server)
+
+    async def run_call(self, man: Manifest, route: Route, job: Job) -> None:
+        assert self.workers is not None
+        pool, server = job.pool, job.server
+        spot = man["pools"][pool]["servers"][server]
+        room, b = self.rooms[(pool, server)], self.conf.bounds
+        end = ""
+        try:
+            end = await run_item(
+                self.workers, self.dialect, dict(spot), server, route["host"], job.call, job.text,
+                lambda: self.call_gate(job, pool, server), b.recover * 10,
+            )  # fmt: skip
+            room.ran(spot["slots"])
+        except Stop as bad:
+            if bad.fault.unsent or bad.fault.hint == "shed":
+                room.turned_away(now(), b.poll)
+                job.after = now() + b.poll / 4
+            else:
+                job.after = now() + b.poll
+            end = "unsent" if bad.fault.unsent or bad.fault.hint == "shed" else "cut"
+        except asyncio.CancelledError:
+            job.task = None
+            raise
+        finally:
+            room.running -= 1
+            self.kick.set()
+        self.items.labels(job.kind, end).inc()
+        if end in ("unsent", "cut"):
+            # It stays here, with its text so far, and goes on elsewhere.
+            job.task = None
+            return
+        try:
+            text = job.text.text if end == "done" else ""
+            status = {"done": "done", "failed": "failed", "never": "abandoned"}[end]
+            await self.tell(job, {"status": status, "output": text, "tries": job.tries,
+                                  "sum": hashlib.sha256(text.encode()).hexdigest()[:16]})  # fmt: skip
+        finally:
+            self.jobs.pop(job.key, None)
+            job.task = None
+
     def gate(self, job: Job, pool: str) -> str:
         """Asked right before the bytes go out, also after a freeze."""
         if not self.active or self.jobs.get(job.key) is not job:
--- a/postpass/seglog.py
+++ b/postpass/seglog.py
@@ -163,7 +163,7 @@
 
     def heavy(self) -> bool:
         """Is it time for a snapshot, and is there room for one?"""
-        return self.size > self.segment and self.disk.room()[0] > self.need
+        return self.size > max(self.segment, self.snap // 2) and self.disk.room()[0] > self.need
 
     @property
     def need(self) -> int:
--- a/postpass/store.py
+++ b/postpass/store.py
@@ -21,10 +21,11 @@
 from postpass import events
 from postpass.config import Config
 from postpass.fault import BAD, BROKE, CLASH, FULL, LACK, MOVED, SHED, SLOW, Fault, Stop
-from postpass.lots import Lot, LotView, digest, page
+from postpass.lots import Lot, LotView, digest, kind_of, page
 from postpass.manifest import part_of
 from postpass.news import News
 from postpass.part import Follow, Part, fresh_tape, head
+from postpass.routed import Routed
 from postpass.tape import Record, Tape, match
 from postpass.vault import Vault, distrust, open_vault
 from postpass.wire import IDL, PACKET, Body, Lines, Link, PeerResponse
@@ -76,6 +77,9 @@
     # A setting for measurements only: wait for each mirror's reply before the next record goes out.
     wait_each: bool = False
 
+    def __post_init__(self) -> None:
+        self.routed = Routed(self)
+
     # --- start
     async def open(self) -> None:
         assert self.world.disk is not None
@@ -121,7 +125,7 @@
         return {
             "carry": self.carry, "ack": self.ack, "promise": self.promise, "hello": self.hello, "fetch": self.fetch,
             "submit": self.submit, "show": self.show, "page": self.page, "finish": self.finish, "take": self.take,
-            "done": self.done, "claim": self.claim, "parts": self.status,
+            "done": self.done, "claim": self.claim, "parts": self.status, **self.routed.handlers(),
         }  # fmt: skip
 
     # --- disk
@@ -170,6 +174,7 @@
                 else:
                     self.doubt(part)
                 part.trim(self.conf.buffer_bytes // max(len(self.parts), 1))
+            self.routed.report()
             if self.log.heavy():
                 await self.log.compact(self.snapshot())
                 self.synced()
@@ -310,6 +315,7 @@
     ) -> None:
         part.lead(epoch)
         self.desks[part.id] = Desk()
+        self.routed.forget(part.id)
         made: list[Record] = []
         if blank:
             made.append(part.make("crew", {"crew": voters}))
@@ -687,7 +693,10 @@
         keep = man.get("retention", 3600.0)
         gone = []
         for lot in view.lots.values():
-            if lot.whole or lot.state == "ended":
+            if "route" in lot.body:
+                if self.routed.over(part, lot):
+                    gone.append(lot.id)
+            elif lot.whole or lot.state == "ended":
                 if now() - desk.done_at.setdefault(lot.id, now()) > keep:
                     gone.append(lot.id)
             elif self.world.wall() > lot.body["due"] + keep:
@@ -1080,14 +1089,24 @@
         out_of = Counter(lot for lot, item in desk.leases if item not in part.view.lots[lot].results)
         out, ahead = [], dict.fromkeys(need, 0)
         for lot in lots:
-            kind = lot.body["class"]
+            kind = kind_of(lot.body)
             # Counted, not listed: what a poll costs must not grow with all items that wait.
             ahead[kind] = ahead.get(kind, 0) + lot.size - len(lot.results) - out_of[lot.id]
             free = (i for i in range(lot.size) if i not in lot.results and (lot.id, i) not in desk.leases)
             for i in list(islice(free, max(need.get(kind, 0), 0))):
                 desk.leases[(lot.id, i)] = Lease(body["sched"], until)
-                out.append({"lot": lot.id, "item": i, "class": kind, "due": lot.body["due"], "text": lot.body["items"][i],
-                            "shared": lot.body.get("shared", []), "caller": lot.body.get("caller", "")})  # fmt: skip
+                row = {
+                    "lot": lot.id,
+                    "item": i,
+                    "class": kind,
+                    "due": lot.body["due"],
+                    "caller": lot.body.get("caller", ""),
+                }
+                if "route" in lot.body:
+                    row |= {"call": lot.body["items"][i], "tries": lot.body["tries"]}
+                else:
+                    row |= {"text": lot.body["items"][i], "shared": lot.body.get("shared", [])}
+                out.append(row)
                 need[kind] -= 1
         return Ok({"items": out, "stop": stop, "ahead": ahead})
 
@@ -1105,11 +1124,14 @@
         status, output = body["status"], body["output"]
         if status == "done" and hashlib.sha256(output.encode()).hexdigest()[:16] != body["sum"]:
             return Err(Fault("done", self.conf.name, "the output doesn't match its sum", BAD))
-        if status != "done":
+        if status == "abandoned" and "route" in lot.body:
+            pass  # a worker said that it can never be done
+        elif status != "done":
             desk.tries[key] += 1
             if desk.tries[key] < int(body.get("tries", 5)):
                 return Ok({"taken": False})
-            status = "failed"
+            status = "abandoned" if "route" in lot.body else "failed"
+            output = "" if "route" in lot.body else output
         try:
             self.add(part, "result", {"id": body["id"], "item": body["item"], "status": status, "output": output})
         except Stop as bad:
--- /dev/null
+++ b/tests/test_routed_lots.py
@@ -0,0 +1,161 @@
+"""Lots of a route through a whole fleet on simulated time, with workers stood in for by an object."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import json
+from collections.abc import AsyncIterator, Callable
+from typing import Any
+
+from absl import logging
+
+from bench.plan import manifest
+from postpass.data import Data
+from postpass.fault import Fault, Stop
+from postpass.lotdesk import LotDesk
+from postpass.manifest import Route
+from sim.fleet import SimFleet
+from sim.loop import SimLoop, run_sim
+
+ROUTE: Route = {
+    "host": "h.example", "prefix": "/lot/", "kind": "lot", "split": [{"pool": "gpu", "weight": 1}], "timeout": 8.0,
+    "target": 0.4, "rank": 2, "tries": 2, "resumable": True, "gap": 0.3, "tokens": True, "quota": 1000, "due": 10.0,
+    "expire": 20.0,
+}  # fmt: skip
+
+
+class Answer:
+    def __init__(self, status: int, headers: list[tuple[bytes, bytes]], parts: list[bytes], cut: bool) -> None:
+        self.status, self.headers, self.parts, self.cut = status, headers, parts, cut
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        for part in self.parts:
+            await asyncio.sleep(0.02)
+            yield part
+        if self.cut:
+            raise Stop(Fault("body", "w", "cut"))
+
+    def close(self) -> None: ...
+
+
+class Pretend:
+    """Every item has three events; the first run of an item whose id ends in `cut` is cut after the second."""
+
+    def __init__(self) -> None:
+        self.runs: list[tuple[str, int]] = []
+        self.full = False
+
+    async def request(self, addr: str, method: str, target: bytes, headers: list[tuple[bytes, bytes]], body: bytes,
+                      *, gate: Callable[[], str], limit: float) -> Answer:  # fmt: skip
+        why = gate()
+        if why:
+            raise Stop(Fault("gate", addr, why, unsent=True))
+        if self.full:
+            return Answer(503, [(b"x-not-run", b"1")], [], False)
+        heads = dict(headers)
+        name, last = heads[b"x-call-id"].decode(), int(heads.get(b"last-event-id", b"-1"))
+        again = any(n == name for n, _ in self.runs)
+        self.runs.append((name, last))
+        own = [(b"x-call-id", name.encode())]
+        if name.endswith(("never", "fails")):
+            return Answer(422 if name.endswith("never") else 500, own, [], False)
+        most = 2 if name.endswith("cut") and not again else 3
+        parts = [f"id: {n}\ndata: {body.decode()}{n}\n\n".encode() for n in range(last + 1, most)]
+        return Answer(200, own, parts, most < 3)
+
+
+def lot(*ends: str, tokens: int = 10) -> bytes:
+    items = [
+        {"id": f"i{n}{end}", "path": "/lot/x", "headers": {}, "body": base64.b64encode(b"t").decode(), "tokens": tokens}
+        for n, end in enumerate(ends)
+    ]
+    return json.dumps({"items": items}).encode()
+
+
+def with_lots(check: Callable[[SimFleet, list[LotDesk], Pretend], Any], **route: Any) -> None:
+    logging.set_verbosity(logging.FATAL)
+    workers = Pretend()
+
+    def make(daemon: Any) -> None:
+        if isinstance(daemon, Data):
+            opened = daemon.open
+
+            async def open_more() -> None:
+                await opened()
+                if daemon.sched is not None:
+                    daemon.sched.workers = workers
+
+            daemon.open = open_more  # type: ignore[method-assign]
+
+    async def main(loop: SimLoop) -> None:
+        fleet = SimFleet(loop, manifest() | {"routes": {"r": dict(ROUTE) | route}}, 1, make=make)
+        await fleet.found()
+
+        def desk(name: str) -> LotDesk:
+            daemon = fleet.boxes[name].daemon
+            assert isinstance(daemon, Data) and daemon.edge is not None
+            return LotDesk(daemon.edge)
+
+        task = loop.create_task(
+            check(fleet, [desk("e1"), desk("e2")], workers), context=fleet.boxes["e1"].host.context()
+        )  # type: ignore[union-attr]
+        await task
+
+    run_sim(main, 1)
+
+
+async def all_of(desk: LotDesk, name: str) -> list[dict[str, Any]]:
+    out: list[dict[str, Any]] = []
+    for _ in range(40):
+        got = (await desk.results(name, len(out), 1.0)).unwrap()
+        out += got["results"]
+        assert got["next"] == len(out)
+        if len(out) == got["total"]:
+            return out
+    raise AssertionError(f"no end, {out}")
+
+
+class Test_a_lot_of_a_route:
+    def test_is_kept_runs_and_reads_the_same_at_every_edge(self) -> None:
+        async def check(fleet: SimFleet, desks: list[LotDesk], workers: Pretend) -> None:
+            began = fleet.loop.clock
+            assert (await desks[0].accept("r", ROUTE, "l1", lot("a", "cut", "never", "fails")))[0] == 202
+            assert fleet.loop.clock - began < 0.1
+            assert (await desks[1].accept("r", ROUTE, "l1", lot("a", "cut", "never", "fails")))[0] == 202
+            assert (await desks[1].accept("r", ROUTE, "l1", lot("other")))[0] == 409
+            assert (await desks[1].item("l1", "i0a")).unwrap() == b"t"
+            rows = await all_of(desks[0], "l1")
+            assert {r["id"]: (r["state"], r["text"]) for r in rows} == {
+                "i0a": ("done", "t0\nt1\nt2"), "i1cut": ("done", "t0\nt1\nt2"), "i2never": ("abandoned", ""),
+                "i3fails": ("abandoned", ""),
+            }  # fmt: skip
+            assert rows == await all_of(desks[1], "l1")
+            assert ("i1cut", 1) in workers.runs and len(workers.runs) == 6
+            assert (await desks[1].item("l1", "i0a")).unwrap_err() == 404
+            assert (await desks[0].results("l2", 0, 0)).unwrap_err() == 404
+            assert fleet.loop.clock - began < 2.0
+
+        with_lots(check)
+
+    def test_is_refused_past_the_quota_and_taken_once_there_is_room(self) -> None:
+        async def check(fleet: SimFleet, desks: list[LotDesk], workers: Pretend) -> None:
+            workers.full = True  # nothing leaves the count by being done
+            codes = [(await desks[n % 2].accept("r", ROUTE, f"l{n}", lot("a", tokens=400)))[0] for n in range(4)]
+            assert codes == [202, 202, 429, 429]
+            assert (await desks[0].finish("l0")).is_ok() and (await desks[1].finish("l0")).is_ok()
+            await asyncio.sleep(1.0)
+            assert (await desks[0].accept("r", ROUTE, "l2", lot("a", tokens=400)))[0] == 202
+            assert (await desks[0].accept("r", ROUTE, "l3", lot("a", tokens=400)))[0] == 429
+
+        with_lots(check)
+
+    def test_is_given_up_once_expired(self) -> None:
+        async def check(fleet: SimFleet, desks: list[LotDesk], workers: Pretend) -> None:
+            nowhere: Route = ROUTE | {"expire": 3.0}  # type: ignore[assignment]
+            assert (await desks[0].accept("gone", nowhere, "l1", lot("a", "b")))[0] == 202
+            began = fleet.loop.clock
+            assert [r["state"] for r in await all_of(desks[1], "l1")] == ["abandoned", "abandoned"]
+            assert 2.9 <= fleet.loop.clock - began <= 5.0 and workers.runs == []
+
+        with_lots(check)
