--- a/postpass/lotdesk.py
+++ b/postpass/lotdesk.py
@@ -113,7 +113,7 @@
         return got.map_err(lambda bad: 404 if bad.code == LACK else 503)
 
     async def results(self, lot: str, start: int, hold: float) -> Result[Body, int]:
-        hold = min(hold, 10.0)
+        hold = min(hold, self.edge.conf.bounds.detect)  # well within what one question to an owner may take
         return await self.ask(lot, "results", {"start": start, "hold": hold}, hold + self.patience() / 2)
 
     async def item(self, lot: str, item: str) -> Result[bytes, int]:
--- a/tests/test_routed_lots.py
+++ b/tests/test_routed_lots.py
@@ -97,9 +97,9 @@
             assert isinstance(daemon, Data) and daemon.edge is not None
             return LotDesk(daemon.edge)
 
-        task = loop.create_task(
-            check(fleet, [desk("e1"), desk("e2")], workers), context=fleet.boxes["e1"].host.context()
-        )  # type: ignore[union-attr]
+        host = fleet.boxes["e1"].host
+        assert host is not None
+        task = loop.create_task(check(fleet, [desk("e1"), desk("e2")], workers), context=host.context())
         await task
 
     run_sim(main, 1)
