--- a/postpass/data.py
+++ b/postpass/data.py
@@ -24,6 +24,7 @@
 from postpass.sched import Sched
 from postpass.store import Store
 from postpass.wire import RELEASE, Body
+from postpass.workerlink import WorkerLinks
 from postpass.world import World
 
 LEAVE_NOTICED = 2.5  # seconds until nobody passes new connections to an edge that says that it isn't ready
@@ -38,11 +39,12 @@
     store: Store | None = None
     session: aiohttp.ClientSession | None = None
     relay: Relay | None = None
+    links: WorkerLinks | None = None
 
     def __init__(self, conf: Config, world: World, release: str = "", dialect: Dialect | None = None) -> None:
         super().__init__(conf, world, release or RELEASE)
         self.dialect = dialect or Dialect()
-        self.edge = self.sched = self.store = self.session = self.relay = None
+        self.edge = self.sched = self.store = self.session = self.relay = self.links = None
         if "store" in conf.duties:
             self.store = Store(conf, world, self.news, self.lines)
             self.store.ask_kept = self.ask_kept
@@ -97,6 +99,8 @@
                     self.conf, self.world, self.news, self.lines, self.batch, self.session, self.registry,
                     dialect=self.dialect,
                 )  # fmt: skip
+                if self.conf.announce:
+                    self.sched.workers = self.links = WorkerLinks()
 
     def handlers(self) -> dict[str, Any]:
         mine: dict[str, Any] = {"floor": self.on_floor} if "edge" in self.conf.duties else {}
@@ -197,6 +201,8 @@
                 await self.session.close()
             if self.relay is not None:
                 self.relay.close()
+            if self.links is not None:
+                self.links.close()
 
     async def more_status(self) -> Body:
         out: Body = {}
