Tell a namesake outright that two processes go by one name

Now a process whose name the manifest has at another address sends that one its own card, each other time until either knows.

--- a/postpass/daemon.py
+++ b/postpass/daemon.py
@@ -340,10 +340,18 @@
 
     async def gossip(self) -> None:
         """Shuffles with the oldest neighbour; a newer edition there is fetched from it."""
-        b = self.conf.bounds
+        b, namesake = self.conf.bounds, ""
         while True:
             await asyncio.sleep(b.follow * (0.7 + 0.6 * self.world.chance.random()))
             self.word()
+            # Where the manifest has another process by this one's name, that one is told, each other time.
+            home = self.news.addr(self.conf.name) or self.conf.peer
+            namesake = home if home not in (self.conf.peer, namesake) and not self.clash else ""
+            if namesake:
+                got = await self.lines.call(namesake, "shuffle", {"cards": [self.circle.me]}, b.follow)
+                if isinstance(got, Ok):
+                    self.meet(got.unwrap()["cards"])
+                continue
             mate, offer = self.circle.begin()
             addr = mate.card["peer"] if mate else self.world.chance.choice(self.conf.seeds)
             if addr == self.conf.peer:
