Read off the manifest whether this life is known, not off the announcing task

Cause: known_here was set by the task that announces, which may sit in a call to a silent neighbour for two follow times while the feed has long brought the manifest with this life's born; the process stayed unready. Change: ready() looks at the manifest itself. Measured: test_the_data_plane_of_an_announced_fleet_relays passes as it stands.

--- a/postpass/daemon.py
+++ b/postpass/daemon.py
@@ -100,6 +100,8 @@
         if self.news.manifest is None:
             return "no manifest yet"
         # One that control doesn't know yet isn't counted by the others; if control can't be reached it serves all the same.
+        # Read off the manifest itself: the task that announces may be waiting for a neighbour that says nothing.
+        self.known_here = self.known_here or placed(self.news.manifest, self.entry())
         waits = self.conf.announce and not self.known_here and now() - self.started < self.conf.bounds.recover / 2
         return "not announced yet" if waits else ""
 
@@ -253,7 +255,6 @@
         b, turn = self.conf.bounds, self.world.chance.randrange(64)
         while True:
             if placed(self.news.manifest, self.entry()):
-                self.known_here = True
                 await self.news.wait(self.news.edition, b.recover)
                 continue
             mates = [m.card["peer"] for _, m in sorted(self.circle.mates.items())]
