Read long prompts at their own workers; tell when one that isn't ready will be

Change: prompts from 4,000 tokens on go to 0.6 of a pool's workers, all else to the others, each spilling when loaded; Retry-After of one not ready counts from its start.

--- a/postpass/events.py
+++ b/postpass/events.py
@@ -55,6 +55,8 @@
     161: ("claim", "A call that may not be repeated was claimed, or refused because it had been."),
     170: ("relay-broken", "A relayed request may have run and got no whole answer; route, worker and cause follow."),
     171: ("worker-avoided", "A worker refused or broke a connection, or is another one; it is avoided for a moment."),
+    172: ("relay-late", "A relayed request was answered after its aim, or with a longer pause than its route's gap."),
+    173: ("relay-refused", "Requests were refused, none of which ran; their number by cause since the last such line."),
 }
 
 # Bounded: the newest events, for `pp status`, tests and the doctor.
--- a/postpass/placing.py
+++ b/postpass/placing.py
@@ -14,6 +14,9 @@
 OVER = 1.5  # times its even share of a worker's slots that one edge may use before it likes the worker less
 LONG = 1000  # shared tokens from which it pays to go where they were read before
 HOMES = 2
+LONG_READ = 4000  # tokens of a prompt from which it goes to the workers that read long ones
+READERS = 0.6  # of a pool's workers read long prompts
+NOBODY: frozenset[str] = frozenset()
 COLD_EDGES = 6  # edges that may use the same cold worker
 COLD_PART = 0.7  # of its rate that they use together
 
@@ -82,21 +85,38 @@
     return max(2, math.ceil(slots * OVER / max(1, edges)))
 
 
-def choose(seats: Sequence[Seat], prefix: Prefix, edges: int, chance: random.Random) -> str | None:
-    """The worker for a request; None if there is none. Long shared prefixes go to their homes unless those are loaded;
-    all else to the less loaded of two at random."""
+def readers(names: Sequence[str]) -> frozenset[str]:
+    """The workers of a pool that read long prompts: while one is read, no other request there gets on."""
+    return frozenset(rendezvous(b"readers", names, max(1, round(len(names) * READERS)))) if len(names) > 1 else NOBODY
+
+
+def choose(
+    seats: Sequence[Seat],
+    prefix: Prefix,
+    edges: int,
+    chance: random.Random,
+    reads: int = 0,
+    apart: frozenset[str] = NOBODY,
+) -> str | None:
+    """The worker for a request; None if there is none. `reads`: tokens of its prompt; `apart`: the workers that read
+    long prompts. Each kind keeps to its own workers unless those are loaded, long shared prefixes to their homes
+    among them; all else goes to the less loaded of two at random."""
     good = [s for s in seats if not s.avoided and not s.full]
     good = good or [s for s in seats if not s.avoided] or list(seats)
     if not good:
         return None
+    long = reads >= LONG_READ
+    own = [s for s in seats if (s.name in apart) == long]
     if prefix.tokens >= LONG:
         by_name = {s.name: s for s in good}
         # Over all that may be used, not over the good: a worker that is briefly avoided keeps its keys.
-        for name in rendezvous(prefix.key, [s.name for s in seats], HOMES):
+        for name in rendezvous(prefix.key, [s.name for s in own or seats], HOMES):
             home = by_name.get(name)
             if home is not None and home.mine < own_share(home.slots, edges):
                 return name
-    return min(chance.sample(good, min(2, len(good))), key=load).name
+    free = [s for s in good if s.mine < own_share(s.slots, edges)]
+    some = [s for s in free if (s.name in apart) == long] or free or good
+    return min(chance.sample(some, min(2, len(some))), key=load).name
 
 
 def load(seat: Seat) -> tuple[float, float]:
--- a/postpass/relay.py
+++ b/postpass/relay.py
@@ -17,8 +17,19 @@
 from postpass.ledger import Ledger, next_attempt
 from postpass.manifest import Manifest, Pool, Route, Server, limit
 from postpass.news import News
+from postpass.placing import (
+    NOBODY,
+    Bucket,
+    Prefix,
+    Seat,
+    choose,
+    cold_edges,
+    cold_share,
+    pool_order,
+    prefix_of,
+    readers,
+)
 from postpass.placing import NONE as NO_PREFIX
-from postpass.placing import Bucket, Prefix, Seat, choose, cold_edges, cold_share, pool_order, prefix_of
 from postpass.workerlink import Exchange, Headers, WorkerLinks
 from postpass.world import World, now
 
@@ -33,6 +44,7 @@
 FULL_FOR = 0.05  # seconds that a worker which turned a request away is tried last
 AVOID_FIRST, AVOID_MOST = 0.1, 1.0  # seconds that a worker is avoided after a broken connection, doubling
 CONNS_PART = 0.9
+READY_AFTER = 1.4  # times `detect` since its start by which a process should be ready
 EVENT_ID = re.compile(rb"(?:^|\n)id:[ ]?(\d+)\r?(?=\n)")
 
 
@@ -106,6 +118,7 @@
         )
         self.not_run, self.seal, self.urgency = d.not_run.encode(), d.seal.encode(), d.urgency.encode()
         self.prompt, self.last_event = d.prompt.encode(), d.last_event.encode()
+        self.tokens = d.tokens.encode()
         self.drop = frozenset(HOP | {self.deadline_ms, self.want_worker})
         self.drop_urgent = frozenset(self.drop | {self.urgency})
 
@@ -172,10 +185,14 @@
     began: float
     until: float
     send: Any
+    tokens: bytes = b""  # as the caller says: of the prompt, and the most out
     ledger: Ledger = field(default_factory=Ledger)
     begun: bool = False
     gone: bool = False
     events: Events | None = None
+    first: float = -1.0  # seconds until the first piece of an answer went out; -1 before
+    latest: float = 0.0  # when the last one did
+    pause: float = 0.0  # the longest between two of them
 
     @property
     def repeatable(self) -> bool:
@@ -185,6 +202,24 @@
     def resumable(self) -> bool:
         return self.route["kind"] == "stream" and self.route["resumable"]
 
+    def note(self, at: float) -> None:
+        """A piece of the answer goes out."""
+        if self.first < 0:
+            self.first = at - self.began
+        elif at - self.latest > self.pause:
+            self.pause = at - self.latest
+        self.latest = at
+
+    @property
+    def reads(self) -> int:
+        """Tokens of its prompt."""
+        return whole_number(self.tokens.partition(b",")[0].strip()) or 0
+
+    @property
+    def late(self) -> bool:
+        gap = self.route["gap"]
+        return self.first > self.route["target"] or (gap > 0 and self.pause > gap)
+
     @property
     def can_go_on(self) -> bool:
         return self.events is not None and self.events.last is not None
@@ -206,6 +241,10 @@
         self.table = Table({})
         self.edition = -1
         self.edges: list[str] = []
+        self.started = now()
+        self.refused: dict[str, int] = {}  # by cause, since the last line on it
+        self.telling = 0.0  # not before then comes the next one
+        self.readers: dict[str, frozenset[str]] = {}
         self.senders = 1
         self.requests = Counter(
             "postpass_relayed", "Relayed requests by route and end", ["route", "end"], registry=registry
@@ -236,12 +275,13 @@
             await self.inner(scope, receive, send)
             return
         name, route = found
-        if self.unready():
-            await self.refuse(send, 0.5)
+        lack = self.unready()
+        if lack:
+            await self.refuse(send, self.soon(), lack)
             return
         if route["kind"] == "lot":
             if self.lots is None:
-                await self.refuse(send, 1.0)
+                await self.refuse(send, 1.0, "no lots are taken here")
             else:
                 await self.lots(name, route, scope, receive, send)
             return
@@ -249,8 +289,9 @@
 
     async def missing(self, scope: Any, receive: Any, send: Any) -> None:
         """For what no route and no page of ours fits."""
-        if self.unready():
-            await self.refuse(send, 0.5)
+        lack = self.unready()
+        if lack:
+            await self.refuse(send, self.soon(), lack)
         else:
             await self.answer(send, 404)
 
@@ -261,8 +302,18 @@
         )
         await send({"type": "http.response.body", "body": b""})
 
-    async def refuse(self, send: Any, wait: float) -> None:
+    def soon(self) -> float:
+        """Seconds until one that isn't ready should be: after a loss of everything, control finds itself in `detect`."""
+        return max(0.5, self.conf.bounds.detect * READY_AFTER - (now() - self.started))
+
+    async def refuse(self, send: Any, wait: float, why: str) -> None:
         """A promise: it has not run and never will."""
+        self.refused[why] = self.refused.get(why, 0) + 1
+        if now() >= self.telling:
+            # At most one line a second, so that a flood costs nothing more.
+            self.telling = now() + 1.0
+            events.emit(173, self.conf.name, why=self.refused)
+            self.refused = {}
         wait *= 0.75 + 0.5 * self.world.chance.random()
         await self.answer(send, 503, (b"retry-after", b"%.3f" % wait))
 
@@ -289,6 +340,7 @@
         request = Request(
             name, route, scope["method"], target, out, body, header(headers, names.request_id),
             prefix_of(header(headers, names.prompt) or b"") if route["tokens"] else NO_PREFIX, began, until, send,
+            header(headers, names.tokens) or b"",
         )  # fmt: skip
         if request.resumable:
             request.events = Events(whole_number(header(headers, names.last_event)))
@@ -343,6 +395,10 @@
         self.senders = max(
             1, sum(bool({"edge", "sched"} & set(m["duties"])) for m in man["machines"].values() if not m.get("gone"))
         )
+        self.readers = {
+            pool: readers([n for n, s in p["servers"].items() if not self.barred(man, s)])
+            for pool, p in man["pools"].items()
+        }
         known = {n for p in man["pools"].values() for n in p["servers"]}
         for name in [n for n, s in self.sights.items() if n not in known and not s.mine]:
             del self.sights[name]
@@ -386,7 +442,14 @@
         for pool in pool_order(request.route["split"], request.request_id or b""):
             if pool in man["pools"]:
                 seats = self.seats(man, man["pools"][pool], tried)
-                name = choose(seats, request.prefix, len(self.edges), self.world.chance)
+                name = choose(
+                    seats,
+                    request.prefix,
+                    len(self.edges),
+                    self.world.chance,
+                    request.reads,
+                    self.readers.get(pool, NOBODY),
+                )
                 if name is not None:
                     return pool, name
         return None
@@ -432,9 +495,15 @@
             await self.attempt(request, *placed)
         self.requests.labels(request.name, move.kind).inc()
         if move.kind == "done":
+            if request.late:
+                events.emit(
+                    172, self.conf.name, route=request.name, worker=request.ledger.last.server if request.ledger.last else "",
+                    first=f"{request.first:.3f}", pause=f"{request.pause:.3f}", tokens=request.tokens.decode(),
+                    shared=request.prefix.tokens, tries=len(request.ledger.attempts),
+                )  # fmt: skip
             return
         if move.kind == "shed":
-            await self.refuse(request.send, max(0.05, route["target"] / 4))
+            await self.refuse(request.send, max(0.05, route["target"] / 4), move.why)
             return
         last = request.ledger.last
         events.emit(170, self.conf.name, route=request.name, worker=last.server if last else "", why=move.why)
@@ -539,9 +608,11 @@
                 await self.begin(request, exchange, stream is not None)
             if end:
                 request.ledger = request.ledger.mark("done")
+                request.note(now())
                 await request.send({"type": "http.response.body", "body": data})
                 return
             if data:
+                request.note(now())
                 await request.send({"type": "http.response.body", "body": data, "more_body": True})
 
     async def begin(self, request: Request, exchange: Exchange, joined: bool) -> None:
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -18,6 +18,7 @@
     own_share,
     pool_order,
     prefix_of,
+    readers,
 )
 
 SEATS = [Seat(f"w{i}", 32, 0) for i in range(6)]
@@ -51,6 +52,21 @@
     assert {choose(uneven, NONE, 8, chance) for _ in range(20)} == {"b"}
 
 
+def test_long_prompts_are_read_apart_from_short_streams() -> None:
+    chance = random.Random(4)
+    apart = readers([s.name for s in SEATS])
+    assert len(apart) == 4 and readers(["w"]) == frozenset() and len(readers(["v", "w"])) == 1
+    long = {choose(SEATS, Prefix(b"%d" % k, 13300), 8, chance, 17000, apart) for k in range(200)}
+    unshared = {choose(SEATS, NONE, 8, chance, 17000, apart) for _ in range(200)}
+    short = {choose(SEATS, Prefix(b"%d" % k, 172), 8, chance, 715, apart) for k in range(200)}
+    assert long == unshared == apart and short == {s.name for s in SEATS} - apart
+    # Loaded ones spill to the other kind's workers rather than wait.
+    busy = [Seat(s.name, 32, 0 if s.name in apart else 32) for s in SEATS]
+    assert {choose(busy, NONE, 8, chance, 715, apart) for _ in range(200)} <= apart
+    # Nor does it matter that none of its own kind is there.
+    assert choose([s for s in SEATS if s.name in apart], NONE, 8, chance, 715, apart) in apart
+
+
 def test_avoided_and_full_workers_are_taken_only_if_there_is_nothing_else() -> None:
     chance = random.Random(3)
     odd = [Seat("a", 4, 0, avoided=True), Seat("b", 4, 3, full=True), Seat("c", 4, 9)]
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -9,6 +9,7 @@
 
 from prometheus_client import CollectorRegistry
 
+from postpass import events
 from postpass.config import Config
 from postpass.data import Data
 from postpass.dialect import Dialect
@@ -206,9 +207,12 @@
         assert (await s.ask("/i"))[0] == 404
         assert (await s.ask("/l/x"))[0] == 503
         s.relay.unready = lambda: "no news"
-        for path in ("/i/x", "/none/"):
-            status, head, _, _ = await s.ask(path)
-            assert status == 503 and 0 < float(head["retry-after"]) < 2
+        # It has just started: control may be starting as well. Later on it is this one's own trouble.
+        for least, most in ((1.5, 2.7), (0.37, 0.63)):
+            for path in ("/i/x", "/none/"):
+                status, head, _, _ = await s.ask(path)
+                assert status == 503 and least < float(head["retry-after"]) < most
+            await asyncio.sleep(2)
         s.relay.unready = lambda: ""
         s.change(lambda m: m["routes"].pop("idem"))
         assert (await s.ask("/i/x"))[0] == 404
@@ -447,6 +451,32 @@
     play({"w1": well, "w2": well}, main)
 
 
+def test_late_answers_and_refusals_are_told() -> None:
+    async def stalls(_w: Worker, _n: int, head: bytes, writer: asyncio.StreamWriter) -> None:
+        writer.write(opening(head) + chunk(event(0)))
+        await asyncio.sleep(0.25)
+        writer.write(chunk(event(1)) + b"0\r\n\r\n")
+
+    async def main(s: Scene) -> None:
+        s.change(lambda m: m["routes"]["stream"].update(gap=0.3))
+        events.RECENT.clear()
+        assert (await s.ask("/s/x"))[0] == 200
+        assert not [e for e in events.RECENT if e[0] == 172]
+        s.change(lambda m: m["routes"]["stream"].update(gap=0.2))
+        assert (await s.ask("/s/x", x_tokens="715,80"))[0] == 200
+        told = [text for number, text in events.RECENT if number == 172]
+        assert len(told) == 1 and "pause=0.25" in told[0] and "tokens=715,80" in told[0]
+        s.change(lambda m: m["pools"]["p"]["servers"].clear())
+        for _ in range(5):
+            assert (await s.ask("/s/x"))[0] == 503
+        assert len([e for e in events.RECENT if e[0] == 173]) == 1
+        await asyncio.sleep(1)
+        assert (await s.ask("/s/x"))[0] == 503
+        assert [e for e in events.RECENT if e[0] == 173][-1][1].endswith(": 5}")
+
+    play({"w1": stalls}, main)
+
+
 def test_a_cold_worker_gets_its_share_and_no_more() -> None:
     async def main(s: Scene) -> None:
         s.change(lambda m: (m["pools"]["p"].update(cold_rate=2.0), m["pools"]["p"]["servers"]["w1"].update(cold=True)))
@@ -519,17 +549,17 @@
 
 
 def test_events_are_cut_whole_and_joined_only_right_behind() -> None:
-    events = Events(None)
-    events.resume()
-    assert events.feed(b"id: 1\nda") == b"" and events.feed(b"ta: x\n\nid: 2\n") == b"id: 1\ndata: x\n\n"
-    assert events.last == 1 and events.feed(b"data: id: 9\n\n") == b"id: 2\ndata: id: 9\n\n" and events.last == 2
-    events.feed(b"id: 3\nda")
-    events.resume()
-    assert events.feed(b": hello\n\n") == b": hello\n\n" and events.last == 2
-    assert events.feed(b"x-version: 4\nid: 3\r\ndata: x\r\n\r\n") and events.last == 3
-    events.resume()
+    run = Events(None)
+    run.resume()
+    assert run.feed(b"id: 1\nda") == b"" and run.feed(b"ta: x\n\nid: 2\n") == b"id: 1\ndata: x\n\n"
+    assert run.last == 1 and run.feed(b"data: id: 9\n\n") == b"id: 2\ndata: id: 9\n\n" and run.last == 2
+    run.feed(b"id: 3\nda")
+    run.resume()
+    assert run.feed(b": hello\n\n") == b": hello\n\n" and run.last == 2
+    assert run.feed(b"x-version: 4\nid: 3\r\ndata: x\r\n\r\n") and run.last == 3
+    run.resume()
     try:
-        events.feed(b"id: 5\ndata: x\n\n")
+        run.feed(b"id: 5\ndata: x\n\n")
         raise AssertionError
     except ValueError:
         pass
