Keep opaque bodies as bytes, fetch bases in pieces, give each partition its turn on a link

An item whose end was told while a question for more was under way stayed leased to nobody for two seconds. Change: a record is its JSON head and the raw bytes after it; views share them and let them go once the lot is whole or ended; a base is fetched 256 KB at a time; a mirror gets beats first and then 32 KB of each partition in turn; a mirror that is being filled reports no gap; leases are renewed before anything is waited for.

--- a/postpass/lots.py
+++ b/postpass/lots.py
@@ -2,18 +2,48 @@
 
 from __future__ import annotations
 
+import base64
 import hashlib
 import json
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 from postpass.tape import Base, Record
 
 Body = dict[str, Any]
+Raw = bytes | memoryview
+END = b"\0"  # between a record's JSON, which never holds it, and the opaque bytes after it
+
+
+def joined(body: Body, raw: Raw = b"") -> bytes:
+    head = json.dumps(body, separators=(",", ":")).encode()
+    return b"".join((head, END, raw)) if raw else head
+
+
+def parted(data: bytes) -> tuple[Body, Raw]:
+    """What `joined` joined; the opaque bytes are a view of `data`, not a copy."""
+    at = data.find(END)
+    if at < 0:
+        return (json.loads(data) if data else {}), b""
+    return json.loads(data[:at]), memoryview(data)[at + 1 :]
+
+
+def packed(lot: Body) -> tuple[Body, bytes]:
+    """A lot of opaque items as it is kept: the items tell the sizes of their bodies, which stand in a row behind."""
+    bodies = [base64.b64decode(item["body"]) for item in lot["items"]]
+    raw = b"".join(bodies)
+    items = [
+        {k: v for k, v in item.items() if k != "body"} | {"size": len(body)}
+        for item, body in zip(lot["items"], bodies, strict=True)
+    ]
+    made = lot | {"items": items}
+    return made | {"sum": hashlib.sha256(digest(made).encode() + raw).hexdigest()[:32]}, raw
 
 
 def digest(body: Body) -> str:
     """What makes a lot the same lot: its content, and its due time as the caller said it."""
+    if "sum" in body:
+        return str(body["sum"])
     core = {k: body.get(k) for k in ("items", "shared", "class", "said", "caller")}
     if "route" in body:
         core["route"] = body["route"]
@@ -28,7 +58,8 @@
 @dataclass(eq=False)
 class Lot:
     """Invariants: `state` moves from open to ended, never back; an item's first result stays; `results`
-    holds item numbers in the order of their records, which is the order callers page through."""
+    holds item numbers in the order of their records, which is the order callers page through. `raw` holds the bodies
+    of opaque items, shared with the record they came in, until the lot is whole or ended: from then on no one may ask."""
 
     id: str
     seq: int
@@ -38,6 +69,17 @@
     state_seq: int = 0
     results: dict[int, tuple[int, str, str]] = field(default_factory=dict)  # item -> (seq, status, output)
     order: list[int] = field(default_factory=list)
+    raw: Raw = b""
+
+    def copy(self) -> Lot:
+        return replace(self, results=dict(self.results), order=list(self.order))
+
+    def item_body(self, spot: int) -> bytes | None:
+        """None once the bodies are gone."""
+        if self.whole or self.state == "ended":
+            return None
+        start = sum(item["size"] for item in self.body["items"][:spot])
+        return bytes(self.raw[start : start + self.body["items"][spot]["size"]])
 
     @property
     def size(self) -> int:
@@ -65,8 +107,10 @@
     lost: dict[str, int] = field(default_factory=dict)  # lots known to be lost
 
     def fold(self, rec: Record) -> None:
-        body: Body = json.loads(rec.body) if rec.body else {}
+        body, raw = parted(rec.body)
         getattr(self, f"_{rec.kind}")(rec.seq, body)
+        if raw and rec.kind == "lot" and body["id"] in self.lots and self.lots[body["id"]].seq == rec.seq:
+            self.lots[body["id"]].raw = raw
 
     def _mark(self, seq: int, body: Body) -> None:
         pass
@@ -86,11 +130,13 @@
         if lot is not None and lot.state == "open" and item not in lot.results:
             lot.results[item] = (seq, body["status"], body["output"])
             lot.order.append(item)
+            if lot.whole:
+                lot.raw = b""
 
     def _end(self, seq: int, body: Body) -> None:
         lot = self.lots.get(body["id"])
         if lot is not None and lot.state == "open":
-            lot.state, lot.state_seq = "ended", seq
+            lot.state, lot.state_seq, lot.raw = "ended", seq, b""
 
     def _drop(self, seq: int, body: Body) -> None:
         for lot in body["lots"]:
@@ -115,21 +161,32 @@
         self.crew_seq = seq
         self.lost |= {n: seq for n in body["lots"] if n not in self.lots}
 
+    def copy(self) -> LotView:
+        """Another view that can be folded on; what never changes is shared."""
+        out = LotView()
+        for key, value in vars(self).items():
+            setattr(out, key, dict(value) if isinstance(value, dict) else value)
+        out.lots = {n: lot.copy() for n, lot in self.lots.items()}
+        return out
+
     def dump(self) -> bytes:
         flat = {k: v for k, v in vars(self).items() if k != "lots"}
-        lots = [vars(lot) | {"results": list(lot.results.items())} for lot in self.lots.values()]
-        return json.dumps(flat | {"lots": lots}, separators=(",", ":")).encode()
+        lots = [vars(lot) | {"results": list(lot.results.items()), "raw": len(lot.raw)} for lot in self.lots.values()]
+        return joined(flat | {"lots": lots}, b"".join(lot.raw for lot in self.lots.values()))
 
     @classmethod
     def load(cls, data: bytes) -> LotView:
         if not data:
             return cls()
-        raw = json.loads(data)
-        lots = raw.pop("lots")
-        view = cls(**raw)
+        body, raw = parted(data)
+        lots = body.pop("lots")
+        view, at = cls(**body), 0
         for lot in lots:
             results = {int(i): (int(r[0]), str(r[1]), str(r[2])) for i, r in lot.pop("results")}
-            view.lots[lot["id"]] = Lot(**lot, results=results)
+            size = lot.pop("raw", 0)
+            # Bytes of its own: a lot that goes frees them, though others of this dump stay.
+            view.lots[lot["id"]] = Lot(**lot, results=results, raw=bytes(raw[at : at + size]))
+            at += size
         return view
 
 
@@ -188,3 +245,22 @@
     again = LotView.load(view.dump())
     assert again.dump() == view.dump() and again.lots["x"].results == view.lots["x"].results
     assert LotView.load(b"").lots == {}
+
+
+def test_bodies_of_opaque_items_are_kept_as_bytes_shared_and_let_go_once_nobody_may_ask() -> None:
+    bodies = [b"\0\xff one", b"", b"three\n"]
+    items = [{"id": f"i{n}", "body": base64.b64encode(b).decode()} for n, b in enumerate(bodies)]
+    lot, raw = packed({"id": "x", "route": "r", "items": items})
+    again = packed({"id": "x", "route": "r", "items": [*items[:2], items[0] | {"id": "i2"}]})[0]
+    assert digest(lot) != digest(again) and "body" not in lot["items"][0]
+    view = LotView()
+    view.fold(Record(1, 1, "lot", joined(lot, raw)))
+    other, third = view.copy(), LotView.load(view.dump())
+    assert other.lots["x"].raw is view.lots["x"].raw
+    for have in (view, other, third):
+        assert [have.lots["x"].item_body(i) for i in range(3)] == bodies
+    for n in range(3):
+        view.fold(_rec(2 + n, "result", id="x", item=n, status="done", output=""))
+    third.fold(_rec(2, "end", id="x"))
+    assert view.lots["x"].raw == b"" == third.lots["x"].raw and view.lots["x"].item_body(0) is None
+    assert END not in view.dump() and END in other.dump() and other.lots["x"].item_body(0) == bodies[0]
--- a/postpass/part.py
+++ b/postpass/part.py
@@ -3,24 +3,40 @@
 from __future__ import annotations
 
 import asyncio
-import json
 from collections import deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from typing import Any
 
-from postpass.lots import LotView
+from postpass.lots import LotView, Raw, joined
 from postpass.predicate import DEFAULT, Count, Scene, build, confirm_suffice, covers, promises_suffice
 from postpass.recorder import Recorder
 from postpass.tape import Record, Tape
+from postpass.wire import PACKET
 
 Crew = dict[str, str]
 
 
+@dataclass(eq=False)
+class Sending:
+    """A message of which some packets have been sent."""
+
+    kind: str
+    seq: int
+    born: int
+    prior: int
+    body: bytes
+    index: int = 0
+
+    @property
+    def total(self) -> int:
+        return max(1, -(-len(self.body) // PACKET))
+
+
 @dataclass(eq=False)
 class Follow:
     """How far the owner's stream to one mirror has come. Invariant: records below `next` were sent on
-    the link that `link` names, in order, once each."""
+    the link that `link` names, in order, once each, but for the rest of `sending`."""
 
     link: object = None
     epoch: int = 0
@@ -30,6 +46,7 @@
     silent: bool = False
     full: bool = False
     since: float = 0.0
+    sending: Sending | None = None
 
 
 def fresh_tape() -> Tape:
@@ -38,7 +55,8 @@
 
 def head(tape: Tape) -> LotView:
     """The view at the tape's end."""
-    view = LotView.load(tape.base.dump())
+    assert isinstance(tape.base, LotView)
+    view = tape.base.copy()
     for rec in tape.recs:
         view.fold(rec)
     return view
@@ -79,6 +97,13 @@
 
     # as mirror: packets of a record that is not yet whole
     gather: list[bytes] = field(default_factory=list)
+    filling: int = 0  # the epoch whose stream has been greeted and has not begun yet: no gap, but nothing held
+    dumped: tuple[int, bytes] = (-1, b"")  # the base as bytes, while a candidate fetches it piece by piece
+
+    def base_dump(self) -> bytes:
+        if self.dumped[0] != self.tape.base_seq:
+            self.dumped = (self.tape.base_seq, self.tape.base.dump())
+        return self.dumped[1]
 
     @property
     def owning(self) -> bool:
@@ -188,10 +213,10 @@
                 future.set_result(False)
         self.waits = []
 
-    def make(self, kind: str, body: dict[str, Any]) -> Record:
+    def make(self, kind: str, body: dict[str, Any], raw: Raw = b"") -> Record:
         """The next record of the one order of this partition."""
         assert self.owning
-        rec = Record(self.tape.last + 1, self.epoch, kind, json.dumps(body, separators=(",", ":")).encode())
+        rec = Record(self.tape.last + 1, self.epoch, kind, joined(body, raw))
         self.tape.append(rec)
         self.view.fold(rec)
         self.recorder.put(self.me, self.disk, "received", rec.seq)
--- a/postpass/routed.py
+++ b/postpass/routed.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import base64
 from collections import Counter
 from collections.abc import Coroutine
 from dataclasses import dataclass, field
@@ -11,7 +12,7 @@
 from result import Err, Ok, Result
 
 from postpass.fault import CLASH, CROWD, FULL, LACK, MOVED, SLOW, Fault, Stop
-from postpass.lots import Lot, digest
+from postpass.lots import Lot, digest, packed
 from postpass.manifest import part_of
 from postpass.part import Part
 from postpass.quota import Budget
@@ -63,13 +64,13 @@
         got = self.store.lead_of(body["part"], "accept")
         if isinstance(got, Err):
             return got
-        part, lot = got.unwrap(), body["lot"]
+        part, (lot, raw) = got.unwrap(), packed(body["lot"])
         limit = min(float(body.get("wait", 5.0)), self.store.conf.bounds.recover)
         if lot["id"] not in part.view.lots:
             key = (part.id, lot["id"])
             task = self.taking.get(key)
             if task is None:
-                task = self.taking[key] = asyncio.create_task(self.take(part, part.epoch, lot, limit))
+                task = self.taking[key] = asyncio.create_task(self.take(part, part.epoch, lot, raw, limit))
                 task.add_done_callback(lambda _: self.taking.pop(key, None))
             done, _ = await asyncio.wait([task], timeout=limit)
             if not done:
@@ -87,7 +88,7 @@
             return Ok({"id": lot["id"], "state": "kept"})
         return Err(Fault("accept", self.store.conf.name, "not covered yet", SLOW))
 
-    async def take(self, part: Part, epoch: int, lot: Body, limit: float) -> PeerResponse:
+    async def take(self, part: Part, epoch: int, lot: Body, raw: bytes, limit: float) -> PeerResponse:
         store = self.store
         flaw = store.no_room(part)
         if flaw is not None:
@@ -109,7 +110,7 @@
             if part.epoch != epoch:
                 return Err(Fault("accept", store.conf.name, "not the owner any more", MOVED))
             try:
-                store.add(part, "lot", lot, vital=False)
+                store.add(part, "lot", lot, vital=False, raw=raw)
             except Stop as bad:
                 return Err(
                     bad.fault if bad.fault.code == FULL else Fault("accept", store.conf.name, bad.fault.why, SLOW)
@@ -288,7 +289,11 @@
         listed = spot in lot.results and lot.results[spot][0] <= part.covered
         if spot < 0 or listed or lot.state == "ended":
             return Err(Fault("item", self.store.conf.name, "no such item that waits", LACK))
-        return Ok({"body": lot.body["items"][spot]["body"]})
+        found = lot.item_body(spot)
+        if found is None:
+            # The last result is not covered yet.
+            return Err(Fault("item", self.store.conf.name, "not known yet", SLOW))
+        return Ok({"body": base64.b64encode(found).decode()})
 
     # --- time
     def over(self, part: Part, lot: Lot) -> bool:
--- a/postpass/sched.py
+++ b/postpass/sched.py
@@ -53,6 +53,7 @@
     pool: str = ""
     text: Text = field(default_factory=Text)
     after: float = 0.0
+    telling: bool = False  # its end is on its way to the owner
 
     @property
     def key(self) -> tuple[int, str, int]:
@@ -287,7 +288,7 @@
         """Renews the lease of a partition and takes items; the lease runs from when it was asked for."""
         b = self.conf.bounds
         asked = now()
-        held = [[j.lot, j.item] for j in self.jobs.values() if j.part == part]
+        held = [[j.lot, j.item] for j in self.jobs.values() if j.part == part and not j.telling]
         got = await self.ask(
             part, "take", {"sched": self.conf.name, "term": self.term, "room": want, "held": held}, b.poll * 2
         )
@@ -548,6 +549,7 @@
     async def tell(self, job: Job, body: Body) -> None:
         """Brings a result to the owner, wherever it is now; it may be told again."""
         until = now() + self.conf.bounds.recover
+        job.telling = True
         while now() < until:
             got = await self.ask(job.part, "done", {"id": job.lot, "item": job.item, **body}, self.conf.bounds.detect)
             if isinstance(got, Ok) or (body["status"] != "done" and got.unwrap_err().code != MOVED):
--- a/postpass/seglog.py
+++ b/postpass/seglog.py
@@ -19,7 +19,7 @@
 from postpass.wire import IDL, pack, unpack
 
 HEAD = struct.Struct("!II")
-ENTRY_MOST = 16 << 20
+ENTRY_MOST = 64 << 20
 
 
 def frame(entry: Any) -> bytes:
--- a/postpass/store.py
+++ b/postpass/store.py
@@ -21,16 +21,19 @@
 from postpass import events
 from postpass.config import Config
 from postpass.fault import BAD, BROKE, CLASH, FULL, LACK, MOVED, SHED, SLOW, Fault, Stop
-from postpass.lots import Lot, LotView, digest, kind_of, page
+from postpass.lots import Lot, LotView, Raw, digest, kind_of, page
 from postpass.manifest import part_of
 from postpass.news import News
-from postpass.part import Follow, Part, fresh_tape, head
+from postpass.part import Follow, Part, Sending, fresh_tape, head
 from postpass.routed import Routed
 from postpass.tape import Record, Tape, match
 from postpass.vault import Vault, distrust, open_vault
 from postpass.wire import IDL, PACKET, Body, Lines, Link, PeerResponse
 from postpass.world import World, hear, now
 
+TURN = 4 * PACKET  # what one partition may send to a mirror before the others' beats and records have their turn
+PIECE = 256 << 10  # of records or of a base, in the answer to one question
+
 
 @dataclass(eq=False)
 class Lease:
@@ -346,20 +349,28 @@
             staged.cut(meet)
         else:
             staged = fresh_tape()
-        after = meet
+        after, base, of = meet, bytearray(), -1
         while after < there["last"]:
-            got = await self.ask(best, "fetch", {"part": part.id, "epoch": epoch, "after": after})
+            got = await self.ask(best, "fetch", {"part": part.id, "epoch": epoch, "after": after, "at": len(base)})
             if isinstance(got, Err):
                 return None
             more = got.unwrap()
             if "base" in more:
-                seq, born, body = more["base"]
-                staged = Tape(seq, born, LotView.load(base64.b64decode(body)))
-                after = seq
+                seq, born, size, piece = more["base"]
+                if seq != of and base:
+                    base, of = bytearray(), seq  # it was folded on meanwhile
+                    continue
+                base, of = base + base64.b64decode(piece), seq
+                if len(base) == size:
+                    staged = Tape(seq, born, LotView.load(bytes(base)))
+                    after, base = seq, bytearray()
+                elif not piece:
+                    return None
+                continue
             for seq, born, kind, body in more["recs"]:
                 staged.append(Record(seq, born, kind, base64.b64decode(body)))
                 after = seq
-            if not more["recs"] and "base" not in more:
+            if not more["recs"]:
                 return None
         return staged
 
@@ -368,15 +379,16 @@
         if part.promised != body["epoch"] or part.owning:
             return Err(Fault("fetch", self.conf.name, f"promised to epoch {part.promised}", MOVED))
         tape, after = part.tape, body["after"]
-        out: Body = {"recs": []}
         if after < tape.base_seq:
-            out["base"] = [tape.base_seq, tape.base_epoch, base64.b64encode(tape.base.dump()).decode()]
-            after = tape.base_seq
+            base, at = part.base_dump(), body.get("at", 0)
+            piece = base64.b64encode(base[at : at + PIECE]).decode()
+            return Ok({"recs": [], "base": [tape.base_seq, tape.base_epoch, len(base), piece]})
+        out: Body = {"recs": []}
         size = 0
         for rec in tape.after(after):
             out["recs"].append([rec.seq, rec.epoch, rec.kind, base64.b64encode(rec.body).decode()])
             size += len(rec.body)
-            if size > 256 << 10:
+            if size > PIECE:
                 break
         return Ok(out)
 
@@ -445,7 +457,7 @@
                     await self.nap(name, b.beat, quiet=True)
                     continue
                 link = got.unwrap()
-            sent = False
+            ready: list[tuple[Part, Follow]] = []
             for part in owned:
                 if not part.owning or link.closed:
                     continue
@@ -454,13 +466,16 @@
                     continue
                 if not part.owning:
                     continue
-                sent |= self.push(part, name, link, f)
+                ready.append((part, f))
                 if now() - beaten.get(part.id, 0.0) >= b.beat * 0.9 or beaten.get(part.id, 0) == 0:
                     beaten[part.id] = now()
                     self.put(link, part, "beat", part.tape.last, part.epoch, 0, b"")
                 self.hush(part, name)
                 if f.silent:
                     link.close("the mirror is silent")
+            # Beats have gone out; then each partition has its turn, so that none waits behind another's big records.
+            turns = [self.push(part, name, link, f) for part, f in ready if part.owning and not link.closed]
+            sent = any(turns)
             try:
                 await asyncio.wait_for(link.drain(), b.silent)
             except (TimeoutError, ConnectionError, OSError):
@@ -486,34 +501,39 @@
             events.emit(122, self.conf.name, part=part.id, mirror=name)
 
     def put(self, link: Link, part: Part, kind: str, seq: int, born: int, prior: int, body: bytes) -> None:
-        total = max(1, -(-len(body) // PACKET))
-        for i in range(total):
-            link.put("carry", IDL.Packet(
-                part=part.id, epoch=part.epoch, owner=self.conf.name, kind=kind, seq=seq, born=born, prior=prior,
-                index=i, total=total, body=body[i * PACKET : (i + 1) * PACKET], covered=part.covered,
-            ))  # fmt: skip
+        message = Sending(kind, seq, born, prior, body)
+        while message.index < message.total:
+            self.put_next(link, part, message)
+
+    def put_next(self, link: Link, part: Part, m: Sending) -> int:
+        """Hands one more packet of a message to the link; tells about how many bytes that was."""
+        piece = m.body[m.index * PACKET : (m.index + 1) * PACKET]
+        link.put("carry", IDL.Packet(
+            part=part.id, epoch=part.epoch, owner=self.conf.name, kind=m.kind, seq=m.seq, born=m.born, prior=m.prior,
+            index=m.index, total=m.total, body=piece, covered=part.covered,
+        ))  # fmt: skip
+        m.index += 1
+        return len(piece) + 128
 
     def push(self, part: Part, name: str, link: Link, f: Follow) -> bool:
         """Hands the mirror whatever it has not been sent, as far as a pass may take."""
-        if f.next <= part.tape.base_seq:
-            f.link = None  # the memory stream went past it; it is greeted anew and refilled
-            return True
         size = 0
-        while f.next <= part.tape.last and size < 256 << 10:
-            if self.wait_each and f.next - 1 > part.recorder.get(name, f.disk, "persisted"):
-                return False
-            rec = part.tape.get(f.next)
-            self.put(
-                link,
-                part,
-                "rec",
-                rec.seq,
-                rec.epoch,
-                part.tape.epoch_at(rec.seq - 1),
-                rec.body + b"\n" + rec.kind.encode(),
-            )
-            size += len(rec.body)
-            f.next += 1
+        while size < TURN:
+            if f.sending is None:
+                if f.next <= part.tape.base_seq:
+                    f.link = None  # the memory stream went past it; it is greeted anew and refilled
+                    return True
+                if f.next > part.tape.last:
+                    break
+                if self.wait_each and f.next - 1 > part.recorder.get(name, f.disk, "persisted"):
+                    return False
+                rec = part.tape.get(f.next)
+                prior = part.tape.epoch_at(rec.seq - 1)
+                f.sending = Sending("rec", rec.seq, rec.epoch, prior, rec.body + b"\n" + rec.kind.encode())
+                f.next += 1
+            size += self.put_next(link, part, f.sending)
+            if f.sending.index == f.sending.total:
+                f.sending = None
         return size > 0
 
     async def greet(self, part: Part, name: str, link: Link, f: Follow) -> bool:
@@ -545,14 +565,14 @@
             return False
         marks = [(e, s) for e, s in there["marks"]]
         meet = match(part.tape.marks(), part.tape.last, marks, there["last"])
-        f.link, f.epoch, f.disk = link, epoch, there["disk"]
+        f.link, f.epoch, f.disk, f.sending = link, epoch, there["disk"], None
         if meet >= 0:
             self.put(link, part, "start", meet, part.tape.epoch_at(meet), 0, b"")
             f.next = meet + 1
         else:
             events.emit(123, self.conf.name, part=part.id, mirror=name, base=part.tape.base_seq)
             self.counts["refills"] += 1
-            self.put(link, part, "snap", part.tape.base_seq, part.tape.base_epoch, 0, part.tape.base.dump())
+            f.sending = Sending("snap", part.tape.base_seq, part.tape.base_epoch, 0, part.tape.base.dump())
             f.next = part.tape.base_seq + 1
         return True
 
@@ -712,17 +732,17 @@
             for name in names:
                 desk.done_at.pop(name, None)
 
-    def add(self, part: Part, kind: str, body: Body, vital: bool = True) -> Record:
+    def add(self, part: Part, kind: str, body: Body, vital: bool = True, raw: Raw = b"") -> Record:
         """Sequences one record and streams it at once. Raises Stop, with nothing sequenced, if the disk
         won't take it."""
         if not vital:
             free, _ = self.log.disk.room()
-            if free - len(json.dumps(body)) - 256 < self.log.hold:
+            if free - len(json.dumps(body)) - len(raw) - 256 < self.log.hold:
                 events.emit(114, self.conf.name, part=part.id)
                 raise Stop(Fault("append", self.conf.name, "the disk is full", FULL))
         if self.log.bad:
             raise Stop(Fault("append", self.conf.name, self.log.bad, BROKE))
-        rec = part.make(kind, body)
+        rec = part.make(kind, body, raw)
         try:
             self.write(part, [rec.entry(part.id)])
         except Stop as bad:
@@ -766,6 +786,7 @@
             if part.promised != epoch:
                 return Ok(about | {"ok": False, "promised": part.promised})
         part.heard, part.owner = now(), body["who"]
+        part.filling = 0 if part.aligned == epoch else epoch
         # The owner has just connected: whatever link for acknowledgements stands from before may lead to a
         # process that is no more.
         self.fresh.add(body["who"])
@@ -784,7 +805,7 @@
         try:
             self.take_packet(part, packet)
         except Stop as bad:
-            part.aligned = 0
+            part.aligned = part.filling = 0
             if bad.fault.code != FULL:
                 raise
             events.emit(114, self.conf.name, part=part.id)
@@ -794,16 +815,18 @@
         self.note(part, packet.owner)
 
     def take_packet(self, part: Part, p: Any) -> None:
+        if p.kind == "beat":
+            return  # it goes out between the packets of others
         if p.index == 0:
             part.gather = []
         if p.index != len(part.gather):
-            part.gather, part.aligned = [], 0
+            part.gather, part.aligned, part.filling = [], 0, 0
             return
         part.gather.append(p.body)
         if p.index + 1 < p.total:
             return
         body = b"".join(part.gather)
-        part.gather = []
+        part.gather, part.filling = [], 0
         tape = part.tape
         if p.kind == "start":
             fits = tape.base_seq <= p.seq <= tape.last and tape.epoch_at(p.seq) == p.born
@@ -869,7 +892,8 @@
         held = part.aligned > 0 and part.aligned == part.promised
         return IDL.Ack(
             part=part.id, epoch=part.promised, name=self.conf.name, disk=self.disk_id, promised=part.promised,
-            received=part.tape.last if held else 0, persisted=part.persisted if held else 0, gap=not held, full=full,
+            received=part.tape.last if held else 0, persisted=part.persisted if held else 0,
+            gap=not held and (not part.filling or part.filling != part.promised), full=full,
         )  # fmt: skip
 
     # --- callers' side, by way of edges
@@ -1063,13 +1087,14 @@
             )
         if (body["term"], body["sched"]) != (desk.term, desk.sched):
             desk.term, desk.sched = body["term"], body["sched"]
-        # The answer starts a lease at the scheduler: only an owner that is one now may give it.
-        if not await self.confirm(part):
-            return Err(Fault("take", self.conf.name, "could not be confirmed", SLOW))
+        # Before anything is waited for: an item whose end is told right after this question is held no longer.
         held = {(lot, item) for lot, item in body["held"]}
         until = t + self.conf.bounds.lease * 2
         for key in held:
             desk.leases[key] = Lease(body["sched"], until)
+        # The answer starts a lease at the scheduler: only an owner that is one now may give it.
+        if not await self.confirm(part):
+            return Err(Fault("take", self.conf.name, "could not be confirmed", SLOW))
         for key in [
             k
             for k, lease in desk.leases.items()
@@ -1103,7 +1128,8 @@
                     "caller": lot.body.get("caller", ""),
                 }
                 if "route" in lot.body:
-                    row |= {"call": lot.body["items"][i], "tries": lot.body["tries"]}
+                    made = base64.b64encode(lot.item_body(i) or b"").decode()
+                    row |= {"call": lot.body["items"][i] | {"body": made}, "tries": lot.body["tries"]}
                 else:
                     row |= {"text": lot.body["items"][i], "shared": lot.body.get("shared", [])}
                 out.append(row)
--- a/postpass/vault.py
+++ b/postpass/vault.py
@@ -14,7 +14,7 @@
 from postpass.seglog import SegLog
 
 MARK = "identity"
-FORMAT = 1  # of the files in a folder; a later one is left alone
+FORMAT = 2  # of the files in a folder; a later one is left alone
 
 
 @dataclass(frozen=True)
@@ -105,7 +105,10 @@
     try:
         asyncio.run(open_vault("s1", disk, random.Random(2), 1 << 20, 0))
     except Stop as bad:
-        assert (bad.fault.step, bad.fault.peer) == ("open data folder", "s1") and "format 2" in bad.fault.why
+        assert (bad.fault.step, bad.fault.peer) == (
+            "open data folder",
+            "s1",
+        ) and f"format {FORMAT + 1}" in bad.fault.why
     else:
         raise AssertionError("a later format was taken")
     assert disk.kept == before
