--- /dev/null
+++ b/tests/test_sim_broken.py
@@ -0,0 +1,416 @@
+"""Deliberately broken variants of the product on the platform: each rule's check must catch its own in a simulated day
+that the sound product passes. A check that can't fail would prove nothing."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import replace
+from typing import Any
+
+import pytest
+from result import Err, Ok
+
+from postpass import items, ledger, placing, relay, roster, sched
+from postpass.control import Control
+from postpass.daemon import Daemon
+from postpass.data import Data
+from postpass.fault import LACK, SLOW, Fault
+from postpass.items import Text
+from postpass.lotdesk import LotDesk
+from postpass.lots import LotView
+from postpass.quota import Budget
+from postpass.relay import Relay
+from postpass.routed import Routed
+from postpass.seglog import SegLog
+from postpass.workerlink import Link, WorkerLinks
+from postpass.world import now
+from sim.announced import module
+from sim.rules import CHECKS
+from sim.runner import Report, judge, parse, play_day
+
+Patch = Callable[[pytest.MonkeyPatch], None]
+LEAD = 8.0
+
+
+# --- requests and answers
+def loses_the_seal(mp: pytest.MonkeyPatch) -> None:
+    plain = Relay.begin
+
+    async def begin(self: Relay, request: Any, exchange: Any, joined: bool) -> None:
+        exchange.headers = [h for h in exchange.headers if h[0] != self.names.seal]
+        await plain(self, request, exchange, joined)
+
+    mp.setattr(Relay, "begin", begin)
+
+
+def takes_any_answer(mp: pytest.MonkeyPatch) -> None:
+    """Passes on whatever comes on a kept connection, whichever request it answers."""
+    heard, start = Link.data_received, Link.start
+    early: dict[int, bytes] = {}
+
+    def data_received(self: Link, data: bytes) -> None:
+        if self.exchange is None:
+            early[id(self)] = early.get(id(self), b"") + data
+        else:
+            heard(self, data)
+
+    def started(self: Link, exchange: Any, data: Any, bodiless: bool, limit: float, expect: Any) -> None:
+        start(self, exchange, data, bodiless, limit, None)
+        if rest := early.pop(id(self), b""):
+            self.data_received(rest)
+
+    mp.setattr(Link, "data_received", data_received)
+    mp.setattr(Link, "start", started)
+
+
+def adds_to_the_path(mp: pytest.MonkeyPatch) -> None:
+    plain = WorkerLinks.request
+
+    async def request(self: WorkerLinks, addr: str, method: str, target: bytes, *args: Any, **more: Any) -> Any:
+        return await plain(self, addr, method, target.replace(b"%20", b" ").replace(b" ", b"+"), *args, **more)
+
+    mp.setattr(WorkerLinks, "request", request)
+
+
+def tries_anything_again(mp: pytest.MonkeyPatch) -> None:
+    plain = ledger.next_attempt
+    mp.setattr(relay, "next_attempt", lambda ledger, **more: plain(ledger, **more | {"repeatable": True, "tries": 3}))
+
+
+def promises_too_much(mp: pytest.MonkeyPatch) -> None:
+    """Says 503 where nobody knows whether it ran."""
+    plain = Relay.answer
+
+    async def answer(self: Relay, send: Any, status: int, *more: Any) -> None:
+        await plain(self, send, 503 if status == 502 else status, *more)
+
+    mp.setattr(Relay, "answer", answer)
+
+
+def forbids(mp: pytest.MonkeyPatch) -> None:
+    plain = Relay.relay
+
+    async def own(self: Relay, name: str, route: Any, scope: Any, receive: Any, send: Any) -> None:
+        if self.world.chance.random() < 0.1:
+            await self.answer(send, 403)
+        else:
+            await plain(self, name, route, scope, receive, send)
+
+    mp.setattr(Relay, "relay", own)
+
+
+def goes_elsewhere(mp: pytest.MonkeyPatch) -> None:
+    plain = placing.pool_order
+    mp.setattr(relay, "pool_order", lambda split, key: ["app2" if p == "app" else p for p in plain(split, key)])
+    mp.setattr(Relay, "gate", lambda *_: "")
+
+
+# --- leaving in order
+def bars_nobody(mp: pytest.MonkeyPatch) -> None:
+    mp.setattr(Relay, "barred", lambda *_: False)
+
+
+def leaves_at_once(mp: pytest.MonkeyPatch) -> None:
+    mp.setattr(Data, "drain", property(lambda self: 0.0))
+    mp.setattr("postpass.data.LEAVE_NOTICED", 0.0)
+    plain = Daemon.depart
+
+    async def depart(self: Daemon) -> None:
+        if self.conf.name.startswith("edge"):
+            self.closed.set()
+        else:
+            await plain(self)
+
+    mp.setattr(Data, "depart", depart)
+
+
+def syncs_nothing(mp: pytest.MonkeyPatch) -> None:
+    """Calls synced what was only written."""
+
+    async def sync(self: SegLog) -> None:
+        async with self.busy:
+            self.synced = max(self.synced, self.ends)
+        self.moved.set()
+        self.moved = asyncio.Event()
+
+    mp.setattr(SegLog, "sync", sync)
+
+
+def forgets_lots(mp: pytest.MonkeyPatch) -> None:
+    plain = Routed.results
+
+    async def results(self: Routed, body: Any) -> Any:
+        got = await plain(self, body)
+        late = isinstance(got, Ok) and got.unwrap()["next"] >= got.unwrap()["total"]
+        return Err(Fault("results", self.store.conf.name, "no such lot", LACK)) if late else got
+
+    mp.setattr(Routed, "results", results)
+
+
+def forgets_evacuations(mp: pytest.MonkeyPatch) -> None:
+    """Evacuations are not among what is read from disk."""
+    plain = Control.open
+
+    async def opened(self: Control) -> None:
+        await plain(self)
+        if self.held.state.manifest is not None:
+            self.held = replace(self.held, state=roster.edit(self.held.state, evacuated=[]))
+
+    mp.setattr(Control, "open", opened)
+    mp.setattr(Relay, "barred", lambda self, man, server: bool(server.get("leave")))
+
+
+# --- configuration
+def keeps_the_first_routes(mp: pytest.MonkeyPatch) -> None:
+    plain = Relay.learn
+
+    def learn(self: Relay, man: Any) -> None:
+        table = self.table
+        plain(self, man)
+        self.table = table if table.hosts else self.table
+
+    mp.setattr(Relay, "learn", learn)
+    mp.setattr(Relay, "gate", lambda *_: "")
+
+
+def both_win(mp: pytest.MonkeyPatch) -> None:
+    plain = Control.document
+
+    def document(self: Control, sent: Any, base: int, change: bool) -> Any:
+        def fold(s: Any) -> Any:
+            current = s.man.get("version", 0)
+            later = sent | {"version": max(sent["version"], current + 1)} if current > base else sent
+            return plain(self, later, current, change)(s)
+
+        return fold
+
+    mp.setattr(Control, "document", document)
+
+
+def takes_invalid(mp: pytest.MonkeyPatch) -> None:
+    mp.setattr(module("configuration"), "line_flaws", lambda *_: [])
+    mp.setattr("postpass.control.deep_flaws", lambda *_: [])
+
+
+def reads_old(mp: pytest.MonkeyPatch) -> None:
+    first: list[Any] = []
+    plain = Control.read_source
+
+    async def read(self: Control) -> Any:
+        got = await plain(self)
+        first.append(got)
+        return first[0]
+
+    mp.setattr(Control, "read_source", read)
+    plain_order = Control.on_order
+
+    async def on_order(self: Control, body: Any) -> Any:
+        got = await plain_order(self, body)
+        if not first and isinstance(got, Ok):
+            await self.read_source()
+        return got
+
+    mp.setattr(Control, "on_order", on_order)
+
+
+def late_routes_wait(mp: pytest.MonkeyPatch) -> None:
+    plain = Relay.relay
+
+    async def own(self: Relay, name: str, route: Any, scope: Any, receive: Any, send: Any) -> None:
+        if name.startswith("r-late"):
+            await self.refuse(send, 0.2)
+        else:
+            await plain(self, name, route, scope, receive, send)
+
+    mp.setattr(Relay, "relay", own)
+
+
+def answers_no_order(mp: pytest.MonkeyPatch) -> None:
+    plain = Control.on_order
+
+    async def on_order(self: Control, body: Any) -> Any:
+        got = await plain(self, body)
+        return Err(Fault("order", self.conf.name, "busy", SLOW)) if now() > LEAD else got
+
+    mp.setattr(Control, "on_order", on_order)
+
+
+def answers_no_leaving(mp: pytest.MonkeyPatch) -> None:
+    plain = Control.beat_worker
+
+    async def beat(self: Control, who: str, standing: Any, seqno: int) -> Any:
+        got = await plain(self, who, standing, seqno)
+        return Err(Fault("beat", self.conf.name, "busy", SLOW)) if standing["leave"] else got
+
+    mp.setattr(Control, "beat_worker", beat)
+
+
+# --- streams
+def cut_is_an_end(mp: pytest.MonkeyPatch) -> None:
+    """Ends an answer as complete though its worker broke it off."""
+    plain = Relay.run
+
+    async def run(self: Relay, request: Any) -> None:
+        await plain(self, request)
+        if request.begun and request.ledger.last.state != "done":
+            await request.send({"type": "http.response.body", "body": b""})
+
+    mp.setattr(Relay, "run", run)
+
+
+def begins_anew(mp: pytest.MonkeyPatch) -> None:
+    """Goes on with a cut stream from its first event."""
+    mp.setattr(relay.Events, "resume", lambda self: setattr(self, "rest", b""))
+    plain = WorkerLinks.request
+
+    async def request(
+        self: WorkerLinks, addr: str, method: str, target: bytes, headers: Any, *rest: Any, **more: Any
+    ) -> Any:
+        return await plain(self, addr, method, target, [h for h in headers if h[0] != b"last-event-id"], *rest, **more)
+
+    mp.setattr(WorkerLinks, "request", request)
+
+
+# --- zones
+def floods(mp: pytest.MonkeyPatch) -> None:
+    mp.setattr(Relay, "cold_rate", lambda *_: 1e9)
+
+
+# --- lots
+def texts_fall_short(mp: pytest.MonkeyPatch) -> None:
+    mp.setattr(Text, "text", property(lambda self: "\n".join(self.pieces[:-1])))
+
+
+def gives_up_at_once(mp: pytest.MonkeyPatch) -> None:
+    plain = items.run_item
+
+    async def run(*args: Any) -> str:
+        got = await plain(*args)
+        return "never" if got == "failed" else got
+
+    mp.setattr(sched, "run_item", run)
+
+
+def results_move(mp: pytest.MonkeyPatch) -> None:
+    plain = Routed.results
+
+    async def results(self: Routed, body: Any) -> Any:
+        got = await plain(self, body)
+        if isinstance(got, Ok) and self.store.world.chance.random() < 0.5 and len(got.unwrap()["results"]) > 1:
+            got.unwrap()["results"].reverse()
+        return got
+
+    mp.setattr(Routed, "results", results)
+
+
+def no_quota(mp: pytest.MonkeyPatch) -> None:
+    mp.setattr(Budget, "take", lambda *_: True)
+
+
+def ending_is_forgotten(mp: pytest.MonkeyPatch) -> None:
+    mp.setattr(LotView, "_end", lambda self, seq, body: None)
+
+
+def refuses_what_it_took(mp: pytest.MonkeyPatch) -> None:
+    plain = LotDesk.accept
+
+    async def accept(self: LotDesk, *args: Any) -> Any:
+        status, body = await plain(self, *args)
+        return (503 if status == 202 else status), body
+
+    mp.setattr(LotDesk, "accept", accept)
+
+
+# --- after a loss, and faults
+def stays_down(mp: pytest.MonkeyPatch) -> None:
+    """After the closing fault it never finds back."""
+    plain = Relay.__call__
+
+    async def called(self: Relay, scope: Any, receive: Any, send: Any) -> None:
+        if scope["type"] == "http" and now() > LEAD + 4.5:
+            await self.refuse(send, 0.5)
+        else:
+            await plain(self, scope, receive, send)
+
+    mp.setattr(Relay, "__call__", called)
+
+
+def ends_itself(mp: pytest.MonkeyPatch) -> None:
+    plain = Daemon.gossip
+
+    async def gossip(self: Daemon) -> None:
+        task = asyncio.create_task(plain(self))
+        await asyncio.sleep(LEAD + 2 if self.conf.name == "store-zone-b-1" else 1e9)
+        task.cancel()
+        raise RuntimeError("a defect")
+
+    mp.setattr(Daemon, "gossip", gossip)
+
+
+FLEET = "announced edges 4 stores 4 cores 4 zones 4 lost 1 models 3 plains 3\nlead 8\nrun 10\nsettle 4\n"
+LOAD = "clients view 12 order 8 ask 10 review 3 lots 0.8x8\n"
+ILL = "at 1 fault worker:app:0 cut 0.3 for 8\nat 1 fault worker:app:1 lost 0.3 for 8\n"
+CUTS = "at 1 fault worker:llm:0 cut 0.4 for 8\nat 1 fault worker:llm:1 cut 0.4 for 8\nat 1 fault worker:llm:2 cut 0.4 for 8\n"
+LATE = "at 0.5 change route\nat 1 change route\nat 1.5 change route\nat 2 change route\n"
+
+# By rule: how the product is broken, and a day that shows it.
+CASES: list[tuple[str, Patch, str]] = [
+    ("MIXED", loses_the_seal, LOAD),
+    ("MIXED", takes_any_answer, LOAD + "at 1 fault worker:app:0 extra 0.5 for 8\nat 1 fault worker:app:1 extra 0.5 for 8"),
+    ("UNASKED", adds_to_the_path, LOAD),
+    ("UNASKED", ending_is_forgotten, "announced slots 1 models 1\nclients view 1 lots 1x30\n"),
+    ("TWICE", tries_anything_again, LOAD + ILL),
+    ("TWICE", results_move, LOAD),
+    ("REFUSED", promises_too_much, LOAD + ILL),
+    ("REFUSED", refuses_what_it_took, LOAD),
+    ("DENIED", forbids, LOAD),
+    ("ROUTE", goes_elsewhere, LOAD),
+    ("DRAIN", bars_nobody, "clients view 20 ask 20\nat 1 release llm 1\nat 1 release app 1\n"),
+    ("LOST", leaves_at_once, "clients ask 30 review 10\nat 2 term edge:0\nat 4 term edge:1\nat 6 term edge:2"),
+    ("LOST", syncs_nothing, "clients view 2 lots 4x4\nrun 26\nat 3 closing power_off_all for 1\n"),
+    ("LOST", forgets_lots, "clients view 1 lots 1x4\n"),
+    ("LOST", forgets_evacuations, "clients view 12 ask 6\nrun 26\nat 1 evac 1\nat 3 closing kill_all for 1\n"),
+    ("CONFIG", keeps_the_first_routes, "clients view 20\nat 1 change move\n"),
+    ("CONFIG", both_win, "clients view 4\nat 1 race\nat 3 race\n"),
+    ("CONFIG", takes_invalid, "clients view 4\nat 1 invalid no_weight\nat 2 invalid unknown_service\n"),
+    ("CONFIG", reads_old, "clients view 4\nat 1 change timeout\n"),
+    ("LATE_ROUTES", late_routes_wait, "clients view 12\n" + LATE),
+    ("ACKS", answers_no_order, "clients view 4\nat 1 evac 1\n"),
+    ("ACKS", answers_no_leaving, "clients view 4 ask 4\nat 1 release llm 1\n"),
+    ("ORDER", cut_is_an_end, "clients review 12\n" + CUTS),
+    ("ORDER", begins_anew, "clients ask 12\n" + CUTS),
+    ("FAILBACK", floods, "announced edges 6 models 1 cold 2\nclients ask 40\nat 2 crash worker:llm:0 for 0.5\n"),
+    ("EVAC", bars_nobody, "clients view 20 ask 12\nat 1 evac 1\n"),
+    ("LOT_MIXED", texts_fall_short, LOAD),
+    ("LOT_MIXED", gives_up_at_once, "clients view 1 lots 2x20\nat 1 fault worker:llm:0 grey 0.2 for 9\n"),
+    ("QUOTA", no_quota, "clients view 1 lots 3x30\n"),
+    ("RECOVER", stays_down, "clients view 8\nrun 26\nat 3 closing kill_all for 1\n"),
+    ("FAULT", ends_itself, "clients view 4\n"),
+]  # fmt: skip
+
+
+def played(rule: str, text: str) -> tuple[Report, list[str]]:
+    s = parse(FLEET + text, rule)
+
+    def prepare(fleet: Any) -> None:
+        if rule == "QUOTA":
+            fleet.kinds["batch"].route["maxQueued"] = 20000
+        if rule == "UNASKED":
+            fleet.clients.ends = 1.0
+
+    got = play_day(s, 1, prepare=prepare)
+    return got, judge(s, got)
+
+
+def test_every_rule_has_a_variant() -> None:
+    assert {rule for rule, _, _ in CASES} == set(CHECKS)
+
+
+@pytest.mark.parametrize("number", range(len(CASES)), ids=[f"{rule}-{patch.__name__}" for rule, patch, _ in CASES])
+def test_a_broken_variant_is_caught_and_the_sound_product_is_not(number: int) -> None:
+    rule, patch, text = CASES[number]
+    assert played(rule, text)[1] == []
+    with pytest.MonkeyPatch.context() as mp:
+        patch(mp)
+        assert rule in played(rule, text)[0].breaches
--- a/tests/test_sim_rules.py
+++ b/tests/test_sim_rules.py
@@ -195,6 +195,12 @@
         [*FIRST, *lot(), {"ev": "item_read", "t": 8.0, "lot": "l1", "item": "i1", "via": "edge", "began": 7.9, "status": 200,
                           "body": "other", "final": False}],
     ],
+    "ACKS": [
+        [*FIRST, changed(2, config(5), 3, 5.0)[0], {"ev": "traffic_over", "t": 10.0}],
+        [*FIRST, *changed(2, config(5), 3, 5.0, status=400), {"ev": "traffic_over", "t": 10.0}],
+        [*FIRST, {"ev": "evac_sent", "t": 5.0, "zone": "a", "on": True}, {"ev": "traffic_over", "t": 10.0}],
+        [*FIRST, {"ev": "drains", "t": 5.0, "worker": "w1"}, {"ev": "traffic_over", "t": 10.0}],
+    ],
     "QUOTA": [[*FIRST, *lot(tokens=2_000_000)]],
     "RECOVER": [[*FIRST, *SERVED * 4, {"ev": "trouble", "t": 20.0, "machine": "edge", "what": "down", "on": None},
                  {"ev": "trouble", "t": 21.0, "machine": "edge", "what": "start", "on": None},
@@ -237,6 +243,13 @@
     assert breaches(day([*FIRST, beat("draining", 5.0), cut, request(), *reach(), answer()])) == {}
 
 
+def test_orders_wait_while_the_core_is_unsettled() -> None:
+    sent = [*FIRST, changed(2, config(5), 3, 5.0)[0], {"ev": "traffic_over", "t": 10.0}]
+    shocks = [{"ev": "trouble", "t": t, "machine": "core", "what": "start", "on": None} for t in (6.0, 8.5)]
+    assert breaches(day([*sent, *shocks])) == {}
+    assert set(breaches(day([*sent, *shocks, {"ev": "traffic_over", "t": 17.0}]))) == {"ACKS"}
+
+
 def test_a_change_without_a_clear_answer_may_be_in_force_or_not() -> None:
     unclear = changed(2, MOVED, 3, 5.0, status=412)
     unclear[1]["unclear"] = True
