--- a/sim/announced.py
+++ b/sim/announced.py
@@ -235,7 +235,7 @@
             return
         box.host = self.loop.add(Host(name, box.ips, box.area))
         box.since = self.loop.clock
-        if self.founded and told:
+        if told and (self.founded or name in self.late):
             self.trouble(name, "start")
 
         async def boot() -> None:
@@ -389,6 +389,7 @@
         seconds, as on the platform, or with a fault noted if the configuration wasn't taken by then."""
         for name in list(self.boxes):
             if name in self.late:
+                self.trouble(name, "down")
                 self.loop.call_later(self.late[name], self.start, name, context=contextvars.Context())
             else:
                 self.start(name)
--- a/sim/random_days.py
+++ b/sim/random_days.py
@@ -113,7 +113,8 @@
                 self.lines.append(f"{at} cool {worker} for {length}")
             elif kind == 3:
                 self.lines.append(f"{at} release {c.choice(['llm', 'app'])} {c.choice([0.4, 1, 2])}")
-            elif kind == 4:
+            elif kind == 4 and self.sizes["plains"] > 2 and not any(" reuse " in line for line in self.lines):
+                # One worker of this service is lost for good, and some are left.
                 self.lines.append(f"{at} reuse worker:app:{c.randrange(2)} llm")
             elif kind == 5:
                 self.lines.append(f"{at} {c.choice(['kill', 'power', 'term'])} edge:{c.randrange(8)} for {length}")
