--- a/postpass/config.py
+++ b/postpass/config.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Mapping
 from dataclasses import dataclass, field
 from typing import Any, Literal, NotRequired, TypedDict, cast
 
@@ -19,6 +18,9 @@
     manifest: float
     recover: float
     silent: float
+    sync: float
+    grace: float
+    keep: float
 
 
 class ToleranceFile(TypedDict, total=False):
@@ -43,7 +45,6 @@
     ready: NotRequired[str]
     tolerate: NotRequired[ToleranceFile]
     beat: NotRequired[float]
-    more: NotRequired[dict[str, float]]
     buffer_bytes: NotRequired[int]
     segment_bytes: NotRequired[int]
     disk_bytes: NotRequired[int]
@@ -68,6 +69,10 @@
     manifest: float = 2.0
     recover: float = 12.0
     silent: float = 2.0
+    # Set by platforms that tell them; 0 where none does.
+    sync: float = 0.0  # inside which a machine that is back counts again
+    grace: float = 0.0  # from SIGTERM to the end of the process
+    keep: float = 0.0  # how long a lot's results are read, from when it was sent
 
     @property
     def beat(self) -> float:
@@ -140,8 +145,6 @@
     disks_lost: int = 1  # what may be lost at once
     areas_lost: int = 1
     beat: float = 1.0  # how often workers beat, in seconds
-    # Further bounds by name, in the unit of the platform that set them.
-    more: Mapping[str, float] = field(default_factory=dict)
     # Memory for records not yet delivered everywhere; a mirror past it is refilled from the log.
     buffer_bytes: int = 4 << 20
     segment_bytes: int = 1 << 20
--- a/postpass/control.py
+++ b/postpass/control.py
@@ -916,7 +916,7 @@
     @property
     def patience(self) -> float:
         """How long a machine is not heard before another may take its place."""
-        return min(self.conf.more.get("syncS", INFINITY), self.conf.bounds.recover / 2) / 2
+        return min(self.conf.bounds.sync or INFINITY, self.conf.bounds.recover / 2) / 2
 
     # --- announced fleets: workers
     async def beat_worker(self, who: str, standing: Standing, seqno: int) -> PeerResponse:
--- a/postpass/data.py
+++ b/postpass/data.py
@@ -154,8 +154,8 @@
 
     @property
     def drain(self) -> float:
-        grace = self.conf.more.get("graceS")
-        return self.conf.bounds.drain if grace is None else max(1.0, grace - LEAVE_NOTICED - 1.0)
+        grace = self.conf.bounds.grace
+        return self.conf.bounds.drain if grace == 0 else max(1.0, grace - LEAVE_NOTICED - 1.0)
 
     def protocol(self) -> Any:
         if self.relay is None:
--- a/postpass/routed.py
+++ b/postpass/routed.py
@@ -302,7 +302,7 @@
         store = self.store
         age = now() - self.seen.setdefault((part.id, part.epoch, lot.id), now())
         man = store.news.manifest
-        keep = store.conf.more.get("pollS", man.get("retention", 3600.0) if man else 3600.0)
+        keep = store.conf.bounds.keep or (man.get("retention", 3600.0) if man else 3600.0)
         if lot.whole or lot.state == "ended":
             return age > keep * 1.1
         if age > lot.body["expire"] and lot.seq <= part.covered:
--- a/tests/announced.py
+++ b/tests/announced.py
@@ -51,7 +51,7 @@
             "name": name, "area": area, "peer": f"{ip}:7000", "http": f"{ip}:8000", "seeds": seeds or self.seeds(),
             "duties": {"edge": ["edge"], "store": ["store", "sched"], "control": []}[kind], "announce": True,
             "bootstrap": self.first, "areas": AREAS, "tolerate": {"disks": self.lost, "areas": 1}, "beat": 1.2,
-            "more": {"syncS": 5.0},
+            "bounds": {"sync": 5.0},
         }  # fmt: skip
         if kind != "edge":
             raw["data"] = "disk"
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -10,7 +10,7 @@
 from prometheus_client import CollectorRegistry
 
 from postpass import events
-from postpass.config import Config
+from postpass.config import Bounds, Config
 from postpass.data import Data
 from postpass.dialect import Dialect
 from postpass.front import HeadLimits, front, serve_ready
@@ -581,7 +581,7 @@
         here = loop.add(Host("e", ("127.0.0.1",), "a"))
         conf = Config(
             "e", "a", "127.0.0.1:1", "127.0.0.1:2", ("127.0.0.8:1",), ("edge",), announce=True, ready="127.0.0.1:3",
-            more={"graceS": 8.0},
+            bounds=Bounds(grace=8.0),
         )  # fmt: skip
         worker = Worker("w1", well)
         there = loop.add(Host("w1", ("127.0.1.1",), "a"))
--- a/tests/test_sim_broken.py
+++ b/tests/test_sim_broken.py
@@ -219,7 +219,7 @@
 
     async def own(self: Relay, name: str, route: Any, scope: Any, receive: Any, send: Any) -> None:
         if name.startswith("r-late"):
-            await self.refuse(send, 0.2)
+            await self.refuse(send, 0.2, "late")
         else:
             await plain(self, name, route, scope, receive, send)
 
@@ -329,7 +329,7 @@
 
     async def called(self: Relay, scope: Any, receive: Any, send: Any) -> None:
         if scope["type"] == "http" and now() > LEAD + 4.5:
-            await self.refuse(send, 0.5)
+            await self.refuse(send, 0.5, "down")
         else:
             await plain(self, scope, receive, send)
 
