After a common restart control stands at once, and daemons ask several for the edition in force

Now a control process that starts asks whether any other has heard a primary in this life; if most voters have not, the newest epoch's primary stands, or a backup for it. Questions, orders, joins and beats are held for a moment while there is none. A connection is tried anew before a lost opening packet is sent again (a second and more); this is in wire.py. Readiness sees by itself that control knows this life.

--- a/postpass/control.py
+++ b/postpass/control.py
@@ -99,8 +99,12 @@
         self.leader = ""
         self.witness, self.held, self.disk_id, self.epoch = Witness(), Held(), "", 0
         self.heard = self.backup_heard = 0.0
+        # When a primary was last heard in this life, and who waits for one.
+        self.led, self.led_now = -INFINITY, asyncio.Event()
+        self.sure_next: asyncio.Task[int] | None = None
+        self.sure_lock = asyncio.Lock()
         self.lock, self.disk_lock, self.bad = asyncio.Lock(), asyncio.Lock(), ""
-        self.fetches: set[asyncio.Task[None]] = set()
+        self.fetches: set[asyncio.Task[Any]] = set()
 
         for name, text, read in (
             ("control_leads", "1 while this machine is the primary", lambda: float(self.epoch > 0)),
@@ -162,7 +166,7 @@
         return [Route("/v1/manifest", self.http_manifest, methods=["GET", "PUT"])]
 
     def tasks(self) -> list[Task]:
-        return [self.tick(), *([self.found(), self.write(), self.report()] if self.conf.announce else [])]
+        return [self.tick(), self.rise(), *([self.found(), self.write(), self.report()] if self.conf.announce else [])]
 
     # --- the witnesses' part
     async def keep(self, name: str, data: bytes) -> None:
@@ -190,7 +194,7 @@
     async def on_look(self, body: Body) -> PeerResponse:
         if body.get("probe"):
             # Would this one back a new primary? Not while it hears the present one.
-            alive = self.epoch > 0 or now() - self.heard < self.conf.bounds.detect * 0.9
+            alive = self.epoch > 0 or now() - self.led < self.conf.bounds.detect * 0.9
             return Ok(self.about() | {"ok": not alive})
         new = self.witness.look(body["epoch"], body["who"])
         if new is None:
@@ -203,7 +207,7 @@
         new = self.witness.grant(Pair(**body["pair"]), body["who"])
         if new is None:
             return Ok(self.about() | {"ok": False})
-        self.heard = now()
+        self.heard = self.led = now()
         return await self.promise(new)
 
     async def promise(self, new: Witness) -> PeerResponse:
@@ -227,8 +231,9 @@
         """From the primary to its backup: the state to sync, or just a round trip under the epoch."""
         if body["epoch"] < self.witness.promised:
             return Ok({"ok": False, "promised": self.witness.promised, "disk": self.disk_id})
-        self.heard = now()
+        self.heard = self.led = now()
         self.leader = body.get("who", "")
+        self.tell_led()
         if "held" in body:
             raw = body["held"]
             new = Held(raw["whole"], Pair(**raw["pair"]), State(**raw["state"]))
@@ -317,19 +322,23 @@
         return with_duty(man, "control") if man else []
 
     # --- takeover
-    async def ask_all(self, verb: str, body: Body, names: list[str], man: Manifest) -> dict[str, Body]:
+    async def ask_all(
+        self, verb: str, body: Body, names: list[str], man: Manifest, quick: bool = False
+    ) -> dict[str, Body]:
+        b = self.conf.bounds
+
         async def one(name: str) -> PeerResponse:
             m = man["machines"].get(name)
             if not m or m.get("gone"):
                 return Err(Fault(verb, name, "gone"))
             if name == self.conf.name:
                 return await getattr(self, f"on_{verb}")(body)  # type: ignore[no-any-return]
-            return await self.lines.call(m["peer"], verb, body, self.conf.bounds.promise)
+            return await self.lines.call(m["peer"], verb, body, b.beat / 2 if quick else b.promise)
 
         def enough(got: dict[str, PeerResponse]) -> bool:
             return 2 * sum(isinstance(g, Ok) for g in got.values()) > len(names)
 
-        got = await hear({n: one(n) for n in names}, enough, self.conf.bounds.beat)
+        got = await hear({n: one(n) for n in names}, enough, b.beat / 8 if quick else b.beat)
         return {n: g.unwrap() for n, g in got.items() if isinstance(g, Ok)}
 
     async def stand(self, man: Manifest, why: str, first: State | None = None) -> Result[None, Fault]:
@@ -422,6 +431,7 @@
         if not enough or self.witness.promised != epoch:
             return Err(Fault(step, me, "too few granted the epoch", SLOW))
         self.epoch, self.backup_heard, self.leader = epoch, now(), me
+        self.tell_led()
         if why not in ("backup lost", "no backup") and not why.startswith("voters"):
             self.since, self.beats = now(), {}
         events.emit(133 if loss else 130, self.conf.name, epoch=epoch, backup=backup, edition=state.edition, why=why)
@@ -495,6 +505,39 @@
                 else:
                     self.heard = now() - b.detect
 
+    async def rise(self) -> None:
+        """After a start: where most have started as well and nobody has heard a primary since, there is none to wait for.
+
+        The primary of the newest epoch stands at once. Its backup lets it, for a beat, unless it is seen that it lost
+        its disk; anyone else leaves it to the ordinary watch. A mistake costs an epoch and no more.
+        """
+        b, began, seen = self.conf.bounds, now(), INFINITY
+        while now() - began < b.detect and not (self.epoch or self.leaving) and self.led < began:
+            man, me = self.known(), self.conf.name
+            if man is not None and self.held.whole and me in self.crew(man):
+                others = [n for n in self.crew(man) if n != me]
+                looks = await self.ask_all("look", {"probe": 1}, others, man, True)
+                if any(not a["ok"] for a in looks.values()):
+                    return
+                every = looks | {me: self.about()}
+                best = max((Pair(**a["pair"]) for a in every.values()), key=lambda p: p.epoch)
+                got = {n: str(a["disk"]) for n, a in every.items()}
+                able = [
+                    n for n in dict.fromkeys((best.primary, best.backup)) if n in got and best.voters.get(n) == got[n]
+                ]
+                if majority(best.voters, got) and me in able and self.held.whole == best.epoch:
+                    seen = min(seen, now())
+                    # The primary went first if its disk is here; one that is not heard yet may be starting.
+                    first = me == able[0] and (me == best.primary or best.primary in got)
+                    if first or now() - seen > b.beat:
+                        async with self.lock:
+                            done = (
+                                await self.stand(man, "restarted") if not self.epoch and self.led < began else Ok(None)
+                            )
+                        if isinstance(done, Ok):
+                            return
+            await asyncio.sleep(b.beat / 4 * (0.8 + 0.4 * self.world.chance.random()))
+
     async def watch(self, man: Manifest) -> None:
         """Takes over if no primary is heard: those of the pair first, then in the agreed order."""
         b = self.conf.bounds
@@ -692,7 +735,67 @@
         good = {n: str(a["disk"]) for n, a in looks.items() if a["ok"]} | {self.conf.name: self.disk_id}
         return self.epoch == epoch and majority(pair.voters, good)
 
+    async def confirmed(self) -> int:
+        """The edition in force, confirmed by a round trip that begins after this call; 0 if that can't be had now.
+        Those who ask meanwhile share the next round."""
+
+        async def one_round() -> int:
+            async with self.sure_lock:
+                self.sure_next = None
+                if self.epoch:
+                    # What is being written now counts as well: the round comes after it.
+                    async with self.lock:
+                        edition = self.held.state.edition
+                        return edition if await self.sure() else 0
+                addr = self.addr(self.leader) if self.leader != self.conf.name else ""
+                if not addr:
+                    return 0
+                got = await self.lines.call(addr, "read", {"brief": 1}, self.conf.bounds.follow)
+                if isinstance(got, Err):
+                    return 0
+                edition = int(got.unwrap()["edition"])
+                if edition > self.news.edition:
+                    await self.fetch(addr, self.conf.bounds.follow)
+                return edition
+
+        if self.sure_next is None:
+            self.sure_next = asyncio.create_task(one_round())
+            self.fetches.add(self.sure_next)
+            self.sure_next.add_done_callback(self.fetches.discard)
+        return await asyncio.shield(self.sure_next)
+
+    async def read_waiting(self, wait: float) -> PeerResponse:
+        """For a daemon that starts: held until there is a primary that confirms what is in force."""
+        until = now() + min(wait, self.conf.bounds.manifest)
+        while True:
+            led = self.led_now
+            edition = await self.confirmed()
+            if edition:
+                return Ok({"edition": edition})
+            if not await self.wait_led(led, until):
+                return Err(Fault("read", self.conf.name, "no primary now; ask again", SHED))
+
+    def tell_led(self) -> None:
+        """A primary was heard: whoever waits for one tries again."""
+        self.led_now.set()
+        self.led_now = asyncio.Event()
+
+    async def wait_led(self, led: asyncio.Event, until: float) -> bool:
+        """True once a primary is heard after the try before which `led` was taken."""
+        try:
+            await asyncio.wait_for(led.wait(), max(0.0, until - now()))
+        except TimeoutError:
+            return False
+        return True
+
     async def on_read(self, body: Body) -> PeerResponse:
+        if "wait" in body:
+            return await self.read_waiting(float(body["wait"]))
+        if body.get("brief") and self.epoch:
+            edition = await self.confirmed()
+            if not edition:
+                return Err(Fault("read", self.conf.name, "could not be confirmed; ask again", SLOW))
+            return Ok({"edition": edition})
         if not self.epoch:
             hint = self.witness.pair.primary if self.witness.pair.primary != self.conf.name else ""
             return Err(Fault("read", self.conf.name, "not the primary", MOVED, hint))
@@ -701,14 +804,21 @@
             state = self.held.state
             if not await self.sure():
                 return Err(Fault("read", self.conf.name, "could not be confirmed; ask again", SLOW))
-        if body.get("brief"):
-            return Ok({"edition": state.edition})
         if body.get("source"):
             return Ok({"edition": state.edition, "source": state.source, "version": state.man.get("version", 0)})
         return Ok({"edition": state.edition, "manifest": state.manifest, "losses": state.losses})
 
     async def pass_on(self, verb: str, body: Body, limit: float = 0.0) -> PeerResponse:
-        """To the primary, wherever it is."""
+        """To the primary, wherever it is; where machines announce themselves, a moment is given for one to come."""
+        until = now() + (self.conf.bounds.leave / 4 if self.conf.announce else 0.0)
+        while True:
+            led = self.led_now
+            got = await self.pass_once(verb, body, limit)
+            none = isinstance(got, Err) and got.unwrap_err().code == SHED and got.unwrap_err().peer == self.conf.name
+            if not none or not await self.wait_led(led, until):
+                return got
+
+    async def pass_once(self, verb: str, body: Body, limit: float) -> PeerResponse:
         got: PeerResponse = await getattr(self, f"on_{verb}")(body)
         tried = {self.conf.name}
         names = [n for n in self.crew() if n != self.conf.name]
--- a/postpass/daemon.py
+++ b/postpass/daemon.py
@@ -24,7 +24,7 @@
 from postpass.news import News
 from postpass.roster import Entry, placed
 from postpass.wire import RELEASE, Body, Lines, Port
-from postpass.world import World, now, serve_http
+from postpass.world import World, hear, now, serve_http
 
 Task = Coroutine[Any, Any, None]
 
@@ -100,6 +100,8 @@
         if self.news.manifest is None:
             return "no manifest yet"
         # One that control doesn't know yet isn't counted by the others; if control can't be reached it serves all the same.
+        if self.conf.announce and not self.known_here:
+            self.known_here = placed(self.news.manifest, self.entry())
         waits = self.conf.announce and not self.known_here and now() - self.started < self.conf.bounds.recover / 2
         return "not announced yet" if waits else ""
 
@@ -250,7 +252,7 @@
 
     async def announce(self) -> None:
         """Tells control of this life until the manifest has it, and again should it be dropped from there."""
-        b, turn = self.conf.bounds, self.world.chance.randrange(64)
+        b = self.conf.bounds
         while True:
             if placed(self.news.manifest, self.entry()):
                 self.known_here = True
@@ -261,13 +263,19 @@
             if not near:
                 await asyncio.sleep(b.beat / 2)
                 continue
-            turn += 1
-            addr = near[turn % len(near)]
-            got = await self.lines.call(addr, "join", {"entry": self.entry()}, b.follow * 2)
-            if isinstance(got, Ok) and got.unwrap()["edition"] > self.news.edition:
-                await self.news.wait(got.unwrap()["edition"] - 1, b.beat / 4)
-                if got.unwrap()["edition"] > self.news.edition:
-                    await self.fetch(addr)
+            # Two at once: one may be gone, and its silence must not hold this one up.
+            asks = {
+                a: self.lines.call(a, "join", {"entry": self.entry()}, b.follow * 2)
+                for a in self.world.chance.sample(near, min(2, len(near)))
+            }
+            heard = await hear(asks, lambda got: any(isinstance(g, Ok) for g in got.values()), 0.0)
+            for addr, got in heard.items():
+                if isinstance(got, Err) and got.unwrap_err().peer == addr:
+                    self.missed[addr] = now()
+                if isinstance(got, Ok) and got.unwrap()["edition"] > self.news.edition:
+                    await self.news.wait(got.unwrap()["edition"] - 1, b.beat / 8)
+                    if got.unwrap()["edition"] > self.news.edition:
+                        await self.fetch(addr)
             if not placed(self.news.manifest, self.entry()):
                 await asyncio.sleep(b.beat / 2 * (0.6 + 0.8 * self.world.chance.random()))
 
@@ -473,15 +481,21 @@
         b = self.conf.bounds
         began = now()
         while not self.news.fresh:
-            await asyncio.sleep(b.follow / 4)
-            for addr in self.sources() if self.news.manifest is not None else []:
-                got = await self.lines.call(addr, "read", {"brief": 1}, b.follow)
+            # A few are asked at once, and hold the question until there is a primary that confirms.
+            sources = self.sources()
+            near = self.world.chance.sample(sources, min(3, len(sources)))
+            ask = {"brief": 1, "wait": b.follow}
+            asks = {a: self.lines.call(a, "read", ask, b.follow * 1.5) for a in near}
+            heard = await hear(asks, lambda got: any(isinstance(g, Ok) for g in got.values()), 0.0)
+            for addr, got in heard.items():
                 if isinstance(got, Ok):
                     edition = got.unwrap()["edition"]
                     if edition > self.news.edition:
-                        await self.fetch(addr)
+                        await self.fetch(addr, b.follow)
                     self.news.fresh = edition <= self.news.edition
-                    break
+            if self.news.fresh:
+                break
+            await asyncio.sleep(b.follow / 4 * (0.8 + 0.4 * self.world.chance.random()))
             man = self.news.manifest
             if man is not None and not self.news.fresh and now() - began > b.manifest:
                 others = [m["peer"] for n, m in man["machines"].items() if n != self.conf.name and not m.get("gone")]
--- a/postpass/wire.py
+++ b/postpass/wire.py
@@ -116,7 +116,7 @@
     async def open(cls, addr: str, wait: float, speaks: tuple[int, int] = SPEAKS) -> Result[Link, Fault]:
         host, port = split(addr)
         try:
-            reader, writer = await asyncio.wait_for(asyncio.open_connection(host, port, limit=1 << 20), wait)
+            reader, writer = await _connect(host, port, wait)
         except (TimeoutError, OSError) as bad:
             # Only a refusal proves that no process listens there.
             hint = "refused" if isinstance(bad, ConnectionRefusedError) else ""
@@ -232,6 +232,17 @@
             return Err(Fault(name, self.addr, "an answer that is not JSON"))
 
 
+async def _connect(host: str, port: int, wait: float) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    """Tries anew before the system would send a lost opening packet again, which takes it seconds; each try lasts longer,
+    so that a slow way is no hindrance."""
+    for share in (8, 4):
+        try:
+            return await asyncio.wait_for(asyncio.open_connection(host, port, limit=1 << 20), wait / share)
+        except TimeoutError:
+            pass
+    return await asyncio.wait_for(asyncio.open_connection(host, port, limit=1 << 20), wait * 5 / 8)
+
+
 @dataclass(eq=False)
 class Lines:
     """Links by address, opened when first wanted. Invariant: at most one open link an address."""
--- a/tests/test_announced_control.py
+++ b/tests/test_announced_control.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import random
+from dataclasses import replace
 from typing import Any
 
 from postpass.control import Control
 from postpass.roster import Standing
+from sim.disk import SimDisk
 from sim.loop import SimLoop, run_sim
 from tests.announced import Fleet
 from tests.test_platform_configuration import document
@@ -146,6 +149,45 @@
         assert max(took) < 4.7, took
 
 
+def test_after_a_common_restart_control_stands_and_edges_serve_at_once() -> None:
+    """All processes are killed, all machines lose power and come back one by one, or one disk of the pair goes too."""
+
+    async def scene(f: Fleet, spread: float, silent: bool, wiped: str) -> list[float]:
+        await f.until(f.joined, 10)
+        await f.ask("c1", lambda c: c.apply_source(document(3), 0))
+        lead = f.primary()
+        assert lead is not None
+        lost = {"primary": lead.conf.name, "backup": lead.held.pair.backup}.get(wiped, "")
+        before, f.first = lead.held.pair.epoch, False
+        for name in f.nodes:
+            f.kill(name, silent=silent)
+        for name, node in f.nodes.items():
+            if node.disk is not None and name == lost:
+                node.disk = SimDisk(random.Random(name + "new"))
+            node.conf = replace(node.conf, bootstrap=False)
+        await asyncio.sleep(1)
+        order = sorted(f.nodes, reverse=True)
+        for name in order:
+            f.boot(name)
+            await asyncio.sleep(spread / len(order))
+
+        def serving() -> bool:
+            edges = [n.daemon for n in f.nodes.values() if n.conf.duties == ("edge",)]
+            return f.primary() is not None and all(e is not None and e.ready() == "" for e in edges)
+
+        out = [await f.until(f.primary, 6), await f.until(serving, 6)]
+        lead = f.primary()
+        assert lead is not None and lead.held.pair.epoch > before and lead.held.state.losses == 0
+        got = await f.ask("c1", lambda c: c.read_source())
+        assert got.unwrap()["source"] == document(3)
+        return out
+
+    for spread, silent, wiped in ((0.0, False, ""), (0.4, True, ""), (0.0, False, "primary"), (0.4, True, "backup")):
+        for seed in (1, 2, 3):
+            primary, edges = play(lambda f: scene(f, spread, silent, wiped), seed=seed, control=4)  # noqa: B023
+            assert 0 <= primary < 0.5 and 0 <= edges < 0.5, (spread, silent, wiped, seed, primary, edges)
+
+
 def test_evacuation_and_retirement_are_taken_by_any_control_machine() -> None:
     async def scene(f: Fleet) -> None:
         await f.until(f.joined, 10)
