Knock at silent workers, take streams up elsewhere, and leave dark ones for longer

Cause, by events 171 and 172: a worker without power took nothing: each new connection there cost 0.25 s and the worker was left alone for 0.1 s only, and what was sent on kept connections waited for the 3 s of TCP. Change: connections are given up after 8 times the usual; silence of a third of the aim or pause makes the edge knock; where nobody answers, repeatable requests go elsewhere with their last event, and the worker is left for 1 to 4 s.

--- a/postpass/relay.py
+++ b/postpass/relay.py
@@ -13,7 +13,7 @@
 from postpass import events
 from postpass.config import Config
 from postpass.dialect import Dialect
-from postpass.fault import CROWD, Fault, Stop
+from postpass.fault import CROWD, SLOW, Fault, Stop
 from postpass.ledger import Ledger, next_attempt
 from postpass.manifest import Manifest, Pool, Route, Server, limit
 from postpass.news import News
@@ -43,6 +43,8 @@
 URGENT = 6  # live requests have an urgency of at most this; those of lots stand behind
 FULL_FOR = 0.05  # seconds that a worker which turned a request away is tried last
 AVOID_FIRST, AVOID_MOST = 0.1, 1.0  # seconds that a worker is avoided after a broken connection, doubling
+SILENT_FIRST, SILENT_MOST = 1.0, 4.0  # the same where nothing came at all
+PATIENCE = 1 / 3  # of the aim, or of the longest pause: silence from which a worker is knocked at
 CONNS_PART = 0.9
 READY_AFTER = 1.4  # times `detect` since its start by which a process should be ready
 EVENT_ID = re.compile(rb"(?:^|\n)id:[ ]?(\d+)\r?(?=\n)")
@@ -163,6 +165,7 @@
 
     mine: int = 0
     fails: int = 0
+    silent: bool = False  # the last failure was that nothing came
     avoid: float = -1.0  # until then
     full: float = -1.0  # until then
     lag: float = 0.0
@@ -533,6 +536,7 @@
                 addr, request.method, request.target, headers, request.body,
                 gate=lambda: self.gate(request, pool, name, addr), limit=left + SLACK, most=most,
                 expect=None if request.request_id is None else (self.names.request_id, request.request_id),
+                patience=self.patience(request),
             )  # fmt: skip
             word = verdict(exchange.status, exchange.headers, self.names)
             if word in ("shed", "other"):
@@ -546,7 +550,7 @@
                 return
             if word != "pass":
                 raise Stop(Fault("head", addr, word))
-            sight.fails, sight.lag = 0, 0.9 * sight.lag + 0.1 * (now() - sent)
+            sight.fails, sight.silent, sight.lag = 0, False, 0.9 * sight.lag + 0.1 * (now() - sent)
             await self.deliver(request, exchange)
         except TimeoutError:
             pass
@@ -556,21 +560,32 @@
             if bad.fault.unsent:
                 request.ledger = request.ledger.mark("unsent", bad.fault.why)
                 if bad.fault.step == "connect" and bad.fault.code != CROWD:
-                    self.avoid(name, sight, bad.fault.why)
+                    self.avoid(name, sight, bad.fault.why, silent=bad.fault.code == SLOW)
             else:
                 request.ledger = request.ledger.mark("broken", str(bad.fault))
                 if bad.fault.step != "repeat" and now() < request.until:
-                    self.avoid(name, sight, bad.fault.why)
+                    self.avoid(name, sight, bad.fault.why, silent=bad.fault.code == SLOW)
         finally:
             sight.mine -= 1
             if exchange is not None:
                 exchange.close()
 
-    def avoid(self, name: str, sight: Sight, why: str) -> None:
-        if now() >= sight.avoid:
-            events.emit(171, self.conf.name, worker=name, why=why)
-            sight.avoid = now() + min(AVOID_MOST, AVOID_FIRST * 2**sight.fails)
-            sight.fails += 1
+    def patience(self, request: Request) -> float:
+        """How long nothing may come for a request that may be done elsewhere, so that this is still in time."""
+        if not request.repeatable:
+            return 0.0
+        route = request.route
+        return min(route["target"], route["gap"] or route["target"]) * PATIENCE
+
+    def avoid(self, name: str, sight: Sight, why: str, silent: bool = False) -> None:
+        """Leaves a worker alone for a moment that doubles: a longer one if it says nothing, which costs each that tries
+        a wait. So where what was sent to it is given up, only the first of them counts."""
+        if now() < sight.avoid and not (silent and not sight.silent):
+            return
+        events.emit(171, self.conf.name, worker=name, why=why)
+        first, most = (SILENT_FIRST, SILENT_MOST) if silent else (AVOID_FIRST, AVOID_MOST)
+        sight.avoid, sight.silent = now() + min(most, first * 2**sight.fails), silent
+        sight.fails += 1
 
     async def deliver(self, request: Request, exchange: Exchange) -> None:
         """Passes the answer on; raises Stop if it is cut, or if it is better asked for elsewhere."""
--- a/postpass/workerlink.py
+++ b/postpass/workerlink.py
@@ -20,6 +20,7 @@
 HELD_BYTES = 128 << 10  # of an answer's body, until the reader has caught up
 IDLE = 0.5  # seconds that a connection is kept if the worker doesn't say
 MARGIN = 0.25  # of what the worker says
+CONNECT_TIMES, CONNECT_LEAST = 8, 0.04  # of the usual time of a connection, and seconds: until one is given up
 TIMEOUT = re.compile(rb"timeout\s*=\s*\"?(\d+)")
 
 
@@ -119,6 +120,8 @@
         self.timer: asyncio.TimerHandle | None = None
         self.idle = IDLE
         self.until = 0.0  # usable while idle
+        self.heard = 0.0  # when something last came, or the request went out
+        self.patience = 0.0  # seconds of silence from which the worker is knocked at; 0: its answer is waited for
         self.bodiless = False
         self.head = 0
         self.phase = ""  # "" no answer yet, "head", "body", "end"
@@ -139,6 +142,7 @@
         if self.exchange is None:
             self.drop()
             return
+        self.heard = self.links.latest = asyncio.get_running_loop().time()
         if self.phase in ("", "head"):
             self.head += len(data)
         try:
@@ -218,11 +222,16 @@
         bodiless: bool,
         limit: float,
         expect: tuple[bytes, bytes] | None,
+        patience: float,
     ) -> None:
         assert self.transport is not None
         self.exchange, self.bodiless, self.expect = exchange, bodiless, expect
         self.phase, self.head, self.keep, self.surplus = "", 0, False, False
-        self.timer = asyncio.get_running_loop().call_later(limit, self.late)
+        loop = asyncio.get_running_loop()
+        self.timer = loop.call_later(limit, self.late)
+        self.heard, self.patience = loop.time(), patience
+        if patience:
+            self.links.watch(patience)
         self.transport.write(b"".join(data))
 
     def late(self) -> None:
@@ -297,6 +306,11 @@
     kept: dict[str, list[Link]] = field(default_factory=dict)
     opened: dict[str, set[Link]] = field(default_factory=dict)
     made: int = 0  # connections ever opened
+    usual: float = 0.0  # seconds that a connection takes: the longest lately; 0 before the first
+    latest: float = 0.0  # when something last came from any worker
+    watching: asyncio.TimerHandle | None = None
+    knocks: dict[str, asyncio.Task[None]] = field(default_factory=dict)
+    knocked: dict[str, float] = field(default_factory=dict)  # when a knock was last answered
     sent: int = 0  # requests ever written
 
     def put(self, link: Link) -> None:
@@ -335,9 +349,13 @@
         link = Link(addr, self)
         self.opened.setdefault(addr, set()).add(link)
         self.made += 1
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        most = min(self.connect, max(CONNECT_LEAST, self.usual * CONNECT_TIMES)) if self.usual else self.connect
         try:
-            async with asyncio.timeout(min(limit, self.connect)):
-                await asyncio.get_running_loop().create_connection(lambda: link, host, port)
+            async with asyncio.timeout(min(limit, most)):
+                await loop.create_connection(lambda: link, host, port)
+            self.usual = max(loop.time() - began, self.usual * 0.9)
         except (OSError, TimeoutError) as bad:
             link.drop()
             slow = isinstance(bad, TimeoutError)
@@ -359,10 +377,12 @@
         limit: float,
         most: int = 0,
         expect: tuple[bytes, bytes] | None = None,
+        patience: float = 0.0,
     ) -> Exchange:
         """Sends one request and returns when the head of its answer came. `gate` is asked right before the first byte
         is written; what it says, if anything, is why not. `limit`: seconds for the whole exchange, body included.
-        `most`: connections that this process may have to that address; 0: no bound. `expect`: a header that the answer must carry, or else it belongs to another request. Raises Stop; its fault is
+        `most`: connections that this process may have to that address; 0: no bound. `expect`: a header that the answer must carry, or else it belongs to another request. `patience`: for
+        an exchange that may be given up and done elsewhere, how long nothing may come before the worker is knocked at. Raises Stop; its fault is
         `unsent` only if it is proved that no byte left."""
         loop = asyncio.get_running_loop()
         until = loop.time() + limit
@@ -387,7 +407,7 @@
         head += (b"\r\n", body)
         ex = Exchange(addr, link, reused)
         self.sent += 1
-        link.start(ex, head, method == "HEAD", left, expect)
+        link.start(ex, head, method == "HEAD", left, expect, patience)
         try:
             while not ex.whole and ex.fault is None and link.phase != "body":
                 await ex._wait()
@@ -398,7 +418,55 @@
             raise Stop(ex.fault)
         return ex
 
+    # --- workers that say nothing
+    def watch(self, patience: float) -> None:
+        if self.watching is None:
+            self.watching = asyncio.get_running_loop().call_later(patience / 2, self.look)
+
+    def look(self) -> None:
+        """Knocks where an exchange that may be done elsewhere has been silent for its patience."""
+        self.watching = None
+        loop = asyncio.get_running_loop()
+        at, least = loop.time(), 0.0
+        for addr, links in self.opened.items():
+            for link in links:
+                if link.exchange is None or not link.patience:
+                    continue
+                least = min(least or link.patience, link.patience)
+                silent = max(link.heard, self.knocked.get(addr, 0.0))
+                if at - silent >= link.patience and addr not in self.knocks:
+                    self.knocks[addr] = loop.create_task(self.knock(addr, link.heard))
+        self.knocked = {a: t for a, t in self.knocked.items() if a in self.opened}
+        if least:
+            self.watch(least)
+
+    async def knock(self, addr: str, since: float) -> None:
+        """Silence may be work, so a new connection is asked for: a worker that is there takes or resets it. Where not
+        even that comes though others were heard, what may be done elsewhere is given up here."""
+        loop = asyncio.get_running_loop()
+        try:
+            link = await self.open(addr, self.connect)
+            link.until = 0.0
+            self.put(link)
+            self.knocked[addr] = loop.time()
+        except Stop as bad:
+            if bad.fault.code != SLOW or self.latest <= since:
+                # A reset tells that somebody is there; and if nobody at all was heard, this side may be cut off.
+                self.knocked[addr] = loop.time()
+                return
+            for link in list(self.opened.get(addr, ())):
+                if link.exchange is None:
+                    link.drop()
+                elif link.patience and link.heard <= since:
+                    link.fail(link.step(), "nothing came, and no connection was taken", SLOW)
+        finally:
+            del self.knocks[addr]
+
     def close(self) -> None:
+        if self.watching is not None:
+            self.watching.cancel()
+        for task in self.knocks.values():
+            task.cancel()
         for links in list(self.opened.values()):
             for link in list(links):
                 link.fail("close", "this process ends")
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -620,3 +620,57 @@
         await loop.create_task(main(), context=here.context())
 
     run_sim(world)
+
+
+def test_a_stream_is_taken_up_elsewhere_when_its_worker_goes_dark_and_not_when_it_only_stalls() -> None:
+    async def long(_w: Worker, _n: int, head: bytes, writer: asyncio.StreamWriter) -> None:
+        at = int(word(head, "last-event-id") or -1) + 1
+        writer.write(opening(head))
+        for n in range(at, 20):
+            writer.write(chunk(event(n)))
+            # One long pause, as while a long prompt is read.
+            await asyncio.sleep(0.5 if n == 3 else 0.05)
+        writer.write(b"0\r\n\r\n")
+
+    for dark in (True, False):
+
+        async def main(s: Scene, dark: bool = dark) -> None:
+            s.change(lambda m: m["routes"]["resume"].update(gap=0.3))
+            tasks = [asyncio.create_task(s.ask("/r/x", x_call_id=f"c{i}")) for i in range(8)]
+            await asyncio.sleep(0.7)
+            if dark:
+                s.loop.kill(s.hosts[0], silent=True)
+            began = s.loop.clock
+            for task in tasks:
+                status, _, body, whole = await task
+                assert (status, body, whole) == (200, b"".join(map(event, range(20))), True)
+            assert s.loop.clock - began < 1.5
+            first, second = s.ran
+            assert first + second == 8 + (first if dark else 0) and 0 < first < 8
+            if dark:
+                # It is left alone for a while; then one at a time is tried there.
+                before = s.loop.clock
+                for _ in range(10):
+                    assert (await s.ask("/i/x"))[0] == 200
+                assert s.loop.clock - before < 0.5
+
+        async def both(w: Worker, n: int, head: bytes, writer: asyncio.StreamWriter) -> None:
+            await (long if b"/r/" in head else well)(w, n, head, writer)
+
+        play({"w1": both, "w2": both}, main)
+
+
+def test_one_that_hears_nobody_gives_up_nothing_for_it() -> None:
+    async def slow(_w: Worker, _n: int, head: bytes, writer: asyncio.StreamWriter) -> None:
+        await asyncio.sleep(0.6)
+        writer.write(reply(head))
+
+    async def main(s: Scene) -> None:
+        task = asyncio.create_task(s.ask("/i/x"))
+        await asyncio.sleep(0.1)
+        s.loop.net.cuts |= {pair for host in s.hosts for pair in (("e", host.name), (host.name, "e"))}
+        await asyncio.sleep(0.6)
+        s.loop.net.cuts.clear()
+        assert (await task)[0] == 200 and sum(s.ran) == 1
+
+    play({"w1": slow, "w2": slow}, main)
--- a/tests/test_workerlink.py
+++ b/tests/test_workerlink.py
@@ -275,3 +275,24 @@
         assert worker.connections == 2
 
     run(play, main)
+
+
+def test_a_connection_is_given_up_after_some_times_what_one_usually_takes() -> None:
+    async def main(links: WorkerLinks, loop: SimLoop, _worker: Worker) -> None:
+        async def took() -> float:
+            began = loop.clock
+            assert await ask(links, addr="gone:1") == ("connect", True)
+            return loop.clock - began
+
+        loop.kill(loop.add(Host("gone", ("gone",), "a")), silent=True)
+        assert abs(await took() - links.connect) < 0.01
+        assert await ask(links) == (200, b"ok")
+        assert 0.03 < await took() < 0.05
+        # Far workers, or a slow machine: what is usual there counts.
+        loop.net.near = 0.01
+        for link in list(links.opened["w:1"]):
+            link.drop()
+        assert await ask(links) == (200, b"ok")
+        assert 0.15 < await took() < 0.25
+
+    run(well, main)
