Stand at once after a start; append on disk before memory

A base that a takeover copied could be folded on under it. Change: a partition of which nobody was heard in this life counts as silent; the disk is appended to first.

--- a/postpass/part.py
+++ b/postpass/part.py
@@ -55,8 +55,8 @@
 
 def head(tape: Tape) -> LotView:
     """The view at the tape's end."""
-    assert isinstance(tape.base, LotView)
     view = tape.base.copy()
+    assert isinstance(view, LotView)
     for rec in tape.recs:
         view.fold(rec)
     return view
@@ -79,6 +79,7 @@
     promised: int = 0
     owner: str = ""
     heard: float = 0.0
+    met: bool = False  # has an owner, or a candidate, been heard in this life, or has its turn to stand come
     aligned: int = 0
     covered: int = 0
     persisted: int = 0
--- a/postpass/store.py
+++ b/postpass/store.py
@@ -168,6 +168,11 @@
             for number in range(man["parts"]):
                 if self.conf.name in self.news.order(number):
                     self.part(number)
+            for part in self.parts.values():
+                # Nobody was heard since this process started, and there is no waiting for a silence: if an owner is
+                # there, one of those that are asked hears it, and says so.
+                if not part.met:
+                    part.met, part.heard = True, min(part.heard, now() - self.conf.bounds.detect)
             areas = {n: m["area"] for n, m in man["machines"].items()}
             for part in list(self.parts.values()):
                 part.areas = areas
@@ -293,25 +298,27 @@
         """Takes a staged log as this store's own: cut where they part, then the rest, or base and all."""
         if staged is part.tape:
             return
+        # Always the disk first: what it did not take must not stand in memory, or the next record leaves a gap in the log.
         meet = match(part.tape.marks(), part.tape.last, staged.marks(), staged.last)
         if meet < 0:
-            part.tape, part.persisted = staged, 0
-            part.places.clear()
             entries = [
                 IDL.Entry(
                     part=part.id, op="base", seq=staged.base_seq, epoch=staged.base_epoch, body=staged.base.dump()
                 )
             ]
             entries += [r.entry(part.id) for r in staged.recs]
+            place = self.log.append(entries)
+            part.tape, part.persisted = staged, 0
+            part.places.clear()
         else:
             more = staged.after(meet)
+            place = self.log.append([IDL.Entry(part=part.id, op="cut", seq=meet)] + [r.entry(part.id) for r in more])
             part.cut(meet)
             for rec in more:
                 part.tape.append(rec)
-            entries = [IDL.Entry(part=part.id, op="cut", seq=meet)] + [r.entry(part.id) for r in more]
+        part.places.append((place, part.tape.last))
         part.covered = min(part.covered, part.tape.last)
         part.covered = max(part.covered, part.tape.base_seq)
-        self.write(part, entries)
 
     def rise(
         self, part: Part, epoch: int, view: LotView, voters: dict[str, str], blank: bool, normal: bool, lost: list[str]
@@ -335,7 +342,11 @@
             )
         made.append(part.make("mark", {}))
         part.mark = part.tape.last
-        self.write(part, [r.entry(part.id) for r in made])
+        try:
+            self.write(part, [r.entry(part.id) for r in made])
+        except Stop:
+            part.cut(made[0].seq - 1)
+            raise
         self.rise_to({str(part.id): epoch})
         self.counts["takeovers"] += 1
         events.emit(120, self.conf.name, part=part.id, epoch=epoch, last=part.tape.last)
@@ -344,7 +355,9 @@
     async def pull(self, part: Part, best: str, there: Body, epoch: int) -> Tape | None:
         """Fetches what the best log has beyond this one, into a copy that nothing uses yet."""
         meet = match(part.tape.marks(), part.tape.last, [(e, s) for e, s in there["marks"]], there["last"])
-        staged = Tape(part.tape.base_seq, part.tape.base_epoch, part.tape.base, list(part.tape.recs), part.tape.size)
+        mine = part.tape
+        # A base of its own: this store's may be folded on while it waits.
+        staged = Tape(mine.base_seq, mine.base_epoch, mine.base.copy(), list(mine.recs), mine.size)
         if meet >= 0:
             staged.cut(meet)
         else:
@@ -397,7 +410,7 @@
         part, epoch, b = self.part(body["part"]), body["epoch"], self.conf.bounds
         about = {"disk": self.disk_id, "promised": part.promised}
         handed = body.get("hand", 0) and body["hand"] == max(part.aligned, part.epoch)
-        alive = part.owning or now() - part.heard < b.detect * 0.9
+        alive = part.owning or (part.met and now() - part.heard < b.detect * 0.9)
         if body["probe"]:
             return Ok(about | {"ok": bool(not alive or handed)})
         if epoch <= part.promised or (alive and not handed):
@@ -406,7 +419,7 @@
         if part.owning:
             self.fall(part, epoch)
         part.aligned = 0
-        part.heard = now()
+        part.heard, part.met = now(), True
         try:
             await self.log.wait(self.write(part, [IDL.Entry(part=part.id, op="promise", epoch=epoch)]))
         except Stop as bad:
@@ -785,7 +798,7 @@
                 return Err(bad.fault)
             if part.promised != epoch:
                 return Ok(about | {"ok": False, "promised": part.promised})
-        part.heard, part.owner = now(), body["who"]
+        part.heard, part.owner, part.met = now(), body["who"], True
         part.filling = 0 if part.aligned == epoch else epoch
         # The owner has just connected: whatever link for acknowledgements stands from before may lead to a
         # process that is no more.
@@ -830,15 +843,17 @@
         tape = part.tape
         if p.kind == "start":
             fits = tape.base_seq <= p.seq <= tape.last and tape.epoch_at(p.seq) == p.born
-            part.aligned = p.epoch if fits else 0
             if fits and p.seq < tape.last:
+                place = self.log.append([IDL.Entry(part=part.id, op="cut", seq=p.seq)])
                 part.cut(p.seq)
-                self.write(part, [IDL.Entry(part=part.id, op="cut", seq=p.seq)])
+                part.places.append((place, p.seq))
+            part.aligned = p.epoch if fits else 0
         elif p.kind == "snap":
+            place = self.log.append([IDL.Entry(part=part.id, op="base", seq=p.seq, epoch=p.born, body=body)])
             part.tape = Tape(p.seq, p.born, LotView.load(body))
             part.places.clear()
+            part.places.append((place, p.seq))
             part.persisted, part.aligned, part.covered = 0, p.epoch, p.seq
-            self.write(part, [IDL.Entry(part=part.id, op="base", seq=p.seq, epoch=p.born, body=body)])
         elif p.kind == "rec" and part.aligned == p.epoch:
             if p.seq != tape.last + 1 or p.prior != tape.last_epoch:
                 part.aligned = 0
--- a/postpass/tape.py
+++ b/postpass/tape.py
@@ -26,6 +26,9 @@
 
     def fold(self, rec: Record) -> None: ...
 
+    def copy(self) -> Base:
+        return self
+
     def dump(self) -> bytes:
         return b""
 
--- /dev/null
+++ b/tests/test_takeover.py
@@ -0,0 +1,62 @@
+"""How soon partitions have owners again, on simulated time."""
+
+from __future__ import annotations
+
+from postpass.data import Data
+from postpass.store import Store
+from sim.loop import SimLoop, run_sim
+from tests.announced import Fleet
+
+
+def stores(fleet: Fleet) -> list[Store]:
+    daemons = [n.daemon for n in fleet.nodes.values()]
+    return [d.store for d in daemons if isinstance(d, Data) and d.store is not None]
+
+
+def owned(fleet: Fleet) -> bool:
+    ready = [p.id for s in stores(fleet) for p in s.parts.values() if p.ready]
+    return sorted(ready) == list(range(8))
+
+
+def takeovers(fleet: Fleet) -> int:
+    return sum(s.counts["takeovers"] for s in stores(fleet))
+
+
+class Test_owners_after_a_start:
+    def test_stand_at_once_when_all_were_down(self) -> None:
+        async def main(loop: SimLoop) -> tuple[float, float, int]:
+            fleet = Fleet(loop)
+            fleet.start()
+            assert await fleet.until(lambda: fleet.joined() and owned(fleet), 20.0) >= 0
+            fleet.first = False
+            for name in list(fleet.nodes):
+                fleet.kill(name)
+            for name in fleet.nodes:
+                fleet.boot(name)
+            known = await fleet.until(lambda: [s.news.manifest is not None for s in stores(fleet)] == [True] * 4, 10.0)
+            took = await fleet.until(lambda: owned(fleet), 10.0)
+            return known, took, takeovers(fleet)
+
+        known, took, changes = run_sim(main, 3)
+        detect = 12.0 / 8
+        assert 0 <= known < 3.0
+        assert 0 <= took < detect / 2  # nobody waits out a silence
+        assert changes == 8  # and nobody takes what is handed back at once
+
+    def test_leave_a_living_owner_alone_when_one_store_comes_back(self) -> None:
+        async def main(loop: SimLoop) -> tuple[int, int]:
+            fleet = Fleet(loop)
+            fleet.start()
+            assert await fleet.until(lambda: fleet.joined() and owned(fleet), 20.0) >= 0
+            await fleet.until(lambda: False, 3.0)
+            fleet.first = False
+            fleet.kill("s1")
+            fleet.boot("s1")
+            back = fleet.nodes["s1"].daemon
+            await fleet.until(lambda: False, 4.0)
+            assert isinstance(back, Data) or back is None
+            mine = stores(fleet)[0]
+            return mine.counts["takeovers"], sum(p.ready for p in mine.parts.values())
+
+        taken, ready = run_sim(main, 4)
+        assert (taken, ready) == (2, 2)  # its own two again, and no other
