--- a/postpass/sched.py
+++ b/postpass/sched.py
@@ -76,6 +76,9 @@
     return parts.split(",")[0].split(":")[0] if "," in parts else ""
 
 
+PLACES = 0.75  # of a worker's slots that items of routes may take
+
+
 def allowed(slots: int, own: int, live: int, reserve: int, warm: bool) -> int:
     """Batch room at one worker: its own share, or what live calls and the reserve leave, if that is more.
     A worker that still warms up gets none."""
@@ -84,7 +87,7 @@
 
 @dataclass(eq=False)
 class Room:
-    """What is known of one worker's room for items of routes. Invariant: `most` is 1 to half of the slots."""
+    """What is known of one worker's room for items of routes. Invariant: `most` is 1 to that part of the slots."""
 
     most: float
     shut: float = 0.0  # takes none before
@@ -94,7 +97,7 @@
         self.most, self.shut = max(1.0, self.most / 2), t + pause
 
     def ran(self, slots: int) -> None:
-        self.most = min(max(1.0, slots / 2), self.most + 0.5)
+        self.most = min(max(1.0, slots * PLACES), self.most + 0.5)
 
 
 @dataclass(eq=False)
@@ -395,7 +398,7 @@
         for name, server in servers.items():
             if self.shut_out(man, pool, name):
                 continue
-            room = self.rooms.setdefault((pool, name), Room(max(1.0, server["slots"] / 2)))
+            room = self.rooms.setdefault((pool, name), Room(max(1.0, server["slots"] * PLACES)))
             out[name] = max(0, int(room.most) - room.running) if now() >= room.shut else 0
         return out
 
