Tell of a store that leaves as a member until that is covered

Cause: 'parts' showed the crew of the newest record; control called a store emptied while the old rule, under which its copy counts, still held. Change: the crew told is that of all rules that hold, so that 'done' comes only once the change is covered.

--- a/postpass/part.py
+++ b/postpass/part.py
@@ -114,6 +114,12 @@
     def ready(self) -> bool:
         return self.owning and self.covered >= self.mark
 
+    @property
+    def crew(self) -> Crew:
+        """Everyone whose copy counts under a rule that holds: while a change is not covered, also who was there before."""
+        old = self.view.old_crew if self.view.crew_seq > self.covered else {}
+        return old | self.view.crew
+
     def scene(self, crew: Iterable[str]) -> Scene:
         names = tuple(crew)
         return Scene(names, tuple((n, self.areas.get(n, "")) for n in names), self.me)
@@ -331,6 +337,15 @@
     assert not part.may_lead(view, {"s1": "d1", "s2": "d2", "s3": "d3"})
 
 
+def test_a_store_that_leaves_is_told_of_as_a_member_until_that_is_covered() -> None:
+    part = _owner()
+    part.covered = 2
+    part.make("crew", {"crew": {"s1": "d1", "s2": "d2", "s3": "d3"}})
+    assert set(part.crew) == {"s1", "s2", "s3", "s4"}
+    part.covered = 3
+    assert set(part.crew) == {"s1", "s2", "s3"}
+
+
 def test_buffers_are_freed_once_delivered_everywhere_and_past_the_budget_for_all() -> None:
     part = _owner()
     for _ in range(100):
--- a/postpass/store.py
+++ b/postpass/store.py
@@ -1187,7 +1187,7 @@
             {
                 "part": p.id, "owner": p.owner, "epoch": max(p.epoch, p.aligned), "last": p.tape.last, "covered": p.covered,
                 "persisted": p.persisted, "owning": p.owning, "ready": p.ready, "bytes": p.tape.size,
-                "crew": p.view.crew, "losses": p.view.losses,
+                "crew": p.crew, "losses": p.view.losses,
                 "mirrors": {
                     n: {"persisted": p.recorder.get(n, f.disk, "persisted"), "silent": f.silent, "full": f.full, "disk": f.disk}
                     for n, f in sorted(p.follows.items())
