--- a/tests/test_sim_broken.py
+++ b/tests/test_sim_broken.py
@@ -55,8 +55,10 @@
         else:
             heard(self, data)
 
-    def started(self: Link, exchange: Any, data: Any, bodiless: bool, limit: float, expect: Any) -> None:
-        start(self, exchange, data, bodiless, limit, None)
+    def started(
+        self: Link, exchange: Any, data: Any, bodiless: bool, limit: float, expect: Any, patience: float
+    ) -> None:
+        start(self, exchange, data, bodiless, limit, None, patience)
         if rest := early.pop(id(self), b""):
             self.data_received(rest)
 
