Keep as many backups of control as disks may be lost, in areas of their own

Cause: the grown sites bear the loss of two machines with a disk; one backup left one copy too few. Change: a pair names one primary and several backups; all have synced before an answer, a silent one is replaced under a new epoch first; any of them may lead after a loss, by the same proof; reads ask all of them. Files and messages of the older form are still read. Measured: any two of five control disks lost with power off right after an answer: nothing lost, led again within 1.5 s, three copies and five voters again within 4.7 s (test, all ten pairs).

--- a/postpass/control.py
+++ b/postpass/control.py
@@ -1,5 +1,5 @@
 """The control plane: one process a control machine. It always holds epochs, and at times the manifest as
-primary or backup: the primary syncs, writes to the backup, which syncs, and only then answers."""
+primary or backup: the primary syncs, writes to the backups, which sync, and only then answers."""
 
 from __future__ import annotations
 
@@ -20,7 +20,7 @@
 from postpass.config import Config
 from postpass.daemon import Daemon, Task
 from postpass.disk import Disk
-from postpass.epochs import Pair, Voters, Witness, majority, may_lead
+from postpass.epochs import Pair, Voters, Witness, backups_of, majority, may_lead
 from postpass.fault import BAD, BROKE, CLASH, LACK, MOVED, OLD, SHED, SLOW, Fault, Stop
 from postpass.manifest import Manifest, check, deep_flaws, dump, members, shape, with_duty
 from postpass.roster import Entry, Standing, State, Translator
@@ -63,7 +63,7 @@
         if hashlib.sha256(raw["body"].encode()).hexdigest() != raw["sum"]:
             raise ValueError("the sum doesn't match")
         body = json.loads(raw["body"])
-        return cls(body["whole"], Pair(**body["pair"]), State(**body["state"]))
+        return cls(body["whole"], Pair.of(body["pair"]), State(**body["state"]))
 
 
 INFINITY = float("inf")
@@ -72,14 +72,13 @@
 @dataclass(eq=False)
 class Control(Daemon):
     """Invariants: writes go one at a time under `lock`; `epoch` > 0 only while this is the primary of it;
-    what `news` holds was on both disks of the pair."""
+    what `news` holds was on the disks of all holders."""
 
     witness: Witness = Witness()
     held: Held = Held()
     disk_id: str = ""
     epoch: int = 0
     heard: float = 0.0
-    backup_heard: float = 0.0
     lock: asyncio.Lock = field(default_factory=asyncio.Lock)
     disk_lock: asyncio.Lock = field(default_factory=asyncio.Lock)
     bad: str = ""
@@ -98,7 +97,8 @@
         self.since = self.touched = 0.0
         self.leader = ""
         self.witness, self.held, self.disk_id, self.epoch = Witness(), Held(), "", 0
-        self.heard = self.backup_heard = 0.0
+        self.heard = 0.0
+        self.copied: dict[str, float] = {}  # when each backup last answered
         # When a primary was last heard in this life, and who waits for one.
         self.led, self.led_now = -INFINITY, asyncio.Event()
         self.sure_next: asyncio.Task[int] | None = None
@@ -204,7 +204,7 @@
         return await self.promise(new)
 
     async def on_grant(self, body: Body) -> PeerResponse:
-        new = self.witness.grant(Pair(**body["pair"]), body["who"])
+        new = self.witness.grant(Pair.of(body["pair"]), body["who"])
         if new is None:
             return Ok(self.about() | {"ok": False})
         self.heard = self.led = now()
@@ -236,7 +236,7 @@
         self.tell_led()
         if "held" in body:
             raw = body["held"]
-            new = Held(raw["whole"], Pair(**raw["pair"]), State(**raw["state"]))
+            new = Held(raw["whole"], Pair.of(raw["pair"]), State(**raw["state"]))
             if (new.whole, new.state.edition) < (self.held.whole, self.held.state.edition):
                 return Ok({"ok": False, "promised": self.witness.promised, "disk": self.disk_id})
             try:
@@ -272,32 +272,35 @@
             if got.unwrap()["promised"] > epoch and self.epoch == epoch:
                 self.fall(got.unwrap()["promised"])
             return False
-        if epoch == self.epoch and to == self.held.pair.backup:
-            self.backup_heard = now()
+        if epoch == self.epoch and to in self.held.pair.backups:
+            self.copied[to] = now()
         return True
 
+    async def copy_all(self, held: Held | None, epoch: int) -> bool:
+        """True once all backups of the epoch have answered."""
+        return all(await asyncio.gather(*(self.copy(held, epoch, n) for n in self.held.pair.backups)))
+
     async def commit(self, state: State) -> bool:
-        """Synced here, then synced at the backup, and only then true."""
+        """Synced here and at all backups, and only then true."""
         epoch = self.epoch
         held = Held(epoch, self.held.pair, state)
         await self.keep("state", held.dump())
         if self.epoch != epoch:
             return False
         self.held = held
-        if held.pair.backup and not await self.copy(held, epoch, held.pair.backup):
+        if not await self.copy_all(held, epoch):
             return False
         if self.epoch != epoch:
             return False
         self.publish()
-        # In force within its bound even if this machine dies now: the backup hands it out as well before the
+        # In force within its bound even if this machine dies now: the backups hand it out as well before the
         # operator is answered, and the witnesses are told.
-        others = [n for n in self.crew(state.manifest) if n not in (self.conf.name, held.pair.backup)]
+        others = [n for n in self.crew(state.manifest) if n not in held.pair]
         for name in others:
             task = asyncio.create_task(self.tell(name, epoch))
             self.fetches.add(task)
             task.add_done_callback(self.fetches.discard)
-        if held.pair.backup:
-            await self.copy(None, epoch, held.pair.backup)
+        await self.copy_all(None, epoch)
         return True
 
     async def tell(self, name: str, epoch: int) -> None:
@@ -362,7 +365,7 @@
         # Only now: a copy that was under way when this one promised may have been answered since.
         start = self.held
         got = {n: str(a["disk"]) for n, a in good.items()}
-        pairs = {n: Pair(**a["pair"]) for n, a in good.items()}
+        pairs = {n: Pair.of(a["pair"]) for n, a in good.items()}
         every = all(n in good for n in names if n not in gone)
         state, loss = start.state, False
         blank = all(p.epoch == 0 for p in pairs.values()) and all(a["whole"] == 0 for a in good.values())
@@ -415,31 +418,51 @@
                 self.crew(man).index(n),
             ),
         )
-        backup = liked[0] if liked else ""
-        pair = Pair(epoch, me, backup, now_voters)
+        backups = backups_of(liked, area if self.conf.announce else {n: n for n in liked}, self.conf.area, self.wanted)
+        pair = Pair(epoch, me, backups, now_voters)
         held = Held(epoch, pair, state)
-        # The new backup holds the whole state before the epoch is granted: nothing is written in between.
+        # The new backups hold the whole state before the epoch is granted: nothing is written in between.
         if self.witness.promised != epoch:
             return Err(Fault(step, me, "a higher epoch was promised", SLOW))
         await self.keep("state", held.dump())
         self.held = held
-        if backup and not await self.copy(held, epoch, backup):
-            return Err(Fault(step, me, f"backup {backup} did not take the state", SLOW))
+        if not await self.copy_all(held, epoch):
+            return Err(Fault(step, me, f"one of the backups {', '.join(backups)} did not take the state", SLOW))
         grants = await self.ask_all("grant", {"pair": asdict(pair), "who": me}, names, man)
         granted = {n: str(a["disk"]) for n, a in grants.items() if a["ok"]}
         enough = majority(now_voters, granted) and (every or majority(voters, granted))
         if not enough or self.witness.promised != epoch:
             return Err(Fault(step, me, "too few granted the epoch", SLOW))
-        self.epoch, self.backup_heard, self.leader = epoch, now(), me
+        self.epoch, self.copied, self.leader = epoch, dict.fromkeys(backups, now()), me
         self.tell_led()
-        if why not in ("backup lost", "no backup") and not why.startswith("voters"):
+        if why not in ("backup lost", "too few backups") and not why.startswith("voters"):
             self.since, self.beats = now(), {}
-        events.emit(133 if loss else 130, self.conf.name, epoch=epoch, backup=backup, edition=state.edition, why=why)
+        events.emit(
+            133 if loss else 130, self.conf.name, epoch=epoch, backup=",".join(backups), edition=state.edition, why=why
+        )
         for name in sorted(set(now_voters) - {n for n, d in voters.items() if now_voters.get(n) == d}):
             events.emit(134, self.conf.name, joins=name)
         self.publish()
         return Ok(None)
 
+    @property
+    def wanted(self) -> int:
+        """How many backups there should be: one more copy than may be lost, with the primary's own."""
+        return max(1, self.conf.disks_lost)
+
+    def better(self, man: Manifest, answered: list[str]) -> bool:
+        """Could there be more backups, or copies in more areas, with those that answered?"""
+        pair, area = self.held.pair, {n: man["machines"][n]["area"] for n in self.crew(man)}
+        if len(pair.backups) < self.wanted:
+            return bool(set(answered) - set(pair.holders))
+        if not self.conf.announce:
+            return False
+        there = [*pair.backups, *answered]
+        if not set(pair.backups) <= set(area):
+            return True
+        best = backups_of(there, area, self.conf.area, self.wanted)
+        return len({self.conf.area, *(area[n] for n in best)}) > len({self.conf.area, *(area[n] for n in pair.backups)})
+
     async def newest(self, man: Manifest) -> tuple[int, Manifest] | None:
         """The newest edition that daemons hold, once most of them have been heard."""
         names = [n for n, m in man["machines"].items() if not m.get("gone") and n != self.conf.name]
@@ -475,10 +498,9 @@
         """The primary's beat: its backup, the witnesses' word, and whoever waits to be let in again."""
         b, epoch, pair = self.conf.bounds, self.epoch, self.held.pair
         async with self.lock:
-            if pair.backup:
-                await self.copy(None, epoch, pair.backup)
+            await self.copy_all(None, epoch)
         # Witnesses hear that there is a primary, and tell if they promised a higher epoch.
-        others = [n for n in self.crew(man) if n not in (self.conf.name, pair.backup)]
+        others = [n for n in self.crew(man) if n not in pair]
         told = {"epoch": epoch, "who": self.conf.name, "edition": self.news.edition, "at": self.conf.peer}
         looks = await self.ask_all("copy", told, others, man)
         if self.epoch != epoch:
@@ -489,27 +511,28 @@
                 return
         if man.get("announced"):
             self.spoke |= dict.fromkeys([*looks, self.conf.name], now())
-            self.spoke[pair.backup] = max(self.backup_heard, self.spoke.get(pair.backup, 0.0))
+            for name, at in self.copied.items():
+                self.spoke[name] = max(at, self.spoke.get(name, 0.0))
             self.spawn(self.tend())
-        lost = bool(pair.backup) and now() - self.backup_heard > b.detect
-        alone = not pair.backup and bool(looks)
+        lost = any(now() - at > b.detect for at in self.copied.values())
+        few = self.better(man, list(looks))
         odd = [n for n, a in looks.items() if pair.voters.get(n) != a["disk"]]
         gone = [n for n in pair.voters if n not in self.crew(man)]
-        if lost or alone or odd or gone:
+        if lost or few or odd or gone:
             async with self.lock:
-                why = "backup lost" if lost else "no backup" if alone else f"voters {odd or gone}"
+                why = "backup lost" if lost else "too few backups" if few else f"voters {odd or gone}"
                 self.epoch = 0
                 got = await self.stand(man, why)
                 if isinstance(got, Ok):
-                    events.emit(132, self.conf.name, backup=self.held.pair.backup, why=why)
+                    events.emit(132, self.conf.name, backup=",".join(self.held.pair.backups), why=why)
                 else:
                     self.heard = now() - b.detect
 
     async def rise(self) -> None:
         """After a start: where most have started as well and nobody has heard a primary since, there is none to wait for.
 
-        The primary of the newest epoch stands at once. Its backup lets it, for a beat, unless it is seen that it lost
-        its disk; anyone else leaves it to the ordinary watch. A mistake costs an epoch and no more.
+        The primary of the newest epoch stands at once. Each backup lets those before it, for a beat, unless it is seen that they
+        lost their disks; anyone else leaves it to the ordinary watch. A mistake costs an epoch and no more.
         """
         b, began, seen = self.conf.bounds, now(), INFINITY
         while now() - began < b.detect and not (self.epoch or self.leaving) and self.led < began:
@@ -520,16 +543,14 @@
                 if any(not a["ok"] for a in looks.values()):
                     return
                 every = looks | {me: self.about()}
-                best = max((Pair(**a["pair"]) for a in every.values()), key=lambda p: p.epoch)
+                best = max((Pair.of(a["pair"]) for a in every.values()), key=lambda p: p.epoch)
                 got = {n: str(a["disk"]) for n, a in every.items()}
-                able = [
-                    n for n in dict.fromkeys((best.primary, best.backup)) if n in got and best.voters.get(n) == got[n]
-                ]
+                able = [n for n in best.holders if n in got and best.voters.get(n) == got[n]]
                 if majority(best.voters, got) and me in able and self.held.whole == best.epoch:
                     seen = min(seen, now())
                     # The primary went first if its disk is here; one that is not heard yet may be starting.
-                    first = me == able[0] and (me == best.primary or best.primary in got)
-                    if first or now() - seen > b.beat:
+                    first = all(n in got for n in best.holders[: best.holders.index(me)])
+                    if (me == able[0] and first) or now() - seen > b.beat * best.holders.index(me):
                         async with self.lock:
                             done = (
                                 await self.stand(man, "restarted") if not self.epoch and self.led < began else Ok(None)
@@ -561,7 +582,7 @@
     def could_lead(self, man: Manifest, looks: dict[str, Body]) -> bool:
         """Is it this one's turn to try? One that can't lead would only burn epochs of one that can."""
         every = looks | {self.conf.name: self.about()}
-        best = max((Pair(**a["pair"]) for a in every.values()), key=lambda p: p.epoch)
+        best = max((Pair.of(a["pair"]) for a in every.values()), key=lambda p: p.epoch)
         if self.held.whole >= best.epoch or self.conf.name in best:
             return True
         able = [n for n, a in every.items() if n in best and best.voters.get(n) == a["disk"]]
@@ -686,7 +707,7 @@
                 )
             if state.manifest is not None and man["parts"] != state.manifest["parts"]:
                 return Err(Fault(step, me, f"parts: stays {state.manifest['parts']}; lots are spread by it", BAD))
-            if not set(self.crew(man)) & {me, self.held.pair.backup}:
+            if not set(self.crew(man)) & set(self.held.pair.holders):
                 return Err(Fault(step, me, "machines: neither primary nor backup stays a control machine", BAD))
             strange = await self.strangers(state.manifest, man)
             if strange:
@@ -704,30 +725,39 @@
             return Ok({"edition": state.edition + 1})
 
     async def depart(self) -> None:
-        """A primary that leaves asks its backup to lead, instead of being missed."""
+        """A primary that leaves asks a backup to lead, instead of being missed."""
         async with self.lock:
-            epoch, addr = self.epoch, self.addr(self.held.pair.backup)
-            if not epoch or not addr:
+            epoch, addrs = self.epoch, [a for n in self.held.pair.backups if (a := self.addr(n))]
+            if not epoch or not addrs:
                 return
             self.epoch = 0
             events.emit(131, self.conf.name, epoch=epoch, seen="handed over")
-        await self.lines.call(addr, "adopt", {"epoch": epoch}, self.conf.bounds.promise * 2)
+        for addr in addrs:
+            got = await self.lines.call(addr, "adopt", {"epoch": epoch}, self.conf.bounds.promise * 2)
+            if isinstance(got, Ok) and got.unwrap()["ok"]:
+                return
 
     async def on_adopt(self, body: Body) -> PeerResponse:
-        """The primary of an epoch leaves and won't write under it again: its backup may stand at once."""
+        """The primary of an epoch leaves and won't write under it again: a backup may stand at once."""
         man = self.known()
         async with self.lock:
-            if man is None or self.epoch or self.held.whole != body["epoch"] or self.conf.name != self.held.pair.backup:
+            if (
+                man is None
+                or self.epoch
+                or self.held.whole != body["epoch"]
+                or self.conf.name not in self.held.pair.backups
+            ):
                 return Ok({"ok": False})
             got = await self.stand(man, "handed over")
         return Ok({"ok": isinstance(got, Ok)})
 
     async def sure(self) -> bool:
-        """A round trip to the backup, or without one to most voters: no one else leads."""
+        """A round trip to all backups, or without that to most voters: no one else leads, for whoever does has the state,
+        and the promises of most voters."""
         epoch, pair = self.epoch, self.held.pair
         if not epoch:
             return False
-        if pair.backup and await self.copy(None, epoch, pair.backup):
+        if pair.backups and await self.copy_all(None, epoch):
             return self.epoch == epoch
         man = self.known()
         assert man is not None
@@ -962,7 +992,7 @@
                 if isinstance(again, Err):
                     self.heard = now() - b.detect
                 else:
-                    events.emit(132, me, backup=self.held.pair.backup, why="it did not take a write")
+                    events.emit(132, me, backup=",".join(self.held.pair.backups), why="it did not take a write")
         return [Err(Fault("write", me, "not known whether it was taken; ask again", SLOW)) for _ in edits]
 
     # --- announced fleets: who is heard
@@ -1243,15 +1273,15 @@
         return {
             "control": {
                 "epoch": self.witness.pair.epoch, "promised": self.witness.promised, "primary": self.witness.pair.primary,
-                "backup": self.witness.pair.backup, "leads": self.epoch > 0, "disk": self.disk_id,
+                "backup": self.witness.pair.backup, "backups": list(self.witness.pair.backups), "leads": self.epoch > 0, "disk": self.disk_id,
                 "voters": self.witness.pair.voters, "losses": self.held.state.losses, "bad": self.bad,
-                "backup_heard": round(now() - self.backup_heard, 3) if self.epoch else None,
+                "backup_heard": round(now() - min(self.copied.values(), default=now()), 3) if self.epoch else None,
             }
         }  # fmt: skip
 
 
 def test_held_state_knows_when_it_is_damaged() -> None:
-    held = Held(3, Pair(3, "c1", "c2", {"c1": "d"}), State(7, None, 1))
+    held = Held(3, Pair(3, "c1", ("c2",), {"c1": "d"}), State(7, None, 1))
     assert Held.load(held.dump()) == held
     try:
         Held.load(held.dump().replace(b'edition\\":7', b'edition\\":8'))
--- a/postpass/doctor.py
+++ b/postpass/doctor.py
@@ -114,12 +114,12 @@
         c = views[name]
         if not c["backup"]:
             out.append(Finding("D11", "control", f"primary {name} has no backup", "start another control machine"))
-        elif c["backup"] not in views:
+        elif silent := [n for n in c.get("backups", [c["backup"]]) if n not in views]:
             out.append(
                 Finding(
                     "D11",
                     "control",
-                    f"backup {c['backup']} does not answer",
+                    f"backup {', '.join(silent)} does not answer",
                     "start it; another is taken if it stays away",
                 )
             )
--- a/postpass/epochs.py
+++ b/postpass/epochs.py
@@ -3,22 +3,41 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Mapping
 from dataclasses import asdict, dataclass, field, replace
+from typing import Any
 
 Voters = dict[str, str]  # name -> disk
 
 
 @dataclass(frozen=True)
 class Pair:
-    """Invariant: an epoch names one primary and one backup, for good."""
+    """Invariant: an epoch names one primary and its backups, for good; every one of them has synced a write before it is
+    answered."""
 
     epoch: int = 0
     primary: str = ""
-    backup: str = ""
+    backups: tuple[str, ...] = ()
     voters: Voters = field(default_factory=dict)
 
     def __contains__(self, name: object) -> bool:
-        return name in (self.primary, self.backup)
+        return name == self.primary or name in self.backups
+
+    @property
+    def holders(self) -> tuple[str, ...]:
+        """Who keeps the state, in the order in which they lead."""
+        return (self.primary, *self.backups)
+
+    @property
+    def backup(self) -> str:
+        """The one that leads next."""
+        return self.backups[0] if self.backups else ""
+
+    @classmethod
+    def of(cls, raw: dict[str, Any]) -> Pair:
+        """From JSON; releases up to 0.2.0 knew one backup."""
+        backups = raw["backups"] if "backups" in raw else [raw["backup"]] if raw["backup"] else []
+        return cls(raw["epoch"], raw["primary"], tuple(backups), raw["voters"])
 
 
 @dataclass(frozen=True)
@@ -46,7 +65,19 @@
     @classmethod
     def load(cls, data: bytes) -> Witness:
         raw = json.loads(data)
-        return cls(raw["promised"], raw["to"], Pair(**raw["pair"]))
+        return cls(raw["promised"], raw["to"], Pair.of(raw["pair"]))
+
+
+def backups_of(ranked: list[str], area: Mapping[str, str], mine: str, want: int) -> tuple[str, ...]:
+    """As many as are wanted, the better ranked first, no two of them or with `mine` in one area while areas suffice."""
+    out: list[str] = []
+    used, rest = {mine}, list(ranked)
+    while rest and len(out) < want:
+        name = min(rest, key=lambda n: (area[n] in used, ranked.index(n)))
+        rest.remove(name)
+        out.append(name)
+        used.add(area[name])
+    return tuple(out)
 
 
 def majority(voters: Voters, got: Voters) -> bool:
@@ -79,9 +110,9 @@
     w = Witness()
     w1 = w.look(3, "c1")
     assert w1 and w1.look(3, "c2") is None and w1.look(2, "c1") is None
-    pair = Pair(3, "c1", "c2", {"c1": "d1"})
+    pair = Pair(3, "c1", ("c2",), {"c1": "d1"})
     w2 = w1.grant(pair, "c1")
-    assert w2 and w1.grant(Pair(3, "c2", "c3"), "c2") is None
+    assert w2 and w1.grant(Pair(3, "c2", ("c3",)), "c2") is None
     assert Witness.load(w2.dump()) == w2
     w3 = w2.look(4, "c2")
     assert w3 and w3.grant(pair, "c1") is None and w3.pair == pair
@@ -89,7 +120,7 @@
 
 def test_a_dropped_backup_cannot_come_back_with_old_state() -> None:
     voters = {f"c{i}": f"d{i}" for i in range(1, 5)}
-    old, new = Pair(1, "c1", "c2", voters), Pair(2, "c1", "c3", voters)
+    old, new = Pair(1, "c1", ("c2",), voters), Pair(2, "c1", ("c3",), voters)
 
     def rule(me: str, whole: int, own: Pair, pairs: dict[str, Pair], got: Voters) -> str:
         return may_lead(me, whole, own, pairs, voters, got)
--- a/postpass/overview.py
+++ b/postpass/overview.py
@@ -52,7 +52,11 @@
             more = [
                 "control",
                 f"epoch {control['epoch']}",
-                "primary" if control["leads"] else "backup" if control["backup"] == name else "witness",
+                "primary"
+                if control["leads"]
+                else "backup"
+                if name in control.get("backups", [control["backup"]])
+                else "witness",
             ]
             if control["losses"]:
                 more.append(f"LOSSES {control['losses']}")
--- a/tests/test_announced_control.py
+++ b/tests/test_announced_control.py
@@ -188,6 +188,52 @@
             assert 0 <= primary < 0.5 and 0 <= edges < 0.5, (spread, silent, wiped, seed, primary, edges)
 
 
+def test_any_two_disks_of_control_may_go_where_two_losses_are_borne() -> None:
+    """Right after the answer, while everyone else loses power: what was answered is still there, and the copies are
+    as many as before, in areas of their own."""
+
+    async def scene(f: Fleet, lost: tuple[str, str]) -> float:
+        await f.until(f.joined, 10)
+        await f.until(lambda: (lead := f.primary()) is not None and len(lead.held.pair.voters) == 5, 10)
+        got = await f.ask("c2", lambda c: c.apply_source(document(3), 0))
+        assert got.is_ok()
+        lead = f.primary()
+        assert lead is not None and len(lead.held.pair.backups) == 2
+        assert len({f.nodes[n].conf.area for n in lead.held.pair.holders}) == 3
+        f.first = False
+        for name in f.nodes:
+            f.kill(name, silent=True)
+        for name, node in f.nodes.items():
+            if node.disk is not None:
+                node.disk.power_off()
+            if name in lost:
+                node.disk = SimDisk(random.Random(name + "new"))
+            node.conf = replace(node.conf, bootstrap=False)
+        await asyncio.sleep(1)
+        for name in f.nodes:
+            f.boot(name)
+        took = await f.until(f.primary, 6)
+        lead = f.primary()
+        assert lead is not None and lead.held.state.losses == 0, lost
+        assert (await f.ask("c1", lambda c: c.read_source())).unwrap()["source"] == document(3)
+
+        def whole() -> bool:
+            lead = f.primary()
+            if lead is None or len(lead.held.pair.backups) != 2:
+                return False
+            voters = {n: f.nodes[n].daemon.disk_id for n in lead.held.pair.voters}  # type: ignore[union-attr]
+            return voters == lead.held.pair.voters and len(voters) == 5
+
+        refilled = await f.until(whole, 8)
+        assert 0 <= refilled < 4.7, (lost, refilled)
+        return took
+
+    for a in range(1, 6):
+        for b in range(a + 1, 6):
+            took = play(lambda f: scene(f, (f"c{a}", f"c{b}")), control=5, stores=6, edges=2, lost=2)  # noqa: B023
+            assert 0 <= took < 1.5, (a, b, took)
+
+
 def test_evacuation_and_retirement_are_taken_by_any_control_machine() -> None:
     async def scene(f: Fleet) -> None:
         await f.until(f.joined, 10)
