Tell those refused by a starting process to come again sooner, then later

Cause: since control stands at once after a common restart, processes are ready 0.1 s after their start, but refused callers were told to come 2.1 s after it. Change: 0.4 detect at first, 1.4 once that didn't suffice.

--- a/postpass/relay.py
+++ b/postpass/relay.py
@@ -46,7 +46,7 @@
 SILENT_FIRST, SILENT_MOST = 1.0, 4.0  # the same where nothing came at all
 PATIENCE = 1 / 3  # of the aim, or of the longest pause: silence from which a worker is knocked at
 CONNS_PART = 0.9
-READY_AFTER = 1.4  # times `detect` since its start by which a process should be ready
+READY_SOON, READY_LATE = 0.4, 1.4  # times `detect` since its start by which a process is ready: mostly, and at worst
 EVENT_ID = re.compile(rb"(?:^|\n)id:[ ]?(\d+)\r?(?=\n)")
 
 
@@ -306,8 +306,10 @@
         await send({"type": "http.response.body", "body": b""})
 
     def soon(self) -> float:
-        """Seconds until one that isn't ready should be: after a loss of everything, control finds itself in `detect`."""
-        return max(0.5, self.conf.bounds.detect * READY_AFTER - (now() - self.started))
+        """Seconds until one that isn't ready should be: after a common restart control stands at once, or else in
+        `detect`."""
+        detect, up = self.conf.bounds.detect, now() - self.started
+        return max(0.5, detect * (READY_SOON if up < detect * READY_SOON / 2 else READY_LATE) - up)
 
     async def refuse(self, send: Any, wait: float, why: str) -> None:
         """A promise: it has not run and never will."""
