Settle a covered change of members in the log itself

Cause: after a loss of power a store has only its log, which did not tell whether a change of members was covered. Change: once a change of members or predicate is covered, the owner sequences a mark that settles it; a log that holds it counts by the new rule alone.

--- a/postpass/lots.py
+++ b/postpass/lots.py
@@ -99,13 +99,18 @@
     claims: dict[str, Body] = field(default_factory=dict)  # calls that may not be repeated
     crew: dict[str, str] = field(default_factory=dict)  # members that count: name -> disk
     crew_seq: int = 0
-    old_crew: dict[str, str] = field(default_factory=dict)  # before the last change
+    old_crew: dict[str, str] = field(default_factory=dict)  # before the last change; `crew` once that is settled
     predicate: str = ""
     old_predicate: str = ""
     predicate_seq: int = 0
     losses: int = 0  # the partition's edition: how often more was lost than is tolerated
     lost: dict[str, int] = field(default_factory=dict)  # lots known to be lost
 
+    def unsettled(self) -> int:
+        """The last change of members or predicate that this log does not prove to be covered; 0 if it proves all."""
+        crew = self.crew_seq if self.old_crew not in ({}, self.crew) else 0
+        return max(crew, self.predicate_seq if self.old_predicate != self.predicate else 0)
+
     def fold(self, rec: Record) -> None:
         body, raw = parted(rec.body)
         getattr(self, f"_{rec.kind}")(rec.seq, body)
@@ -113,7 +118,12 @@
             self.lots[body["id"]].raw = raw
 
     def _mark(self, seq: int, body: Body) -> None:
-        pass
+        # A mark may prove that everything up to `settled` was covered: then what held before a change holds no more.
+        upto = body.get("settled", 0)
+        if self.crew_seq <= upto:
+            self.old_crew = self.crew
+        if self.predicate_seq <= upto:
+            self.old_predicate = self.predicate
 
     def _lot(self, seq: int, body: Body) -> None:
         lot = body["id"]
--- a/postpass/part.py
+++ b/postpass/part.py
@@ -131,11 +131,12 @@
         )
 
     def rules(self, view: LotView, text: str = "") -> list[tuple[Crew, str]]:
-        """Crew and predicate that count; while a change is not yet covered, the old ones as well."""
+        """Crew and predicate that count; while a change is not known to be covered, the old ones as well. It is known from
+        what an owner said of `covered` in this life, or from the log itself, by a mark that settles it."""
         now = [(view.crew, text or view.predicate)]
-        if view.crew_seq > self.covered and view.old_crew:
+        if view.crew_seq > self.covered and view.old_crew not in ({}, view.crew):
             now.append((view.old_crew, text or view.predicate))
-        if view.predicate_seq > self.covered and not text:
+        if view.predicate_seq > self.covered and view.old_predicate != view.predicate and not text:
             now += [(c, view.old_predicate) for c, _ in list(now)]
         return now
 
@@ -229,6 +230,10 @@
         self.recorder.put(self.me, self.disk, "received", rec.seq)
         return rec
 
+    def provable(self) -> int:
+        """As owner: up to where a mark may settle changes, since they are covered and the log doesn't prove it; else 0."""
+        return self.covered if self.ready and 0 < self.view.unsettled() <= self.covered else 0
+
     def sync_to(self, place: int) -> bool:
         """The log on disk is synced up to `place`: what does that make persisted here?"""
         seq = -1
@@ -346,6 +351,53 @@
     assert set(part.crew) == {"s1", "s2", "s3"}
 
 
+def _restarted(part: Part) -> tuple[Part, LotView]:
+    """The same log after a loss of power: what was heard of `covered` is forgotten."""
+    fresh = Part(0, "s1", "d1", Tape(base=LotView(), recs=list(part.tape.recs)), areas=part.areas)
+    return fresh, head(fresh.tape)
+
+
+def test_a_log_that_settles_a_change_needs_no_word_of_who_was_there_before() -> None:
+    part = _owner()
+    part.covered = 2
+    part.make("crew", {"crew": {"s1": "d1", "s2": "new", "s3": "d3", "s4": "d4"}})
+    assert not part.provable()  # nothing proves what isn't covered
+    part.covered = 3
+    now = {"s1": "d1", "s2": "new", "s3": "d3"}  # of the four before the change only two are left
+    fresh, view = _restarted(part)
+    assert not fresh.may_lead(view, now)
+    assert part.provable() == 3
+    part.make("mark", {"settled": 3})
+    assert not part.provable()
+    fresh, view = _restarted(part)
+    assert fresh.may_lead(view, now) and not fresh.may_lead(view, {"s1": "d1", "s2": "d2", "s3": "d3"})
+    fresh.lead(2)
+    assert not fresh.hopeless(now)
+    fresh.mark = fresh.make("mark", {}).seq
+    for name, disk in now.items():
+        fresh.recorder.put(name, disk, "persisted", fresh.mark)
+    assert fresh.advance() and fresh.covered == fresh.mark
+
+
+def test_a_mark_settles_only_changes_up_to_what_was_covered_when_it_was_written() -> None:
+    part = _owner()
+    part.covered = 2
+    part.make("predicate", {"text": "MIN($ALLWNODES)"})
+    part.make("mark", {"settled": 2})
+    part.make("crew", {"crew": {"s1": "d1", "s2": "new", "s3": "d3", "s4": "d4"}})
+    fresh, view = _restarted(part)
+    assert len(fresh.rules(view)) == 4 and view.unsettled() == 5
+    part.make("mark", {"settled": 3})
+    fresh, view = _restarted(part)
+    assert [c["s2"] for c, _ in fresh.rules(view)] == ["new", "d2"] and {t for _, t in fresh.rules(view)} == {
+        "MIN($ALLWNODES)"
+    }
+    assert LotView.load(view.dump()).unsettled() == 5
+    part.make("mark", {"settled": 5})
+    fresh, view = _restarted(part)
+    assert fresh.rules(view) == [(view.crew, "MIN($ALLWNODES)")] and LotView.load(view.dump()).unsettled() == 0
+
+
 def test_buffers_are_freed_once_delivered_everywhere_and_past_the_budget_for_all() -> None:
     part = _owner()
     for _ in range(100):
--- a/postpass/store.py
+++ b/postpass/store.py
@@ -446,7 +446,17 @@
             self.kicks[name].set()
 
     def moved(self, part: Part) -> None:
-        part.advance()
+        if part.advance():
+            self.prove(part)
+
+    def prove(self, part: Part) -> None:
+        """A change that is covered is settled in the log at once: an election after a loss of power has only the log."""
+        upto = part.provable()
+        if upto:
+            try:
+                self.add(part, "mark", {"settled": upto})
+            except Stop:
+                return
 
     async def feed(self, name: str) -> None:
         """One FIFO link to one mirror, for all partitions owned here; nothing on it is waited for."""
@@ -695,6 +705,7 @@
         assert man is not None
         if view.crew_seq > part.covered or view.predicate_seq > part.covered:
             return
+        self.prove(part)
         if man.get("predicate", "") != view.predicate:
             self.add(part, "predicate", {"text": man.get("predicate", "")})
             return
