Raise copies only by stores that are heard, so a dead one can be dropped

Cause: with three stores, one gone for good and its heir at another address counted as four, copies rose to 4, and replaced() then found too few peers to drop the dead one; a later wipe took the majority. Change: copies rise once no store has come for recover/4, and only by stores heard within the patience, which is shorter.

--- a/postpass/control.py
+++ b/postpass/control.py
@@ -1009,14 +1009,15 @@
             late = [w for w, q in quiet.items() if q > 10 * self.conf.beat]
         gone = roster.replaced(man, silent, self.met, self.since, t, self.patience)
         joined = max((self.met.get(n, 0.0) for n in with_duty(man, "store")), default=t)
-        few = t - max(joined, self.since) > b.recover / 4
+        few = t - max(joined, self.since) > b.recover / 4  # longer than the patience, so that `heard` leaves out the gone
+        heard = [n for n, q in silent.items() if q <= self.patience]
 
         def fold(s: State) -> Result[State, Fault]:
             if late:
                 s = roster.expired(s, late)
             if gone:
                 s = roster.dropped(s, gone)
-            return Ok(roster.settled(s, self.conf.disks_lost, few))
+            return Ok(roster.settled(s, self.conf.disks_lost, few, heard))
 
         if fold(state).unwrap() is not state:
             got = await self.change(fold, 0.0)
--- a/postpass/roster.py
+++ b/postpass/roster.py
@@ -196,12 +196,15 @@
     return out
 
 
-def settled(state: State, lost: int, late: bool) -> State:
-    """`copies` follows the stores there are: up to what is wanted, and below it only in a fleet that has stayed small."""
+def settled(state: State, lost: int, late: bool, heard: Iterable[str]) -> State:
+    """`copies` follows the stores there are, once no new one has come for a while (`late`): up to what is wanted by those
+    that are heard, since one that is gone for good holds no copy; and below it only in a fleet that has stayed small."""
     man = state.man
-    stores = [n for n in with_duty(man, "store") if not man["machines"][n].get("retire")]
-    want = min(wanted_copies(lost), max(len(stores), 1))
-    if man["copies"] < want or (late and stores and want < man["copies"]):
+    stores = {n for n in with_duty(man, "store") if not man["machines"][n].get("retire")}
+    most = wanted_copies(lost)
+    if late and man["copies"] < (want := min(most, len(stores & set(heard)))):
+        return edit(state, copies=want)
+    if late and stores and (want := min(most, len(stores))) < man["copies"]:
         return edit(state, copies=want)
     return state
 
@@ -349,3 +352,20 @@
         return state
     disk = state.man["machines"].get(name, cast(Machine, {})).get("disk", "")
     return replace(dropped(state, [name]), retired={**state.retired, name: disk})
+
+
+def test_copies_follow_the_stores_that_are_heard() -> None:
+    def fleet(*names: str, copies: int) -> State:
+        entries: list[Entry] = [
+            {"name": n, "area": "a", "peer": f"{n}:1", "http": f"{n}:2", "duties": ["store"], "born": 1, "disk": n}
+            for n in names
+        ]
+        return edit(State(manifest=founded(entries, ["a"], 1)), copies=copies)
+
+    four = fleet("s1", "s2", "s3", "s4", copies=3)
+    assert settled(four, 1, False, ["s1", "s2", "s3", "s4"]) is four  # not while they still come
+    assert settled(four, 1, True, ["s2", "s3", "s4"]) is four  # one is gone, and may be dropped for that
+    assert settled(four, 1, True, ["s1", "s2", "s3", "s4"]).man["copies"] == 4
+    more = fleet("s1", "s2", "s3", "s4", copies=4)
+    assert settled(more, 1, True, ["s2", "s3"]) is more  # a silence lowers nothing
+    assert settled(fleet("s1", "s2", "s3", copies=4), 1, True, []).man["copies"] == 3
