A wiped leader lets others stand

Cause: could_lead took a machine of the newest pair by its name, so one that came back with a new disk burnt epochs for ever. Its disk must match.

--- a/postpass/control.py
+++ b/postpass/control.py
@@ -583,7 +583,9 @@
         """Is it this one's turn to try? One that can't lead would only burn epochs of one that can."""
         every = looks | {self.conf.name: self.about()}
         best = max((Pair.of(a["pair"]) for a in every.values()), key=lambda p: p.epoch)
-        if self.held.whole >= best.epoch or self.conf.name in best:
+        if self.held.whole >= best.epoch or (
+            self.conf.name in best and best.voters.get(self.conf.name) == self.disk_id
+        ):
             return True
         able = [n for n, a in every.items() if n in best and best.voters.get(n) == a["disk"]]
         # Of a pair that both lost their disks, anyone may go on, once all have told so.
