Give a lot up when its route is gone, and send its items by no older configuration

Cause: items of a removed route waited for expireS and stayed with the scheduler; a scheduler or owner behind on news could send an item where only a version before its 202 allowed; a route whose weights had no pool would have ended the scheduler's task. Change: a lot carries the edition known when it was sequenced; gate, placing and giving up heed it. Items of whole lots are dropped.

--- a/postpass/control.py
+++ b/postpass/control.py
@@ -1009,7 +1009,9 @@
             late = [w for w, q in quiet.items() if q > 10 * self.conf.beat]
         gone = roster.replaced(man, silent, self.met, self.since, t, self.patience)
         joined = max((self.met.get(n, 0.0) for n in with_duty(man, "store")), default=t)
-        few = t - max(joined, self.since) > b.recover / 4  # longer than the patience, so that `heard` leaves out the gone
+        few = (
+            t - max(joined, self.since) > b.recover / 4
+        )  # longer than the patience, so that `heard` leaves out the gone
         heard = [n for n, q in silent.items() if q <= self.patience]
 
         def fold(s: State) -> Result[State, Fault]:
--- a/postpass/lotdesk.py
+++ b/postpass/lotdesk.py
@@ -87,7 +87,7 @@
         items = [{k: item[k] for k in Item.__annotations__} for item in raw["items"]]
         came = edge.world.wall()
         lot: Body = {"id": lot_id, "route": name, "items": items, "due": round(came + route["due"], 3),
-                     "expire": route["expire"], "tries": route["tries"]}  # fmt: skip
+                     "expire": route["expire"], "tries": route["tries"], "since": edge.news.edition}  # fmt: skip
         got = await edge.to_owner(part_of(lot_id, edge.man["parts"]), "accept", {"lot": lot}, now() + self.patience())
         if isinstance(got, Ok):
             edge.lots.labels("kept").inc()
--- a/postpass/routed.py
+++ b/postpass/routed.py
@@ -109,6 +109,8 @@
                     return got
             if part.epoch != epoch:
                 return Err(Fault("accept", store.conf.name, "not the owner any more", MOVED))
+            # Where its items may go is up to this version of the configuration or a later one, never to one before.
+            lot = lot | {"since": max(int(lot.get("since", 0)), store.news.edition)}
             try:
                 store.add(part, "lot", lot, vital=False, raw=raw)
             except Stop as bad:
@@ -297,7 +299,7 @@
 
     # --- time
     def over(self, part: Part, lot: Lot) -> bool:
-        """May the lot leave? Gives up what has expired. Times count from when this owner saw the lot first: later than
+        """May the lot leave? Gives up what has expired, or whose route a configuration since its 202 has no more. Times count from when this owner saw the lot first: later than
         it was sent, never earlier, whatever the wall clocks do."""
         store = self.store
         age = now() - self.seen.setdefault((part.id, part.epoch, lot.id), now())
@@ -305,7 +307,8 @@
         keep = store.conf.bounds.keep or (man.get("retention", 3600.0) if man else 3600.0)
         if lot.whole or lot.state == "ended":
             return age > keep * 1.1
-        if age > lot.body["expire"] and lot.seq <= part.covered:
+        gone = store.news.edition >= lot.body.get("since", 0) and self.route(lot.body["route"]) is None
+        if (gone or age > lot.body["expire"]) and lot.seq <= part.covered:
             for i in range(lot.size):
                 if i not in lot.results:
                     store.add(part, "result", {"id": lot.id, "item": i, "status": "abandoned", "output": ""})
--- a/postpass/sched.py
+++ b/postpass/sched.py
@@ -50,6 +50,7 @@
     # An item of a route: the call, the pool it was placed in, what is known of its text, and when it may go out.
     call: Body = field(default_factory=dict)
     tries: int = 0
+    since: int = 0  # no older version of the configuration may send it out
     pool: str = ""
     text: Text = field(default_factory=Text)
     after: float = 0.0
@@ -321,6 +322,7 @@
                 row["caller"],
                 call=row.get("call", {}),
                 tries=row.get("tries", 0),
+                since=row.get("since", 0),
             )
             self.jobs.setdefault(job.key, job)
 
@@ -436,9 +438,11 @@
         free: dict[str, dict[str, int]] = {}
         for job in sorted(ready, key=lambda j: (j.due, j.lot, j.item)):
             route = man.get("routes", {}).get(job.kind.removeprefix("route:"))
-            if route is None or now() >= self.leases.get(job.part, 0.0):
+            if route is None or self.news.edition < job.since or now() >= self.leases.get(job.part, 0.0):
                 continue
             split = [(s["pool"], s["weight"]) for s in route["split"] if s["weight"] > 0 and s["pool"] in man["pools"]]
+            if not split:
+                continue
             job.pool = job.pool if job.pool in dict(split) else weighted(job.call["id"], split)
             rooms = free.setdefault(job.pool, self.free(man, job.pool))
             names = [n for n, f in rooms.items() if f > 0]
@@ -460,6 +464,8 @@
             return "the lease has passed"
         if now() - self.news.heard > self.conf.bounds.deaf:
             return "no news for too long"
+        if self.news.edition < job.since:
+            return "the configuration known here is older than its lot"
         route = man.get("routes", {}).get(job.kind.removeprefix("route:")) if man else None
         if man is None or route is None or pool not in [s["pool"] for s in route["split"] if s["weight"] > 0]:
             return "the route goes elsewhere now"
--- a/postpass/store.py
+++ b/postpass/store.py
@@ -1130,7 +1130,7 @@
         stop = [
             lot
             for lot in sorted({lot for lot, _ in held})
-            if lot not in part.view.lots or part.view.lots[lot].state != "open"
+            if lot not in part.view.lots or part.view.lots[lot].state != "open" or part.view.lots[lot].whole
         ]
         lots = sorted(
             (x for x in part.view.lots.values() if x.state == "open" and not x.whole and x.seq <= part.covered),
@@ -1156,6 +1156,7 @@
                 if "route" in lot.body:
                     made = base64.b64encode(lot.item_body(i) or b"").decode()
                     row |= {"call": lot.body["items"][i] | {"body": made}, "tries": lot.body["tries"]}
+                    row["since"] = lot.body.get("since", 0)
                 else:
                     row |= {"text": lot.body["items"][i], "shared": lot.body.get("shared", [])}
                 out.append(row)
