--- a/sim/announced.py
+++ b/sim/announced.py
@@ -314,7 +314,7 @@
         spot = self.zones.index(zone)
         number = 1 + sum(n.startswith("worker-") for n in self.boxes)
         name = f"worker-{service}-{number}"
-        self.boxes[name] = Box(name, zone, (f"10.{spot + 1}.9.{number}",), None)
+        self.boxes[name] = Box(name, zone, (f"10.{spot + 1}.{9 + number // 250}.{number % 250}",), None)
         self.make_worker(name, service, cold)
         return name
 
