--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -42,7 +42,7 @@
 from postpass.tape import Record
 from sim.announced import AnnouncedFleet, Sizes, module
 from sim.clients import Clients, Kind
-from sim.http1 import call
+from sim.hollow import hand_in, patient, taken_lot
 from sim.loop import HOST, Pipe, SimLoop, run_sim
 from sim.workers import Engine
 
@@ -369,20 +369,12 @@
             lot = clients.make_lot(kind, items)
             if owned[part_of(lot.id, PARTS)] not in active:
                 break
-        host = {"Host": kind.route["host"]}
-        front = fleet.fronts()[0][2]
-
-        async def hand_in() -> tuple[int, bytes]:
-            more = host | {"Postpass-Attempt-Id": lot.id, "Content-Type": "application/json"}
-            head, data = await call(front, "POST", f"{kind.route['prefix']}x", more, lot.body, 10.0)
-            return head.status, data
-
         with metered() as meter:
             await asyncio.sleep(4.0)
             quiet = {n: v / 4.0 for n, v in meter.cpu.items()}
             meter.reset()
             at = loop.clock
-            status, data = await fleet.out(hand_in())
+            status, data = await fleet.out(hand_in(fleet, kind, lot))
             accepted, accept_cpu, sent = loop.clock - at, Counter(meter.cpu), Counter(meter.sent)
             if status != 202:
                 return {
@@ -437,28 +429,15 @@
         fleet = AnnouncedFleet(
             loop, {"machines": {}, "pools": {}}, 1, sizes=sizes, engine=Engine(pace=1.0), disk_cap=1 << 30
         )
-        batch = fleet.kinds["batch"]
-        kind = fleet.kinds["batch"] = replace(
-            batch,
-            size=(5, 5),
-            shared=(10, 50),
-            own=50,
-            route=batch.route | {"expireS": 900.0, "dueMs": 600_000, "maxQueued": 10**9},
-        )
+        kind = fleet.kinds["batch"] = replace(patient(fleet.kinds["batch"]), size=(5, 5), shared=(10, 50), own=50)
         await fleet.found_announced(8.0)
         await asyncio.sleep(6.0)
         refused = 0
         before = resident_bytes()
 
-        async def hand_in() -> None:
-            nonlocal refused
-            for _ in range(items // 200):
-                lot = fleet.clients.make_lot(kind, 200)
-                more = {"Host": kind.route["host"], "Postpass-Attempt-Id": lot.id, "Content-Type": "application/json"}
-                head, _ = await call(fleet.fronts()[0][2], "POST", f"{kind.route['prefix']}x", more, lot.body, 10.0)
-                refused += head.status != 202
-
-        await fleet.out(hand_in())
+        for _ in range(items // 200):
+            status, _ = await fleet.out(hand_in(fleet, kind, fleet.clients.make_lot(kind, 200)))
+            refused += status != 202
         await asyncio.sleep(3.0)
         gc.collect()
         stores = [m.name for m in fleet.of("store")]
@@ -482,24 +461,19 @@
         slots = -(-running * 4 // 3 // 8)
         sizes = Sizes(edges=2, stores=4, cores=3, zones=4, models=8, plains=2, slots=slots)
         fleet = AnnouncedFleet(loop, {"machines": {}, "pools": {}}, 1, sizes=sizes, engine=Engine(pace=1.0, crowd=0.0))
-        batch = fleet.kinds["batch"]
-        more = {"expireS": 900.0, "dueMs": 600_000, "maxQueued": 10**9, "timeoutMs": 60_000, "gapTargetMs": 8000}
-        kind = fleet.kinds["batch"] = replace(batch, size=(40, 40), shared=(10, 50), own=50, route=batch.route | more)
+        kind = fleet.kinds["batch"] = replace(
+            patient(fleet.kinds["batch"], True), size=(40, 40), shared=(10, 50), own=50
+        )
         await fleet.found_announced(8.0)
         await asyncio.sleep(6.0)
 
-        async def hand_in() -> None:
-            for _ in range(-(-running // 200) + 1):
-                lot = fleet.clients.make_lot(kind, 200)
-                heads = {"Host": kind.route["host"], "Postpass-Attempt-Id": lot.id, "Content-Type": "application/json"}
-                await call(fleet.fronts()[0][2], "POST", f"{kind.route['prefix']}x", heads, lot.body, 10.0)
-
         scheds = {m.name: cast(Any, fleet.boxes[m.name].daemon).sched for m in fleet.of("store")}
         active = [n for n, s in scheds.items() if s is not None and s.active]
         with metered() as meter:
             await asyncio.sleep(span)
             quiet = meter.cost(active, span)
-            await fleet.out(hand_in())
+            for _ in range(-(-running // 200) + 1):
+                await fleet.out(hand_in(fleet, kind, fleet.clients.make_lot(kind, 200)))
             await asyncio.sleep(12.0)
             meter.reset()
             await asyncio.sleep(span)
@@ -526,18 +500,9 @@
             return spent / count
 
 
-def lot_of(items: int) -> Row:
-    import base64
-
-    return {"id": f"lot{items}", "route": "r-batch", "due": 1.0, "expire": 40.0, "caller": "", "items": [
-        {"id": f"{i:016x}", "path": f"/batch/{i}/2.x{i}", "tokens": 300,
-         "headers": {"Postpass-Model": "m", "Postpass-Tokens": "200,100", "Postpass-Prompt-Prefix": f"0123456789ab:200,{i:012x}:100"},
-         "body": base64.b64encode(b"x" * 100).decode()} for i in range(items)]}  # fmt: skip
-
-
 def memory_row(items: int) -> Row:
     """A lot at an owner: memory of its record and view, before and after its results, and what works on all of it cost."""
-    raw = lot_of(items)
+    raw = taken_lot(items)
     gc.collect()
     tracemalloc.start()
     body, bodies = packed(raw)
@@ -637,8 +602,9 @@
 ]
 
 
-def gather(only: str = "") -> dict[str, list[Row]]:
-    jobs = [j for j in JOBS if not only or j[0] in only.split(",")]
+def gather(only: str | Sequence[str] = "") -> dict[str, list[Row]]:
+    names = only.split(",") if isinstance(only, str) else list(only)  # fire reads a list with commas as one
+    jobs = [j for j in JOBS if not only or j[0] in names]
     out: dict[str, list[Row]] = {}
     with multiprocessing.get_context("spawn").Pool(3, maxtasksperchild=1) as pool:
         for name, row in pool.imap(job, jobs, chunksize=1):
@@ -647,7 +613,7 @@
     return out
 
 
-def measure(out: str = "", only: str = "", raw: str = "") -> None:
+def measure(out: str = "", only: str | Sequence[str] = "", raw: str = "") -> None:
     """All rows, as JSON lines to `raw`; tables and slopes to `out`."""
     got = gather(only)
     if raw:
@@ -658,7 +624,7 @@
         Path(out).write_text(text)
 
 
-BEAT_MS = 300.0  # of the platform's bounds as simulated: recoverS / 40
+BEAT_MS = 300.0  # a beat of the product's under the simulated bounds, where a fleet must recover in 12 s
 CONTROL_ROLES = ("edge", "store", "primary", "backup", "witness")
 REST = (16, 20, 9)  # the size that the three series of fleets share
 
