Refuse a worker's beat that no manifest could take

Cause: a beat with an address that isn't IP:PORT, or of an unknown zone, was taken, and every operator's document after it got 400. Change: control checks a worker's word as the manifest would; 400 names the path, nothing changes. Measured: tests/test_announced_control.py, 5 flaws, the registry unchanged and a document taken afterwards.

--- a/postpass/control.py
+++ b/postpass/control.py
@@ -1065,6 +1065,10 @@
 
     # --- announced fleets: workers
     async def beat_worker(self, who: str, standing: Standing, seqno: int) -> PeerResponse:
+        # Taken, it would make every later manifest a bad one.
+        flaws = roster.standing_flaws(standing, self.conf.areas)
+        if flaws:
+            return Err(Fault("beat", self.conf.name, "\n".join(flaws), BAD))
         if seqno and seqno < self.seqnos.get(who, 0):
             return Ok({})
         if seqno:
--- a/postpass/roster.py
+++ b/postpass/roster.py
@@ -5,7 +5,7 @@
 
 import hashlib
 import json
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass, field, replace
 from typing import Any, NotRequired, TypedDict, cast
 
@@ -257,6 +257,18 @@
     return replace(state, left=[*state.left, *new][-LEFT:]) if new else state
 
 
+def standing_flaws(standing: Standing, areas: Sequence[str]) -> list[str]:
+    """What the manifest could not take of a worker's word, each with its path. No areas: they aren't known."""
+    host = standing["url"].removeprefix("http://")
+    out = [] if standing["url"].startswith("http://") else [f"url: want http://IP:PORT, got {standing['url']!r:.60}"]
+    out += addr_flaws("url", host)
+    if areas and standing["area"] not in areas:
+        out.append(f"area: unknown area {standing['area']!r:.60}")
+    if standing["slots"] < 1:
+        out.append(f"slots: want at least 1, got {standing['slots']}")
+    return out if standing["pool"] else [*out, "pool: want a name, got an empty string"]
+
+
 def stood(state: State, who: str, standing: Standing) -> State:
     """A worker's word of itself."""
     if who in state.left:
--- a/tests/test_announced_control.py
+++ b/tests/test_announced_control.py
@@ -58,6 +58,30 @@
     assert play(scene, stores=3) == (3, 4)
 
 
+def test_a_beat_that_no_manifest_could_take_is_refused_and_changes_nothing() -> None:
+    async def scene(f: Fleet) -> None:
+        await f.until(f.joined, 10)
+        lead = f.primary()
+        assert lead is not None
+        before = lead.held.state
+        for flaw in (
+            {"url": "http://worker:80"},
+            {"url": "10.9.9.9:80"},
+            {"area": "nowhere"},
+            {"slots": 0},
+            {"pool": ""},
+        ):
+            bad: Any = standing(1) | flaw
+            got = await f.ask("c1", lambda c, bad=bad: c.beat_worker("w1", bad, 1))  # type: ignore[misc]
+            assert got.unwrap_err().code == 400 and got.unwrap_err().why.startswith(next(iter(flaw))), flaw
+        assert f.primary() is lead and lead.held.state.man["pools"] == before.man["pools"]
+        assert lead.held.state.aside == before.aside
+        # An operator's document is taken as ever.
+        assert (await f.ask("c3", lambda c: c.apply_source(document(3), 0))).is_ok()
+
+    play(scene)
+
+
 def test_workers_and_orders_survive_the_primary() -> None:
     async def scene(f: Fleet) -> None:
         await f.until(f.joined, 10)
