Stand at once when the owner's machine refuses connections

Cause: after a kill the next store waited out detect and a stagger, though a refused connection proves that no process listens. Change: a mirror whose link to the owner breaks asks for a new connection; refused, the silence counts as past and the owner as no rank.

--- a/postpass/part.py
+++ b/postpass/part.py
@@ -79,6 +79,7 @@
     promised: int = 0
     owner: str = ""
     heard: float = 0.0
+    down: str = ""  # an owner whose machine has refused a connection since it was heard: its process is no more
     met: bool = False  # has an owner, or a candidate, been heard in this life, or has its turn to stand come
     aligned: int = 0
     covered: int = 0
--- a/postpass/store.py
+++ b/postpass/store.py
@@ -192,6 +192,7 @@
         order = self.news.order(part.id)
         crew = part.tape.base.crew if isinstance(part.tape.base, LotView) else {}
         ranks = order + [n for n in sorted(crew) if n not in order]
+        ranks = [n for n in ranks if n != part.down]
         if self.conf.name not in ranks or part.trial or self.leaving:
             return
         b = self.conf.bounds
@@ -809,7 +810,7 @@
                 return Err(bad.fault)
             if part.promised != epoch:
                 return Ok(about | {"ok": False, "promised": part.promised})
-        part.heard, part.owner, part.met = now(), body["who"], True
+        part.heard, part.owner, part.met, part.down = now(), body["who"], True, ""
         part.filling = 0 if part.aligned == epoch else epoch
         # The owner has just connected: whatever link for acknowledgements stands from before may lead to a
         # process that is no more.
@@ -907,6 +908,8 @@
                     await asyncio.sleep(self.conf.bounds.beat)
                     continue
                 link = got.unwrap()
+                assert link.pump is not None
+                link.pump.add_done_callback(lambda _: self.knock_soon(owner))
             free, _ = self.log.disk.room()
             link.put("ack", [self.counters(self.parts[n], free < self.log.hold) for n in numbers])
             try:
@@ -914,6 +917,32 @@
             except (TimeoutError, ConnectionError, OSError):
                 link.close("it takes nothing")
 
+    def knock_soon(self, owner: str) -> None:
+        """The link to an owner broke. Nothing is proved by that, but it is worth a question at once."""
+        if not self.leaving and any(p.owner == owner and not p.owning for p in self.parts.values()):
+            task = asyncio.create_task(self.knock(owner))
+            self.trials.add(task)
+            task.add_done_callback(self.trials.discard)
+
+    async def knock(self, owner: str) -> None:
+        """A refused connection proves that no process listens there, so the silence needn't be waited out. Only a hint of
+        when to stand: who owns is up to the epochs."""
+        addr = self.news.addr(owner)
+        got = await Link.open(addr, self.conf.bounds.promise) if addr else None
+        if isinstance(got, Ok):
+            got.unwrap().close()
+        if got is None or isinstance(got, Ok) or got.unwrap_err().hint != "refused":
+            return
+        b = self.conf.bounds
+        mine = [p for p in self.parts.values() if p.owner == owner and not p.owning]
+        for part in mine:
+            part.down, part.heard = owner, min(part.heard, now() - b.detect)
+        # The others, who are asked, find out at the same time as this one.
+        await asyncio.sleep(b.beat / 8)
+        for part in mine:
+            if part.down == owner and not part.owning:
+                self.doubt(part)
+
     def counters(self, part: Part, full: bool) -> Any:
         held = part.aligned > 0 and part.aligned == part.promised
         return IDL.Ack(
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -60,3 +60,20 @@
 
         taken, ready = run_sim(main, 4)
         assert (taken, ready) == (2, 2)  # its own two again, and no other
+
+    def test_stand_at_once_when_the_owners_machine_refuses_connections(self) -> None:
+        async def main(loop: SimLoop) -> tuple[float, int]:
+            fleet = Fleet(loop)
+            fleet.start()
+            assert await fleet.until(lambda: fleet.joined() and owned(fleet), 20.0) >= 0
+            await fleet.until(lambda: False, 3.0)
+            before = takeovers(fleet)
+            mine = stores(fleet)[0].counts["takeovers"]
+            fleet.kill("s1")
+            assert not owned(fleet)
+            took = await fleet.until(lambda: owned(fleet), 10.0)
+            return took, takeovers(fleet) - (before - mine)
+
+        took, changes = run_sim(main, 5)
+        assert 0 <= took < 0.3  # of a silence of 1.5 s, and 0.5 s more for each rank
+        assert changes == 2
