Retire a store where none is spare, as long as the rest bears the tolerated loss

Change: it is refused only if the stores that stay could not lose what may be lost at once; the copies follow them.

--- a/postpass/control.py
+++ b/postpass/control.py
@@ -1159,7 +1159,7 @@
         if what == "retire":
 
             def retire(s: State) -> Result[State, Fault]:
-                flaw = roster.retire_flaw(s, body["name"])
+                flaw = roster.retire_flaw(s, body["name"], self.conf.disks_lost, self.conf.areas_lost)
                 if flaw:
                     return Err(Fault("retire", self.conf.name, flaw[1], flaw[0]))
                 return Ok(roster.retiring(s, body["name"]))
--- a/postpass/roster.py
+++ b/postpass/roster.py
@@ -5,6 +5,7 @@
 
 import hashlib
 import json
+from collections import Counter
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass, field, replace
 from typing import Any, NotRequired, TypedDict, cast
@@ -336,8 +337,16 @@
     return replace(new, aside={n: chill(g) for n, g in state.aside.items()})
 
 
-def retire_flaw(state: State, name: str) -> tuple[int, str] | None:
-    """Why a store can't be emptied, with the code of the fault; None if it can."""
+def bears(man: Manifest, stores: Sequence[str], lost: int, areas_lost: int) -> bool:
+    """Can these stores, each with a copy, lose what may be lost at once and still have most of the copies?"""
+    most = (len(stores) - 1) // 2
+    by_area = sorted(Counter(man["machines"][n]["area"] for n in stores).values(), reverse=True)
+    return lost <= most and sum(by_area[:areas_lost]) <= most
+
+
+def retire_flaw(state: State, name: str, lost: int, areas_lost: int) -> tuple[int, str] | None:
+    """Why a store can't be emptied, with the code of the fault; None if it can. Where no store is spare, fewer copies do as
+    long as what may be lost at once (`lost` stores, `areas_lost` areas) can still be lost."""
     if name in state.retired:
         return None
     man = state.man
@@ -346,8 +355,8 @@
     if man["machines"][name].get("retire"):
         return None
     stay = [n for n in with_duty(man, "store") if n != name and not man["machines"][n].get("retire")]
-    if len(stay) < man["copies"]:
-        return 409, f"{man['copies']} copies can't be held by the {len(stay)} stores that would stay"
+    if len(stay) < man["copies"] and not bears(man, stay, lost, areas_lost):
+        return 409, f"the {len(stay)} stores that would stay can't bear the loss of {lost} of them or of an area"
     return None
 
 
@@ -355,7 +364,9 @@
     have = state.man["machines"].get(name)
     if have is None or have.get("retire"):
         return state
-    return edit(state, machines={**state.man["machines"], name: cast(Machine, {**have, "retire": True})})
+    machines = {**state.man["machines"], name: cast(Machine, {**have, "retire": True})}
+    stay = [n for n in with_duty(state.man, "store") if not machines[n].get("retire")]
+    return edit(state, machines=machines, copies=min(state.man["copies"], len(stay)))
 
 
 def emptied(state: State, name: str) -> State:
--- /dev/null
+++ b/tests/test_roster_retire.py
@@ -0,0 +1,41 @@
+"""When a store may be emptied, and how many copies are left then."""
+
+from __future__ import annotations
+
+from postpass.manifest import members
+from postpass.roster import Entry, State, edit, founded, retire_flaw, retiring
+
+
+def fleet(copies: int, **areas: str) -> State:
+    entries: list[Entry] = [
+        {"name": n, "area": a, "peer": f"{n}:1", "http": f"{n}:2", "duties": ["store"], "born": 1, "disk": n}
+        for n, a in areas.items()
+    ]
+    return edit(State(manifest=founded(entries, sorted(set(areas.values())), 1)), copies=copies)
+
+
+def test_the_last_spare_store_may_go_with_one_copy_fewer() -> None:
+    four = fleet(4, s1="a", s2="b", s3="c", s4="d")
+    assert retire_flaw(four, "s4", 1, 1) is None
+    three = retiring(four, "s4")
+    assert three.man["copies"] == 3 and set(members(three.man, 0)) == {"s1", "s2", "s3"}
+    # One more would leave two: no majority after a loss. Asked again for the one under way, it is still well.
+    assert (retire_flaw(three, "s3", 1, 1) or (0, ""))[0] == 409 and retire_flaw(three, "s4", 1, 1) is None
+
+
+def test_with_a_spare_store_the_copies_stay() -> None:
+    five = fleet(4, s1="a", s2="b", s3="c", s4="d", s5="a")
+    assert retire_flaw(five, "s5", 1, 1) is None and retiring(five, "s5").man["copies"] == 4
+
+
+def test_two_of_three_copies_in_one_area_would_be_too_few() -> None:
+    four = fleet(4, s1="a", s2="a", s3="c", s4="d")
+    assert (retire_flaw(four, "s4", 1, 1) or (0, ""))[0] == 409
+    assert retire_flaw(four, "s2", 1, 1) is None
+    assert retire_flaw(four, "s4", 1, 0) is None
+
+
+def test_what_may_be_lost_sets_how_many_must_stay() -> None:
+    five = fleet(5, s1="a", s2="b", s3="c", s4="d", s5="e")
+    assert (retire_flaw(five, "s5", 2, 1) or (0, ""))[0] == 409 and retire_flaw(five, "s5", 1, 1) is None
+    assert (retire_flaw(five, "nobody", 1, 1) or (0, ""))[0] == 404
