Measure idle connections by simulated time, so that a slow run replays

Cause: aiohttp's connection pool reads `time.monotonic` by itself to tell for how long a connection has been idle. Under the simulator that is the process clock: a run that the machine was slow to play closed pooled connections which the same run had used again when it was quick, and every delay drawn afterwards was another. A record and its strikes in `sim/crash.py` then met other points.

Change: `run_sim` gives the pool the loop's time while its run lasts. `sim/replay.py` plays a recorded run again in one process under disturbances (process clock, garbage collector, addresses of objects, other programmes before) and tells the first difference; `tests/test_replay.py` holds it.

Red before the mend: `test_a_replay_passes_the_same_points[clock]` printed "point 0: recorded (0.000939, sends.ping of e2), replayed (0.001040, ...)" and `test_idle_connections_are_kept_for_a_simulated_time[2.2-2]` "assert 1 == 2".

--- a/sim/loop.py
+++ b/sim/loop.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import contextvars
 import gc
 import heapq
@@ -15,9 +16,12 @@
 import warnings
 from asyncio import events
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 from typing import Any
+from unittest import mock
+
+import aiohttp.connector
 
 
 class Gone(BaseException):
@@ -417,12 +421,24 @@
     old = asyncio.events._get_running_loop()
     assert old is None
     asyncio.set_event_loop(loop)
-    try:
-        return loop.run_until_complete(main(loop))
-    finally:
-        asyncio.set_event_loop(None)
-        loop._closed = True  # type: ignore[attr-defined]
-        bury(loop)
+    with virtual_time_in_libraries(loop):
+        try:
+            return loop.run_until_complete(main(loop))
+        finally:
+            asyncio.set_event_loop(None)
+            loop._closed = True  # type: ignore[attr-defined]
+            bury(loop)
+
+
+@contextlib.contextmanager
+def virtual_time_in_libraries(loop: SimLoop) -> Iterator[None]:
+    """Gives the loop's time to libraries that would read the process clock, for as long as its run lasts.
+
+    aiohttp's connection pool measures by `time.monotonic` for how long a connection has been idle. Under that clock
+    a run that the machine was slow to play closed connections which the same run had used again when it was quick.
+    """
+    with mock.patch.object(aiohttp.connector, "monotonic", loop.time):
+        yield
 
 
 def bury(loop: SimLoop) -> None:
--- /dev/null
+++ b/tests/test_replay.py
@@ -0,0 +1,73 @@
+"""A recorded run that is played again in one process passes the same points, whatever else the process does."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+import aiohttp
+import pytest
+
+from sim import replay
+from sim.crash import PROGRAMMES
+from sim.fleet import SimConnector
+from sim.loop import Host, SimLoop, run_sim
+from sim.replay import DISTURBANCES, Divergence, Recording
+from sim.runner import parse
+
+IDLE_LIMIT = 2.0
+
+
+@pytest.mark.parametrize("disturbance", DISTURBANCES)
+def test_a_replay_passes_the_same_points(disturbance: str) -> None:
+    scenario = parse(PROGRAMMES["takeover"].text, "takeover")
+    assert [str(found) for found in replay.replay(scenario, 1, disturbance, runs=3)] == []
+
+
+def test_a_disturbed_process_clock_is_read_by_whoever_reads_one() -> None:
+    before = time.monotonic
+    with replay.another_process_clock(0):
+        first = aiohttp.connector.monotonic()  # type: ignore[attr-defined]
+        assert time.monotonic() == pytest.approx(first + replay.SECONDS_A_READING)
+        assert time.time() == pytest.approx(first + 2 * replay.SECONDS_A_READING)
+    assert time.monotonic is before and aiohttp.connector.monotonic is before  # type: ignore[attr-defined]
+
+
+def test_the_first_difference_of_two_recordings_is_told() -> None:
+    one = Recording((), ({"ev": "call"},), 5)
+    assert replay.compare(one, one) is None
+    assert replay.compare(one, Recording((), ({"ev": "lot"},), 5)) == Divergence(
+        "event 0", {"ev": "call"}, {"ev": "lot"}
+    )
+    assert replay.compare(one, Recording((), (), 5)) == Divergence("number of events", 1, 0)
+    assert replay.compare(one, Recording((), ({"ev": "call"},), 6)) == Divergence("number of callbacks", 5, 6)
+
+
+@pytest.mark.parametrize(("idle", "connections"), [(0.9 * IDLE_LIMIT, 1), (1.1 * IDLE_LIMIT, 2)])
+def test_idle_connections_are_kept_for_a_simulated_time(idle: float, connections: int) -> None:
+    """Two requests with a pause between them use one connection, or two once it has been idle for too long."""
+
+    async def main(loop: SimLoop) -> int:
+        server, client = (loop.add(Host(name, (name,), "zone")) for name in ("server", "client"))
+        opened: list[asyncio.StreamWriter] = []
+
+        async def answer(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            opened.append(writer)
+            while await reader.readuntil(b"\r\n\r\n"):
+                writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok")
+
+        async def serve() -> None:
+            await asyncio.start_server(answer, "server", 1)
+
+        async def ask() -> None:
+            async with aiohttp.ClientSession(connector=SimConnector(limit=0, keepalive_timeout=IDLE_LIMIT)) as session:
+                for pause in (idle, 0.0):
+                    async with session.get("http://server:1/") as response:
+                        assert await response.read() == b"ok"
+                    await asyncio.sleep(pause)
+
+        await loop.create_task(serve(), context=server.context())
+        await loop.create_task(ask(), context=client.context())
+        return len(opened)
+
+    assert run_sim(main) == connections
