--- a/postpass/config.py
+++ b/postpass/config.py
@@ -21,6 +21,7 @@
     sync: float
     grace: float
     keep: float
+    acknowledge: float
 
 
 class ToleranceFile(TypedDict, total=False):
@@ -60,6 +61,7 @@
     - lease + poll <= end: an ended lot's items stop before its bound.
     - follow * 2 <= manifest: a daemon asks twice within the bound.
     - probe * 3 <= leave: a worker's leaving is read thrice within the bound.
+    - acknowledge * 10 <= resend: an order is known again long after its sender must have had an answer.
     - follow * 2 < deaf < leave: who hears nobody is sure of it, and stops, before the leaving of a worker binds it.
     """
 
@@ -69,6 +71,7 @@
     manifest: float = 2.0
     recover: float = 12.0
     silent: float = 2.0
+    acknowledge: float = 4.0  # inside which an operator's order is acknowledged in a calm time
     # Set by platforms that tell them; 0 where none does.
     sync: float = 0.0  # inside which a machine that is back counts again
     grace: float = 0.0  # from SIGTERM to the end of the process
@@ -99,6 +102,11 @@
     def promise(self) -> float:
         return self.recover / 12
 
+    @property
+    def resend(self) -> float:
+        """How long an operator's order may be sent again and is known as one that was taken."""
+        return self.acknowledge * 60
+
     @property
     def refill(self) -> float:
         return self.recover / 3
@@ -240,6 +248,7 @@
     assert b.lease + b.poll <= b.end
     assert b.follow * 2 <= b.manifest
     assert b.probe * 3 <= b.leave
+    assert b.acknowledge * 10 <= b.resend
     assert b.follow * 2 < b.deaf < b.leave
 
 
