--- a/sim/operators.py
+++ b/sim/operators.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import copy
+import hashlib
 import json
 import random
 from collections.abc import Callable
@@ -35,6 +36,18 @@
     return {k: sorted(v, key=lambda i: str(i.get("name", ""))) if isinstance(v, list) else v for k, v in config.items()}
 
 
+def content_digest(config: Config) -> str:
+    """Identifies a configuration, whatever the order of its keys and lists."""
+    return hashlib.sha256(json.dumps(canonical(config), sort_keys=True).encode()).hexdigest()[:12]
+
+
+def request_digest(method: str, base: int, body: Any) -> str:
+    """Identifies a request. A whole configuration is the same whatever it builds on; a patch is not."""
+    text = body.decode("latin-1") if isinstance(body, bytes) else body
+    named = json.dumps([method, base if method == "PATCH" else 0, text], sort_keys=True)
+    return hashlib.sha256(named.encode()).hexdigest()[:12]
+
+
 @dataclass(eq=False)
 class Operator:
     """`config` is the newest acknowledged configuration."""
@@ -55,15 +68,17 @@
         return int(self.config.get("version", 0))
 
     async def call(
-        self, method: str, path: str, body: Any = None, headers: dict[str, str] | None = None, start: int = -1, keep: float = 1e9
+        self, method: str, path: str, body: Any = None, headers: dict[str, str] | None = None, start: int = -1, keep: float = 1e9,
+        change: int = 0,
     ) -> tuple[int, bytes, bool, str]:  # fmt: skip
-        """One order, sent until it is answered for good: status, body, whether any try was unclear, who answered."""
+        """One order, sent until it is answered for good: status, body, whether any try was unclear, who answered.
+        `change` is the number of a configuration order, whose attempts are logged."""
         data = b"" if body is None else body if isinstance(body, bytes) else json.dumps(body).encode()
         turn = start if start >= 0 else self.chance.randrange(64)
         unclear, pause, rude, began = False, 0.1, 0, self.now()
         while True:
             every = self.directory()
-            addr, where = every[turn % len(every)], path
+            addr, where, sent = every[turn % len(every)], path, self.now()
             status, got, by = 0, b"", ""
             for _ in range(3):
                 try:
@@ -81,6 +96,8 @@
                 where = "/" + rest
             self.log({"ev": "told", "sent": self.sent, "method": method, "path": path, "status": status, "via": by,
                       "why": got[:200].decode("latin-1")})  # fmt: skip
+            if change:
+                self.log({"ev": "attempt", "change": change, "status": status, "via": by, "began": sent})
             if 200 <= status < 300 or status in (400, 409, 412, 413, 422):
                 return status, got, unclear, by
             if 400 <= status < 500 and status not in (408, 429):
@@ -109,8 +126,8 @@
         number = self.sent
         began = self.now()
         self.log({"ev": "change", "change": number, "method": method, "base": base, "valid": valid,
-                  "version": whole["version"] if whole else 0, "config": canonical(whole) if whole else None})  # fmt: skip
-        got = await self.call(method, "/-/config", body, {"If-Match": str(base)}, start, keep)
+                  "request": request_digest(method, base, body), "version": whole["version"] if whole else 0, "config": canonical(whole) if whole else None})  # fmt: skip
+        got = await self.call(method, "/-/config", body, {"If-Match": str(base)}, start, keep, number)
         status, text, unclear, by = got
         self.log({"ev": "changed", "change": number, "status": status, "unclear": unclear, "via": by, "began": began,
                   "why": text[:200].decode("latin-1")})  # fmt: skip
--- a/sim/rules.py
+++ b/sim/rules.py
@@ -14,6 +14,9 @@
 from functools import cached_property
 from typing import Any
 
+from sim import linearizability
+from sim.operator_history import history_of
+
 Event = dict[str, Any]
 PROMISES = (408, 421, 429, 503)
 EVER = 1e18
@@ -539,7 +542,13 @@
 # --- configuration
 @check("CONFIG")
 def config(d: Day) -> list[str]:
-    return [*handled_old(d), *went_back(d), *never_valid(d), *both_won(d), *read_old(d)]
+    return [*handled_old(d), *went_back(d), *never_valid(d), *both_won(d), *read_old(d), *not_linearizable(d)]
+
+
+def not_linearizable(d: Day) -> list[str]:
+    """No order of the operators' attempts and reads explains every answer."""
+    verdict = linearizability.check(history_of(d.events))
+    return [] if verdict.linearizable else [str(verdict)]
 
 
 def handled(d: Day) -> list[tuple[float, float, str, str, Event, str]]:
--- a/tests/test_sim_rules.py
+++ b/tests/test_sim_rules.py
@@ -27,7 +27,30 @@
     ]  # fmt: skip
 
 
+def attempted(number: int, config: Event, base: int, t: float, *statuses: int) -> list[Event]:
+    """A change as the operator sends it, with each of its attempts, 0.2 s apart."""
+    sent, answered = changed(number, config, base, t, statuses[-1])
+    attempts: list[Event] = [
+        {
+            "ev": "attempt",
+            "t": t + 0.2 * i + 0.1,
+            "change": number,
+            "status": status,
+            "via": "core",
+            "began": t + 0.2 * i,
+        }
+        for i, status in enumerate(statuses)
+    ]
+    sent["request"] = f"{base} {config}"
+    return [sent, *attempts, answered | {"t": t + 0.2 * len(statuses), "unclear": 0 in statuses}]
+
+
+def read_back(config: Event | None, t: float, status: int = 200) -> Event:
+    return {"ev": "read_back", "t": t, "status": status, "began": t - 0.1, "via": "core", "config": config}
+
+
 FIRST = changed(1, config(3), 0, 0.0)
+SENT_FIRST = attempted(1, config(3), 0, 0.0, 200)
 
 
 def request(word: str = "order", name: str = "q1", t: float = 10.0, **more: Any) -> Event:
@@ -167,6 +190,10 @@
          {"ev": "read_back", "t": 30.0, "status": 200, "began": 29.9, "via": "core", "config": config(3)}],
         [*FIRST, {"ev": "read_back", "t": 30.0, "status": 200, "began": 29.9, "via": "core", "config": config(3, order={"prio": 7})}],
         [*FIRST, {"ev": "read_back", "t": 30.0, "status": 503, "began": 29.9, "via": "core", "config": None}],
+        # A refused resend, known from a read; a second winner after an answer that wasn't clear; a lost write.
+        [*SENT_FIRST, *attempted(2, config(5), 3, 5.0, 0, 0, 412), read_back(config(5), 5.3)],
+        [*SENT_FIRST, *attempted(2, config(5), 3, 5.0, 0, 503, 0), read_back(config(5), 6.0), *attempted(3, MOVED, 3, 7.0, 200)],
+        [*SENT_FIRST, *attempted(2, config(5), 3, 5.0, 0, 503), read_back(config(5), 6.0), read_back(config(3), 7.0)],
     ],
     "LATE_ROUTES": [
         [*FIRST, *changed(2, config(5), 3, 5.0), *(e for i in range(30) for e in (
@@ -222,6 +249,9 @@
     resumed = [*FIRST, request("ask"), *reach("ask", upto=2, whole=False, broke=True), *reach("ask", run=2, t=10.2, last=2),
                answer(body="events", events=pieces((1, range(1, 3)), (2, range(3, 5))))]  # fmt: skip
     assert breaches(day(resumed)) == {}
+    lost_answers = [*SENT_FIRST, *attempted(2, config(5), 3, 5.0, 0, 200), *attempted(3, config(6, order={"timeoutMs": 7}), 3, 5.0, 0, 412),
+                    read_back(config(5), 6.0)]  # fmt: skip
+    assert breaches(day(lost_answers)) == {}
 
 
 def test_every_check_has_a_history_that_breaks_it() -> None:
