Forget the retirement of a name that comes back with another disk

A store that was emptied is remembered by its name and disk. A machine of that name with another disk joined, got copies, and was said to be empty at once when it was asked to be retired ("done", upon which the platform removes it with its disk).

Now the old retirement ends when such a machine joins. The new test failed before ("s5" not in retired: {'s5': 's5'}) and passes.

--- a/postpass/roster.py
+++ b/postpass/roster.py
@@ -144,6 +144,9 @@
         new["retire"] = True
     if have == new:
         return state
+    if name in state.retired:
+        # Another disk: a new machine of that name, whose retirement has not been asked for.
+        state = replace(state, retired={n: d for n, d in state.retired.items() if n != name})
     # Whoever had this address is there no more.
     rest = {n: m for n, m in man["machines"].items() if n == name or m["peer"] != new["peer"]}
     return edit(state, machines=rest | {name: new})
--- a/tests/test_roster_retire.py
+++ b/tests/test_roster_retire.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from postpass.manifest import members
-from postpass.roster import Entry, State, edit, founded, retire_flaw, retiring
+from postpass.roster import Entry, State, edit, emptied, founded, joined, retire_flaw, retiring
 
 
 def fleet(copies: int, **areas: str) -> State:
@@ -14,6 +14,18 @@
     return edit(State(manifest=founded(entries, sorted(set(areas.values())), 1)), copies=copies)
 
 
+def entry(name: str, disk: str, born: int) -> Entry:
+    return {
+        "name": name,
+        "area": "a",
+        "peer": f"{name}:1",
+        "http": f"{name}:2",
+        "duties": ["store"],
+        "born": born,
+        "disk": disk,
+    }
+
+
 def test_the_last_spare_store_may_go_with_one_copy_fewer() -> None:
     four = fleet(4, s1="a", s2="b", s3="c", s4="d")
     assert retire_flaw(four, "s4", 1, 1) is None
@@ -39,3 +51,14 @@
     five = fleet(5, s1="a", s2="b", s3="c", s4="d", s5="e")
     assert (retire_flaw(five, "s5", 2, 1) or (0, ""))[0] == 409 and retire_flaw(five, "s5", 1, 1) is None
     assert (retire_flaw(five, "nobody", 1, 1) or (0, ""))[0] == 404
+
+
+def test_an_emptied_store_stays_out_and_one_of_its_name_with_another_disk_is_a_new_one() -> None:
+    four = emptied(retiring(fleet(4, s1="a", s2="b", s3="c", s4="d", s5="a"), "s5"), "s5")
+    assert "s5" in four.retired and retire_flaw(four, "s5", 1, 1) is None
+    assert joined(four, entry("s5", "s5", 2)) is four
+    five = joined(four, entry("s5", "new", 2))
+    assert "s5" in five.man["machines"] and "s5" not in five.retired
+    # It holds copies again: to retire it is an order of its own, and not done at once.
+    again = retiring(five, "s5")
+    assert again.man["machines"]["s5"].get("retire") and "s5" not in again.retired
