Refuse items whose headers or path could break the framing at a worker

Cause: a lot's item could name a header 'content-length ' or 'transfer-encoding:chunked, x', which the check for names that concern one connection doesn't know, and so could put other framing around its body: a request smuggled inside another one. A path or value beyond latin-1 ended the item's task with an error that nobody looked at, and the item stayed held. Change: names are tokens of HTTP, values are latin-1 without control characters, paths are ASCII. Measured: the five new rows of test_a_flaw_is_told_with_its_path failed before (no flaw was told), and pass.

--- a/postpass/lotdesk.py
+++ b/postpass/lotdesk.py
@@ -5,6 +5,7 @@
 import base64
 import binascii
 import json
+import re
 from dataclasses import dataclass
 from typing import Any, TypedDict
 
@@ -18,6 +19,8 @@
 from postpass.world import now
 
 ITEMS = 200
+HEADER_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
+HEADER_VALUE = re.compile(r"[\t\x20-\x7e\x80-\xff]*")
 PATIENCE = 2.5  # seconds that a caller waits at the least for an answer about a lot
 
 
@@ -46,9 +49,10 @@
         if not NAME.fullmatch(item["id"]) or item["id"] in seen:
             return f"items[{i}].id: want an id of its own of 1 to 80 of A-Z a-z 0-9 . _ -"
         seen.add(item["id"])
-        if not item["path"].startswith("/") or not item["path"].isprintable() or " " in item["path"]:
-            return f"items[{i}].path: want a path that begins with /"
-        bad = [k for k, v in item["headers"].items() if not k or "\n" in k + v or "\r" in k + v]
+        path = item["path"]
+        if not path.startswith("/") or not path.isascii() or not path.isprintable() or " " in path:
+            return f"items[{i}].path: want a path of ASCII that begins with /"
+        bad = [k for k, v in item["headers"].items() if not HEADER_NAME.fullmatch(k) or not HEADER_VALUE.fullmatch(v)]
         if bad:
             return f"items[{i}].headers.{bad[0][:40]!r}: want a name and a value of one line"
         if item["tokens"] < 0:
--- a/tests/test_lotdesk.py
+++ b/tests/test_lotdesk.py
@@ -23,6 +23,11 @@
             ({"items": [item(body="?")]}, "items[0].body"), ({"items": [item(tokens=-1)]}, "items[0].tokens"),
             ({"items": [item(tokens="9")]}, "items[0].tokens"), ({"items": [item(headers={"a": 1})]}, "items[0].headers.a"),
             ({"items": [item(headers={"a": "b\r\nc"})]}, "items[0].headers.'a'"),
+            ({"items": [item(headers={"a": "b\0c"})]}, "items[0].headers.'a'"),
+            ({"items": [item(headers={"a": "b\u20acc"})]}, "items[0].headers.'a'"),
+            ({"items": [item(headers={"content-length ": "5"})]}, "items[0].headers.'content-length '"),
+            ({"items": [item(headers={"\u00fc": "5"})]}, "items[0].headers.'\u00fc'"),
+            ({"items": [item(path="/\u20ac")]}, "items[0].path"),
         ],
     )  # fmt: skip
     def test_a_flaw_is_told_with_its_path(self, raw: Any, path: str) -> None:
