Judge answers to items as those to callers: by id, seal and whole failures

Cause: run_item looked for the word that it did not run, and for 421, before it compared the id, so that a late refusal of another request counted for this item; it took events without the worker's seal for a whole text; and a 422 or 500 that was cut ended the item, abandoned for good by a 422. Change: the id is compared on the connection as for callers' requests, postpass.verdict judges the head, and a failure counts once its body came whole. Measured: test_those_of_another_request_prove_nothing ('shed', want 'broken'), test_a_success_needs_the_seal_and_a_plain_body ('done') and test_a_failure_that_is_cut_ends_nothing ('failed') failed before; all of test_items and test_routed_lots pass. The pretended worker of test_routed_lots gave no seal, which no worker does: it gives one now.

--- a/postpass/items.py
+++ b/postpass/items.py
@@ -9,10 +9,13 @@
 
 from postpass.dialect import Dialect
 from postpass.fault import BROKE, SHED, Fault, Stop
+from postpass.verdict import AnswerNames, Proof, verdict
 from postpass.wire import Body
 
 LEAST_URGENT = b"9"
 LINE_MOST = 1 << 20
+REASON_MOST = 1 << 20  # bytes of the body of a failure
+FINAL = {500: "failed", 422: "never"}  # how an item ends by a worker's own failure
 # Headers that concern one connection, or that this side sets.
 OWN = {"host", "connection", "keep-alive", "te", "trailer", "transfer-encoding", "upgrade", "content-length"}
 
@@ -26,9 +29,11 @@
 
 
 class Workers(Protocol):
+    """Sends requests to workers. An answer without the header `expect` is another request's, and is not returned."""
+
     async def request(
         self, addr: str, method: str, target: bytes, headers: list[tuple[bytes, bytes]], body: bytes,
-        *, gate: Callable[[], str], limit: float,
+        *, gate: Callable[[], str], limit: float, expect: tuple[bytes, bytes] | None,
     ) -> Exchange: ...  # fmt: skip
 
 
@@ -104,6 +109,15 @@
     return [*((k.encode("latin-1"), v.encode("latin-1")) for k, v in out), (d.urgency.encode(), LEAST_URGENT)]
 
 
+async def read_to_the_end(exchange: Exchange, worker: str) -> None:
+    """Passes over a body; raises Stop if it is cut, since a failure that isn't whole ends no item."""
+    size = 0
+    async for chunk in exchange.chunks():
+        size += len(chunk)
+        if size > REASON_MOST:
+            raise Stop(Fault("run item", worker, f"a failure of more than {REASON_MOST} bytes", BROKE))
+
+
 async def run_item(
     workers: Workers, d: Dialect, server: dict[str, Any], worker: str, host: str, call: Body, text: Text,
     gate: Callable[[], str], limit: float,
@@ -114,15 +128,17 @@
     got = await workers.request(
         server["url"].removeprefix("http://"), "POST", call["path"].encode("latin-1"), heads,
         base64.b64decode(call["body"]), gate=gate, limit=limit,
+        expect=(d.request_id.encode(), call["id"].encode()),
     )  # fmt: skip
     try:
-        seen = dict(got.headers)
-        if seen.get(d.not_run.encode()) is not None or got.status == 421:
+        judged = verdict(got.status, got.headers, AnswerNames.of(d))
+        if judged.proof in (Proof.NOT_RUN, Proof.OTHER_WORKER):
             raise Stop(Fault("run item", worker, f"status {got.status}: not run", SHED, "shed"))
-        if seen.get(d.request_id.encode()) != call["id"].encode():
-            raise Stop(Fault("run item", worker, "an answer to another call", BROKE))
-        if got.status in (500, 422):
-            return "failed" if got.status == 500 else "never"
+        if judged.proof is Proof.NONE:
+            raise Stop(Fault("run item", worker, judged.why, BROKE))
+        if got.status in FINAL:
+            await read_to_the_end(got, worker)
+            return FINAL[got.status]
         if got.status != 200:
             raise Stop(Fault("run item", worker, f"status {got.status}", BROKE))
         events = Events(text)
--- a/tests/test_items.py
+++ b/tests/test_items.py
@@ -1,10 +1,17 @@
 """Events of runs, joined to a text."""
 
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
 import pytest
 
 from postpass.dialect import Dialect
 from postpass.fault import Stop
-from postpass.items import Events, Text, request_headers
+from postpass.items import Events, Text, request_headers, run_item
+from postpass.workerlink import WorkerLinks
+from tests.test_workerlink import run
 
 
 def event(n: int, data: str) -> bytes:
@@ -52,3 +59,62 @@
             b"host": b"h.example", b"x-call-id": b"i1", b"x-deadline-ms": b"5000", b"x-want-worker": b"w1",
             b"content-length": b"3", b"X-Model": b"m", b"last-event-id": b"12", b"x-urgency": b"9",
         }  # fmt: skip
+
+
+ITEM = {"id": "i1", "path": "/x", "headers": {}, "body": "q83v", "tokens": 3}
+SEALED = b"X-Call-Id: i1\r\nX-Seal: s\r\n"
+
+
+def answer(status: str, headers: bytes, body: bytes) -> bytes:
+    head = f"HTTP/1.1 {status}\r\nConnection: close\r\nContent-Length: {len(body)}\r\n".encode()
+    return head + headers + b"\r\n" + body
+
+
+def run_against(answers: list[bytes]) -> list[tuple[str, str]]:
+    """Runs an item anew for each answer; how each ended ('shed', 'broken' or its end), and its text."""
+
+    async def play(_connection: int, _number: int, _head: bytes, writer: asyncio.StreamWriter) -> None:
+        writer.write(left.pop(0))
+        await asyncio.sleep(0.01)
+        writer.close()
+
+    async def main(links: WorkerLinks, *_: Any) -> list[tuple[str, str]]:
+        out = []
+        for _answer in answers:
+            text = Text()
+            try:
+                end = await run_item(
+                    links, Dialect(), {"url": "http://w:1"}, "w1", "h", ITEM, text, lambda: "", 1.0
+                )  # fmt: skip
+            except Stop as bad:
+                end = bad.fault.hint or "broken"
+            out.append((end, text.text))
+        return out
+
+    left = list(answers)
+    return run(play, main)  # type: ignore[no-any-return]
+
+
+class Test_Answers_of_an_item:
+    def test_whole_ones_end_it(self) -> None:
+        whole = answer("200 OK", SEALED, event(0, "a") + event(1, "b"))
+        assert run_against([whole, answer("500 No", SEALED, b"no"), answer("422 No", b"X-Call-Id: i1\r\n", b"no")]) == [
+            ("done", "a\nb"), ("failed", ""), ("never", "")]  # fmt: skip
+
+    def test_those_of_another_request_prove_nothing(self) -> None:
+        other = b"X-Call-Id: i2\r\nX-Seal: s\r\n"
+        for status, more in (("200 OK", b""), ("503 Full", b"X-Not-Run: 1\r\n"), ("421 No", b""), ("422 No", b"")):
+            assert run_against([answer(status, other + more, event(0, "a"))]) == [("broken", "")]
+
+    def test_a_success_needs_the_seal_and_a_plain_body(self) -> None:
+        for headers in (b"X-Call-Id: i1\r\n", SEALED + b"Content-Encoding: gzip\r\n", SEALED + b"X-Not-Run: 1\r\n"):
+            assert run_against([answer("200 OK", headers, event(0, "a"))]) == [("broken", "")]
+
+    def test_a_failure_that_is_cut_ends_nothing(self) -> None:
+        for status in ("500 No", "422 No"):
+            assert run_against([answer(status, SEALED, b"because")[:-2]]) == [("broken", "")]
+
+    def test_refusals_are_told_apart(self) -> None:
+        not_run = b"X-Call-Id: i1\r\nX-Not-Run: 1\r\n"
+        assert run_against([answer("503 Full", not_run, b""), answer("503 Full", SEALED, b"")]) == [
+            ("shed", ""), ("broken", "")]  # fmt: skip
--- a/tests/test_routed_lots.py
+++ b/tests/test_routed_lots.py
@@ -48,7 +48,7 @@
         self.full = False
 
     async def request(self, addr: str, method: str, target: bytes, headers: list[tuple[bytes, bytes]], body: bytes,
-                      *, gate: Callable[[], str], limit: float) -> Answer:  # fmt: skip
+                      *, gate: Callable[[], str], limit: float, expect: tuple[bytes, bytes] | None) -> Answer:  # fmt: skip
         why = gate()
         if why:
             raise Stop(Fault("gate", addr, why, unsent=True))
@@ -58,7 +58,7 @@
         name, last = heads[b"x-call-id"].decode(), int(heads.get(b"last-event-id", b"-1"))
         again = any(n == name for n, _ in self.runs)
         self.runs.append((name, last))
-        own = [(b"x-call-id", name.encode())]
+        own = [(b"x-call-id", name.encode()), (b"x-seal", b"s")]
         if name.endswith(("never", "fails")):
             return Answer(422 if name.endswith("never") else 500, own, [], False)
         most = 2 if name.endswith("cut") and not again else 3
