Ask the members that a candidate learns of from the log it fetches

Cause: a store that lost its disk and came back first in the order knew only the members that the configuration wants. A store being emptied is still a member until its leaving is covered; the blank candidate never asked it, had too few promises each time, and its tries kept the others from standing. Change: once the fetched log names members that were not asked, they are asked for a promise under the same epoch, until the best log names nobody new.

--- a/postpass/store.py
+++ b/postpass/store.py
@@ -53,6 +53,24 @@
     done_at: dict[str, float] = field(default_factory=dict)
 
 
+@dataclass(eq=False)
+class Promises:
+    """What a candidate has gathered for its epoch: who was asked, who promised, and the best log among theirs."""
+
+    log: Tape
+    asked: list[str] = field(default_factory=list)
+    responses: dict[str, Body] = field(default_factory=dict)
+
+    @property
+    def voters(self) -> dict[str, str]:
+        """Who promised, with the identity of the disk that did."""
+        return {n: str(a["disk"]) for n, a in self.responses.items()}
+
+    def end_of(self, name: str) -> tuple[int, int]:
+        """The last epoch and the length of a voter's log: the higher, the more it has."""
+        return self.responses[name]["last_epoch"], self.responses[name]["last"]
+
+
 @dataclass(eq=False)
 class Store:
     conf: Config
@@ -219,16 +237,43 @@
         return await self.lines.call(addr, verb, body, self.conf.bounds.promise)
 
     # --- takeover
-    async def poll(self, part: Part, view: LotView, names: list[str], body: Body) -> dict[str, Body]:
-        """Asks for promises; waits for the last ones only as long as it hasn't got enough."""
+    async def poll(
+        self, part: Part, view: LotView, names: list[str], body: Body, have: dict[str, str] | None = None
+    ) -> dict[str, Body]:
+        """Asks for promises beside those in `have`; waits for the last ones only as long as it hasn't got enough."""
 
         def enough(got: dict[str, PeerResponse]) -> bool:
             voters = {n: str(g.unwrap()["disk"]) for n, g in got.items() if isinstance(g, Ok) and g.unwrap()["ok"]}
-            return part.may_lead(view, voters | {self.conf.name: self.disk_id})
+            return part.may_lead(view, (have or {}) | voters | {self.conf.name: self.disk_id})
 
         got = await hear({n: self.ask(n, "promise", body) for n in names}, enough, self.conf.bounds.beat / 2)
         return {n: g.unwrap() for n, g in got.items() if isinstance(g, Ok)}
 
+    async def collect_promises(self, part: Part, epoch: int, body: Body) -> Promises | None:
+        """Promises of all who have, or should have, a copy, and the best log among theirs; None if a higher epoch shows
+        up or that log can't be fetched.
+
+        Who is a member stands in the log: a candidate that is behind learns of some only from the log that it fetches,
+        and then asks these as well. Without them it could neither lead nor let one lead that knows all members.
+        """
+        got = Promises(part.tape)
+        names = self.names(part, head(part.tape))
+        while names:
+            answers = await self.poll(part, head(got.log), names, body, got.voters)
+            part.promised = max([part.promised, *(a["promised"] for a in answers.values())])
+            if part.promised != epoch or part.owning:
+                return None
+            got.asked += names
+            got.responses |= {n: a for n, a in answers.items() if a["ok"]}
+            best = max(got.responses, key=got.end_of, default="")
+            if best and got.end_of(best) > (got.log.last_epoch, got.log.last):
+                pulled = await self.pull(part, best, got.responses[best], epoch)
+                if pulled is None or part.promised != epoch:
+                    return None
+                got.log = pulled
+            names = [n for n in self.names(part, head(got.log)) if n not in got.asked]
+        return got
+
     async def stand(self, part: Part, hand: int) -> None:
         b = self.conf.bounds
         view = head(part.tape)
@@ -249,23 +294,14 @@
             await self.log.wait(self.write(part, [IDL.Entry(part=part.id, op="promise", epoch=epoch)]))
         except Stop:
             return
-        answers = await self.poll(part, view, names, base | {"epoch": epoch, "probe": 0})
-        part.promised = max([part.promised, *(a["promised"] for a in answers.values())])
+        got = await self.collect_promises(part, epoch, base | {"epoch": epoch, "probe": 0})
         back_off = now() - b.detect + b.stagger * self.world.chance.random()
-        if part.promised != epoch or part.owning:
+        if got is None or part.promised != epoch or part.owning:
             part.heard = max(part.heard, back_off)
             return
-        good = {n: a for n, a in answers.items() if a["ok"]}
-        best = max(good, key=lambda n: (good[n]["last_epoch"], good[n]["last"]), default="")
-        staged = part.tape
-        if best and (good[best]["last_epoch"], good[best]["last"]) > (part.tape.last_epoch, part.tape.last):
-            pulled = await self.pull(part, best, good[best], epoch)
-            if pulled is None or part.promised != epoch:
-                part.heard = max(part.heard, back_off)
-                return
-            staged = pulled
+        staged = got.log
         view = head(staged)
-        voters = {n: str(a["disk"]) for n, a in good.items()} | {self.conf.name: self.disk_id}
+        voters = got.voters | {self.conf.name: self.disk_id}
         must = set(self.names(part, view)) | set(view.crew)
         every = all(n in voters or not self.news.addr(n) for n in must)
         blank = staged.last == 0
--- /dev/null
+++ b/tests/membership_drill.py
@@ -0,0 +1,389 @@
+"""A second loss at a step of a change of members, on a small announced fleet.
+
+A run begins a change (`Step`), lets a second loss (`Loss`) strike another machine, lets power fail everywhere at the
+end, with or without one more loss, and then tells what of the acknowledged was lost.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+from typing import Any
+
+from postpass.data import Data
+from postpass.part import Part
+from postpass.store import Store
+from sim.disk import SimDisk
+from sim.loop import SimLoop, run_sim
+from sim.points import Point, Points, hit
+from tests.announced import Fleet
+from tests.test_platform_configuration import document
+
+KINDS = ("kill", "power", "wipe", "freeze", "cut")
+SYNC = 5.0  # `bounds.sync` of the fleet
+DETECT = 1.5  # `bounds.detect`
+RECOVER = 12.0  # `bounds.recover`
+
+
+@dataclass(frozen=True)
+class Loss:
+    """One machine is lost `after` seconds from the step's start, and is back `down` seconds later."""
+
+    kind: str
+    victim: str  # a name, or a role: primary, backup, witness, owner, mirror, joined, left
+    after: float
+    down: float
+
+
+@dataclass(frozen=True)
+class Drill:
+    """One run. `step` is the change under way; `point` strikes the loss at that numbered point instead of a time."""
+
+    step: str
+    loss: Loss | None = None
+    second: Loss | None = None
+    last_wipe: str = ""  # who also loses its disk in the loss of power at the end
+    settle: float = SYNC + 1.0  # between the last machine's return and the loss of power of all
+    point: int = 0
+    seed: int = 1
+    control: int = 4
+    stores: int = 4
+    edges: int = 1
+    lost: int = 1
+
+
+@dataclass(eq=False)
+class Verdict:
+    """What a run showed. Invariant: `flaws` is empty if everything that must hold did."""
+
+    flaws: list[str] = field(default_factory=list)
+    points: list[tuple[float, Point]] = field(default_factory=list)
+    began: float = 0.0
+    notes: list[str] = field(default_factory=list)
+
+
+def store_of(fleet: Fleet, name: str) -> Store | None:
+    """The store of a machine that is up."""
+    daemon = fleet.nodes[name].daemon
+    return daemon.store if isinstance(daemon, Data) and not fleet.nodes[name].host.frozen else None
+
+
+def owners(fleet: Fleet) -> dict[int, tuple[str, Part]]:
+    """Who owns each partition and is ready, by the highest epoch."""
+    out: dict[int, tuple[str, Part]] = {}
+    for name in fleet.nodes:
+        store = store_of(fleet, name)
+        for part in store.parts.values() if store is not None else ():
+            if part.ready and (part.id not in out or part.epoch > out[part.id][1].epoch):
+                out[part.id] = (name, part)
+    return out
+
+
+def store_names(fleet: Fleet) -> list[str]:
+    return [n for n, x in fleet.nodes.items() if "store" in x.conf.duties]
+
+
+@dataclass(eq=False)
+class Run:
+    """The state of one run: the fleet, what was acknowledged, and who is away."""
+
+    fleet: Fleet
+    drill: Drill
+    verdict: Verdict = field(default_factory=Verdict)
+    version: int = 0  # highest acknowledged configuration
+    sent: int = 0
+    kept: dict[str, int] = field(default_factory=dict)  # lot -> partition, acknowledged
+    lots: int = 0
+    joined: str = ""
+    left: str = ""
+    gone: set[str] = field(default_factory=set)
+    writing: bool = True
+    away: int = 0
+
+    @property
+    def clock(self) -> float:
+        return self.fleet.loop.clock
+
+    def flaw(self, text: str) -> None:
+        self.verdict.flaws.append(f"at {self.clock:.2f}: {text}")
+
+    # --- writers
+    async def write_configurations(self) -> None:
+        """An operator that changes the configuration twice a second, at any control machine that is up."""
+        turn = 0
+        while self.writing:
+            names = [c.conf.name for c in self.fleet.controls() if not self.fleet.nodes[c.conf.name].host.frozen]
+            if names:
+                self.sent += 1
+                number, base, turn = self.sent, self.version, turn + 1
+                await self.configure(names[turn % len(names)], number, base)
+            await asyncio.sleep(0.5)
+
+    async def configure(self, via: str, number: int, base: int) -> None:
+        try:
+            got = await asyncio.wait_for(
+                self.fleet.ask(via, lambda c: c.apply_source(document(number), base)), timeout=4.0
+            )
+        except (TimeoutError, AttributeError):
+            return
+        if got.is_ok():
+            self.version = max(self.version, number)
+        elif got.unwrap_err().hint.isdigit() and int(got.unwrap_err().hint) > base:
+            self.version = max(self.version, int(got.unwrap_err().hint))  # an unclear one came to be
+
+    async def write_lots(self) -> None:
+        """A caller that hands in a lot every fifth of a second, each to another partition."""
+        while self.writing:
+            self.lots += 1
+            lot, number = f"lot{self.lots}", self.lots % 8
+            owner = owners(self.fleet).get(number)
+            if owner is not None:
+                self.fleet.loop.create_task(self.submit(owner[0], lot, number))
+            await asyncio.sleep(0.2)
+
+    async def submit(self, owner: str, lot: str, number: int) -> None:
+        body = {"id": lot, "class": "plain", "items": ["x" * 500], "due": 9e9, "caller": ""}
+        ask = {"part": number, "lot": body, "wait": 3.0}
+        try:
+            got = await asyncio.wait_for(self.fleet.ask(owner, lambda d: d.store.submit(ask)), timeout=4.0)
+        except (TimeoutError, AttributeError):
+            return
+        if got.is_ok():
+            self.kept[lot] = number
+
+    # --- losses
+    def named(self, role: str) -> str:
+        """The machine that a role names now."""
+        primary = self.fleet.primary()
+        if role in ("primary", "backup", "witness"):
+            if primary is None:
+                return ""
+            if role == "primary":
+                return primary.conf.name
+            others = [c.conf.name for c in self.fleet.controls() if c.conf.name not in primary.held.pair]
+            return primary.held.pair.backup if role == "backup" else next(iter(sorted(others)), "")
+        if role in ("owner", "mirror"):
+            owner = owners(self.fleet).get(0)
+            if owner is None:
+                return ""
+            mirrors = [n for n in sorted(owner[1].view.crew) if n != owner[0] and n in self.fleet.up()]
+            return owner[0] if role == "owner" else next((n for n in mirrors if n != self.joined), "")
+        return {"joined": self.joined, "left": self.left}.get(role, role)
+
+    def strike(self, kind: str, name: str, down: float) -> None:
+        """Loses a machine now, and has it back `down` seconds later."""
+        node = self.fleet.nodes.get(name)
+        if node is None or name in self.gone or node.host.dead or node.host.frozen:
+            return
+        self.away += 1
+        self.verdict.notes.append(f"{self.clock:.2f} {kind} {name} for {down}")
+        loop = self.fleet.loop
+        if kind == "freeze":
+            loop.freeze(node.host)
+            self.later(down, lambda: loop.thaw(node.host))
+        elif kind == "cut":
+            ways = [w for n in self.fleet.nodes if n != name for w in ((name, n), (n, name))]
+            loop.net.cuts.update(ways)
+            self.later(down, lambda: loop.net.cuts.difference_update(ways))
+        else:
+            self.stop(name, kind)
+            self.later(down, lambda: self.boot(name))
+
+    def stop(self, name: str, kind: str) -> None:
+        node = self.fleet.nodes[name]
+        self.fleet.kill(name, silent=kind != "kill")
+        if kind == "power" and node.disk is not None:
+            node.disk.power_off()
+        if kind == "wipe" and node.disk is not None:
+            node.disk = SimDisk(random.Random(f"{name}{self.clock}"))
+
+    def boot(self, name: str) -> None:
+        node = self.fleet.nodes[name]
+        if name not in self.gone and node.host.dead:
+            node.conf = replace(node.conf, bootstrap=False)
+            self.fleet.boot(name)
+
+    def later(self, delay: float, act: Callable[[], None]) -> None:
+        async def run() -> None:
+            await asyncio.sleep(delay)
+            act()
+            self.away -= 1
+
+        self.fleet.loop.create_task(run())
+
+    async def lose(self, loss: Loss) -> None:
+        await asyncio.sleep(loss.after)
+        name = ""
+        while not name and self.writing:
+            name = self.named(loss.victim)
+            if not name:
+                await asyncio.sleep(0.05)
+        self.strike(loss.kind, name, loss.down)
+
+    # --- the steps
+    def live_seeds(self) -> list[str]:
+        return [c.conf.peer for c in self.fleet.controls()][:3]
+
+    def add(self, kind: str, area: str) -> str:
+        number = len(self.fleet.nodes)
+        name, net = f"n{number}", {"control": 0, "store": 1}[kind]
+        self.fleet.add(name, kind, area, f"10.{net}.{20 + number}.1", seeds=self.live_seeds())
+        self.joined = name
+        return name
+
+    def remove(self, name: str) -> None:
+        """The machine goes for good, with its disk."""
+        self.gone.add(name)
+        self.left = name
+        self.fleet.kill(name, silent=True)
+
+    async def term(self, name: str, grace: float = 8.0) -> None:
+        """SIGTERM, and SIGKILL after the grace time."""
+        node = self.fleet.nodes[name]
+        if node.daemon is None:
+            return
+        node.daemon.stop.set()
+        await self.fleet.until(lambda: node.host.dead, grace)
+
+    async def take_step(self, step: str) -> None:
+        """Begins the change of members; returns once what the operator does for it is done."""
+        verb, _, role = step.partition(" ")
+        if verb in KINDS:
+            kind, _, name = step.partition(" ")
+            role, _, down = name.partition(" ")
+            self.strike(kind, self.named(role), float(down or 1.0))
+        elif verb == "replace":  # lost for good; an empty one comes at another address
+            old = self.named(role)
+            area, kind = self.fleet.nodes[old].conf.area, "store" if self.fleet.nodes[old].conf.duties else "control"
+            self.remove(old)
+            await asyncio.sleep(1.0)
+            self.add(kind, area)
+        elif verb == "planned":  # the new one first; then the old one is told to leave, and removed
+            old = self.named(role)
+            area, kind = self.fleet.nodes[old].conf.area, "store" if self.fleet.nodes[old].conf.duties else "control"
+            self.add(kind, area)
+            await asyncio.sleep(SYNC)
+            await self.term(old)
+            self.remove(old)
+        elif verb == "retire":
+            await self.retire(self.named(role))
+        elif verb == "refill":
+            self.strike("wipe", self.named(role), 0.5)
+
+    async def retire(self, name: str) -> None:
+        """Asks until it is done, then removes the machine with its disk at once."""
+        asked = False
+        while self.writing:
+            up = [c.conf.name for c in self.fleet.controls() if not self.fleet.nodes[c.conf.name].host.frozen]
+            if up:
+                via = up[0]
+                verb = "retired" if asked else "retire"
+                try:
+                    got = await asyncio.wait_for(self.fleet.ask(via, lambda c, v=verb: getattr(c, v)(name)), 4.0)  # type: ignore[misc]
+                except (TimeoutError, AttributeError):
+                    got = None
+                if got is not None and got.is_ok():
+                    if asked and got.unwrap()["done"]:
+                        self.verdict.notes.append(f"{self.clock:.2f} {name} is done")
+                        hit("retired")
+                        self.remove(name)
+                        return
+                    asked = True
+            await asyncio.sleep(0.1)
+
+    # --- the course of a run
+    async def play(self) -> Verdict:
+        f, drill = self.fleet, self.drill
+        f.loop.points = Points()
+        if await f.until(f.joined, 10) < 0:
+            self.flaw("the fleet was not founded")
+            return self.verdict
+        f.first = False
+        writers = [f.loop.create_task(self.write_configurations()), f.loop.create_task(self.write_lots())]
+        await asyncio.sleep(4.0)
+        for node in f.nodes.values():
+            if node.disk is not None:
+                node.disk.tap = hit
+        self.verdict.began = self.clock
+        f.loop.points.watchers.append(self.seen)
+        step = f.loop.create_task(self.take_step(drill.step))
+        losses = [f.loop.create_task(self.lose(x)) for x in (drill.loss, drill.second) if x and not drill.point]
+        await asyncio.gather(*losses)
+        # A retirement may wait for the machine that is away.
+        await f.until(lambda: step.done() and self.away == 0 and (not drill.point or self.struck), 40)
+        await asyncio.sleep(drill.settle)
+        await self.check_serving("after the loss", 0.0)
+        self.writing = False
+        await asyncio.gather(*writers)
+        await asyncio.sleep(0.1)
+        await self.fail_power()
+        await self.check_serving("after the loss of power of all", RECOVER)
+        await self.check_kept()
+        return self.verdict
+
+    struck: bool = False
+
+    def seen(self, point: Point) -> None:
+        self.verdict.points.append((self.clock, point))
+        loss = self.drill.loss
+        if loss is not None and point.number == self.drill.point:
+            self.struck = True
+            self.strike(loss.kind, self.named(loss.victim), loss.down)
+
+    async def fail_power(self) -> None:
+        f, lost = self.fleet, self.named(self.drill.last_wipe) if self.drill.last_wipe else ""
+        self.verdict.notes.append(f"{self.clock:.2f} power of all, wiped: {lost or 'none'}")
+        for name in f.nodes:
+            f.kill(name, silent=True)
+        for name, node in f.nodes.items():
+            if node.disk is not None:
+                node.disk.power_off()
+            if name == lost:
+                node.disk = SimDisk(random.Random(name + "last"))
+        await asyncio.sleep(1.0)
+        for name in f.nodes:
+            self.boot(name)
+
+    def serving(self) -> bool:
+        return self.fleet.primary() is not None and len(owners(self.fleet)) == 8
+
+    async def check_serving(self, when: str, limit: float) -> None:
+        took = await self.fleet.until(self.serving, max(limit, RECOVER))
+        if took < 0:
+            lead, mine = self.fleet.primary(), owners(self.fleet)
+            lacks = [n for n in range(8) if n not in mine]
+            self.flaw(f"{when}: not serving: primary {lead.conf.name if lead else 'none'}, no owner of {lacks}")
+
+    async def check_kept(self) -> None:
+        """Is everything that was acknowledged there, and was no loss told?"""
+        f = self.fleet
+        lead = f.primary()
+        if lead is not None:
+            there = lead.held.state.man.get("version", 0)
+            if there < self.version:
+                self.flaw(f"configuration {there}, but {self.version} was acknowledged")
+            if lead.held.state.losses:
+                self.flaw(f"control tells {lead.held.state.losses} losses")
+        mine = owners(f)
+        lost = [lot for lot, n in self.kept.items() if n in mine and lot not in mine[n][1].view.lots]
+        if lost:
+            self.flaw(f"{len(lost)} of {len(self.kept)} lots are gone: {lost[:5]}")
+        told = {n: p.view.losses for n, (_, p) in mine.items() if p.view.losses}
+        if told:
+            self.flaw(f"partitions tell losses: {told}")
+        self.verdict.notes.append(f"{len(self.kept)} lots, configuration {self.version}")
+
+
+def play(drill: Drill) -> Verdict:
+    """Plays one run."""
+
+    async def main(loop: SimLoop) -> Verdict:
+        fleet = Fleet(loop, control=drill.control, stores=drill.stores, edges=drill.edges, lost=drill.lost)
+        fleet.start()
+        return await Run(fleet, drill).play()
+
+    verdict: Any = run_sim(main, drill.seed)
+    assert isinstance(verdict, Verdict)
+    return verdict
