--- a/tests/test_sim_broken.py
+++ b/tests/test_sim_broken.py
@@ -38,7 +38,7 @@
     plain = Relay.begin
 
     async def begin(self: Relay, request: Any, exchange: Any, joined: bool) -> None:
-        exchange.headers = [h for h in exchange.headers if h[0] != self.names.seal]
+        exchange.headers = [h for h in exchange.headers if h[0] != self.names.answers.seal]
         await plain(self, request, exchange, joined)
 
     mp.setattr(Relay, "begin", begin)
@@ -192,7 +192,7 @@
 
 def takes_invalid(mp: pytest.MonkeyPatch) -> None:
     mp.setattr(module("configuration"), "line_flaws", lambda *_: [])
-    mp.setattr("postpass.control.deep_flaws", lambda *_: [])
+    mp.setattr("postpass.control.orders.deep_flaws", lambda *_: [])
 
 
 def reads_old(mp: pytest.MonkeyPatch) -> None:
