Acknowledge a taken order again after any number of others

Change: the state keeps the bounded memory of accepted orders. An order older than the memory, or from before a loss, gets no clear answer instead of a refusal. How a configuration order changes the state is a module of its own. Two tests of broken variants name the functions that moved.

--- /dev/null
+++ b/postpass/control/configuration.py
@@ -0,0 +1,76 @@
+"""How a configuration order changes the state: a whole document, or a patch of the one in force."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from functools import cached_property
+from typing import Any
+
+from result import Err, Ok, Result
+
+from postpass import roster, taken_orders
+from postpass.fault import BAD, OLD, SLOW, Fault
+from postpass.manifest import deep_flaws
+from postpass.roster import State, Translator
+from postpass.taken_orders import ConfigurationOrder, Recollection
+
+STEP = "configure"
+
+
+@dataclass(frozen=True)
+class ConfigurationChange:
+    """An order as a change of the state. Invariant: on a state that has taken the order it changes nothing."""
+
+    member: str
+    translator: Translator | None
+    remembered: int  # how many accepted orders the state remembers at least
+    sent: Any
+    base: int
+    is_patch: bool
+
+    @cached_property
+    def order(self) -> ConfigurationOrder:
+        return ConfigurationOrder.of(self.sent, self.base if self.is_patch else None)
+
+    @cached_property
+    def document_flaws(self) -> list[str]:
+        """What is wrong with a whole document, whatever it is applied to."""
+        if self.translator is None or self.is_patch:
+            return []
+        return self.translator.terms(self.sent).err() or []
+
+    def __call__(self, state: State) -> Result[State, Fault]:
+        current = state.man.get("version", 0)
+        recollection = taken_orders.recall(state.orders, self.order, current)
+        if recollection is Recollection.TAKEN:
+            return Ok(state)
+        if self.translator is None:
+            return self._refuse("this process reads no documents")
+        if self.document_flaws:
+            return self._refuse(*self.document_flaws)
+        if recollection is Recollection.FORGOTTEN and self.base < self.order.version:
+            why = f"version {self.order.version}: too long ago to tell whether it was taken"
+            return Err(Fault(STEP, self.member, why, SLOW))
+        if self.base != current:
+            why = f"version {current} is current, this builds on {self.base}"
+            return Err(Fault(STEP, self.member, why, OLD, str(current)))
+        return self._apply(state, self.translator)
+
+    def _apply(self, state: State, translator: Translator) -> Result[State, Fault]:
+        document = translator.patched(state.source, self.sent) if self.is_patch else Ok(self.sent)
+        if isinstance(document, Err):
+            return self._refuse(*document.unwrap_err())
+        source = document.unwrap()
+        read = translator.terms(source)
+        if isinstance(read, Err):
+            return self._refuse(*read.unwrap_err())
+        terms = read.unwrap()
+        if terms["version"] <= self.base:
+            return self._refuse(f"version: want more than {self.base}, got {terms['version']}")
+        orders = taken_orders.remember(state.orders, self.order, self.remembered)
+        new = roster.configured(state, terms, source, orders)
+        flaws = deep_flaws(new.man)
+        return self._refuse(*flaws) if flaws else Ok(new)
+
+    def _refuse(self, *flaws: str) -> Result[State, Fault]:
+        return Err(Fault(STEP, self.member, "\n".join(flaws), BAD))
--- a/postpass/control/election.py
+++ b/postpass/control/election.py
@@ -13,7 +13,7 @@
 from postpass.control.state import Held
 from postpass.fault import SLOW, Fault
 from postpass.manifest import Manifest, check
-from postpass.roster import State
+from postpass.roster import State, recovered
 from postpass.wire import Body
 from postpass.world import now
 
@@ -53,7 +53,7 @@
                 newest = await self.newest_known(man)
                 if newest is None:
                     return Err(Fault(step, me, "too few daemons confirm the newest edition", SLOW))
-                state, loss = State(newest[0] + 1, newest[1], 1), True
+                state, loss = recovered(newest[0] + 1, newest[1], 1), True
             elif first is not None:
                 state = first
             else:
@@ -75,7 +75,7 @@
                     if newest is None:
                         return Err(Fault(step, me, "too few daemons confirm the newest edition", SLOW))
                     edition = max(newest[0], *(a["edition"] for a in good.values())) + 1
-                    state, loss = State(edition, newest[1], start.state.losses + 1), True
+                    state, loss = recovered(edition, newest[1], start.state.losses + 1), True
                 elif start.whole != best.epoch:
                     return Err(Fault(step, me, flaw, SLOW))
         # One at most joins or leaves the voters in an epoch, unless all of them have answered.
--- a/postpass/control/orders.py
+++ b/postpass/control/orders.py
@@ -7,11 +7,12 @@
 
 from result import Err, Ok, Result
 
-from postpass import events, roster
+from postpass import events, roster, taken_orders
 from postpass.control.changes import Fold
+from postpass.control.configuration import ConfigurationChange
 from postpass.control.leadership import Leadership
 from postpass.fault import BAD, LACK, MOVED, OLD, SLOW, Fault, Stop
-from postpass.manifest import Manifest, check, deep_flaws, dump, members, with_duty
+from postpass.manifest import Manifest, check, dump, members, with_duty
 from postpass.roster import State
 from postpass.wire import Body, PeerResponse
 from postpass.world import now
@@ -123,9 +124,9 @@
     def folding(self, body: Body) -> Fold:
         what = body["what"]
         if what == "source":
-            return self.document(body["source"], body["base"], False)
+            return self.configuration(body["source"], body["base"], is_patch=False)
         if what == "patch":
-            return self.document(body["source"], body["base"], True)
+            return self.configuration(body["source"], body["base"], is_patch=True)
         if what in ("evacuate", "return"):
             area = body["area"]
             if area not in self.conf.areas:
@@ -142,39 +143,10 @@
             return retire
         return lambda s: Err(Fault("order", self.conf.name, f"unknown order {what!r:.60}", BAD))
 
-    def document(self, sent: Any, base: int, change: bool) -> Fold:
+    def configuration(self, sent: Any, base: int, is_patch: bool) -> Fold:
         """The operator's document, whole or as a change of the one of version `base`."""
-        step, me = "configure", self.conf.name
-        order = roster.digest(f"patch {base}" if change else "source", sent)
-        translator = self.translator
-        flaws: list[str] = []
-        if translator is not None and not change:
-            flaws = translator.terms(sent).err() or []
-
-        def fold(s: State) -> Result[State, Fault]:
-            if order in s.orders:
-                return Ok(s)
-            if translator is None:
-                return Err(Fault(step, me, "this process reads no documents", BAD))
-            current = s.man.get("version", 0)
-            if flaws:
-                return Err(Fault(step, me, "\n".join(flaws), BAD))
-            if base != current:
-                return Err(Fault(step, me, f"version {current} is current, this builds on {base}", OLD, str(current)))
-            whole = translator.patched(s.source, sent) if change else Ok(sent)
-            if isinstance(whole, Err):
-                return Err(Fault(step, me, "\n".join(whole.unwrap_err()), BAD))
-            source = whole.unwrap()
-            terms = translator.terms(source)
-            if isinstance(terms, Err):
-                return Err(Fault(step, me, "\n".join(terms.unwrap_err()), BAD))
-            if terms.unwrap()["version"] <= current:
-                return Err(Fault(step, me, f"version: want more than {current}, got {terms.unwrap()['version']}", BAD))
-            new = roster.configured(s, terms.unwrap(), source, order)
-            odd = deep_flaws(new.man)
-            return Err(Fault(step, me, "\n".join(odd), BAD)) if odd else Ok(new)
-
-        return fold
+        remembered = taken_orders.limit_of(self.conf.bounds)
+        return ConfigurationChange(self.conf.name, self.translator, remembered, sent, base, is_patch)
 
     async def emptied(self, name: str) -> PeerResponse:
         """Does a store hold nothing any more that counts? Once that is so, it is no machine of the fleet any longer."""
--- a/postpass/roster.py
+++ b/postpass/roster.py
@@ -3,8 +3,6 @@
 
 from __future__ import annotations
 
-import hashlib
-import json
 from collections import Counter
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass, field, replace
@@ -12,11 +10,11 @@
 
 from result import Result
 
+from postpass import taken_orders
 from postpass.config import addr_flaws
 from postpass.manifest import Limits, Machine, Manifest, Pool, Route, Server, with_duty
 
 PARTS = 8  # partitions of a fleet that founds itself
-ORDERS = 16  # accepted orders that are known again when they are resent
 LEFT = 512  # lives of workers that are known to have ended, so that a late word doesn't bring them back
 
 
@@ -65,8 +63,8 @@
     """Control state. Invariant: `edition` grows by one with every write, and never falls; `losses` counts
     how often acknowledged state may have been lost.
 
-    Of announced fleets only: `source` is the operator's document as sent, or as changed since; `orders` are digests of
-    the last orders taken; `aside` holds workers by the pools that they name and that no terms have; `left` are workers
+    Of announced fleets only: `source` is the operator's document as sent, or as changed since; `orders` is the
+    memory of accepted orders (`taken_orders`); `aside` holds workers by the pools that they name and that no terms have; `left` are workers
     that said they end; `retired` are emptied stores, by name, with the disk that was emptied."""
 
     edition: int = 0
@@ -84,16 +82,17 @@
         return self.manifest
 
 
-def digest(what: str, body: Any) -> str:
-    """Names an order by its content, whatever the order of its keys."""
-    return hashlib.sha256(f"{what} {json.dumps(body, sort_keys=True)}".encode()).hexdigest()[:24]
-
-
 def edit(state: State, **parts: Any) -> State:
     """The state with some parts of its manifest put in place of the present ones."""
     return replace(state, manifest=cast(Manifest, {**state.man, **parts}))
 
 
+def recovered(edition: int, manifest: Manifest, losses: int) -> State:
+    """The state after a loss, from a manifest that daemons held: no order up to its version is known any more."""
+    orders = taken_orders.forgotten_up_to(manifest.get("version", 0))
+    return State(edition, manifest, losses, orders=orders)
+
+
 # --- machines
 def entry_flaws(entry: Any, areas: Iterable[str]) -> list[str]:
     if not isinstance(entry, dict) or set(entry) != set(Entry.__annotations__):
@@ -312,13 +311,13 @@
 
 
 # --- the operator
-def configured(state: State, terms: Terms, source: Any, order: str) -> State:
+def configured(state: State, terms: Terms, source: Any, orders: list[str]) -> State:
     """The operator's terms with the workers that are there: those of pools that went stand aside."""
     every = {**{n: p["servers"] for n, p in state.man["pools"].items()}, **state.aside}
     pools = {n: cast(Pool, {**p, "servers": every.get(n, {})}) for n, p in terms["pools"].items()}
     aside = {n: g for n, g in every.items() if n not in pools and g}
     new = edit(state, version=terms["version"], routes=terms["routes"], pools=pools, limits=terms["limits"])
-    return replace(new, source=source, aside=aside, orders=[*state.orders, order][-ORDERS:])
+    return replace(new, source=source, aside=aside, orders=orders)
 
 
 def evacuated(state: State, area: str) -> State:
--- /dev/null
+++ b/tests/test_configuration_change.py
@@ -0,0 +1,90 @@
+"""How a configuration order changes the state, also one read from the state file of the last release."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import Any
+
+from postpass.control.configuration import ConfigurationChange
+from postpass.control.state import Held
+from postpass.roster import State, founded, recovered
+from postpass.taken_orders import ConfigurationOrder
+from tests.test_platform_configuration import document
+from tests.test_platform_settings import adapter
+
+REMEMBERED = 1_000
+
+
+def change(sent: Any, base: int, is_patch: bool = False, remembered: int = REMEMBERED) -> ConfigurationChange:
+    return ConfigurationChange("c1", adapter("configuration").TRANSLATOR, remembered, sent, base, is_patch)
+
+
+def after(versions: int, remembered: int = REMEMBERED) -> State:
+    """The state after as many orders, one version each."""
+    state = State(manifest=founded([], ["a"], 1))
+    for version in range(1, versions + 1):
+        state = change(document(version), version - 1, remembered=remembered)(state).unwrap()
+    return state
+
+
+def code(state: State, sent: Any, base: int, is_patch: bool = False) -> int:
+    """How an order is answered, 200 where it changes nothing, 201 where it is taken now."""
+    got = change(sent, base, is_patch)(state)
+    if got.is_err():
+        return got.unwrap_err().code
+    return 200 if got.unwrap() is state else 201
+
+
+def reloaded(state: State) -> State:
+    """The state as it comes back from a disk."""
+    return Held.load(Held(1, state=state).dump()).state
+
+
+def test_every_order_is_known_again_after_a_restart() -> None:
+    state = reloaded(after(300))
+    assert {code(state, document(version), version - 1) for version in range(1, 301)} == {200}
+    assert code(state, document(300) | {"limits": {}}, 299) == 412
+    assert code(state, document(300), 4) == 200  # it names the base wrongly, but that very configuration was taken
+    assert code(state, document(301), 300) == 201
+
+
+def test_a_change_is_known_by_its_base_and_a_whole_document_by_its_contents() -> None:
+    state = after(3)
+    patch = {"version": 5, "remove": {"routes": ["r2"]}}
+    taken = change(patch, 3, is_patch=True)(state).unwrap()
+    later = change(document(9), 5)(taken).unwrap()
+    assert code(later, patch, 3, is_patch=True) == 200
+    assert code(later, patch, 2, is_patch=True) == 412 == code(later, patch, 9 - 1, is_patch=True)
+    assert code(later, patch, 9, is_patch=True) == 400  # its version is not above the newest
+
+
+def test_the_state_of_the_last_release_is_read_and_its_orders_are_known() -> None:
+    """It kept the digests of the last 16 orders: these are acknowledged again, and of older ones nothing can be told."""
+    whole = after(20)
+    digests = [ConfigurationOrder.of(document(version)).digest for version in range(5, 21)]
+    state = reloaded(replace(whole, orders=digests))
+    for later in (state, change(document(22), 20)(state).unwrap()):
+        assert {code(later, document(version), version - 1) for version in range(5, 21)} == {200}
+        assert {code(later, document(version), version - 1) for version in range(1, 5)} == {504}
+    assert code(state, document(22), 20) == 201
+    assert code(state, document(20), 99) == 200 and code(state, document(2) | {"limits": {}}, 20) == 400
+
+
+def test_the_state_of_a_release_without_a_memory_is_read() -> None:
+    raw = {k: v for k, v in vars(after(3)).items() if k != "orders"}
+    state = State(**raw)
+    assert code(state, document(4), 3) == 201 and code(state, document(4), 1) == 412
+
+
+def test_an_order_from_before_the_memory_is_neither_acknowledged_nor_refused() -> None:
+    state = after(200, remembered=20)
+    known = [code(state, document(version), version - 1) for version in range(1, 201)]
+    assert set(known[-20:]) == {200} and set(known[:100]) == {504}
+    assert code(state, document(3), 200) == 400  # what names the newest as its base was never taken: invalid
+    assert code(state, document(3) | {"routes": 7}, 2) == 400
+
+
+def test_after_a_loss_an_older_order_is_neither_acknowledged_nor_refused() -> None:
+    state = recovered(9, after(7).man, 1)
+    assert code(state, document(7), 6) == 504 and code(state, document(8), 7) == 201
+    assert code(state, document(8), 6) == 412
--- a/tests/test_sim_broken.py
+++ b/tests/test_sim_broken.py
@@ -177,22 +177,22 @@
 
 
 def both_win(mp: pytest.MonkeyPatch) -> None:
-    plain = Control.document
+    plain = Control.configuration
 
-    def document(self: Control, sent: Any, base: int, change: bool) -> Any:
+    def configuration(self: Control, sent: Any, base: int, is_patch: bool) -> Any:
         def fold(s: Any) -> Any:
             current = s.man.get("version", 0)
             later = sent | {"version": max(sent["version"], current + 1)} if current > base else sent
-            return plain(self, later, current, change)(s)
+            return plain(self, later, current, is_patch)(s)
 
         return fold
 
-    mp.setattr(Control, "document", document)
+    mp.setattr(Control, "configuration", configuration)
 
 
 def takes_invalid(mp: pytest.MonkeyPatch) -> None:
     mp.setattr(module("configuration"), "line_flaws", lambda *_: [])
-    mp.setattr("postpass.control.orders.deep_flaws", lambda *_: [])
+    mp.setattr("postpass.control.configuration.deep_flaws", lambda *_: [])
 
 
 def reads_old(mp: pytest.MonkeyPatch) -> None:
