Decide by one rule which change of a partition's members is safe

Cause: the owner's rule for members looked at the last acknowledged counters alone, also of mirrors that had long gone, took out a member beside one that was away, and with no known order (fewer stores than copies) took out all. Change: postpass/membership.py, pure: what the next tolerated loss (machines, areas) would leave above a majority, counted on those that answer and hold all that is acknowledged; a new member takes the place of one not wanted; one that answers leaves only if the rest bears the next loss. An owner tells by 'complete' whether all members have synced the last change. tests/test_membership.py enumerates members and wanted ones of 3 to 5 out of 6 machines.

--- a/postpass/config.py
+++ b/postpass/config.py
@@ -9,6 +9,7 @@
 from result import Err, Ok, Result
 
 from postpass.check import flaws
+from postpass.membership import Tolerance
 
 
 class BoundsFile(TypedDict, total=False):
@@ -151,6 +152,11 @@
     # What the data folder may hold; zero: as much as the file system.
     disk_bytes: int = 0
 
+    @property
+    def tolerance(self) -> Tolerance:
+        """What may be lost at once while every promise still holds."""
+        return Tolerance(self.disks_lost, self.areas_lost)
+
 
 def split(addr: str) -> tuple[str, int]:
     host, _, port = addr.rpartition(":")
--- a/postpass/store.py
+++ b/postpass/store.py
@@ -23,6 +23,7 @@
 from postpass.fault import BAD, BROKE, CLASH, FULL, LACK, MOVED, SHED, SLOW, Fault, Stop
 from postpass.lots import Lot, LotView, Raw, digest, kind_of, page
 from postpass.manifest import part_of
+from postpass.membership import Situation, Topology, next_change
 from postpass.news import News
 from postpass.part import Follow, Part, Sending, fresh_tape, head
 from postpass.routed import Routed
@@ -746,26 +747,40 @@
         if man.get("predicate", "") != view.predicate:
             self.add(part, "predicate", {"text": man.get("predicate", "")})
             return
-        want = self.news.order(part.id)
-        disks = {n: f.disk for n, f in part.follows.items() if f.disk} | {self.conf.name: self.disk_id}
-        for name in want:
-            disk = disks.get(name, "")
-            level = part.recorder.get(name, disk, "persisted") >= part.covered
-            if disk and view.crew.get(name) != disk and level:
-                self.add(part, "crew", {"crew": view.crew | {name: disk}})
-                events.emit(124, self.conf.name, part=part.id, joins=name, disk=disk)
-                return
-        spare = [n for n in view.crew if n not in want and n != self.conf.name]
+        change = next_change(self.situation(part), stays=self.conf.name)
+        if change is not None:
+            self.add(part, "crew", {"crew": change.members})
+            events.emit(
+                124,
+                self.conf.name,
+                part=part.id,
+                joins=",".join(change.joins),
+                leaves=",".join(change.leaves),
+            )
 
-        def whole(name: str) -> bool:
-            disk = disks.get(name, "")
-            at = part.persisted if name == self.conf.name else part.recorder.get(name, disk, "persisted")
-            return disk != "" and view.crew.get(name) == disk and at >= part.covered
+    def situation(self, part: Part) -> Situation:
+        """What a change of a partition's members is decided from, as its owner sees it now."""
+        recent = now() - self.conf.bounds.detect
+        heard = {n: f.disk for n, f in part.follows.items() if f.disk and not f.silent and f.heard > recent}
+        ready = {n: d for n, d in heard.items() if part.recorder.get(n, d, "persisted") >= part.covered}
+        if part.persisted >= part.covered:
+            ready[self.conf.name] = self.disk_id
+        answering = [*heard, self.conf.name]
+        return Situation(part.view.crew, self.news.order(part.id), ready, answering, self.topology(part))
+
+    def complete(self, part: Part) -> bool:
+        """As owner: do all members answer, and have they synced the last change of members? From then on one that has left
+        may lose its disk: whatever it held is on the disks of all of them."""
+        if not part.ready or part.view.crew_seq > part.covered:
+            return False
+        here = self.situation(part)
+        return here.live == set(here.current) and all(
+            part.recorder.get(n, d, "persisted") >= part.view.crew_seq for n, d in here.current.items()
+        )
 
-        # Only once every wanted member is in and whole does a spare one leave.
-        if spare and all(whole(n) for n in want):
-            self.add(part, "crew", {"crew": {n: d for n, d in view.crew.items() if n != spare[0]}})
-            events.emit(124, self.conf.name, part=part.id, leaves=spare[0])
+    def topology(self, part: Part) -> Topology:
+        """Where the machines stand, and what may be lost of them at once."""
+        return Topology(part.areas, self.conf.tolerance)
 
     def tidy(self, part: Part) -> None:
         """Lots leave after the retention; one long overdue is ended first."""
@@ -1264,7 +1279,7 @@
             {
                 "part": p.id, "owner": p.owner, "epoch": max(p.epoch, p.aligned), "last": p.tape.last, "covered": p.covered,
                 "persisted": p.persisted, "owning": p.owning, "ready": p.ready, "bytes": p.tape.size,
-                "crew": p.crew, "losses": p.view.losses,
+                "crew": p.crew, "complete": self.complete(p), "losses": p.view.losses,
                 "mirrors": {
                     n: {"persisted": p.recorder.get(n, f.disk, "persisted"), "silent": f.silent, "full": f.full, "disk": f.disk}
                     for n, f in sorted(p.follows.items())
--- a/tests/membership_drill.py
+++ b/tests/membership_drill.py
@@ -13,6 +13,7 @@
 from typing import Any
 
 from postpass.data import Data
+from postpass.membership import Tolerance, Topology, bears_loss
 from postpass.part import Part
 from postpass.store import Store
 from sim.disk import SimDisk
@@ -29,12 +30,14 @@
 
 @dataclass(frozen=True)
 class Loss:
-    """One machine is lost `after` seconds from the step's start, and is back `down` seconds later."""
+    """One machine is lost `after` seconds from the step's start, or from when a retirement is `done`, and is back `down`
+    seconds later."""
 
     kind: str
     victim: str  # a name, or a role: primary, backup, witness, owner, mirror, joined, left
     after: float
     down: float
+    since: str = "start"
 
 
 @dataclass(frozen=True)
@@ -47,6 +50,8 @@
     last_wipe: str = ""  # who also loses its disk in the loss of power at the end
     settle: float = SYNC + 1.0  # between the last machine's return and the loss of power of all
     point: int = 0
+    evacuated: str = ""  # an area whose stores own nothing, from before the step on
+    quiet: bool = False  # no lots are written from the step on
     seed: int = 1
     control: int = 4
     stores: int = 4
@@ -101,6 +106,8 @@
     gone: set[str] = field(default_factory=set)
     writing: bool = True
     away: int = 0
+    out: set[str] = field(default_factory=set)  # frozen or cut off
+    retired: asyncio.Event = field(default_factory=asyncio.Event)
 
     @property
     def clock(self) -> float:
@@ -135,7 +142,7 @@
 
     async def write_lots(self) -> None:
         """A caller that hands in a lot every fifth of a second, each to another partition."""
-        while self.writing:
+        while self.writing and not (self.drill.quiet and self.verdict.began):
             self.lots += 1
             lot, number = f"lot{self.lots}", self.lots % 8
             owner = owners(self.fleet).get(number)
@@ -182,15 +189,28 @@
         loop = self.fleet.loop
         if kind == "freeze":
             loop.freeze(node.host)
-            self.later(down, lambda: loop.thaw(node.host))
+            self.out.add(name)
+            self.later(down, lambda: self.thaw(name))
         elif kind == "cut":
-            ways = [w for n in self.fleet.nodes if n != name for w in ((name, n), (n, name))]
-            loop.net.cuts.update(ways)
-            self.later(down, lambda: loop.net.cuts.difference_update(ways))
+            loop.net.cuts.update(self.ways(name))
+            self.out.add(name)
+            self.later(down, lambda: self.heal(name))
         else:
             self.stop(name, kind)
             self.later(down, lambda: self.boot(name))
 
+    def ways(self, name: str) -> list[tuple[str, str]]:
+        """All ways to and from a machine."""
+        return [way for other in self.fleet.nodes if other != name for way in ((name, other), (other, name))]
+
+    def thaw(self, name: str) -> None:
+        self.fleet.loop.thaw(self.fleet.nodes[name].host)
+        self.out.discard(name)
+
+    def heal(self, name: str) -> None:
+        self.fleet.loop.net.cuts.difference_update(self.ways(name))
+        self.out.discard(name)
+
     def stop(self, name: str, kind: str) -> None:
         node = self.fleet.nodes[name]
         self.fleet.kill(name, silent=kind != "kill")
@@ -214,6 +234,8 @@
         self.fleet.loop.create_task(run())
 
     async def lose(self, loss: Loss) -> None:
+        if loss.since == "done":
+            await self.retired.wait()
         await asyncio.sleep(loss.after)
         name = ""
         while not name and self.writing:
@@ -287,12 +309,23 @@
                 if got is not None and got.is_ok():
                     if asked and got.unwrap()["done"]:
                         self.verdict.notes.append(f"{self.clock:.2f} {name} is done")
-                        hit("retired")
+                        self.check_borne_without(name)
                         self.remove(name)
+                        self.retired.set()
                         return
                     asked = True
             await asyncio.sleep(0.1)
 
+    def check_borne_without(self, name: str) -> None:
+        """A store may go for good: by the disks that are really there, is the next loss borne in each partition?"""
+        areas = {n: x.conf.area for n, x in self.fleet.nodes.items()}
+        topology = Topology(areas, Tolerance(self.drill.lost, 1))
+        for number, (_, part) in owners(self.fleet).items():
+            there = {n: s.disk_id for n in part.view.crew if n not in self.out and (s := store_of(self.fleet, n))}
+            live = {n for n, disk in part.view.crew.items() if n != name and there.get(n) == disk}
+            if not bears_loss(part.view.crew, live, topology):
+                self.flaw(f"{name} was done though only {sorted(live)} of {sorted(part.view.crew)} hold {number}")
+
     # --- the course of a run
     async def play(self) -> Verdict:
         f, drill = self.fleet, self.drill
@@ -302,6 +335,8 @@
             return self.verdict
         f.first = False
         writers = [f.loop.create_task(self.write_configurations()), f.loop.create_task(self.write_lots())]
+        if drill.evacuated:
+            await f.ask("c1", lambda c: c.evacuate(drill.evacuated, True))
         await asyncio.sleep(4.0)
         for node in f.nodes.values():
             if node.disk is not None:
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,140 @@
+"""Which change of members is safe: the rule by itself, enumerated over small fleets."""
+
+from __future__ import annotations
+
+import itertools
+from collections.abc import Iterator
+
+import pytest
+
+from postpass.membership import (
+    Change,
+    Margin,
+    Situation,
+    Tolerance,
+    Topology,
+    bears_loss,
+    copies_survive,
+    is_safe,
+    majority_of,
+    margin,
+    next_change,
+    safe_copies,
+)
+
+ONE = Tolerance(1, 1)
+TWO = Tolerance(2, 1)
+
+
+def topology(areas: str, tolerance: Tolerance = ONE) -> Topology:
+    """Machines m1, m2, … in areas named by one letter each."""
+    return Topology({f"m{i}": area for i, area in enumerate(areas, 1)}, tolerance)
+
+
+def disks(*names: str) -> dict[str, str]:
+    return {name: f"disk of {name}" for name in names}
+
+
+def situation(current: str, wanted: str, ready: str, areas: str, tolerance: Tolerance = ONE) -> Situation:
+    """Members by their numbers: `situation("123", "124", "1234", "abca")`."""
+
+    def named(numbers: str) -> list[str]:
+        return [f"m{n}" for n in numbers]
+
+    ready_disks = disks(*named(ready))
+    return Situation(disks(*named(current)), named(wanted), ready_disks, list(ready_disks), topology(areas, tolerance))
+
+
+def test_margin_counts_what_the_worst_loss_leaves_above_a_majority() -> None:
+    names = ["m1", "m2", "m3", "m4"]
+    assert margin(names, names, topology("abcd")) == Margin(0, 0)
+    assert margin(names, names, topology("abca")) == Margin(0, -1)
+    assert margin(names, names[1:], topology("abcd")) == Margin(-1, -1)
+    assert not bears_loss(names, names, topology("abcd", TWO))
+    assert bears_loss([*names, "m5"], [*names, "m5"], topology("abcda", TWO))
+
+
+def test_copies_survive_only_if_the_worst_loss_leaves_one() -> None:
+    assert not copies_survive([], topology("abc")) and not copies_survive(["m1"], topology("abc"))
+    assert copies_survive(["m1", "m2"], topology("abc")) and not copies_survive(["m1", "m2"], topology("aab"))
+    assert not copies_survive(["m1", "m2"], topology("abc", TWO))
+
+
+def test_a_new_member_takes_the_place_of_one_that_is_gone() -> None:
+    change = next_change(situation("123", "234", "234", "abca"))
+    assert change == Change(disks("m2", "m3", "m4"), ("m4",), ("m1",))
+
+
+def test_a_member_with_a_new_disk_is_counted_by_that_disk_once_it_is_ready() -> None:
+    filling = Situation(disks("m1", "m2", "m3"), ["m1", "m2", "m3"], disks("m1", "m2"), ["m3"], topology("abc"))
+    assert next_change(filling) is None
+    ready = disks("m1", "m2") | {"m3": "new"}
+    change = next_change(Situation(filling.current, filling.wanted, ready, list(ready), topology("abc")))
+    assert change is not None and change.members == disks("m1", "m2") | {"m3": "new"}
+
+
+def test_a_live_member_stays_while_another_is_away_and_goes_once_it_is_back() -> None:
+    assert next_change(situation("1234", "123", "124", "abcd")) is None
+    assert next_change(situation("1234", "123", "1234", "abcd")) == Change(disks("m1", "m2", "m3"), leaves=("m4",))
+
+
+def test_a_dead_member_goes_also_while_the_wanted_ones_are_not_complete() -> None:
+    assert next_change(situation("1234", "1235", "123", "abcdd")) == Change(disks("m1", "m2", "m3"), leaves=("m4",))
+
+
+def test_one_that_is_being_filled_is_no_dead_member() -> None:
+    here = situation("1234", "1235", "123", "abcdd")
+    filling = Situation(here.current, here.wanted, here.ready, ["m1", "m2", "m3", "m4"], here.topology)
+    assert next_change(filling) is None
+
+
+def test_the_owner_itself_does_not_leave() -> None:
+    here = situation("1234", "123", "1234", "abcd")
+    assert next_change(here, stays="m4") is None
+
+
+@pytest.mark.parametrize("tolerance", [ONE, TWO])
+@pytest.mark.parametrize("areas", ["abcdab", "aabbcc", "abcabc", "aaaaaa"])
+def test_every_wanted_set_is_reached_and_no_step_worsens_what_is_borne(areas: str, tolerance: Tolerance) -> None:
+    """From each members of 3 to 5 to each wanted ones, all ready: the changes end, and each kept to the rule."""
+    for current, wanted in itertools.product(_subsets(3, 5), _subsets(3, 5)):
+        members, steps = current, 0
+        while set(members) != set(wanted):
+            here = situation(members, wanted, "123456", areas, tolerance)
+            change = next_change(here)
+            assert change is not None, (members, wanted)
+            assert len(change.joins) + len(change.leaves) <= 2 and is_safe(here, change)
+            members = "".join(sorted(name[1:] for name in change.members))
+            steps += 1
+            assert steps <= 6, (current, wanted)
+
+
+def _subsets(least: int, most: int) -> Iterator[str]:
+    for size in range(least, most + 1):
+        yield from map("".join, itertools.combinations("123456", size))
+
+
+@pytest.mark.parametrize("areas", ["abcdab", "abcabc"])
+def test_with_one_away_no_change_lets_the_next_loss_take_the_majority_that_there_was(areas: str) -> None:
+    """Whatever is away, whatever is wanted: where a loss was borne before a change, one is borne after it."""
+    where = topology(areas)
+    for current, wanted, away in itertools.product(_subsets(3, 5), _subsets(3, 4), "123456"):
+        ready = "123456".replace(away, "")
+        here = situation(current, wanted, ready, areas)
+        change = next_change(here)
+        if change is None or not bears_loss(here.current, here.live, where):
+            continue
+        if not bears_loss(here.wanted, here.wanted, where):
+            continue  # what is wanted can't bear a loss: retirement refuses that, and copies are chosen by it
+        live = {name for name in change.members if name in here.ready}
+        assert bears_loss(change.members, live, where), (current, wanted, away, change)
+        assert len(live) >= majority_of(len(change.members))
+
+
+def test_four_copies_in_three_areas_bear_less_than_three() -> None:
+    assert safe_copies(list("abcd"), 4, ONE) == 4
+    assert safe_copies(list("abca"), 4, ONE) == 3
+    assert safe_copies(list("abcda"), 4, ONE) == 4
+    assert safe_copies(list("abcdabcd"), 5, TWO) == 5
+    assert safe_copies(list("aaaa"), 4, ONE) == 4  # no number bears the loss of the only area
+    assert safe_copies([], 4, ONE) == 0
--- a/tests/test_worst_days_membership.py
+++ b/tests/test_worst_days_membership.py
@@ -13,3 +13,19 @@
     drill = Drill("retire s4", Loss("wipe", owner, after=0.0, down=0.15), last_wipe="s2" if owner != "s2" else "s3")
     verdict = play(drill)
     assert verdict.flaws == [], verdict.notes
+
+
+@pytest.mark.parametrize("kind", ["power", "wipe", "freeze", "cut"])
+@pytest.mark.parametrize(("stores", "quiet"), [(4, True), (4, False)])
+def test_a_store_is_done_only_when_the_others_bear_the_next_loss(kind: str, stores: int, quiet: bool) -> None:
+    """One of those that stay is away when the retirement begins; the emptied store's disk goes at `done`."""
+    loss = Loss(kind, "s3", after=0.0, down=6.0)
+    verdict = play(Drill("retire s4", loss, last_wipe="s2", stores=stores, quiet=quiet))
+    assert verdict.flaws == [], verdict.notes
+
+
+@pytest.mark.parametrize("kind", ["power", "wipe", "cut"])
+def test_right_after_done_another_store_may_be_lost(kind: str) -> None:
+    loss = Loss(kind, "owner", after=0.0, down=3.0, since="done")
+    verdict = play(Drill("retire s4", loss, last_wipe="s2"))
+    assert verdict.flaws == [], verdict.notes
