Decide by the same rule when a store may be emptied, dropped, and how many copies there are

Cause: copies followed the number of stores alone, so four copies stood in three areas after a retirement and the loss of the area with two left no majority. A machine replaced by one that had come first was never dropped: its copies and its vote were missing for good. A retirement was done while members that stay were away. Change: safe_copies, copies_bear_loss and machine_to_drop in postpass/membership.py; 'done' only once all members of each partition answer and have synced the change by which the emptied store left.

--- a/postpass/control/orders.py
+++ b/postpass/control/orders.py
@@ -134,10 +134,10 @@
         if what == "retire":
 
             def retire(s: State) -> Result[State, Fault]:
-                flaw = roster.retire_flaw(s, body["name"], self.conf.disks_lost, self.conf.areas_lost)
+                flaw = roster.retire_flaw(s, body["name"], self.conf.tolerance)
                 if flaw:
                     return Err(Fault("retire", self.conf.name, flaw[1], flaw[0]))
-                return Ok(roster.retiring(s, body["name"]))
+                return Ok(roster.retiring(s, body["name"], self.conf.tolerance))
 
             return retire
         return lambda s: Err(Fault("order", self.conf.name, f"unknown order {what!r:.60}", BAD))
@@ -192,7 +192,8 @@
         return Ok({"done": isinstance(got, Ok)})
 
     async def holds_nothing(self, name: str, man: Manifest) -> bool:
-        """Every partition has an owner that says, from its covered record, that its members are others."""
+        """Every partition has an owner that says, from its covered record, that its members are others, and that all of
+        them have synced that record: then the disk of the emptied store may go at once."""
         stores = [n for n in with_duty(man, "store") if n != name]
         got = await asyncio.gather(
             *(self.lines.call(man["machines"][n]["peer"], "parts", {}, self.conf.bounds.follow) for n in stores)
@@ -203,6 +204,9 @@
                 if row["owning"] and row["ready"] and row["epoch"] > best.get(row["part"], {"epoch": -1})["epoch"]:
                     best[row["part"]] = row
         return all(
-            part in best and name not in best[part]["crew"] and name not in members(man, part)
+            part in best
+            and name not in best[part]["crew"]
+            and best[part].get("complete", True)
+            and name not in members(man, part)
             for part in range(man["parts"])
         )
--- a/postpass/control/registry.py
+++ b/postpass/control/registry.py
@@ -110,7 +110,7 @@
                 s = roster.expired(s, late)
             if gone:
                 s = roster.dropped(s, gone)
-            return Ok(roster.settled(s, self.conf.disks_lost, few, heard))
+            return Ok(roster.settled(s, self.conf.tolerance, few, heard))
 
         if fold(state).unwrap() is not state:
             got = await self.change(fold, 0.0)
--- a/postpass/membership.py
+++ b/postpass/membership.py
@@ -203,6 +203,10 @@
     return (heads + worst)[:copies]
 
 
+# How long before a machine falls silent its successor may have come, as a multiple of the patience with silent ones.
+SUCCESSOR_EARLIER = 4
+
+
 @dataclass(frozen=True)
 class Presence:
     """What the primary of control knows of a machine with a disk."""
@@ -217,15 +221,15 @@
 def has_successor(old: Presence, others: Iterable[Presence], patience: float, led: float) -> bool:
     """Has another machine come for one that is silent, so that the silent one may be dropped?
 
-    One of the same duties in the same area that announced itself after the silent one was last heard; or one that
-    started later, where the silent one has been away for long: a planned replacement starts the new machine first.
-    `led` tells for how long this primary leads: it knows nothing of who came before.
+    One of the same duties in the same area that announced itself since shortly before the silent one was last heard: a
+    planned replacement starts the new machine first. Or one that started later, where the silent one has been away for
+    long: this primary, which leads for `led`, knows nothing of who came before.
     """
-    wait = 2 * patience if old.silent >= led else 3 * patience
+    long = (2 if old.silent >= led else 3) * patience
     for other in others:
         if (other.duties, other.area) != (old.duties, old.area) or other.silent > patience:
             continue
-        if other.known < old.silent or (old.silent > wait and other.born > old.born):
+        if other.known < old.silent + SUCCESSOR_EARLIER * patience or (old.silent > long and other.born > old.born):
             return True
     return False
 
--- a/postpass/roster.py
+++ b/postpass/roster.py
@@ -5,7 +5,6 @@
 
 import hashlib
 import json
-from collections import Counter
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass, field, replace
 from typing import Any, NotRequired, TypedDict, cast
@@ -14,7 +13,9 @@
 
 from postpass.config import addr_flaws
 from postpass.manifest import Limits, Machine, Manifest, Pool, Route, Server, with_duty
+from postpass.membership import Presence, Tolerance, copies_bear_loss, machine_to_drop, safe_copies
 
+LEAST_CONTROL = 3  # control machines that stay when one that is silent is dropped
 PARTS = 8  # partitions of a fleet that founds itself
 ORDERS = 16  # accepted orders that are known again when they are resent
 LEFT = 512  # lives of workers that are known to have ended, so that a late word doesn't bring them back
@@ -168,49 +169,40 @@
 ) -> list[str]:
     """Machines gone for good. `silent` tells for how long a machine was not heard, `met` when a name was first heard.
 
-    An edge is dropped for its silence alone. A machine with a disk is dropped once another one, with the same duties
-    in the same area, has come since it was last heard, or, where this can't be known because `since` is later, has
-    started later than it. At most one at a time; and neither fewer control machines than three nor fewer stores than
-    copies stay.
+    An edge is dropped for its silence alone, a machine with a disk once another one has come for it: at most one at a
+    time, and neither fewer control machines than three nor fewer stores than copies stay.
     """
-    machines = man["machines"]
-    out: list[str] = []
-    for name, m in machines.items():
-        quiet = silent.get(name, 0.0)
-        if quiet <= patience:
-            continue
-        if set(m["duties"]) == {"edge"}:
-            if quiet > 4 * patience:
-                out.append(name)
-            continue
-        peers = [
-            n for n, o in machines.items()
-            if n != name and set(o["duties"]) == set(m["duties"]) and silent.get(n, 0.0) <= patience
-        ]  # fmt: skip
-        heir = any(
-            met.get(n, -1e9) > clock - quiet
-            or (clock - quiet <= since and quiet > 2 * patience and machines[n].get("born", 0) > m.get("born", 0))
-            for n in peers
-            if machines[n]["area"] == m["area"]
+    edges = {n for n, m in man["machines"].items() if set(m["duties"]) == {"edge"}}
+    out = [n for n in man["machines"] if n in edges and silent.get(n, 0.0) > 4 * patience]
+    present = {
+        n: Presence(
+            frozenset(m["duties"]), m["area"], silent.get(n, 0.0), clock - met.get(n, float("-inf")), m.get("born", 0)
         )
-        least = man["copies"] if "store" in m["duties"] else 3
-        if heir and len(peers) >= least:
-            out.append(name)
-            break
-    return out
+        for n, m in man["machines"].items()
+        if n not in edges
+    }
+
+    def least(machine: Presence) -> int:
+        return man["copies"] if "store" in machine.duties else LEAST_CONTROL
+
+    gone = machine_to_drop(present, least, patience, clock - since)
+    return [*out, gone] if gone is not None else out
 
 
-def settled(state: State, lost: int, late: bool, heard: Iterable[str]) -> State:
+def settled(state: State, tolerance: Tolerance, late: bool, heard: Iterable[str]) -> State:
     """`copies` follows the stores there are, once no new one has come for a while (`late`): up to what is wanted by those
-    that are heard, since one that is gone for good holds no copy; and below it only in a fleet that has stayed small."""
+    that are heard, since one that is gone for good holds no copy; and below it only in a fleet that has stayed small, or
+    whose areas would bear less with more copies."""
     man = state.man
-    stores = {n for n in with_duty(man, "store") if not man["machines"][n].get("retire")}
-    most = wanted_copies(lost)
-    if late and man["copies"] < (want := min(most, len(stores & set(heard)))):
-        return edit(state, copies=want)
-    if late and stores and (want := min(most, len(stores))) < man["copies"]:
-        return edit(state, copies=want)
-    return state
+    stores = {n: man["machines"][n]["area"] for n in with_duty(man, "store") if not man["machines"][n].get("retire")}
+    if not late or not stores:
+        return state
+    most = wanted_copies(tolerance.machines)
+    there = safe_copies([area for n, area in stores.items() if n in set(heard)], most, tolerance)
+    if man["copies"] < there:
+        return edit(state, copies=there)
+    every = safe_copies(list(stores.values()), most, tolerance)
+    return edit(state, copies=every) if every < man["copies"] else state
 
 
 # --- workers
@@ -340,16 +332,15 @@
     return replace(new, aside={n: chill(g) for n, g in state.aside.items()})
 
 
-def bears(man: Manifest, stores: Sequence[str], lost: int, areas_lost: int) -> bool:
-    """Can these stores, each with a copy, lose what may be lost at once and still have most of the copies?"""
-    most = (len(stores) - 1) // 2
-    by_area = sorted(Counter(man["machines"][n]["area"] for n in stores).values(), reverse=True)
-    return lost <= most and sum(by_area[:areas_lost]) <= most
+def staying(man: Manifest, name: str) -> list[str]:
+    """The areas of the stores that are there once `name` is emptied."""
+    machines = man["machines"]
+    return [machines[n]["area"] for n in with_duty(man, "store") if n != name and not machines[n].get("retire")]
 
 
-def retire_flaw(state: State, name: str, lost: int, areas_lost: int) -> tuple[int, str] | None:
+def retire_flaw(state: State, name: str, tolerance: Tolerance) -> tuple[int, str] | None:
     """Why a store can't be emptied, with the code of the fault; None if it can. Where no store is spare, fewer copies do as
-    long as what may be lost at once (`lost` stores, `areas_lost` areas) can still be lost."""
+    long as what may be lost at once can still be lost."""
     if name in state.retired:
         return None
     man = state.man
@@ -357,19 +348,21 @@
         return 404, f"no store {name!r:.60}"
     if man["machines"][name].get("retire"):
         return None
-    stay = [n for n in with_duty(man, "store") if n != name and not man["machines"][n].get("retire")]
-    if len(stay) < man["copies"] and not bears(man, stay, lost, areas_lost):
-        return 409, f"the {len(stay)} stores that would stay can't bear the loss of {lost} of them or of an area"
+    stay = staying(man, name)
+    copies = safe_copies(stay, man["copies"], tolerance)
+    if copies < man["copies"] and not copies_bear_loss(stay, copies, tolerance):
+        return 409, f"the {len(stay)} stores that would stay can't bear the loss of what may be lost at once"
     return None
 
 
-def retiring(state: State, name: str) -> State:
+def retiring(state: State, name: str, tolerance: Tolerance) -> State:
+    """The store is to be emptied; there are fewer copies if those that stay bear more with fewer."""
     have = state.man["machines"].get(name)
     if have is None or have.get("retire"):
         return state
     machines = {**state.man["machines"], name: cast(Machine, {**have, "retire": True})}
-    stay = [n for n in with_duty(state.man, "store") if not machines[n].get("retire")]
-    return edit(state, machines=machines, copies=min(state.man["copies"], len(stay)))
+    copies = safe_copies(staying(state.man, name), state.man["copies"], tolerance)
+    return edit(state, machines=machines, copies=copies)
 
 
 def emptied(state: State, name: str) -> State:
@@ -389,9 +382,9 @@
         return edit(State(manifest=founded(entries, ["a"], 1)), copies=copies)
 
     four = fleet("s1", "s2", "s3", "s4", copies=3)
-    assert settled(four, 1, False, ["s1", "s2", "s3", "s4"]) is four  # not while they still come
-    assert settled(four, 1, True, ["s2", "s3", "s4"]) is four  # one is gone, and may be dropped for that
-    assert settled(four, 1, True, ["s1", "s2", "s3", "s4"]).man["copies"] == 4
+    assert settled(four, Tolerance(1, 1), False, ["s1", "s2", "s3", "s4"]) is four  # not while they still come
+    assert settled(four, Tolerance(1, 1), True, ["s2", "s3", "s4"]) is four  # one is gone, and may be dropped for that
+    assert settled(four, Tolerance(1, 1), True, ["s1", "s2", "s3", "s4"]).man["copies"] == 4
     more = fleet("s1", "s2", "s3", "s4", copies=4)
-    assert settled(more, 1, True, ["s2", "s3"]) is more  # a silence lowers nothing
-    assert settled(fleet("s1", "s2", "s3", copies=4), 1, True, []).man["copies"] == 3
+    assert settled(more, Tolerance(1, 1), True, ["s2", "s3"]) is more  # a silence lowers nothing
+    assert settled(fleet("s1", "s2", "s3", copies=4), Tolerance(1, 1), True, []).man["copies"] == 3
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -10,18 +10,21 @@
 from postpass.membership import (
     Change,
     Margin,
+    Presence,
     Situation,
     Tolerance,
     Topology,
     bears_loss,
     copies_survive,
     is_safe,
+    machine_to_drop,
     majority_of,
     margin,
     next_change,
     safe_copies,
 )
 
+INFINITY = float("inf")
 ONE = Tolerance(1, 1)
 TWO = Tolerance(2, 1)
 
@@ -138,3 +141,40 @@
     assert safe_copies(list("abcdabcd"), 5, TWO) == 5
     assert safe_copies(list("aaaa"), 4, ONE) == 4  # no number bears the loss of the only area
     assert safe_copies([], 4, ONE) == 0
+
+
+def present(area: str = "a", **more: float) -> Presence:
+    duties = frozenset(["control"])
+    known, silent, born = more.get("known", INFINITY), more.get("silent", 0.0), int(more.get("born", 1))
+    return Presence(duties, area, silent, known, born)
+
+
+def dropped(machines: dict[str, Presence], led: float = INFINITY) -> str | None:
+    return machine_to_drop(machines, lambda _: 3, 2.5, led)
+
+
+def test_a_silent_machine_is_dropped_once_another_has_come_for_it() -> None:
+    rest = {"m2": present("b"), "m3": present("c")}
+    assert dropped(rest | {"m1": present(silent=4), "m4": present(known=3)}) == "m1"
+    assert dropped(rest | {"m1": present(silent=2), "m4": present(known=1)}) is None  # not silent for long enough
+    assert dropped(rest | {"m1": present(silent=4), "m4": present("d", known=3)}) is None  # of another area
+    assert dropped({"m2": present("b"), "m1": present(silent=4), "m4": present(known=3)}) is None  # too few stay
+
+
+def test_a_planned_replacement_starts_the_new_machine_before_the_old_one_goes() -> None:
+    rest = {"m2": present("b"), "m3": present("c")}
+    assert dropped(rest | {"m1": present(silent=3), "m4": present(known=8)}) == "m1"
+    old_and_new = {"m1": present(silent=7), "m4": present(known=60, born=2)}
+    assert dropped(rest | old_and_new) is None and dropped(rest | old_and_new, led=6) == "m1"
+    assert dropped(rest | {"m1": present(silent=8), "m4": present(known=60, born=2)}) == "m1"
+    assert dropped(rest | {"m1": present(silent=8, born=2), "m4": present(known=60)}) is None
+
+
+def test_one_machine_is_dropped_at_a_time() -> None:
+    rest = {"m2": present("b"), "m3": present("c"), "m6": present("d")}
+    gone = {"m1": present(silent=4), "m5": present(silent=4)}
+    assert dropped(rest | gone | {"m4": present(known=3)}) == "m1"
+
+
+def test_with_no_wanted_members_known_nobody_leaves() -> None:
+    assert next_change(situation("1234", "", "1234", "abcd")) is None
