Count control's votes and appends by member, disk and epoch

Cause: a backup that lost its disk and was back within the detection time went on as a replica by its name alone. Its dead vote stayed among the voters, and the next tolerated loss left no primary, or a loss edition.

Change: an answer is an `Acknowledgement` of a member, its disk and an epoch, and counts only for the disk that the replica set names. A backup that answers with another disk is replaced at once under a new epoch, and its new identity admitted as voter. A member refuses a state that was meant for the disk it had before, and such a disk may not lead. Only a disk with a vote is chosen as backup.

--- a/postpass/control/election.py
+++ b/postpass/control/election.py
@@ -8,7 +8,7 @@
 from result import Err, Ok, Result
 
 from postpass import events
-from postpass.control.epochs import Pair, Voters, backups_of, majority, may_lead
+from postpass.control.epochs import Acknowledgement, Pair, Voters, backups_of, majority, may_lead, votes
 from postpass.control.replica import Replica
 from postpass.control.state import Held
 from postpass.fault import SLOW, Fault
@@ -32,7 +32,7 @@
         epoch = self.witness.promised + 1
         looks = await self.ask_all("look", {"epoch": epoch, "who": me}, names, man)
         top = max([self.witness.promised, *(a["promised"] for a in looks.values())])
-        good = {n: a for n, a in looks.items() if a["ok"]}
+        good = {n: a for n, a in looks.items() if a["ok"] and a["promised"] == epoch}
         if self.witness.promised < top:
             new = self.witness.look(top, "")
             if new is not None:
@@ -85,7 +85,8 @@
             # most of the voters before and most of those after grant it.
             crew = [n for n in self.members(man) if n in got or n in voters]
             now_voters = {n: got.get(n, voters.get(n, "")) for n in crew}
-        rest = [n for n in self.members(man) if n != me and n in good]
+        # A backup's acknowledgements count by its disk, so only one whose disk is among the voters can be a backup.
+        rest = [n for n in self.members(man) if n != me and n in good and now_voters.get(n) == got[n]]
         area = {n: man["machines"][n]["area"] for n in self.members(man)}
         liked = sorted(
             rest,
@@ -108,11 +109,14 @@
         if not await self.append_to_all(held, epoch):
             return Err(Fault(step, me, f"one of the backups {', '.join(backups)} did not take the state", SLOW))
         grants = await self.ask_all("grant", {"pair": asdict(pair), "who": me}, names, man)
-        granted = {n: str(a["disk"]) for n, a in grants.items() if a["ok"]}
+        granted = votes(
+            (Acknowledgement(n, str(a["disk"]), a["pair"]["epoch"]) for n, a in grants.items() if a["ok"]), epoch
+        )
         enough = majority(now_voters, granted) and (every or majority(voters, granted))
         if not enough or self.witness.promised != epoch:
             return Err(Fault(step, me, "too few granted the epoch", SLOW))
         self.epoch, self.copied, self.leader = epoch, dict.fromkeys(backups, now()), me
+        self.wiped_backups.clear()
         self.announce_leader()
         if why not in ("backup lost", "too few backups") and not why.startswith("voters"):
             self.since, self.beats = now(), {}
--- a/postpass/control/epochs.py
+++ b/postpass/control/epochs.py
@@ -3,13 +3,23 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import asdict, dataclass, field, replace
 from typing import Any
 
 Voters = dict[str, str]  # name -> disk
 
 
+@dataclass(frozen=True)
+class Acknowledgement:
+    """A member's positive answer to a request of an epoch. Invariant: it counts only for the disk that gave it, and only
+    under the epoch it was given for; a member that lost its disk is another member of the same name."""
+
+    member: str
+    disk: str
+    epoch: int
+
+
 @dataclass(frozen=True)
 class Pair:
     """Invariant: an epoch names one primary and its backups, for good; every one of them has synced a write before it is
@@ -33,6 +43,14 @@
         """The one that leads next."""
         return self.backups[0] if self.backups else ""
 
+    def counts(self, answer: Acknowledgement) -> bool:
+        """Was this answer given under this epoch, by the very disk that this replica set names?"""
+        return answer.epoch == self.epoch and self.voters.get(answer.member) == answer.disk
+
+    def copied_to_all(self, answers: Iterable[Acknowledgement]) -> bool:
+        """Have all backups acknowledged?"""
+        return set(self.backups) <= {a.member for a in answers if self.counts(a)}
+
     @classmethod
     def of(cls, raw: dict[str, Any]) -> Pair:
         """From JSON; releases up to 0.2.0 knew one backup."""
@@ -85,14 +103,20 @@
     return 2 * sum(got.get(n) == d for n, d in voters.items()) > len(voters)
 
 
+def votes(answers: Iterable[Acknowledgement], epoch: int) -> Voters:
+    """The disks that answered under this epoch, by member."""
+    return {a.member: a.disk for a in answers if a.epoch == epoch}
+
+
 def may_lead(me: str, whole: int, own: Pair, pairs: dict[str, Pair], voters: Voters, got: Voters) -> str:
     """The rule of takeover: empty if `me` may go on from the state it holds of epoch `whole`, else why not.
 
-    `pairs` is what each answering voter last granted; `own` is the pair of epoch `whole`. An epoch above
+    `got` has the disk of each member that promised, `me` among them. A disk that the replica set doesn't name may hold
+    an older state of the same epoch: the primary never counted its answers. `pairs` is what each answering voter last granted; `own` is the pair of epoch `whole`. An epoch above
     `whole` stands in the way unless it is proved that no majority granted it: those that answered and did
     not grant it have promised a higher one, so they never will.
     """
-    if whole == 0 or own.epoch != whole or me not in own:
+    if whole == 0 or own.epoch != whole or me not in own or own.voters.get(me) != got.get(me):
         return "not of the pair whose state this is, or the state isn't whole"
     if not majority(voters, got):
         return "no majority answered"
--- a/postpass/control/leadership.py
+++ b/postpass/control/leadership.py
@@ -54,7 +54,7 @@
             for name, at in self.copied.items():
                 self.spoke[name] = max(at, self.spoke.get(name, 0.0))
             self.spawn(self.reconcile())
-        lost = any(now() - at > b.detect for at in self.copied.values())
+        lost = bool(self.wiped_backups) or any(now() - at > b.detect for at in self.copied.values())
         few = self.better_replica_set(man, list(looks))
         odd = [n for n, a in looks.items() if pair.voters.get(n) != a["disk"]]
         gone = [n for n in pair.voters if n not in self.members(man)]
--- a/postpass/control/member.py
+++ b/postpass/control/member.py
@@ -57,6 +57,7 @@
         self.witness, self.held, self.disk_id, self.epoch = Witness(), Held(), "", 0
         self.heard = 0.0
         self.copied: dict[str, float] = {}  # when each backup last answered
+        self.wiped_backups: set[str] = set()  # backups that answered with another disk than the replica set names
         # When a primary was last heard in this life, and who waits for one.
         self.led, self.led_now = -INFINITY, asyncio.Event()
         self.next_confirmation: asyncio.Task[int] | None = None
--- a/postpass/control/replica.py
+++ b/postpass/control/replica.py
@@ -6,7 +6,7 @@
 
 from result import Err, Ok
 
-from postpass.control.epochs import Pair, majority
+from postpass.control.epochs import Acknowledgement, Pair, majority
 from postpass.control.member import ControlMember
 from postpass.control.state import Held
 from postpass.fault import Fault, Stop
@@ -22,21 +22,24 @@
     async def on_copy(self, body: Body) -> PeerResponse:
         """From the primary to its backup: the state to sync, or just a round trip under the epoch."""
         if body["epoch"] < self.witness.promised:
-            return Ok({"ok": False, "promised": self.witness.promised, "disk": self.disk_id})
+            return self.append_answer(body, False)
         self.heard = self.led = now()
         self.leader = body.get("who", "")
         self.announce_leader()
         if "held" in body:
             raw = body["held"]
             new = Held(raw["whole"], Pair.of(raw["pair"]), State(**raw["state"]))
+            if new.pair.voters.get(self.conf.name) != self.disk_id:
+                # Meant for the disk that this member had before; it may have been under way since then.
+                return self.append_answer(body, False)
             if (new.whole, new.state.edition) < (self.held.whole, self.held.state.edition):
-                return Ok({"ok": False, "promised": self.witness.promised, "disk": self.disk_id})
+                return self.append_answer(body, False)
             try:
                 await self.keep("state", new.dump())
             except Stop as bad:
                 return Err(bad.fault)
             if body["epoch"] < self.witness.promised:
-                return Ok({"ok": False, "promised": self.witness.promised, "disk": self.disk_id})
+                return self.append_answer(body, False)
             self.held = new
         edition = body.get("edition", 0)
         if edition > self.news.edition:
@@ -46,12 +49,16 @@
                 task = asyncio.create_task(self.fetch(at))
                 self.fetches.add(task)
                 task.add_done_callback(self.fetches.discard)
-        return Ok({"ok": True, "promised": self.witness.promised, "disk": self.disk_id})
+        return self.append_answer(body, True)
 
-    async def append_to(self, held: Held | None, epoch: int, to: str) -> bool:
+    def append_answer(self, body: Body, ok: bool) -> PeerResponse:
+        return Ok({"ok": ok, "epoch": body["epoch"], "promised": self.witness.promised, "disk": self.disk_id})
+
+    async def append_to(self, held: Held | None, epoch: int, to: str) -> Acknowledgement | None:
+        """Sends the state, or a heartbeat alone; the member's acknowledgement, if it gave one."""
         addr = self.addr(to)
         if not addr:
-            return False
+            return None
         body: Body = {"epoch": epoch, "who": self.conf.name, "edition": self.news.edition, "at": self.conf.peer}
         if held:
             body["held"] = held.raw()
@@ -59,18 +66,25 @@
         wait = self.conf.bounds.promise / (2 if self.conf.announce else 1)
         got = await self.lines.call(addr, "copy", body, wait)
         if isinstance(got, Err):
-            return False
-        if not got.unwrap()["ok"]:
-            if got.unwrap()["promised"] > epoch and self.epoch == epoch:
-                self.step_down(got.unwrap()["promised"])
-            return False
-        if epoch == self.epoch and to in self.held.pair.backups:
+            return None
+        answer, pair = got.unwrap(), self.held.pair
+        if answer["promised"] > epoch and self.epoch == epoch:
+            self.step_down(answer["promised"])
+        if epoch == self.epoch and to in pair.backups and pair.voters.get(to) != answer["disk"]:
+            self.wiped_backups.add(to)
+            return None
+        if not answer["ok"]:
+            return None
+        if epoch == self.epoch and to in pair.backups:
             self.copied[to] = now()
-        return True
+        # Releases before 0.3 don't repeat the epoch; the answer belongs to this request by its number.
+        return Acknowledgement(to, str(answer["disk"]), answer.get("epoch", epoch))
 
     async def append_to_all(self, held: Held | None, epoch: int) -> bool:
-        """True once all backups of the epoch have answered."""
-        return all(await asyncio.gather(*(self.append_to(held, epoch, n) for n in self.held.pair.backups)))
+        """True once all backups of the epoch have acknowledged, each by the disk that the replica set names."""
+        pair = self.held.pair
+        answers = await asyncio.gather(*(self.append_to(held, epoch, n) for n in pair.backups))
+        return pair.epoch == epoch and pair.copied_to_all(a for a in answers if a is not None)
 
     async def commit(self, state: State) -> bool:
         """Synced here and at all backups, and only then true."""
--- /dev/null
+++ b/tests/test_worst_days_leadership.py
@@ -0,0 +1,147 @@
+"""Cut off, wiped and frozen control members: who may lead, what may be acknowledged, what is never deposed."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Iterable
+from dataclasses import replace
+from typing import Any
+
+import pytest
+
+from postpass.control import Control
+from postpass.roster import Standing
+from sim.disk import SimDisk
+from sim.loop import SimLoop, run_sim
+from tests.announced import Fleet
+from tests.test_platform_configuration import document
+
+DETECTION_TIME = 1.5
+RECOVERY_TIME = 12.0
+CUT_TIME = 20.0
+
+
+def standing(n: int, **more: Any) -> Standing:
+    return {"pool": "llm", "url": f"http://10.9.0.{n}:9000", "area": "a", "slots": 8, **more}  # type: ignore[typeddict-item]
+
+
+def play(scene: Any, seed: int = 1, **sizes: Any) -> Any:
+    async def main(loop: SimLoop) -> Any:
+        fleet = Fleet(loop, **({"stores": 4, "edges": 2} | sizes))
+        fleet.start()
+        return await scene(fleet)
+
+    return run_sim(main, seed)
+
+
+def leader(f: Fleet) -> Control:
+    lead = f.primary()
+    assert lead is not None
+    return lead
+
+
+async def settle(f: Fleet) -> Control:
+    """Waits until all have joined, all control members vote, and a first document is in force."""
+    assert await f.until(f.joined, 10) >= 0
+
+    def all_vote() -> bool:
+        lead = f.primary()
+        return lead is not None and len(lead.held.pair.voters) == f.control
+
+    assert await f.until(all_vote, 10) >= 0
+    got = await f.ask(leader(f).conf.name, lambda c: c.apply_source(document(3), 0))
+    assert got.is_ok(), got
+    await asyncio.sleep(3)
+    f.first = False
+    for node in f.nodes.values():
+        node.conf = replace(node.conf, bootstrap=False)
+    return leader(f)
+
+
+def wipe(f: Fleet, name: str) -> None:
+    """The machine loses power and comes back with an empty disk, once it is booted."""
+    f.kill(name, silent=True)
+    f.nodes[name].disk = SimDisk(random.Random(f"{name}{f.loop.clock}"))
+
+
+def isolate(f: Fleet, inside: Iterable[str], way: str = "both") -> None:
+    """Cuts the members off from all others; `way` says whose bytes are held back: theirs, the others', or both."""
+    inside = set(inside)
+    for one in inside:
+        for other in set(f.nodes) - inside:
+            if way in ("out", "both"):
+                f.loop.net.cuts.add((one, other))
+            if way in ("in", "both"):
+                f.loop.net.cuts.add((other, one))
+
+
+def current_disks(f: Fleet) -> dict[str, str]:
+    return {c.conf.name: c.disk_id for c in f.controls()}
+
+
+async def readable(f: Fleet, version: int, limit: float = RECOVERY_TIME) -> float:
+    """How long it took until any member reads that version, confirmed; -1 if it did not within the limit."""
+    began = f.loop.clock
+    while f.loop.clock - began < limit:
+        for member in f.controls():
+            got = await f.ask(member.conf.name, lambda c: c.read_source())
+            if got.is_ok() and got.unwrap()["version"] >= version:
+                return f.loop.clock - began
+        await asyncio.sleep(0.1)
+    return -1.0
+
+
+# --- A: a wiped member that is back within the detection time
+@pytest.mark.parametrize("control", [3, 4, 5])
+@pytest.mark.parametrize("gap", [0.2, 1.0, 3.0])
+def test_a_wiped_backup_gets_its_vote_back_whenever_it_returns(control: int, gap: float) -> None:
+    async def scene(f: Fleet) -> tuple[bool, float, float, int]:
+        lead = await settle(f)
+        backup = lead.held.pair.backup
+        wipe(f, backup)
+        await asyncio.sleep(gap)
+        f.boot(backup)
+        await asyncio.sleep(10)
+        lead = leader(f)
+        counted = lead.held.pair.voters == current_disks(f)
+        got = await f.ask(lead.conf.name, lambda c: c.apply_source(document(4), 3))
+        assert got.is_ok(), got
+        lost = leader(f).conf.name
+        for name, node in f.nodes.items():
+            f.kill(name, silent=True)
+            if node.disk is not None:
+                node.disk.power_off()
+        f.nodes[lost].disk = SimDisk(random.Random("new"))
+        await asyncio.sleep(1)
+        for name in f.nodes:
+            f.boot(name)
+        led = await f.until(f.primary, RECOVERY_TIME)
+        read = await readable(f, 4)
+        return counted, led, read, max(c.held.state.losses for c in f.controls())
+
+    counted, led, read, losses = play(scene, control=control)
+    assert counted, "the voters name a disk that is no more"
+    assert 0 <= led < RECOVERY_TIME and 0 <= read < RECOVERY_TIME and losses == 0, (led, read, losses)
+
+
+@pytest.mark.parametrize("control", [3, 4])
+@pytest.mark.parametrize("gap", [0.2, 0.5, 2.5, 5.0])
+def test_wiping_the_backup_and_later_the_primary_loses_nothing(control: int, gap: float) -> None:
+    async def scene(f: Fleet) -> tuple[float, int]:
+        lead = await settle(f)
+        backup, first = lead.held.pair.backup, lead.conf.name
+        wipe(f, backup)
+        await asyncio.sleep(gap)
+        f.boot(backup)
+        await asyncio.sleep(10)
+        got = await f.ask(backup, lambda c: c.apply_source(document(4), 3))
+        assert got.is_ok(), got
+        wipe(f, first)
+        await asyncio.sleep(gap)
+        f.boot(first)
+        read = await readable(f, 4)
+        return read, max(c.held.state.losses for c in f.controls())
+
+    read, losses = play(scene, control=control)
+    assert 0 <= read < RECOVERY_TIME and losses == 0, (read, losses)
