A control member without contact hands out nothing; answers rest on committed state

Now it answers `stale` with the others' addresses once its last contact is older than the lease (5/6 of the detection time), also in the middle of a poll; orders and reads get 503 at once; heartbeats are forwarded through other members. A follower goes on at once to the next source (feed.Rotation), and pauses only after all were tried. Refusals by the state (parts, holders, plug-ins) of a manifest now need a confirmed leader too, and a blank member refuses none.

Now `committed` is a type and a field of its own, and every reader of answers uses it.

Now the time of silence ends where the oldest member's report does, and a sender is asked directly and through others at once, so that both fit into leave/6.

503 of /ready carries Retry-After.

--- a/postpass/config.py
+++ b/postpass/config.py
@@ -56,6 +56,8 @@
 
     Invariants, checked by a test below:
     - beat * 3 <= detect: three beats are missed before a live owner is doubted.
+    - beat * 5 / 2 + promise / 2 <= contact < detect * 9 / 10: one late word of a primary costs no member its contact, and
+      a member without contact says so before it would back another primary.
     - detect + stagger * 5 + promise + refill <= recover: even the fifth in the order serves in time.
     - lease + poll <= end: an ended lot's items stop before its bound.
     - follow * 2 <= manifest: a daemon asks twice within the bound.
@@ -82,6 +84,16 @@
     def detect(self) -> float:
         return self.recover / 8
 
+    @property
+    def contact(self) -> float:
+        """The lease time of a control member: for how long it counts as in touch after it last heard the primary."""
+        return self.detect * 5 / 6
+
+    @property
+    def turn(self) -> float:
+        """Within this time a follower goes on from a source that is stale to another."""
+        return self.manifest / 10
+
     @property
     def stagger(self) -> float:
         return self.recover / 24
@@ -236,6 +248,7 @@
 def test_bounds_keep_their_invariants() -> None:
     b = Bounds()
     assert b.beat * 3 <= b.detect
+    assert b.beat * 5 / 2 + b.promise / 2 <= b.contact < b.detect * 9 / 10
     assert b.detect + b.stagger * 5 + b.promise + b.refill <= b.recover
     assert b.lease + b.poll <= b.end
     assert b.follow * 2 <= b.manifest
--- a/postpass/control/api.py
+++ b/postpass/control/api.py
@@ -11,6 +11,7 @@
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
 
+from postpass.control.member import INFINITY
 from postpass.control.orders import Orders
 from postpass.daemon import Task
 from postpass.fault import BAD, BROKE, CLASH, MOVED, OLD, SHED, SLOW, Fault
@@ -93,11 +94,14 @@
         return JSONResponse(body, code, headers=more)
 
     async def more_status(self) -> Body:
+        contact = round(now() - self.last_contact(), 3)
         return {
             "control": {
                 "epoch": self.witness.pair.epoch, "promised": self.witness.promised, "primary": self.witness.pair.primary,
                 "backup": self.witness.pair.backup, "backups": list(self.witness.pair.backups), "leads": self.epoch > 0, "disk": self.disk_id,
-                "voters": self.witness.pair.voters, "losses": self.held.state.losses, "bad": self.bad,
+                "voters": self.witness.pair.voters, "losses": self.committed.state.losses, "bad": self.bad,
+                "committed": self.news.edition, "held": self.held.state.edition, "in_touch": self.in_touch(),
+                "contact": contact if contact < INFINITY else None, "tolerate": self.conf.disks_lost,
                 "backup_heard": round(now() - min(self.copied.values(), default=now()), 3) if self.epoch else None,
             }
         }  # fmt: skip
--- /dev/null
+++ b/postpass/control/contact.py
@@ -0,0 +1,60 @@
+"""Contact: whether a member still hears what makes its word worth anything, and what it does without.
+
+A member whose last contact is older than the lease can't tell what is in force now. It says so at once, hands out no feed
+and refuses no order for a reason of its own. The lease decides only whom a caller is sent to: no acknowledgement and no
+confirmed read rests on it.
+"""
+
+from __future__ import annotations
+
+from result import Err
+
+from postpass.control.member import INFINITY, ControlMember
+from postpass.fault import SHED, Fault
+from postpass.feed import Stale
+from postpass.wire import Body, PeerResponse
+from postpass.world import hear, now
+
+RELAYS = 3  # other members that a worker's heartbeat is sent to from one without contact
+
+
+class Contact(ControlMember):
+    """Keeps track of contact, and answers for a member that lost it."""
+
+    def last_contact(self) -> float:
+        """When this member last heard its primary or, as the primary, all its backups; -INFINITY if it never did."""
+        if self.epoch and not self.copied:
+            return now()
+        return max(self.led, min(self.copied.values(), default=-INFINITY))
+
+    def in_touch(self) -> bool:
+        return now() - self.last_contact() <= self.conf.bounds.contact
+
+    def lost_touch(self) -> bool:
+        """Is this one neither the primary nor in touch with it? One that started just now has the lease's time to hear it;
+        one that knows no fleet has nobody to be in touch with."""
+        if self.epoch or self.known() is None:
+            return False
+        return now() - max(self.last_contact(), self.started) > self.conf.bounds.contact
+
+    def other_members(self) -> list[str]:
+        """The addresses of the other control members."""
+        return [addr for n in self.members() if n != self.conf.name and (addr := self.addr(n))]
+
+    def stale(self) -> Stale:
+        return Stale(self.news.edition, tuple(self.other_members()))
+
+    def out_of_touch(self, step: str) -> Fault:
+        others = ", ".join(self.other_members()) or "no other is known"
+        return Fault(step, self.conf.name, f"out of touch with the primary; ask another: {others}", SHED)
+
+    async def forward_without_contact(self, verb: str, body: Body) -> PeerResponse:
+        """A worker's heartbeat may reach the primary through another member; for anything else the caller is sent there."""
+        if verb != "beat" or body.get("relayed"):
+            return Err(self.out_of_touch(verb))
+        others = self.other_members()
+        relays = self.world.chance.sample(others, min(RELAYS, len(others)))
+        limit = self.conf.bounds.leave / 3
+        asks = {addr: self.lines.call(addr, verb, body | {"relayed": 1}, limit) for addr in relays}
+        heard = await hear(asks, lambda got: any(g.is_ok() for g in got.values()), 0.0)
+        return next((got for got in heard.values() if got.is_ok()), Err(self.out_of_touch(verb)))
--- a/postpass/control/election.py
+++ b/postpass/control/election.py
@@ -121,7 +121,7 @@
         )
         for name in sorted(set(now_voters) - {n for n, d in voters.items() if now_voters.get(n) == d}):
             events.emit(134, self.conf.name, joins=name)
-        self.publish()
+        self.publish(state)
         return Ok(None)
 
     @property
--- a/postpass/control/feed.py
+++ b/postpass/control/feed.py
@@ -7,12 +7,17 @@
 from result import Err, Ok
 
 from postpass import events
+from postpass.control.in_force import Hearing, VersionWait, awaited_senders
+from postpass.control.member import INFINITY
 from postpass.control.writer import Writer
 from postpass.fault import MOVED, SHED, SLOW, Fault
+from postpass.feed import Poll
 from postpass.manifest import Manifest, shape
 from postpass.wire import Body, PeerResponse
 from postpass.world import now
 
+SHORTEST_WAIT_S = 0.001
+
 
 class Feed(Writer):
     """Serves followers, confirms reads, and asks who runs a version."""
@@ -23,61 +28,40 @@
         return await super().on_ping(body)
 
     async def on_follow(self, body: Body) -> PeerResponse:
-        if "who" in body:
-            self.spoke[body["who"]] = now()
-        return await super().on_follow(body)
+        """A follower is told `Stale` as soon as this member is out of touch, also in the middle of a poll."""
+        poll = Poll.from_json(body)
+        if not poll.follower:
+            return await super().on_follow(body)
+        self.spoke[poll.follower] = now()
+        until = now() + poll.hold
+        while self.in_touch() and self.news.edition <= poll.after and now() < until:
+            lease_end = self.last_contact() + self.conf.bounds.contact
+            await self.news.wait(poll.after, max(min(until, lease_end) - now(), SHORTEST_WAIT_S))
+        return Ok(self.news.since(poll.after) if self.in_touch() else self.stale().as_json())
 
     async def in_force(
         self, edition: int, before: Manifest | None, after: Manifest, asked: float, limit: float = 0.0
     ) -> list[str]:
-        """Who of the old and the new manifest has neither said that it runs this edition nor is shown not to run.
-
-        A process whose address refuses is not there; one that starts later serves only on fresh news, which are no
-        older than this edition, since it was taken before.
-        """
-        until = asked + (limit or self.conf.bounds.manifest)
-        mine = self.news.addr(self.conf.name)
-        every = {n: m for man in (before, after) if man for n, m in man["machines"].items()}
-        gone = {n for n, m in after["machines"].items() if m.get("gone")}
-        waits = {n: m["peer"] for n, m in every.items() if n != self.conf.name and n not in gone}
-
+        """Who of the old and the new manifest has neither said that it runs this edition nor is shown not to run."""
+        b, me = self.conf.bounds, self.conf.name
         if after.get("announced"):
-            # Those that send to workers and were heard lately; the others start afresh or are out of touch.
-            quiet = now() - self.conf.bounds.detect
-            sends = {n for n, m in after["machines"].items() if {"edge", "sched"} & set(m["duties"])}
-            waits = {n: a for n, a in waits.items() if n in sends and max(self.spoke.get(n, 0), self.since) > quiet}
-        b, peers = self.conf.bounds, dict(waits)
-
-        def word(got: PeerResponse) -> bool:
-            """Does this answer settle it: the edition runs there, or nothing does?"""
-            if isinstance(got, Err):
-                return got.unwrap_err().hint == "refused"
-            return bool(got.unwrap().get("refused")) or got.unwrap().get("edition", 0) >= edition
-
-        async def one(name: str, addr: str) -> None:
-            turn = 0
-            while name in waits and (left := until - now()) > 0:
-                if turn % 2 == 0:
-                    wait = min(left, b.follow)
-                    ask = {"want": edition, "at": mine, "wait": wait * 0.9}
-                    done = word(await self.lines.call(addr, "ping", ask, wait))
-                else:
-                    # The way from here may be cut, and another's not.
-                    others = self.world.chance.sample(sorted(n for n in peers if n != name), min(3, len(peers) - 1))
-                    ask = {"reach": addr, "want": edition}
-                    got = await asyncio.gather(
-                        *(self.lines.call(peers[o], "ping", ask, min(left, b.follow)) for o in others)
-                    )
-                    done = any(g.is_ok() and word(g) for g in got)
-                if done:
-                    waits.pop(name, None)
-                    return
-                turn += 1
-                await asyncio.sleep(min(left, b.follow / 8))
-
-        await asyncio.gather(*(one(n, a) for n, a in peers.items()))
-        events.emit(144, self.conf.name, edition=edition, waits=",".join(sorted(waits)) or "for nobody")
-        return sorted(waits)
+            hearing = Hearing(self.spoke, self.reported, self.since)
+            machines = awaited_senders(after, me, hearing, now(), b.detect, 4 * self.patience)
+        else:
+            every = {n: m for man in (before, after) if man for n, m in man["machines"].items()}
+            gone = {n for n, m in after["machines"].items() if m.get("gone")}
+            machines = {n: m["peer"] for n, m in every.items() if n != me and n not in gone}
+        wait = VersionWait(
+            self.lines, self.world.chance, b, edition, self.news.addr(me), asked + (limit or b.manifest), machines
+        )
+        waits = await wait.run()
+        events.emit(144, me, edition=edition, waits=",".join(waits) or "for nobody")
+        return waits
+
+    @property
+    def patience(self) -> float:
+        """How long a machine is not heard before another may take its place."""
+        return min(self.conf.bounds.sync or INFINITY, self.conf.bounds.recover / 2) / 2
 
     async def strangers(self, before: Manifest | None, after: Manifest) -> list[str]:
         """If keys or plug-ins come that were not used before: which daemons say that they don't know them."""
@@ -107,7 +91,7 @@
                 if self.epoch:
                     # What is being written now counts as well: the round comes after it.
                     async with self.lock:
-                        edition = self.held.state.edition
+                        edition = self.committed.state.edition
                         return edition if await self.confirm_leadership() else 0
                 addr = self.addr(self.leader) if self.leader != self.conf.name else ""
                 if not addr:
@@ -130,6 +114,8 @@
         """For a daemon that starts: held until there is a primary that confirms what is in force."""
         until = now() + min(wait, self.conf.bounds.manifest)
         while True:
+            if self.lost_touch():
+                return Err(self.out_of_touch("read"))
             led = self.led_now
             edition = await self.confirmed()
             if edition:
@@ -148,9 +134,8 @@
         if not self.epoch:
             hint = self.witness.pair.primary if self.witness.pair.primary != self.conf.name else ""
             return Err(Fault("read", self.conf.name, "not the primary", MOVED, hint))
-        state = self.held.state
         async with self.lock:
-            state = self.held.state
+            state = self.committed.state
             if not await self.confirm_leadership():
                 return Err(Fault("read", self.conf.name, "could not be confirmed; ask again", SLOW))
         if body.get("source"):
--- a/postpass/control/member.py
+++ b/postpass/control/member.py
@@ -13,12 +13,12 @@
 from postpass.config import Config
 from postpass.control.changes import Edit
 from postpass.control.epochs import Pair, Witness
-from postpass.control.state import Held
+from postpass.control.state import Committed, Held
 from postpass.daemon import Daemon
 from postpass.disk import Disk
 from postpass.fault import MOVED, Fault, Stop
 from postpass.manifest import Manifest, with_duty
-from postpass.roster import Translator
+from postpass.roster import State, Translator
 from postpass.vault import open_vault
 from postpass.wire import RELEASE, Body, PeerResponse
 from postpass.world import World, now
@@ -33,6 +33,7 @@
 
     witness: Witness = Witness()
     held: Held = Held()
+    committed: Committed = Committed()
     disk_id: str = ""
     epoch: int = 0
     heard: float = 0.0
@@ -51,10 +52,12 @@
         self.beats: dict[str, float] = {}
         self.seqnos: dict[str, int] = {}
         self.spoke: dict[str, float] = {}
+        self.reported: dict[str, float] = {}  # when each other control machine last told whom it had heard
         self.met: dict[str, float] = {}
         self.since = self.touched = 0.0
         self.leader = ""
         self.witness, self.held, self.disk_id, self.epoch = Witness(), Held(), "", 0
+        self.committed = Committed()
         self.heard = 0.0
         self.copied: dict[str, float] = {}  # when each backup last answered
         # When a primary was last heard in this life, and who waits for one.
@@ -70,7 +73,7 @@
             (
                 "control_losses",
                 "How often acknowledged editions may have been lost",
-                lambda: float(self.held.state.losses),
+                lambda: float(self.committed.state.losses),
             ),
         ):
             Gauge(f"postpass_{name}", text, registry=self.registry).set_function(read)
@@ -160,8 +163,9 @@
         self.epoch = 0
         self.heard = now()
 
-    def publish(self) -> None:
-        state = self.held.state
+    def publish(self, state: State) -> None:
+        """Makes a state known that all holders have synced."""
+        self.committed = Committed(state)
         if state.manifest is not None:
             self.news.take(state.edition, state.manifest)
 
--- a/postpass/control/orders.py
+++ b/postpass/control/orders.py
@@ -10,7 +10,7 @@
 from postpass import events, roster
 from postpass.control.changes import Fold
 from postpass.control.leadership import Leadership
-from postpass.fault import BAD, LACK, MOVED, OLD, SLOW, Fault, Stop
+from postpass.fault import BAD, LACK, MOVED, OLD, SHED, SLOW, Fault, Stop
 from postpass.manifest import Manifest, check, deep_flaws, dump, members, with_duty
 from postpass.roster import State
 from postpass.wire import Body, PeerResponse
@@ -22,7 +22,7 @@
 
     async def on_apply(self, body: Body) -> PeerResponse:
         """Takes a whole manifest, and answers once it is in force, or names those that have not said so in time."""
-        before = self.held.state.manifest
+        before = self.committed.state.manifest
         asked = now()
         got = await self.take_configuration(body)
         if isinstance(got, Err):
@@ -43,12 +43,12 @@
                     hint = self.witness.pair.primary if self.witness.pair.primary != me else ""
                     return Err(Fault(step, me, "not the primary", MOVED, hint))
                 if me not in self.members(man):
-                    return Err(Fault(step, me, f"machines: {me} is not a control machine of this manifest", BAD))
+                    return Err(Fault(step, me, f"machines: {me} is not a control machine of this manifest", SHED))
                 found = await self.run_election(man, "founded", State(1, man))
                 if isinstance(found, Err):
                     return found
                 return Ok({"edition": 1})
-            state = self.held.state
+            state = self.committed.state
             if state.manifest is not None and dump(state.manifest) == dump(man):
                 if not await self.confirm_leadership():
                     return Err(Fault(step, me, "could not be confirmed; ask again", SLOW))
@@ -65,13 +65,11 @@
                         str(state.edition),
                     )
                 )
-            if state.manifest is not None and man["parts"] != state.manifest["parts"]:
-                return Err(Fault(step, me, f"parts: stays {state.manifest['parts']}; lots are spread by it", BAD))
-            if not set(self.members(man)) & set(self.held.pair.holders):
-                return Err(Fault(step, me, "machines: neither primary nor backup stays a control machine", BAD))
-            strange = await self.strangers(state.manifest, man)
-            if strange:
-                return Err(Fault(step, me, "\n".join(strange), BAD))
+            flaws = await self.configuration_flaws(state, man)
+            if flaws:
+                if not await self.confirm_leadership():
+                    return Err(Fault(step, me, "could not be confirmed; ask again", SLOW))
+                return Err(Fault(step, me, "\n".join(flaws), BAD))
             try:
                 done = await self.commit(State(state.edition + 1, man, state.losses))
             except Stop as bad:
@@ -84,6 +82,14 @@
                 return Err(Fault(step, me, "not known whether it was taken; ask again", SLOW))
             return Ok({"edition": state.edition + 1})
 
+    async def configuration_flaws(self, state: State, man: Manifest) -> list[str]:
+        """What stands against this configuration after the present state."""
+        if state.manifest is not None and man["parts"] != state.manifest["parts"]:
+            return [f"parts: stays {state.manifest['parts']}; lots are spread by it"]
+        if not set(self.members(man)) & set(self.held.pair.holders):
+            return ["machines: neither primary nor backup stays a control machine"]
+        return await self.strangers(state.manifest, man)
+
     async def apply_source(self, source: Any, base: int) -> PeerResponse:
         """The operator's document as a whole, made on top of version `base`."""
         return await self.command({"what": "source", "source": source, "base": base})
@@ -117,7 +123,7 @@
             return Err(got.unwrap_err())
         edition = got.unwrap()
         events.emit(138, self.conf.name, what=what, edition=edition)
-        waits = await self.in_force(edition, None, self.held.state.man, asked, self.conf.bounds.manifest / 5)
+        waits = await self.in_force(edition, None, self.committed.state.man, asked, self.conf.bounds.manifest / 5)
         return Ok({"edition": edition, "waits": waits})
 
     def folding(self, body: Body) -> Fold:
@@ -178,7 +184,7 @@
 
     async def emptied(self, name: str) -> PeerResponse:
         """Does a store hold nothing any more that counts? Once that is so, it is no machine of the fleet any longer."""
-        state = self.held.state
+        state = self.committed.state
         if not await self.confirm_leadership():
             return Err(Fault("retire", self.conf.name, "could not be confirmed; ask again", SLOW))
         if name in state.retired:
--- a/postpass/control/registry.py
+++ b/postpass/control/registry.py
@@ -69,17 +69,19 @@
             if not addr:
                 continue
             t = now()
-            ages = {
+            ages: Body = {
                 key: {n: round(t - at, 3) for n, at in seen.items() if t - at < 2 * self.conf.beat + period}
                 for key, seen in (("beats", self.beats), ("spoke", self.spoke))
             }
-            got = await self.lines.call(addr, "hear", ages, min(period, b.beat * 2))
+            got = await self.lines.call(addr, "hear", ages | {"who": self.conf.name}, min(period, b.beat * 2))
             if isinstance(got, Ok) and got.unwrap()["leads"]:
                 self.touched = t
             self.beats = {n: at for n, at in self.beats.items() if t - at < 8 * self.conf.beat}
             self.spoke = {n: at for n, at in self.spoke.items() if t - at < 8 * self.conf.beat}
 
     async def on_hear(self, body: Body) -> PeerResponse:
+        if "who" in body:
+            self.reported[body["who"]] = now()
         for key, seen in (("beats", self.beats), ("spoke", self.spoke)):
             for name, age in body[key].items():
                 seen[name] = max(seen.get(name, -INFINITY), now() - float(age))
@@ -87,7 +89,7 @@
 
     async def reconcile(self) -> None:
         """The primary's care: who is gone, and how many copies there can be."""
-        state, t, b = self.held.state, now(), self.conf.bounds
+        state, t, b = self.committed.state, now(), self.conf.bounds
         if not self.epoch or state.manifest is None:
             return
         man = state.manifest
@@ -117,11 +119,6 @@
             if isinstance(got, Ok):
                 events.emit(137, self.conf.name, machines=",".join(gone), workers=",".join(late), edition=got.unwrap())
 
-    @property
-    def patience(self) -> float:
-        """How long a machine is not heard before another may take its place."""
-        return min(self.conf.bounds.sync or INFINITY, self.conf.bounds.recover / 2) / 2
-
     async def beat_worker(self, who: str, standing: Standing, seqno: int) -> PeerResponse:
         # Taken, it would make every later manifest a bad one.
         flaws = roster.standing_flaws(standing, self.conf.areas)
@@ -163,5 +160,5 @@
         if isinstance(got, Err):
             return Err(got.unwrap_err())
         if standing is None or standing.get("leave"):
-            await self.in_force(got.unwrap(), None, self.held.state.man, asked, b.leave / 6)
+            await self.in_force(got.unwrap(), None, self.committed.state.man, asked, b.leave / 6)
         return Ok({"edition": got.unwrap()})
--- a/postpass/control/replica.py
+++ b/postpass/control/replica.py
@@ -6,8 +6,8 @@
 
 from result import Err, Ok
 
+from postpass.control.contact import Contact
 from postpass.control.epochs import Pair, majority
-from postpass.control.member import ControlMember
 from postpass.control.state import Held
 from postpass.fault import Fault, Stop
 from postpass.manifest import Manifest
@@ -16,7 +16,7 @@
 from postpass.world import hear, now
 
 
-class Replica(ControlMember):
+class Replica(Contact):
     """Copies the state to the replicas, and answers as one of them."""
 
     async def on_copy(self, body: Body) -> PeerResponse:
@@ -41,7 +41,7 @@
         edition = body.get("edition", 0)
         if edition > self.news.edition:
             if self.held.whole == body["epoch"] and self.held.state.edition == edition:
-                self.publish()
+                self.publish(self.held.state)
             elif at := self.addr(body["who"]) or body.get("at", ""):
                 task = asyncio.create_task(self.fetch(at))
                 self.fetches.add(task)
@@ -84,7 +84,7 @@
             return False
         if self.epoch != epoch:
             return False
-        self.publish()
+        self.publish(state)
         # In force within its bound even if this machine dies now: the backups hand it out as well before the
         # operator is answered, and the witnesses are told.
         others = [n for n in self.members(state.manifest) if n not in held.pair]
--- a/postpass/control/state.py
+++ b/postpass/control/state.py
@@ -11,10 +11,18 @@
 from postpass.wire import Body
 
 
+@dataclass(frozen=True)
+class Committed:
+    """State that all holders of an epoch have synced: the only one that answers are made from. Invariant: made only by
+    the primary after a commit or an election won, or at a backup that the primary told so."""
+
+    state: State = State()
+
+
 @dataclass(frozen=True)
 class Held:
-    """What this machine keeps of the state. Invariant: `whole` is the epoch whose state this is, all of it;
-    it is set only by that epoch's primary, here or over the copy link."""
+    """What this machine keeps of the state; it may be a proposal that never comes to be. Invariant: `whole` is the epoch
+    whose state this is, all of it; it is set only by that epoch's primary, here or over the copy link."""
 
     whole: int = 0
     pair: Pair = Pair()
--- a/postpass/control/writer.py
+++ b/postpass/control/writer.py
@@ -63,7 +63,7 @@
         """One write for many changes. If the backup is silent another one is taken, and all are laid on once more."""
         me, b = self.conf.name, self.conf.bounds
         for _ in range(2):
-            epoch, before = self.epoch, self.held.state
+            epoch, before = self.epoch, self.committed.state
             if not epoch or before.manifest is None:
                 break
             state, out = before, []
@@ -89,6 +89,8 @@
 
     async def forward(self, verb: str, body: Body, limit: float = 0.0) -> PeerResponse:
         """To the primary, wherever it is; where machines announce themselves, a moment is given for one to come."""
+        if self.lost_touch():
+            return await self.forward_without_contact(verb, body)
         until = now() + (self.conf.bounds.leave / 4 if self.conf.announce else 0.0)
         while True:
             led = self.led_now
--- a/postpass/daemon.py
+++ b/postpass/daemon.py
@@ -19,6 +19,7 @@
 from postpass import events
 from postpass.config import Config, split
 from postpass.fault import SHED, Fault, Stop
+from postpass.feed import Poll, Rotation, Stale
 from postpass.manifest import check
 from postpass.member import Card, Circle
 from postpass.news import News
@@ -232,6 +233,9 @@
         if "fits" in body:
             return Ok({"flaws": self.fits(body["fits"])})
         if "reach" in body:
+            if body.get("want", 0) > self.news.edition and body.get("at"):
+                # Whom it reaches will fetch the edition from here.
+                await self.fetch(body["at"], self.conf.bounds.beat)
             ask = {"want": body.get("want", 0), "at": self.conf.peer, "wait": self.conf.bounds.beat * 0.9}
             got = await self.lines.call(body["reach"], "ping", ask, self.conf.bounds.beat)
             if isinstance(got, Err):
@@ -343,8 +347,9 @@
         return sum(isinstance(g, Ok) for g in got)
 
     async def on_follow(self, body: Body) -> Result[Body, Fault]:
-        await self.news.wait(body["after"], min(float(body["wait"]), 10.0))
-        return Ok(self.news.since(body["after"]))
+        poll = Poll.from_json(body)
+        await self.news.wait(poll.after, poll.hold)
+        return Ok(self.news.since(poll.after))
 
     async def gossip(self) -> None:
         """Shuffles with the oldest neighbour; a newer edition there is fetched from it."""
@@ -391,9 +396,9 @@
 
     async def fetch(self, addr: str, limit: float = 0.0) -> None:
         limit = limit or self.conf.bounds.manifest
-        got = await self.lines.call(addr, "follow", {"after": self.news.edition, "wait": 0}, limit)
+        got = await self.lines.call(addr, "follow", Poll(self.news.edition).as_json(), limit)
         if isinstance(got, Ok) and not self.news.follow(got.unwrap()):
-            again = await self.lines.call(addr, "follow", {"after": 0, "wait": 0}, self.conf.bounds.manifest)
+            again = await self.lines.call(addr, "follow", Poll(0).as_json(), self.conf.bounds.manifest)
             if isinstance(again, Ok):
                 self.news.follow(again.unwrap())
 
@@ -409,39 +414,47 @@
 
     async def follow(self) -> None:
         """Follows the numbered feed from the own place on, turning from one source to the next."""
-        b = self.conf.bounds
-        turn = self.world.chance.randrange(64)
+        b, chance = self.conf.bounds, self.world.chance
+        rotation = Rotation(chance.randrange(64))
         while True:
             sources = self.sources()
-            if not sources:
+            addr = rotation.next(sources)
+            if not addr:
                 await asyncio.sleep(b.follow)
                 continue
-            addr = sources[turn % len(sources)]
-            turn += 1
-            asked = now()
-            got = await self.lines.call(
-                addr,
-                "follow",
-                {
-                    "after": self.news.edition,
-                    "wait": b.follow * (1 + self.world.chance.random()),
-                    "who": self.conf.name,
-                },
-                b.follow * 3,
-            )
-            if isinstance(got, Err):
-                self.missed[addr] = now()
-            self.polls.labels("ok" if isinstance(got, Ok) else "failed").inc()
-            if isinstance(got, Err):
-                # This source can't be reached; perhaps none can. A neighbour may know more.
-                mates = [m.card["peer"] for _, m in sorted(self.circle.mates.items()) if m.card["peer"] not in sources]
-                if mates:
-                    await self.fetch(self.world.chance.choice(mates), b.follow / 2)
-                await asyncio.sleep(b.follow / 4)
-            else:
-                if not self.news.follow(got.unwrap()):
-                    await self.fetch(addr)
-                self.news.hear(got.unwrap()["edition"], asked)
+            poll = Poll(self.news.edition, b.follow * (1 + chance.random()), self.conf.name)
+            if await self.poll(addr, poll, rotation):
+                rotation.answered()
+            elif rotation.exhausted(sources):
+                # No source is in touch; perhaps none can be. A neighbour may know more.
+                await self.fetch_from_neighbour(sources)
+                await asyncio.sleep(rotation.pause(b.follow) * (0.8 + 0.4 * chance.random()))
+
+    async def poll(self, addr: str, poll: Poll, rotation: Rotation) -> bool:
+        """One poll of the feed; True if the source is in touch and what it gave was taken."""
+        asked = now()
+        got = await self.lines.call(addr, "follow", poll.as_json(), poll.hold + self.conf.bounds.follow)
+        if isinstance(got, Err):
+            self.missed[addr] = now()
+            self.polls.labels("failed").inc()
+            rotation.failed_at(addr)
+            return False
+        body = got.unwrap()
+        stale = Stale.from_json(body)
+        self.polls.labels("stale" if stale else "ok").inc()
+        if stale:
+            rotation.failed_at(addr, (a for a in stale.others if a != self.conf.peer))
+            if stale.version > self.news.edition and rotation.exhausted(self.sources()):
+                await self.fetch(addr)
+        elif not self.news.follow(body):
+            await self.fetch(addr)
+        self.news.hear(body["edition"], asked)
+        return stale is None
+
+    async def fetch_from_neighbour(self, sources: list[str]) -> None:
+        mates = [m.card["peer"] for _, m in sorted(self.circle.mates.items()) if m.card["peer"] not in sources]
+        if mates:
+            await self.fetch(self.world.chance.choice(mates), self.conf.bounds.follow / 2)
 
     async def learn(self, addrs: list[str]) -> int:
         """Asks many which edition they run, and fetches the newest; how many answered."""
@@ -509,7 +522,8 @@
 
     async def http_ready(self, _request: Request) -> Response:
         lack = self.ready()
-        return JSONResponse({"ready": not lack, "lack": lack}, 200 if not lack else 503)
+        heads = {"retry-after": "1"} if lack else {}
+        return JSONResponse({"ready": not lack, "lack": lack}, 503 if lack else 200, headers=heads)
 
     async def http_metrics(self, _request: Request) -> Response:
         return PlainTextResponse(generate_latest(self.registry), media_type="text/plain; version=0.0.4")
--- a/postpass/front.py
+++ b/postpass/front.py
@@ -13,7 +13,7 @@
 from postpass.workerlink import tune
 
 READY = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n"
-UNREADY = b"HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\n\r\n"
+UNREADY = b"HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\nretry-after: 1\r\n\r\n"
 ODD = b"HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\nconnection: close\r\n\r\n"
 
 
--- /dev/null
+++ b/tests/test_in_force.py
@@ -0,0 +1,43 @@
+"""Who is waited for until a version is in force."""
+
+from __future__ import annotations
+
+import random
+
+from result import Err
+
+from postpass.config import Bounds
+from postpass.control.in_force import Hearing, VersionWait, awaited_senders
+from postpass.fault import Fault
+from postpass.manifest import Manifest
+from postpass.wire import Lines, PeerResponse
+
+
+def _hearing(**more: float) -> Hearing:
+    machines = {"e1": 9.8, "e2": 5.0, "s1": 9.9}
+    return Hearing(machines | more, {"c2": 9.7, "c3": 9.6}, 0.0)
+
+
+def _manifest() -> Manifest:
+    machines = {n: {"area": "a", "peer": f"{n}:1", "http": "", "duties": d} for n, d in
+                {"c1": ["control"], "c2": ["control"], "c3": ["control"], "e1": ["edge"], "e2": ["edge"], "s1": ["store", "sched"]}.items()}  # fmt: skip
+    return {"machines": machines}  # type: ignore[typeddict-item]
+
+
+def _awaited(hearing: Hearing, patience: float = 8.0) -> set[str]:
+    return set(awaited_senders(_manifest(), "c1", hearing, 10.0, 1.5, patience))
+
+
+def test_a_silent_sender_is_left_out_only_where_every_report_is_there() -> None:
+    assert _awaited(_hearing()) == {"e1", "s1"}
+    silent = Hearing(_hearing().machines, {"c2": 9.7, "c3": 6.0}, 0.0)
+    assert _awaited(silent) == {"e1", "e2", "s1"}
+    assert _awaited(silent, 4.0) == {"e1", "s1"}
+    # A primary that has just begun to listen leaves nobody out.
+    assert _awaited(Hearing({}, {}, 9.0)) == {"e1", "e2", "s1"}
+
+
+def test_a_relays_refusal_tells_nothing_of_another_machine() -> None:
+    wait = VersionWait(Lines(), random.Random(1), Bounds(), 7, "", 0.0, {"e1": "e1:1", "e2": "e2:1"})
+    refused: PeerResponse = Err(Fault("connect", "e2:1", "refused", hint="refused"))
+    assert wait._settles(refused) and not wait._settles_relayed(refused)
