Show each control member's contact, and whether the next tolerated loss could be borne

pp status had no word on lag or contact, and showed nothing without a primary. Now: role, epoch, version held, lag, time since contact, and a verdict on the next tolerated loss (control_health, pure); pp doctor reports both as D11; without a primary pp status shows the members that answer. pp goes on to the next control machine after a 503 to a read or a manifest.

--- a/postpass/doctor.py
+++ b/postpass/doctor.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass
 from typing import Any
 
+from postpass.control_health import member_health, next_loss_flaw
+
 
 @dataclass(frozen=True)
 class Finding:
@@ -128,6 +130,25 @@
             out.append(
                 Finding("D11", "control", f"{', '.join(odd)} may not vote yet", "wait; the primary lets them in")
             )
+        lost = [m.name for m in member_health(views) if not m.in_touch]
+        if lost:
+            out.append(
+                Finding(
+                    "D11",
+                    "control",
+                    f"{', '.join(lost)} lost touch with the primary and hands out nothing",
+                    "look at its links and whether it runs; followers and operators go on to the others",
+                )
+            )
+        if flaw := next_loss_flaw(views):
+            out.append(
+                Finding(
+                    "D11",
+                    "control",
+                    f"the next tolerated loss could not be borne: {flaw}",
+                    "bring the missing members back, or start new ones, before anything else is stopped",
+                )
+            )
         if c["losses"]:
             out.append(Finding("D13", "control", f"acknowledged editions may have been lost, {c['losses']} time(s)",
                                "compare the manifest in force with your file and apply again"))  # fmt: skip
@@ -181,6 +202,8 @@
     assert found(lambda s: s["machines"]["s1"]["store"].update(bad="sync failed")) == {"D10"}
     assert found(lambda s: s["machines"]["c1"]["control"].update(leads=False)) == {"D11"}
     assert found(lambda s: s["machines"]["c1"]["control"].update(backup="")) == {"D11"}
+    control = good["machines"]["c3"]["control"]
+    assert found(machine("c3", control=control | {"in_touch": False})) == {"D11"}
     barred = {"gpu/w1": {"barred": "weights b, want a", "mine": 0, "weights": "b", "running": 0, "waiting": 0}}
     assert found(machine("e1", servers=barred)) == {"D12"}
     assert found(part(losses=1)) == {"D13"}
--- a/postpass/overview.py
+++ b/postpass/overview.py
@@ -4,6 +4,8 @@
 
 from typing import Any
 
+from postpass.control_health import health_lines
+
 
 def pending(seen: dict[str, Any]) -> list[str]:
     """Operations of the manifest that are not complete yet, and why; complete ones are told as such."""
@@ -65,6 +67,8 @@
         if m["ready"]:
             more.append(f"NOT READY: {m['ready']}")
         out.append(f"{name:10} {area:8} {m['edition']:>7} {m['release']:>8} {' '.join(more)}")
+    views = {n: m["control"] for n, m in machines.items() if "control" in m}
+    out += ["", *health_lines(views)] if views else []
     out += [
         "",
         f"{'part':>4} {'owner':8} {'epoch':>5} {'last':>7} {'covered':>7} {'lots':>5} {'open':>5} members (behind)",
@@ -103,7 +107,8 @@
         machines[n]["store"] = store | {"parts": [part | {"part": p} for p in range(4)] if n == "s1" else []}
     for n in ("c1", "c2", "c3", "c4"):
         machines[n]["control"] = {"epoch": 2, "promised": 2, "primary": "c1", "backup": "c2", "leads": n == "c1", "disk": n,
-                                  "voters": {f"c{i}": f"c{i}" for i in range(1, 5)}, "losses": 0, "bad": ""}  # fmt: skip
+                                  "voters": {f"c{i}": f"c{i}" for i in range(1, 5)}, "losses": 0, "bad": "",
+                                  "committed": 3, "contact": 0.1, "in_touch": True, "tolerate": 1}  # fmt: skip
     for n in ("e1", "e2"):
         machines[n]["servers"] = {"gpu/w1": {"barred": "", "mine": 0, "weights": "model-1", "running": 0, "waiting": 0}}
     return {"edition": 3, "manifest": man, "machines": machines}
@@ -122,3 +127,4 @@
     seen["machines"]["e1"]["edition"] = 2
     assert pending(seen)[2] == "edition 3: pending at e1"
     assert any("LOSSES" not in line for line in overview(seen))
+    assert "next tolerated loss: could be borne" in overview(seen)
--- a/postpass/pp.py
+++ b/postpass/pp.py
@@ -16,6 +16,7 @@
 from fire.decorators import SetParseFns
 from result import Err, Ok, Result
 
+from postpass.control_health import health_lines
 from postpass.delta import delta
 from postpass.doctor import diagnose
 from postpass.manifest import check
@@ -54,8 +55,13 @@
 async def ask(
     where: list[str], method: str, path: str, body: Any = None, heads: dict[str, str] | None = None, limit: float = 20
 ) -> Got:
-    """The first address that answers; a call that changes something isn't sent on after it may have left."""
-    why = ""
+    """The first address that answers; a call that changes something isn't sent on after it may have left.
+
+    A control machine without contact says so with 503: the next one is asked. A manifest may be sent on even then, since
+    one that was taken already is told as such.
+    """
+    why, last = "", None
+    repeatable = method == "GET" or path == "/v1/manifest"
     async with aiohttp.ClientSession(
         connector=CONNECTOR(), timeout=aiohttp.ClientTimeout(total=limit, sock_connect=2)
     ) as session:
@@ -67,13 +73,17 @@
                         raw = json.loads(data)
                     except ValueError:
                         raw = data.decode(errors="replace")
-                    return Got(got.status, raw, {k.lower(): v for k, v in got.headers.items()}, addr)
+                    last = Got(got.status, raw, {k.lower(): v for k, v in got.headers.items()}, addr)
+                    if got.status != 503 or not repeatable:
+                        return last
             except aiohttp.ClientConnectorError as bad:
                 why = f"{addr}: {bad.os_error.strerror or 'cannot be reached'}"
             except (aiohttp.ClientError, OSError, TimeoutError) as bad:
                 why = f"{addr}: {str(bad) or 'no answer in time'}"
                 if method != "GET":
                     raise Exit(UNKNOWN, f"pp: {why}; it is not known whether it was taken, ask again") from bad
+    if last is not None:
+        return last
     raise Exit(UNKNOWN, f"pp: {why}")
 
 
@@ -249,6 +259,19 @@
         return FINE
 
 
+async def control_views(where: list[str]) -> dict[str, Any]:
+    """What those of the given control machines say of themselves that answer, whether or not any of them leads."""
+
+    async def one(addr: str) -> Any:
+        try:
+            return (await ask([addr], "GET", "/v1/status", limit=3)).body
+        except Exit:
+            return None
+
+    seen = await asyncio.gather(*(one(addr) for addr in where))
+    return {s["name"]: s["control"] for s in seen if isinstance(s, dict) and "control" in s}
+
+
 async def statuses(where: list[str]) -> dict[str, Any]:
     """The status of every machine of the manifest, or why it can't be had."""
     got = await ask(where, "GET", "/v1/manifest")
@@ -287,7 +310,14 @@
         """
         from postpass.overview import overview
 
-        seen = asyncio.run(statuses(addrs(control, "POSTPASS_CONTROL", "control")))
+        where = addrs(control, "POSTPASS_CONTROL", "control")
+        try:
+            seen = asyncio.run(statuses(where))
+        except Exit as bad:
+            # Without a primary no manifest can be read; what the members say of themselves can.
+            views = asyncio.run(control_views(where))
+            show(views) if raw else print("\n".join([bad.line, *health_lines(views)]))
+            return UNKNOWN
         if raw:
             show(seen)
         else:
@@ -307,6 +337,8 @@
             print(
                 f"D01 control: the manifest can't be read ({bad.line})\n    remedy: start control machines until most of them run"
             )
+            for line in health_lines(asyncio.run(control_views(where))):
+                print(line)
             return REFUSED
         second = asyncio.run(statuses(where))
         found = diagnose(first, second)
