--- a/postpass/wire.py
+++ b/postpass/wire.py
@@ -25,7 +25,7 @@
 
 from postpass import events
 from postpass.config import split
-from postpass.fault import BROKE, LACK, SLOW, Fault
+from postpass.fault import BROKE, SLOW, Fault
 
 IDL: Any = thriftpy2.load(str(Path(__file__).parent / "idl" / "peer.thrift"), module_name="postpass_peer_thrift")
 PACKET = 8 << 10
@@ -367,7 +367,7 @@
         try:
             handler = self.handlers.get(name)
             if handler is None:
-                got: Result[Body, Fault] = Err(Fault(name, self.who, "no such duty here", LACK))
+                got: Result[Body, Fault] = Err(Fault(name, self.who, "no such duty here", BROKE))
             else:
                 body = json.loads(val)
                 if not isinstance(body, dict):
--- a/tests/test_worst_days_cut.py
+++ b/tests/test_worst_days_cut.py
@@ -204,3 +204,21 @@
     clear = {BAD: 400, LACK: 404, CLASH: 409, OLD: 412}
     assert got.status_code == clear.get(code, 503)
     assert ("retry-after" in got.headers) == (code not in clear)
+
+
+def test_a_process_of_another_kind_at_a_members_address_makes_no_404() -> None:
+    """The primary's address went to an edge while a member still forwards there."""
+
+    async def scene(f: Fleet) -> list[int]:
+        lead, _, rest = await settle(f)
+        member = rest[0]
+        address = f.nodes["e1"].conf.peer
+        member.addr = lambda name: address if name == lead.conf.name else ""  # type: ignore[method-assign]
+        got = [
+            await f.ask(member.conf.name, lambda c: c.evacuate("a", True)),
+            await f.ask(member.conf.name, lambda c: c.beat_worker("w7", standing(7), 1)),
+            await f.ask(member.conf.name, lambda c: c.read_source()),
+        ]
+        return [200 if g.is_ok() else g.unwrap_err().code for g in got]
+
+    assert not set(play(scene)) & {400, 404, 409, 412}
