Ask for a pre-vote on every way into an election of control

Cause: a primary that lost its backup, or a member that heard nobody, raised its own promise at every try. Cut off alone for 20 s it came back with a promise far above the epoch of its successor, and deposed it.

Change: before any promise a majority of the voters, by name and disk, must say that they hear no primary but the one that asks (`may_campaign`); where too many disks are lost, all members must. It stands in `run_election` itself, so on every way: heartbeat, writer, watch, restart, founding. A backup that the leaving primary itself asks is excepted. A member that hears a primary refuses the promise as well, and the candidate promises last, so that one frozen between both spends no epoch. A primary that had no answers of a majority for the detection time steps down (`in_touch`). The primary's heartbeat goes to all members at once, outside the lock. A renewal of the replica set keeps the old epoch until the pre-vote is won.

--- a/postpass/control/election.py
+++ b/postpass/control/election.py
@@ -8,7 +8,17 @@
 from result import Err, Ok, Result
 
 from postpass import events
-from postpass.control.epochs import Acknowledgement, Pair, Voters, backups_of, majority, may_lead, votes
+from postpass.control.epochs import (
+    Acknowledgement,
+    Pair,
+    PreVote,
+    Voters,
+    backups_of,
+    majority,
+    may_campaign,
+    may_lead,
+    votes,
+)
 from postpass.control.replica import Replica
 from postpass.control.state import Held
 from postpass.fault import SLOW, Fault
@@ -21,24 +31,67 @@
 class Election(Replica):
     """Runs elections; the rules themselves are pure functions in `epochs`."""
 
-    async def run_election(self, man: Manifest, why: str, first: State | None = None) -> Result[None, Fault]:
-        """Tries to become the primary of a new epoch; `first` is the state of a fleet that has none yet."""
+    def electorate(self, man: Manifest) -> list[str]:
+        """All that may have a vote: the members of the configuration, and the voters of the epochs known here."""
+        return list(dict.fromkeys([*self.members(man), *self.held.pair.voters, *self.witness.pair.voters]))
+
+    def gone(self, man: Manifest) -> set[str]:
+        """Those of the electorate that the configuration has no more, or declares gone."""
+        machines = man["machines"]
+        return {n for n in self.electorate(man) if n not in machines or machines[n].get("gone")}
+
+    async def collect_prevotes(self, man: Manifest, quick: bool = False) -> dict[str, Body]:
+        """Who would back this member as the primary of a new epoch, and what each one holds; nothing is promised."""
+        me = self.conf.name
+        others = [n for n in self.electorate(man) if n != me]
+        answers = await self.ask_all("look", {"probe": 1, "who": me}, others, man, quick)
+        return answers | {me: self.about() | {"ok": not self.hears_another_primary(me)}}
+
+    def prevote_won(self, man: Manifest, answers: dict[str, Body]) -> bool:
+        """The rule of the pre-vote, by the voters of the newest epoch that an answer tells."""
+        newest = max((Pair.of(a["pair"]) for a in answers.values()), key=lambda p: p.epoch)
+        prevotes = [PreVote(n, str(a["disk"]), not a["ok"]) for n, a in answers.items()]
+        return may_campaign(set(self.electorate(man)) - self.gone(man), newest.voters, prevotes)
+
+    async def collect_promises(
+        self, man: Manifest, epoch: int, prevotes: dict[str, Body], handover: bool
+    ) -> dict[str, Body]:
+        """Promises of those that answered the pre-vote. This member promises last, once enough others have: if it was frozen
+        in between, the others hear another primary by now, and no epoch is spent."""
+        me = self.conf.name
+        ask: Body = {"epoch": epoch, "who": me} | ({"handover": 1} if handover else {})
+        answers = await self.ask_all("look", ask, [n for n in prevotes if n != me], man)
+        if not self.prevote_won(man, answers | {me: self.about() | {"ok": True}}):
+            return answers
+        return answers | await self.ask_all("look", ask, [me], man)
+
+    async def run_election(
+        self,
+        man: Manifest,
+        why: str,
+        first: State | None = None,
+        prevotes: dict[str, Body] | None = None,
+        handover: bool = False,
+    ) -> Result[None, Fault]:
+        """Tries to become the primary of a new epoch; `first` is the state of a fleet that has none yet. A primary that
+        hands over asks for it itself, so the others still hear it."""
         me = self.conf.name
         step = "stand"
+        if prevotes is None:
+            prevotes = await self.collect_prevotes(man)
+        if not handover and not self.prevote_won(man, prevotes):
+            if all(a["whole"] == 0 and a["pair"]["epoch"] == 0 for a in prevotes.values()):
+                return Err(Fault(step, me, "a fleet is founded only when all its control machines answer", SLOW))
+            return Err(Fault(step, me, "too few voters answered that they hear no other primary", SLOW))
         start = self.held
         voters: Voters = start.pair.voters
-        names = list(dict.fromkeys([*self.members(man), *voters]))
-        gone = [n for n in names if n not in man["machines"] or man["machines"][n].get("gone")]
-        epoch = self.witness.promised + 1
-        looks = await self.ask_all("look", {"epoch": epoch, "who": me}, names, man)
-        top = max([self.witness.promised, *(a["promised"] for a in looks.values())])
+        names, gone = self.electorate(man), self.gone(man)
+        epoch = max(int(a["promised"]) for a in prevotes.values()) + 1
+        looks = await self.collect_promises(man, epoch, prevotes, handover)
+        top = max(int(a["promised"]) for a in looks.values()) if looks else epoch
         good = {n: a for n, a in looks.items() if a["ok"] and a["promised"] == epoch}
-        if self.witness.promised < top:
-            new = self.witness.look(top, "")
-            if new is not None:
-                await self.promise(new)
         if me not in good or top > epoch:
-            return Err(Fault(step, me, f"epoch {top} was promised elsewhere", SLOW))
+            return Err(Fault(step, me, f"epoch {epoch} was not promised by enough; {top} was seen", SLOW))
         # Only now: a copy that was under way when this one promised may have been answered since.
         start = self.held
         got = {n: str(a["disk"]) for n, a in good.items()}
@@ -108,7 +161,7 @@
         self.held = held
         if not await self.append_to_all(held, epoch):
             return Err(Fault(step, me, f"one of the backups {', '.join(backups)} did not take the state", SLOW))
-        grants = await self.ask_all("grant", {"pair": asdict(pair), "who": me}, names, man)
+        grants = await self.ask_all("grant", {"pair": asdict(pair), "who": me}, list(good), man)
         granted = votes(
             (Acknowledgement(n, str(a["disk"]), a["pair"]["epoch"]) for n, a in grants.items() if a["ok"]), epoch
         )
@@ -117,6 +170,7 @@
             return Err(Fault(step, me, "too few granted the epoch", SLOW))
         self.epoch, self.copied, self.leader = epoch, dict.fromkeys(backups, now()), me
         self.wiped_backups.clear()
+        self.answered = {n: now() for n, d in now_voters.items() if granted.get(n) == d}
         self.announce_leader()
         if why not in ("backup lost", "too few backups") and not why.startswith("voters"):
             self.since, self.beats = now(), {}
@@ -162,9 +216,8 @@
                 best = (body["edition"], body["snapshot"])
         return best
 
-    def may_try_to_lead(self, man: Manifest, looks: dict[str, Body]) -> bool:
+    def may_try_to_lead(self, man: Manifest, every: dict[str, Body]) -> bool:
         """Is it this one's turn to try? One that can't lead would only burn epochs of one that can."""
-        every = looks | {self.conf.name: self.about()}
         best = max((Pair.of(a["pair"]) for a in every.values()), key=lambda p: p.epoch)
         if self.held.whole >= best.epoch or (
             self.conf.name in best and best.voters.get(self.conf.name) == self.disk_id
--- a/postpass/control/epochs.py
+++ b/postpass/control/epochs.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 from collections.abc import Iterable, Mapping
 from dataclasses import asdict, dataclass, field, replace
 from typing import Any
@@ -20,6 +21,15 @@
     epoch: int
 
 
+@dataclass(frozen=True)
+class PreVote:
+    """What a member answers when it is asked whether it would back a new primary. It promises nothing by it."""
+
+    member: str
+    disk: str
+    hears_primary: bool  # another one than whoever asks
+
+
 @dataclass(frozen=True)
 class Pair:
     """Invariant: an epoch names one primary and its backups, for good; every one of them has synced a write before it is
@@ -103,6 +113,22 @@
     return 2 * sum(got.get(n) == d for n, d in voters.items()) > len(voters)
 
 
+def may_campaign(members: Iterable[str], voters: Voters, answers: Iterable[PreVote]) -> bool:
+    """The rule of the pre-vote: may a member ask for promises, and promise itself?
+
+    Most voters, by their disks, hear no other primary; so none that a majority hears is deposed. Where too many disks are
+    lost for that, or there were never any voters, all `members` must have answered so.
+    """
+    willing = {a.member: a.disk for a in answers if not a.hears_primary}
+    everyone = set(members)
+    return majority(voters, willing) or (bool(everyone) and everyone <= set(willing))
+
+
+def in_touch(voters: Voters, answered: Mapping[str, float], since: float) -> bool:
+    """Has a primary had answers of most voters since that time? `answered` tells when each voter's disk last answered."""
+    return 2 * sum(answered.get(name, -math.inf) >= since for name in voters) > len(voters)
+
+
 def votes(answers: Iterable[Acknowledgement], epoch: int) -> Voters:
     """The disks that answered under this epoch, by member."""
     return {a.member: a.disk for a in answers if a.epoch == epoch}
--- a/postpass/control/leadership.py
+++ b/postpass/control/leadership.py
@@ -7,7 +7,7 @@
 from result import Err, Ok
 
 from postpass import events
-from postpass.control.epochs import Pair, majority
+from postpass.control.epochs import Acknowledgement, Pair, in_touch, majority
 from postpass.control.member import INFINITY
 from postpass.control.registry import Registry
 from postpass.fault import Stop
@@ -35,38 +35,45 @@
                 events.emit(103, self.conf.name, step=bad.fault.step, why=bad.fault.why)
 
     async def lead_heartbeat(self, man: Manifest) -> None:
-        """The primary's beat: its backup, the witnesses' word, and whoever waits to be let in again."""
+        """The primary's heartbeat to all members; steps down without a majority, and mends the replica set."""
         b, epoch, pair = self.conf.bounds, self.epoch, self.held.pair
-        async with self.lock:
-            await self.append_to_all(None, epoch)
-        # Witnesses hear that there is a primary, and tell if they promised a higher epoch.
-        others = [n for n in self.members(man) if n not in pair]
-        told = {"epoch": epoch, "who": self.conf.name, "edition": self.news.edition, "at": self.conf.peer}
-        looks = await self.ask_all("copy", told, others, man)
+        answers = await self.heartbeat(epoch, man)
         if self.epoch != epoch:
             return
-        for answer in looks.values():
-            if not answer["ok"] and answer["promised"] > epoch:
-                self.step_down(answer["promised"])
-                return
+        self.answered[self.conf.name] = now()
+        if not in_touch(pair.voters, self.answered, now() - b.detect):
+            self.step_down("no majority answers")
+            return
         if man.get("announced"):
-            self.spoke |= dict.fromkeys([*looks, self.conf.name], now())
-            for name, at in self.copied.items():
-                self.spoke[name] = max(at, self.spoke.get(name, 0.0))
+            self.spoke |= dict.fromkeys([self.conf.name, *(a.member for a in answers)], now())
             self.spawn(self.reconcile())
-        lost = bool(self.wiped_backups) or any(now() - at > b.detect for at in self.copied.values())
-        few = self.better_replica_set(man, list(looks))
-        odd = [n for n, a in looks.items() if pair.voters.get(n) != a["disk"]]
+        why = self.flaw_of_replica_set(man, answers)
+        if why:
+            await self.renew_replica_set(man, epoch, why)
+
+    def flaw_of_replica_set(self, man: Manifest, answers: list[Acknowledgement]) -> str:
+        """Why another replica set or other voters are wanted; empty if they are not."""
+        pair, oldest = self.held.pair, now() - self.conf.bounds.detect
+        if self.wiped_backups or any(at < oldest for at in self.copied.values()):
+            return "backup lost"
+        if self.better_replica_set(man, [a.member for a in answers]):
+            return "too few backups"
+        strangers = [a.member for a in answers if not pair.counts(a)]
         gone = [n for n in pair.voters if n not in self.members(man)]
-        if lost or few or odd or gone:
-            async with self.lock:
-                why = "backup lost" if lost else "too few backups" if few else f"voters {odd or gone}"
-                self.epoch = 0
-                got = await self.run_election(man, why)
-                if isinstance(got, Ok):
-                    events.emit(132, self.conf.name, backup=",".join(self.held.pair.backups), why=why)
-                else:
-                    self.heard = now() - b.detect
+        return f"voters {strangers or gone}" if strangers or gone else ""
+
+    async def renew_replica_set(self, man: Manifest, epoch: int, why: str) -> None:
+        """Leads on under a new epoch, if most voters still hear no other primary."""
+        async with self.lock:
+            prevotes = await self.collect_prevotes(man)
+            if self.epoch != epoch or not self.prevote_won(man, prevotes):
+                return
+            self.epoch = 0
+            got = await self.run_election(man, why, prevotes=prevotes)
+            if isinstance(got, Ok):
+                events.emit(132, self.conf.name, backup=",".join(self.held.pair.backups), why=why)
+            else:
+                self.heard = now() - self.conf.bounds.detect
 
     async def lead_after_restart(self) -> None:
         """After a start: where most have started as well and nobody has heard a primary since, there is none to wait for.
@@ -78,11 +85,9 @@
         while now() - began < b.detect and not (self.epoch or self.leaving) and self.led < began:
             man, me = self.known(), self.conf.name
             if man is not None and self.held.whole and me in self.members(man):
-                others = [n for n in self.members(man) if n != me]
-                looks = await self.ask_all("look", {"probe": 1}, others, man, True)
-                if any(not a["ok"] for a in looks.values()):
+                every = await self.collect_prevotes(man, True)
+                if any(not a["ok"] for a in every.values()):
                     return
-                every = looks | {me: self.about()}
                 best = max((Pair.of(a["pair"]) for a in every.values()), key=lambda p: p.epoch)
                 got = {n: str(a["disk"]) for n, a in every.items()}
                 able = [n for n in best.holders if n in got and best.voters.get(n) == got[n]]
@@ -93,7 +98,7 @@
                     if (me == able[0] and first) or now() - seen > b.beat * best.holders.index(me):
                         async with self.lock:
                             done = (
-                                await self.run_election(man, "restarted")
+                                await self.run_election(man, "restarted", prevotes=every)
                                 if not self.epoch and self.led < began
                                 else Ok(None)
                             )
@@ -113,11 +118,11 @@
         async with self.lock:
             if self.epoch:
                 return
-            looks = await self.ask_all("look", {"probe": 1}, [n for n in self.members(man) if n != self.conf.name], man)
-            if any(not a["ok"] for a in looks.values()) or not self.may_try_to_lead(man, looks):
+            prevotes = await self.collect_prevotes(man)
+            if not self.prevote_won(man, prevotes) or not self.may_try_to_lead(man, prevotes):
                 self.heard = now() - b.detect + b.stagger * self.world.chance.random()
                 return
-            got = await self.run_election(man, "primary lost")
+            got = await self.run_election(man, "primary lost", prevotes=prevotes)
             if isinstance(got, Err):
                 self.heard = now() - b.detect + b.stagger * self.world.chance.random()
 
@@ -145,5 +150,5 @@
                 or self.conf.name not in self.held.pair.backups
             ):
                 return Ok({"ok": False})
-            got = await self.run_election(man, "handed over")
+            got = await self.run_election(man, "handed over", handover=True)
         return Ok({"ok": isinstance(got, Ok)})
--- a/postpass/control/member.py
+++ b/postpass/control/member.py
@@ -57,6 +57,7 @@
         self.witness, self.held, self.disk_id, self.epoch = Witness(), Held(), "", 0
         self.heard = 0.0
         self.copied: dict[str, float] = {}  # when each backup last answered
+        self.answered: dict[str, float] = {}  # when each voter's disk last answered under this epoch
         self.wiped_backups: set[str] = set()  # backups that answered with another disk than the replica set names
         # When a primary was last heard in this life, and who waits for one.
         self.led, self.led_now = -INFINITY, asyncio.Event()
@@ -127,10 +128,12 @@
         }  # fmt: skip
 
     async def on_look(self, body: Body) -> PeerResponse:
+        hears_primary = self.hears_another_primary(body.get("who", ""))
         if body.get("probe"):
-            # Would this one back a new primary? Not while it hears the present one.
-            alive = self.epoch > 0 or now() - self.led < self.conf.bounds.detect * 0.9
-            return Ok(self.about() | {"ok": not alive})
+            return Ok(self.about() | {"ok": not hears_primary})
+        if hears_primary and not body.get("handover"):
+            # The pre-vote is past: whoever asks was frozen since, or this one heard the primary again.
+            return Ok(self.about() | {"ok": False})
         new = self.witness.look(body["epoch"], body["who"])
         if new is None:
             return Ok(self.about() | {"ok": False})
@@ -138,6 +141,12 @@
         self.heard = max(self.heard, now() - self.conf.bounds.detect + self.conf.bounds.promise)
         return await self.promise(new)
 
+    def hears_another_primary(self, candidate: str) -> bool:
+        """Is there a primary, by what was heard here, that `candidate` would depose?"""
+        if self.epoch:
+            return candidate != self.conf.name
+        return self.leader != candidate and now() - self.led < self.conf.bounds.detect * 0.9
+
     async def on_grant(self, body: Body) -> PeerResponse:
         new = self.witness.grant(Pair.of(body["pair"]), body["who"])
         if new is None:
@@ -155,7 +164,8 @@
             return Err(bad.fault)
         return Ok(self.about() | {"ok": self.witness == new})
 
-    def step_down(self, seen: int) -> None:
+    def step_down(self, seen: int | str) -> None:
+        """Leads no more: a higher epoch was seen, or what else the event tells."""
         if self.epoch:
             events.emit(131, self.conf.name, epoch=self.epoch, seen=seen)
         self.epoch = 0
--- a/postpass/control/replica.py
+++ b/postpass/control/replica.py
@@ -72,13 +72,15 @@
             self.step_down(answer["promised"])
         if epoch == self.epoch and to in pair.backups and pair.voters.get(to) != answer["disk"]:
             self.wiped_backups.add(to)
-            return None
         if not answer["ok"]:
             return None
-        if epoch == self.epoch and to in pair.backups:
-            self.copied[to] = now()
         # Releases before 0.3 don't repeat the epoch; the answer belongs to this request by its number.
-        return Acknowledgement(to, str(answer["disk"]), answer.get("epoch", epoch))
+        acknowledgement = Acknowledgement(to, str(answer["disk"]), answer.get("epoch", epoch))
+        if epoch == self.epoch and pair.counts(acknowledgement):
+            self.answered[to] = now()
+            if to in pair.backups:
+                self.copied[to] = now()
+        return acknowledgement
 
     async def append_to_all(self, held: Held | None, epoch: int) -> bool:
         """True once all backups of the epoch have acknowledged, each by the disk that the replica set names."""
@@ -112,6 +114,17 @@
     async def notify(self, name: str, epoch: int) -> None:
         await self.append_to(None, epoch, name)
 
+    async def heartbeat(self, epoch: int, man: Manifest) -> list[Acknowledgement]:
+        """One round to all other members; those that are late are not waited for once most have answered."""
+        others = [n for n in self.members(man) if n != self.conf.name]
+
+        def enough(got: dict[str, Acknowledgement | None]) -> bool:
+            return 2 * (1 + sum(a is not None for a in got.values())) > len(others) + 1
+
+        asks = {n: self.append_to(None, epoch, n) for n in others}
+        got = await hear(asks, enough, self.conf.bounds.promise / 2)
+        return [a for a in got.values() if a is not None]
+
     async def ask_all(
         self, verb: str, body: Body, names: list[str], man: Manifest, quick: bool = False
     ) -> dict[str, Body]:
--- a/tests/test_control_epochs.py
+++ b/tests/test_control_epochs.py
@@ -2,7 +2,17 @@
 
 from __future__ import annotations
 
-from postpass.control.epochs import Acknowledgement, Pair, Voters, Witness, may_lead, votes
+from postpass.control.epochs import (
+    Acknowledgement,
+    Pair,
+    PreVote,
+    Voters,
+    Witness,
+    in_touch,
+    may_campaign,
+    may_lead,
+    votes,
+)
 
 
 def test_a_witness_never_goes_back_and_names_one_pair_an_epoch() -> None:
@@ -50,3 +60,33 @@
     got = {"c2": "new", "c3": "d3", "c4": "d4", "c5": "d5"}
     assert may_lead("c2", 1, own, dict.fromkeys(got, own), voters, got).startswith("not of the pair")
     assert may_lead("c2", 1, own, dict.fromkeys(got, own), voters, got | {"c2": "d2"}) == ""
+
+
+def test_a_prevote_needs_most_voters_by_disk_or_every_member() -> None:
+    voters = {f"c{i}": f"d{i}" for i in range(1, 5)}
+
+    def allowed(*answers: PreVote) -> bool:
+        return may_campaign(voters, voters, answers)
+
+    willing = [PreVote(n, d, False) for n, d in voters.items()]
+    assert not allowed() and not allowed(*willing[:2]) and allowed(*willing[:3])
+    assert not allowed(*willing[:2], PreVote("c3", "d3", True)), "c3 hears a primary"
+    assert not allowed(*willing[:2], PreVote("c3", "new", False)), "another disk has no vote"
+    # Half of the disks are lost: only all together may go on.
+    assert allowed(*willing[:2], PreVote("c3", "new", False), PreVote("c4", "new", False))
+    assert not may_campaign([], {}, []) and may_campaign(["c1"], {}, [PreVote("c1", "d1", False)])
+
+
+def test_two_campaigns_and_a_primary_heard_by_most_exclude_each_other() -> None:
+    for size in range(1, 8):
+        voters = {f"c{i}": f"d{i}" for i in range(size)}
+        for hearing in range(size + 1):
+            answers = [PreVote(n, d, i < hearing) for i, (n, d) in enumerate(voters.items())]
+            assert may_campaign(voters, voters, answers) == (2 * (size - hearing) > size)
+
+
+def test_a_primary_is_in_touch_while_most_voters_answered_since() -> None:
+    voters = {f"c{i}": f"d{i}" for i in range(1, 5)}
+    assert in_touch(voters, {"c1": 5.0, "c2": 4.0, "c3": 3.0}, 3.0)
+    assert not in_touch(voters, {"c1": 5.0, "c2": 4.0, "c3": 2.9}, 3.0)
+    assert not in_touch(voters, {"c1": 5.0, "c2": 4.0, "stranger": 5.0}, 3.0)
--- a/tests/test_worst_days_leadership.py
+++ b/tests/test_worst_days_leadership.py
@@ -145,3 +145,63 @@
 
     read, losses = play(scene, control=control)
     assert 0 <= read < RECOVERY_TIME and losses == 0, (read, losses)
+
+
+# --- B: a member that was cut off deposes nobody
+@pytest.mark.parametrize("control", [3, 4, 5, 7])
+@pytest.mark.parametrize("role", ["primary", "backup", "witness", "primary and backup"])
+@pytest.mark.parametrize("way", ["both", "in", "out"])
+def test_a_member_that_returns_from_a_cut_never_deposes_a_primary(control: int, role: str, way: str) -> None:
+    async def scene(f: Fleet) -> None:
+        lead = await settle(f)
+        holders = lead.held.pair.holders
+        witness = next(n for n in lead.held.pair.voters if n not in holders)
+        inside = {"primary": holders[:1], "backup": holders[1:2], "witness": (witness,), "primary and backup": holders}[
+            role
+        ]
+        before = max(c.witness.promised for c in f.controls())
+        isolate(f, inside, way)
+        await asyncio.sleep(CUT_TIME)
+        outside = [c for c in f.controls() if c.conf.name not in inside]
+        led = [c for c in f.controls() if c.epoch]
+        assert len(led) <= 1, [(c.conf.name, c.epoch) for c in led]
+        if 2 * len(outside) > control and not set(holders) <= set(inside):
+            assert led, "the majority has no primary"
+        highest = max([before, *(c.epoch for c in led)])
+        for member in f.controls():
+            assert member.witness.promised <= highest, (member.conf.name, member.witness.promised, highest)
+        f.loop.net.cuts.clear()
+        if not led:
+            assert await f.until(f.primary, RECOVERY_TIME) >= 0
+            return
+        expected, until = led[0].conf.name, f.loop.clock + 6
+        while f.loop.clock < until:
+            others = [c.conf.name for c in f.controls() if c.epoch and c.conf.name != expected]
+            assert not others, (others, expected)
+            await asyncio.sleep(0.02)
+        assert leader(f).conf.name == expected
+        got = await f.ask(inside[0], lambda c: c.apply_source(document(4), 3))
+        assert got.is_ok(), got
+
+    play(scene, control=control)
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_a_cut_off_primary_that_is_sent_orders_burns_no_epochs(seed: int) -> None:
+    async def scene(f: Fleet) -> tuple[int, int, int]:
+        first = await settle(f)
+        name, epoch = first.conf.name, first.epoch
+        isolate(f, [name])
+        until = f.loop.clock + CUT_TIME
+        while f.loop.clock < until:
+            await f.ask(name, lambda c: c.apply_source(document(4), 3))
+            await asyncio.sleep(0.5)
+        successor = leader(f)
+        promised, taken = first.witness.promised, successor.epoch
+        f.loop.net.cuts.clear()
+        await asyncio.sleep(6)
+        assert leader(f) is successor
+        assert promised == epoch, (promised, epoch)
+        return promised, taken, successor.epoch
+
+    play(scene, seed, control=4)
