Play operators that reach both sides of a cut of twenty seconds

Primary and witness of four members, and primary and backup of five, are cut off while eight operators go on at all members; then every taken order is sent again.

--- a/tests/test_worst_days_orders.py
+++ b/tests/test_worst_days_orders.py
@@ -6,6 +6,7 @@
 import copy
 import json
 import random
+from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass, replace
 from typing import Any
 
@@ -28,6 +29,7 @@
 from tests.test_platform_settings import adapter
 
 OPERATORS = 8
+CUT_S = 20.0
 ORDERS_A_PHASE = 80  # taken between one strike and the next
 
 
@@ -142,7 +144,37 @@
         fleet.boot(name)
 
 
-STRIKES = (kill_primary, hand_over, wipe_one, replace_one, power_off_all, settled)
+async def cut_off(fleet: Fleet, names: set[str], span: float) -> None:
+    """Some members and all other processes can't reach each other for a while; operators reach both sides."""
+    others = set(fleet.nodes) - names
+    cuts = {pair for one in names for two in others for pair in ((one, two), (two, one))}
+    fleet.loop.net.cuts |= cuts
+    await asyncio.sleep(span)
+    fleet.loop.net.cuts -= cuts
+
+
+async def cut_off_primary(fleet: Fleet) -> None:
+    primary = fleet.primary()
+    assert primary is not None
+    await cut_off(fleet, {primary.conf.name}, CUT_S)
+
+
+async def cut_off_witness(fleet: Fleet) -> None:
+    primary = fleet.primary()
+    assert primary is not None
+    holders = primary.held.pair.holders
+    await cut_off(fleet, {next(c.conf.name for c in fleet.controls() if c.conf.name not in holders)}, CUT_S)
+
+
+async def cut_off_holders(fleet: Fleet) -> None:
+    """Primary and backups, a minority of five members, are cut off together."""
+    primary = fleet.primary()
+    assert primary is not None
+    await cut_off(fleet, set(primary.held.pair.holders), CUT_S)
+
+
+Strike = Callable[[Fleet], Awaitable[None]]
+STRIKES: tuple[Strike, ...] = (kill_primary, hand_over, wipe_one, replace_one, power_off_all, settled)
 
 
 async def other_orders(operators: RecordingOperators, stop: Any) -> None:
@@ -156,16 +188,17 @@
         await operators.send_other("GET", "/-/retire/s5")
 
 
-async def busy_day(fleet: Fleet, operators: RecordingOperators) -> tuple[int, list[str], list[str], Any]:
-    """Operators at work through a takeover, a handover, a wipe, a replacement and a loss of power of all; then every taken order
-    again at every member."""
+async def busy_day(
+    fleet: Fleet, operators: RecordingOperators, strikes: Sequence[Strike] = STRIKES
+) -> tuple[int, list[str], list[str], Verdict]:
+    """Operators at work through one strike after the other; then every taken order again at every member."""
     first = put(document(1), 0)
     while first not in operators.taken:
         await operators.send(first)
     over: list[bool] = []
     jobs = [asyncio.ensure_future(operators.operate(n, first.body, lambda: bool(over), 0.1)) for n in range(OPERATORS)]
     jobs.append(asyncio.ensure_future(other_orders(operators, lambda: bool(over))))
-    for phase, strike in enumerate(STRIKES, 1):
+    for phase, strike in enumerate(strikes, 1):
         await settled(fleet)
         assert await fleet.until(lambda phase=phase: len(operators.taken) >= phase * ORDERS_A_PHASE, 120) >= 0
         await strike(fleet)
@@ -185,6 +218,20 @@
     assert verdict.linearizable, verdict
 
 
+@pytest.mark.parametrize(
+    ("control", "strikes"), [(4, (cut_off_primary, cut_off_witness, settled)), (5, (cut_off_holders, settled))]
+)
+def test_no_taken_order_is_refused_by_members_that_were_cut_off(control: int, strikes: Sequence[Strike]) -> None:
+    """Operators reach both sides of a cut of twenty seconds all the time."""
+    taken, refused, refused_others, verdict = play(
+        lambda fleet, operators: busy_day(fleet, operators, strikes), 1, control=control, stores=5, edges=1
+    )
+    assert taken >= len(strikes) * ORDERS_A_PHASE
+    assert refused == []
+    assert refused_others == []
+    assert verdict.linearizable, verdict
+
+
 def test_an_order_is_known_again_after_forty_others() -> None:
     """Fault D: only sixteen accepted orders were remembered."""
 
