--- a/bench/order_memory.py
+++ b/bench/order_memory.py
@@ -10,7 +10,7 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, cast
 
 from postpass import taken_orders
 from postpass.config import Bounds
@@ -49,10 +49,9 @@
 
 
 def state_of(routes: int, orders: int) -> State:
-    manifest: Any = {"version": 9_999, "machines": {}, "pools": {}, "routes": document(routes, 1)["routes"]}
+    content = {"version": 9_999, "machines": {}, "pools": {}, "routes": document(routes, 1)["routes"]}
     entries = [ConfigurationOrder.of({"version": 1_000 + n}).entry for n in range(orders)]
-    found: Manifest = manifest
-    return State(1, found, source=document(routes, 9_999), orders=entries)
+    return State(1, cast(Manifest, content), source=document(routes, 9_999), orders=entries)
 
 
 def milliseconds(call: Callable[[], Any]) -> float:
