--- a/sim/naming.py
+++ b/sim/naming.py
@@ -17,6 +17,7 @@
 STANDARD = {
     "workerlink.py", "relay.py", "placing.py", "front.py", "items.py", "routed.py", "lotdesk.py", "quota.py", "dialect.py",
     "feed.py", "control_health.py",
+    "taken_orders.py", "verdict.py",
 }  # fmt: skip
 TERMS = {
     "backlog": "queue", "call": "request", "caller": "client", "area": "zone", "shed": "refuse", "way": "route",
