Take an answer without a length for none from its head on

Cause: an answer that tells neither length nor chunks was passed on as it came, with whatever other bytes followed it on the connection, until the worker closed; found by the properties of answers (a bit turned in 'Content-Length', then a late answer). A 204 or 304 that told a length went on with it, and the server broke the connection off for it. Change: such an answer is a garbled head; it could never end whole. 204 and 304 go on without a length. Measured: test_an_answer_without_a_length_is_none (200, want 502) and test_an_answer_that_has_no_body_tells_no_length failed before and pass now, with all of test_relay and test_workerlink. test_cut_answers_raise_and_never_look_whole holds the fault to the head now, where it was told only at the end of the body: sooner, and as strict.

--- a/postpass/relay.py
+++ b/postpass/relay.py
@@ -31,7 +31,7 @@
 )
 from postpass.placing import NONE as NO_PREFIX
 from postpass.verdict import AnswerNames, Proof, verdict
-from postpass.workerlink import GARBLED, Exchange, Headers, WorkerLinks
+from postpass.workerlink import BODILESS, GARBLED, Exchange, Headers, WorkerLinks
 from postpass.world import World, now
 
 App = Callable[[Any, Any, Any], Awaitable[None]]
@@ -629,7 +629,8 @@
                 await request.send({"type": "http.response.body", "body": data, "more_body": True})
 
     async def begin(self, request: Request, exchange: Exchange, joined: bool) -> None:
-        headers = passed(exchange.headers, HOP_BACK | {b"content-length"} if joined else HOP_BACK)
+        unsized = joined or exchange.status in BODILESS
+        headers = passed(exchange.headers, HOP_BACK | {b"content-length"} if unsized else HOP_BACK)
         if self.leaving:
             headers.append((b"connection", b"close"))
         request.begun = True
--- a/postpass/workerlink.py
+++ b/postpass/workerlink.py
@@ -21,6 +21,7 @@
 IDLE = 0.5  # seconds that a connection is kept if the worker doesn't say
 MARGIN = 0.25  # of what the worker says
 CONNECT_TIMES, CONNECT_LEAST = 8, 0.04  # of the usual time of a connection, and seconds: until one is given up
+BODILESS = (204, 304)  # statuses of answers that have no body, whatever length they tell
 GARBLED = "garbled"  # hint of a fault: the bytes that came are no answer in the protocol
 TIMEOUT = re.compile(rb"timeout\s*=\s*\"?(\d+)")
 
@@ -30,6 +31,11 @@
     return {v for n, v in headers if n == name and v} == ({value} if value else set())
 
 
+def tells_its_end(headers: Headers) -> bool:
+    """Does a head say where its body ends, by a length or by chunks?"""
+    return any(n == b"content-length" or (n == b"transfer-encoding" and b"chunked" in v.lower()) for n, v in headers)
+
+
 class Exchange:
     """One request's answer. Invariants: the head is whole; `whole` only if the last byte of the body came, and then
     the connection is no longer ours; after a fault nothing more comes but what was held before it."""
@@ -134,7 +140,8 @@
         self.keep = False
         self.surplus = False
         self.expect: tuple[bytes, bytes] | None = None
-        self.foreign = False
+        self.foreign = False  # the head that came is of another request
+        self.unsized = False  # the head that came doesn't say where its body ends
 
     # --- of asyncio
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -160,6 +167,8 @@
             self.surplus = True
         if self.foreign:
             self.fail("head", "an answer to another request")
+        elif self.unsized:
+            self.fail("head", "an answer without a length", hint=GARBLED)
         elif self.phase == "end":
             self.finish()
         elif self.phase != "body" and self.head > HEAD_BYTES:
@@ -204,8 +213,13 @@
             self.foreign = True
             ex.status = 0
             return
+        if not (self.bodiless or status in BODILESS or tells_its_end(ex.headers)):
+            # What follows would run on into whatever else comes, until the worker closes.
+            self.unsized = True
+            ex.status = 0
+            return
         self.phase = "body"
-        if self.bodiless and not (status == 204 or status == 304):
+        if self.bodiless and status not in BODILESS:
             # The parser waits for a body that never comes.
             self.phase, self.keep = "end", False
 
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -340,6 +340,24 @@
     play({"w1": refusing("200 OK", "X-Call-Id: c0", "X-Seal: s1")}, main)
 
 
+def test_an_answer_without_a_length_is_none_and_takes_up_nothing_that_follows() -> None:
+    async def endless(_w: Worker, n: int, head: bytes, writer: asyncio.StreamWriter) -> None:
+        writer.write(reply(head).replace(b"Content-Length", b"Contejt-Length") + reply(head, b"surplus"))
+
+    async def main(s: Scene) -> None:
+        assert (await s.ask("/o/x"))[0] == 502
+
+    play({"w1": endless}, main)
+
+
+def test_an_answer_that_has_no_body_tells_no_length() -> None:
+    async def main(s: Scene) -> None:
+        status, head, _, _ = await s.ask("/o/x", method="HEAD")
+        assert status == 204 and "content-length" not in head and "connection" not in head
+
+    play({"w1": refusing("204 None", "X-Seal: s1")}, main)
+
+
 def test_a_request_without_an_id_gets_no_answer_that_has_one() -> None:
     async def late(_w: Worker, n: int, head: bytes, writer: asyncio.StreamWriter) -> None:
         stale = b"c0" if n == 1 else b""
--- a/tests/test_workerlink.py
+++ b/tests/test_workerlink.py
@@ -122,7 +122,8 @@
 
     async def main(links: WorkerLinks, _loop: SimLoop, worker: Worker) -> None:
         got = [await ask(links) for _ in parts]
-        assert got == [("body", False)] * 3 + [("head", False)] * 3 + [("body", False)]
+        # One without a length has no end that could be told from a cut: it is none from its head on.
+        assert got == [("body", False)] * 2 + [("head", False)] * 4 + [("body", False)]
         assert links.opened == {} and worker.connections == len(parts)
 
     run(play, main)
