Search the control protocol's decisions exhaustively

`model/` is a transition system over the product's own Witness.look, Witness.grant, may_lead and majority: members with promise, grant, state epoch, log and disk; requests that are lost, late, repeated and reordered; restarts, wiped disks, members that leave for good; two operators with compare-and-set; confirmed reads. Breadth-first, states that differ by names searched once, shortest trace of a breach. Decisions that the product still takes inside coroutines are transcribed in model/control/transcribed.py, each to be replaced by the product's own.

--- /dev/null
+++ b/model/control/transcribed.py
@@ -0,0 +1,81 @@
+"""Decisions that the product takes inside its coroutines, written out as pure functions.
+
+They are no part of the product. Each names the place it was taken from, and goes once the product has a function of its
+own for it, which `model.control.rules` then calls instead.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from postpass.control.epochs import Pair, Voters, majority
+
+
+def next_voters(everyone: list[str], before: Voters, answered: Voters, all_answered: bool) -> Voters:
+    """The voters of a new epoch (`run_election`, where machines announce themselves)."""
+    if all_answered:
+        return {n: answered[n] for n in everyone}
+    members = [n for n in everyone if n in answered or n in before]
+    return {n: answered.get(n, before.get(n, "")) for n in members}
+
+
+def takes_append(promised: int, have: tuple[int, int], epoch: int, sent: tuple[int, int]) -> bool:
+    """Does a backup take a state, (epoch, version), sent under `epoch` (`on_copy`)?"""
+    return epoch >= promised and sent >= have
+
+
+def acknowledges(replica_set: Pair, answered: Voters) -> bool:
+    """Is a write acknowledged after these answers, the primary's own among them (`commit`)?"""
+    return set(replica_set.backups) <= set(answered)
+
+
+def confirms(replica_set: Pair, answered: Voters) -> bool:
+    """Do these answers confirm the leadership, for a read or a repeated order (`confirm_leadership`)?"""
+    if replica_set.backups and set(replica_set.backups) <= set(answered):
+        return True
+    return majority(replica_set.voters, answered)
+
+
+def whole(replica_set: Pair, answered: Voters) -> bool:
+    """Does a primary that has heard all members see no reason to raise an epoch (`lead_heartbeat`)?"""
+    others = {n: d for n, d in answered.items() if n not in replica_set}
+    return all(replica_set.voters.get(n) == d for n, d in others.items()) and set(replica_set.voters) <= set(answered)
+
+
+def remembers(log: tuple[int, ...], order: int) -> bool:
+    """Is this order known as one that was taken (`document`, by the digests of `roster.State.orders`)?"""
+    return order in log
+
+
+def may_leave(me: str, replica_set: Pair, answered: Voters, tolerate: int) -> bool:
+    """May a member leave for good (`depart`)? It hands over its leadership and goes, whatever stays behind."""
+    return True
+
+
+@dataclass(frozen=True)
+class Heard:
+    """What a candidate that `may_lead` refuses has heard from those that promised."""
+
+    me: str
+    refusal: str
+    all_answered: bool
+    granted: dict[str, Pair]
+    disks: Voters
+    state_epochs: dict[str, int]
+
+
+def without_majority(heard: Heard) -> tuple[str, bool]:
+    """Whether a candidate that `may_lead` refuses leads all the same (`run_election`): why not, and whether it then loses
+    acknowledged orders.
+
+    Where several are able the product lets the first in its order; here any of them may, which allows more.
+    """
+    newest = max(heard.granted.values(), key=lambda pair: pair.epoch)
+    able = [
+        member
+        for member, epoch in heard.state_epochs.items()
+        if epoch == newest.epoch and member in newest and newest.voters.get(member) == heard.disks[member]
+    ]
+    if not heard.all_answered or (able and heard.me not in able):
+        return heard.refusal, False
+    return "", not able
--- /dev/null
+++ b/tests/model_mutants.py
@@ -0,0 +1,198 @@
+"""Faulty decisions that the model must find: each breaks one rule of the product's, and names what then goes wrong."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field, replace
+from unittest import mock
+
+from model.control import transcribed
+from model.control.invariants import EVERY, Invariant
+from model.control.rules import Rules
+from model.control.state import Size
+from postpass.control import epochs
+from postpass.control.epochs import Pair, Voters, Witness, majority, may_lead
+
+SMALL = Size(members=3, epochs=2, bases=(0,), wipes=0, reads=0, restarts=False)
+
+
+@dataclass(frozen=True)
+class Mutant:
+    """A rule with a fault, the size that shows it, and the invariant that it breaks.
+
+    `after` are steps from which the search begins, where it would take long from the start.
+    """
+
+    name: str
+    rules: Rules
+    breaks: Invariant
+    size: Size = SMALL
+    checked: frozenset[Invariant] = field(default=EVERY)
+    after: tuple[str, ...] = ()
+
+
+def holders_and_majority(replica_set: Pair, answered: Voters) -> bool:
+    """All holders and a majority of voters have answered, each counted by its disk."""
+    holders = all(answered.get(n) == replica_set.voters.get(n) for n in replica_set.holders)
+    return holders and majority(replica_set.voters, answered)
+
+
+def every_vote_and_copy(replica_set: Pair, answered: Voters) -> bool:
+    """Everyone that answered has the vote of the disk that it has now."""
+    return answered == replica_set.voters
+
+
+def leaves_no_less_safe(me: str, replica_set: Pair, answered: Voters, tolerate: int) -> bool:
+    """The leaver has neither a vote nor a copy, and the others bear the tolerated loss."""
+    votes = sum(answered.get(n) == disk for n, disk in replica_set.voters.items())
+    borne = 2 * (votes - tolerate) > len(replica_set.voters)
+    return me not in replica_set.voters and me not in replica_set and borne
+
+
+REPAIRED = Rules(
+    acknowledges=holders_and_majority,
+    confirms=holders_and_majority,
+    whole=every_vote_and_copy,
+    may_leave=leaves_no_less_safe,
+)
+
+
+def half(voters: Voters, got: Voters) -> bool:
+    return 2 * sum(got.get(n) == d for n, d in voters.items()) >= len(voters)
+
+
+def by_name(voters: Voters, got: Voters) -> bool:
+    return 2 * sum(n in got for n in voters) > len(voters)
+
+
+def may_lead_by(count: object) -> Rules:
+    """The product's `may_lead` over another way of counting."""
+
+    def rule(me: str, whole: int, own: Pair, pairs: dict[str, Pair], voters: Voters, got: Voters) -> str:
+        with mock.patch.object(epochs, "majority", count):
+            return may_lead(me, whole, own, pairs, voters, got)
+
+    return replace(REPAIRED, majority=count, may_lead=rule)  # type: ignore[arg-type]
+
+
+def leads_past_later_epochs(me: str, whole: int, own: Pair, pairs: dict[str, Pair], voters: Voters, got: Voters) -> str:
+    return "" if whole and me in own and majority(voters, got) else "no majority answered"
+
+
+def leads_without_the_state(me: str, whole: int, own: Pair, pairs: dict[str, Pair], voters: Voters, got: Voters) -> str:
+    return "" if majority(voters, got) else "no majority answered"
+
+
+def promises_again(witness: Witness, epoch: int, who: str) -> Witness | None:
+    return replace(witness, promised=epoch, to=who) if epoch >= witness.promised else None
+
+
+def promises_anything(witness: Witness, epoch: int, who: str) -> Witness | None:
+    return replace(witness, promised=epoch, to=who)
+
+
+def grants_anything(witness: Witness, pair: Pair, who: str) -> Witness | None:
+    return Witness(max(witness.promised, pair.epoch), who, pair)
+
+
+def takes_an_older_state(promised: int, have: tuple[int, int], epoch: int, sent: tuple[int, int]) -> bool:
+    return epoch >= promised
+
+
+def always(replica_set: Pair, answered: Voters) -> bool:
+    return True
+
+
+def majority_alone(replica_set: Pair, answered: Voters) -> bool:
+    return majority(replica_set.voters, answered)
+
+
+def backups_by_name_and_majority(replica_set: Pair, answered: Voters) -> bool:
+    return set(replica_set.backups) <= set(answered) and majority(replica_set.voters, answered)
+
+
+def forgets(log: tuple[int, ...], order: int) -> bool:
+    return False
+
+
+def gives_up_while_one_is_silent(heard: transcribed.Heard) -> tuple[str, bool]:
+    return transcribed.without_majority(replace(heard, all_answered=True))
+
+
+def acknowledging(rule: object) -> Rules:
+    return replace(REPAIRED, acknowledges=rule)  # type: ignore[arg-type]
+
+
+SECOND_EPOCH_PROPOSED = (
+    "c2 asks for promises of epoch 2",
+    "c3 promises epoch 2 to c2",
+    "c2 proposes epoch 2 with the backups c3",
+    "c3 syncs version 0 of epoch 2 from c2",
+)
+
+MUTANTS = [
+    Mutant(
+        "a majority is half of the voters", may_lead_by(half), Invariant.ONE_PRIMARY, SMALL._replace(members=4, bases=())
+    ),
+    Mutant("a vote counts by name, whatever the disk", may_lead_by(by_name), Invariant.ONE_PRIMARY, SMALL._replace(wipes=1)),
+    Mutant(
+        "may_lead passes over later epochs",
+        replace(REPAIRED, may_lead=leads_past_later_epochs),
+        Invariant.KEPT,
+        SMALL._replace(epochs=3),
+    ),
+    Mutant("may_lead asks for no state", replace(REPAIRED, may_lead=leads_without_the_state), Invariant.KEPT, SMALL._replace(epochs=3)),
+    Mutant("an epoch is promised to two", replace(REPAIRED, promise=promises_again), Invariant.ONE_PRIMARY),
+    Mutant("a promise is lowered", replace(REPAIRED, promise=promises_anything), Invariant.ONE_PRIMARY),
+    Mutant("a grant passes over the promise", replace(REPAIRED, grant=grants_anything), Invariant.KEPT, SMALL._replace(epochs=3), after=SECOND_EPOCH_PROPOSED),
+    Mutant("orders are given up while a member is silent", replace(REPAIRED, without_majority=gives_up_while_one_is_silent), Invariant.NO_FALSE_LOSS, SMALL._replace(wipes=1)),
+    Mutant("a backup takes an older state", replace(REPAIRED, takes_append=takes_an_older_state), Invariant.KEPT, SMALL._replace(epochs=3)),
+    Mutant("a write is acknowledged by the primary alone", acknowledging(always), Invariant.MAJORITY),
+    Mutant("a write is acknowledged by the primary alone: what is kept", acknowledging(always), Invariant.KEPT, checked=EVERY - {Invariant.MAJORITY}),
+    Mutant("a backup is dropped without an epoch", acknowledging(majority_alone), Invariant.KEPT, SMALL._replace(members=4)),
+    Mutant(
+        "a write is acknowledged by the primary alone: two contents",
+        acknowledging(always),
+        Invariant.ONE_CONTENT,
+        SMALL._replace(bases=(0, 0)),
+        frozenset({Invariant.ONE_CONTENT}),
+    ),
+    Mutant(
+        "a copy counts by name, whatever the disk",
+        acknowledging(backups_by_name_and_majority),
+        Invariant.BEARS_LOSS,
+        SMALL._replace(members=4, wipes=2),
+        frozenset({Invariant.BEARS_LOSS}),
+    ),
+    Mutant("a read is confirmed by nobody", replace(REPAIRED, confirms=always), Invariant.FRESH_READ, SMALL._replace(reads=1), frozenset({Invariant.FRESH_READ})),
+    Mutant("a taken order is forgotten", replace(REPAIRED, remembers=forgets), Invariant.NOT_REFUSED, SMALL._replace(bases=(0, 0))),
+]  # fmt: skip
+
+# The rules of release 0.2.0: faults A and C of the review, found by the model as well.
+RELEASED = [
+    Mutant(
+        "A: a primary doesn't see that its backup has another disk",
+        replace(REPAIRED, whole=transcribed.whole),
+        Invariant.BEARS_LOSS,
+        SMALL._replace(wipes=2),
+    ),
+    Mutant(
+        "C: a minority of primary and backup acknowledges",
+        replace(REPAIRED, acknowledges=transcribed.acknowledges),
+        Invariant.MAJORITY,
+        SMALL._replace(members=5),
+    ),
+    Mutant(
+        "8: a member leaves whatever stays behind",
+        replace(REPAIRED, may_leave=transcribed.may_leave),
+        Invariant.BEARS_LOSS,
+        SMALL._replace(wipes=1, leaves=1),
+        frozenset({Invariant.BEARS_LOSS}),
+    ),
+    Mutant(
+        "8: a member leaves while another is being repaired",
+        replace(REPAIRED, may_leave=transcribed.may_leave),
+        Invariant.LEAVER,
+        SMALL._replace(wipes=1, leaves=1),
+        frozenset({Invariant.LEAVER}),
+    ),
+]
