Search who may ask for an election while links are cut and heal

A second, smaller model: who hears a primary, which links are cut (one way, the other, both; one member or two), and when a member may ask for promises. Invariants: a primary that a majority hears is not deposed, and a member that no majority answers raises no epoch.

--- a/model/__main__.py
+++ b/model/__main__.py
@@ -1,4 +1,5 @@
-"""`python -m model control --members 4 --depth 12`: searches a size and prints the states, the time and any breach."""
+"""`python -m model control --members 4 --depth 12` or `python -m model contact --members 5`: searches a size, and prints
+the states, the time and the shortest trace of a breach."""
 
 from __future__ import annotations
 
@@ -6,9 +7,11 @@
 
 import fire
 
+from model.contact.state import Size as ContactSize
+from model.contact.steps import ContactModel
 from model.control.state import Size
 from model.control.steps import ControlModel
-from model.search import Limits, search
+from model.search import Limits, S, System, search
 
 
 def control(
@@ -36,14 +39,41 @@
         states: where the search ends; 0: no limit.
     """
     size = Size(members, epochs, tuple(bases), wipes, reads, tolerate, leaves)
-    flaws = size.flaws()
-    if flaws:
-        print("\n".join(flaws), file=sys.stderr)
-        return 2
-    found = search(ControlModel(size).system(), Limits(depth, states))
+    return _refuse(size.flaws()) or _run(ControlModel(size).system(), Limits(depth, states))
+
+
+def contact(
+    members: int = 3, epochs: int = 3, cuts: int = 1, freezes: bool = False, depth: int = 0, states: int = 1_000_000
+) -> int:
+    """Searches who may ask for an election, while links are cut and heal.
+
+    Args:
+        members: control members, 3 at the least.
+        epochs: the last epoch that is searched; the fleet is founded in epoch 1.
+        cuts: how often links fail.
+        freezes: whether a candidate may be frozen between its pre-vote and its election.
+        depth: the longest run of steps; 0: no limit.
+        states: where the search ends; 0: no limit.
+    """
+    size = ContactSize(members, epochs, cuts, freezes)
+    return _refuse(size.flaws()) or _run(ContactModel(size).system(), Limits(depth, states))
+
+
+def _refuse(flaws: list[str]) -> int:
+    """2 if there are flaws, after telling them."""
+    for flaw in flaws:
+        print(flaw, file=sys.stderr)
+    return 2 if flaws else 0
+
+
+def _run(system: System[S], limits: Limits) -> int:
+    """1 if an invariant breaks."""
+    found = search(system, limits)
     print(found.text())
     return 1 if found.breach else 0
 
 
 if __name__ == "__main__":
-    sys.exit(fire.Fire({"control": control}, serialize=lambda got: None if isinstance(got, int) else got))
+    sys.exit(
+        fire.Fire({"control": control, "contact": contact}, serialize=lambda got: None if isinstance(got, int) else got)
+    )
--- a/model/control/transcribed.py
+++ b/model/control/transcribed.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from postpass.control.epochs import Pair, Voters, majority
+from postpass.control.epochs import Acknowledgement, Pair, Voters, majority
 
 
 def next_voters(everyone: list[str], before: Voters, answered: Voters, all_answered: bool) -> Voters:
@@ -37,25 +37,28 @@
 
 def takes_append(offer: Offer) -> bool:
     """Does a backup take this state (`on_copy`)?"""
-    return offer.epoch >= offer.promised and offer.sent >= offer.have
+    return offer.names_my_disk and offer.epoch >= offer.promised and offer.sent >= offer.have
 
 
 def acknowledges(replica_set: Pair, answered: Voters) -> bool:
     """Is a write acknowledged after these answers, the primary's own among them (`commit`)?"""
-    return set(replica_set.backups) <= set(answered)
+    return replica_set.copied_to_all(_acknowledgements(replica_set, answered))
 
 
 def confirms(replica_set: Pair, answered: Voters) -> bool:
     """Do these answers confirm the leadership, for a read or a repeated order (`confirm_leadership`)?"""
-    if replica_set.backups and set(replica_set.backups) <= set(answered):
+    if replica_set.backups and acknowledges(replica_set, answered):
         return True
     return majority(replica_set.voters, answered)
 
 
+def _acknowledgements(replica_set: Pair, answered: Voters) -> list[Acknowledgement]:
+    return [Acknowledgement(member, disk, replica_set.epoch) for member, disk in answered.items()]
+
+
 def whole(replica_set: Pair, answered: Voters) -> bool:
     """Does a primary that has heard all members see no reason to raise an epoch (`lead_heartbeat`)?"""
-    others = {n: d for n, d in answered.items() if n not in replica_set}
-    return all(replica_set.voters.get(n) == d for n, d in others.items()) and set(replica_set.voters) <= set(answered)
+    return answered == replica_set.voters
 
 
 def remembers(log: tuple[int, ...], order: int) -> bool:
--- a/tests/model_mutants.py
+++ b/tests/model_mutants.py
@@ -36,11 +36,6 @@
     return holders and majority(replica_set.voters, answered)
 
 
-def every_vote_and_copy(replica_set: Pair, answered: Voters) -> bool:
-    """Everyone that answered has the vote of the disk that it has now."""
-    return answered == replica_set.voters
-
-
 def leaves_no_less_safe(me: str, replica_set: Pair, answered: Voters, tolerate: int) -> bool:
     """The leaver has neither a vote nor a copy, and the others bear the tolerated loss."""
     votes = sum(answered.get(n) == disk for n, disk in replica_set.voters.items())
@@ -48,26 +43,7 @@
     return me not in replica_set.voters and me not in replica_set and borne
 
 
-def takes_what_names_its_disk(offer: transcribed.Offer) -> bool:
-    """A state that was meant for a disk that is lost is not taken by the next one."""
-    return transcribed.takes_append(offer) and offer.names_my_disk
-
-
-def leads_with_its_own_disk(me: str, whole: int, own: Pair, pairs: dict[str, Pair], voters: Voters, got: Voters) -> str:
-    """The copy that a candidate goes on from is the one that its replica set counts."""
-    if own.voters.get(me) != got.get(me):
-        return "the replica set names another disk"
-    return may_lead(me, whole, own, pairs, voters, got)
-
-
-REPAIRED = Rules(
-    may_lead=leads_with_its_own_disk,
-    takes_append=takes_what_names_its_disk,
-    acknowledges=holders_and_majority,
-    confirms=holders_and_majority,
-    whole=every_vote_and_copy,
-    may_leave=leaves_no_less_safe,
-)
+REPAIRED = Rules(acknowledges=holders_and_majority, confirms=holders_and_majority, may_leave=leaves_no_less_safe)
 
 
 def wins_under_all_voters(ballot: transcribed.Ballot, most: transcribed.Count) -> bool:
@@ -139,6 +115,26 @@
     return transcribed.without_majority(replace(heard, all_answered=True))
 
 
+def released_may_lead(me: str, whole: int, own: Pair, pairs: dict[str, Pair], voters: Voters, got: Voters) -> str:
+    """Release 0.2.0: whatever disk the state was meant for."""
+    return may_lead(me, whole, own, pairs, voters, got | {me: own.voters.get(me, "")})
+
+
+def released_takes_append(offer: transcribed.Offer) -> bool:
+    """Release 0.2.0: whatever disk the state was meant for."""
+    return offer.epoch >= offer.promised and offer.sent >= offer.have
+
+
+def released_acknowledges(replica_set: Pair, answered: Voters) -> bool:
+    """Release 0.2.0: by name, and without a majority."""
+    return set(replica_set.backups) <= set(answered)
+
+
+def released_whole(replica_set: Pair, answered: Voters) -> bool:
+    """Release 0.2.0: the backups' disks were not looked at."""
+    return all(replica_set.voters.get(n) == d for n, d in answered.items() if n not in replica_set)
+
+
 def acknowledging(rule: object) -> Rules:
     """The product's rules with another way of acknowledging a write."""
     return replace(REPAIRED, acknowledges=rule)  # type: ignore[arg-type]
@@ -180,7 +176,7 @@
     ),
     Mutant(
         "a copy counts by name, whatever the disk",
-        replace(acknowledging(transcribed.acknowledges), takes_append=transcribed.takes_append),
+        replace(acknowledging(released_acknowledges), takes_append=released_takes_append),
         Invariant.MAJORITY,
         SMALL._replace(wipes=1),
     ),
@@ -204,13 +200,13 @@
 RELEASED = [
     Mutant(
         "A: a primary doesn't see that its backup has another disk",
-        replace(REPAIRED, whole=transcribed.whole),
+        replace(REPAIRED, whole=released_whole),
         Invariant.BEARS_LOSS,
         SMALL._replace(wipes=2),
     ),
     Mutant(
         "C: a minority of primary and backup acknowledges",
-        replace(REPAIRED, acknowledges=transcribed.acknowledges),
+        replace(REPAIRED, acknowledges=released_acknowledges),
         Invariant.MAJORITY,
         SMALL._replace(members=5),
     ),
@@ -230,7 +226,7 @@
     ),
     Mutant(
         "a wiped backup leads with a state that was meant for its former disk",
-        replace(REPAIRED, may_lead=may_lead, takes_append=transcribed.takes_append),
+        replace(REPAIRED, may_lead=released_may_lead, takes_append=released_takes_append),
         Invariant.KEPT,
         SMALL._replace(wipes=1),
         frozenset({Invariant.KEPT}),
