Search the replication of a partition exhaustively

The product's own `Part.may_lead`, `Part.advance`, `Part.provable`, `LotView` and `membership.next_change` over owners, mirrors, covered records, changes of members, settling marks, lost and late requests, restarts and wiped disks. Invariants: one owner an epoch, a covered record is in every later owner's log, an owner can be elected after tolerated losses, no loss is declared for one that is tolerated.

--- a/model/__main__.py
+++ b/model/__main__.py
@@ -1,5 +1,5 @@
-"""`python -m model control --members 4 --depth 12` or `python -m model contact --members 5`: searches a size, and prints
-the states, the time and the shortest trace of a breach."""
+"""`python -m model control --members 4 --depth 12`, `contact` or `partition`: searches a size, and prints the states, the
+time and the shortest trace of a breach."""
 
 from __future__ import annotations
 
@@ -11,6 +11,8 @@
 from model.contact.steps import ContactModel
 from model.control.state import Size
 from model.control.steps import ControlModel
+from model.partition.state import Size as PartitionSize
+from model.partition.steps import PartitionModel
 from model.search import Limits, S, System, search
 
 
@@ -59,6 +61,30 @@
     return _refuse(size.flaws()) or _run(ContactModel(size).system(), Limits(depth, states))
 
 
+def partition(
+    members: int = 3,
+    epochs: int = 2,
+    lots: int = 1,
+    wipes: int = 1,
+    tolerate: int = 1,
+    depth: int = 0,
+    states: int = 1_000_000,
+) -> int:
+    """Searches the replication of a partition.
+
+    Args:
+        members: stores, 3 at the least.
+        epochs: the last epoch that is searched; the partition is formed in epoch 1.
+        lots: how many lots are taken.
+        wipes: how many disks are lost in all, never more at once than `tolerate`.
+        tolerate: how many disks may be lost at once.
+        depth: the longest run of steps; 0: no limit.
+        states: where the search ends; 0: no limit.
+    """
+    size = PartitionSize(members, epochs, lots, wipes, tolerate)
+    return _refuse(size.flaws()) or _run(PartitionModel(size).system(), Limits(depth, states))
+
+
 def _refuse(flaws: list[str]) -> int:
     """2 if there are flaws, after telling them."""
     for flaw in flaws:
@@ -75,5 +101,8 @@
 
 if __name__ == "__main__":
     sys.exit(
-        fire.Fire({"control": control, "contact": contact}, serialize=lambda got: None if isinstance(got, int) else got)
+        fire.Fire(
+            {"control": control, "contact": contact, "partition": partition},
+            serialize=lambda got: None if isinstance(got, int) else got,
+        )
     )
