Let the rule for members decide control's voters, and keep a leaver until others hold what it holds

Cause: voters changed by a rule of their own, all at once, and with all members answering an epoch was granted by the new voters alone. Whoever led next did not know which machines were new, so a replaced one kept its vote. A primary whose backup had just lost its disk left with the only copy; a backup that left told nobody. Change: next_voters, one safe change an epoch, granted by majorities of before and after. Every control member notes when machines came. depart: the primary hands over, or takes another backup first; a backup waits until it is replaced.

--- a/postpass/control/election.py
+++ b/postpass/control/election.py
@@ -9,10 +9,12 @@
 
 from postpass import events
 from postpass.control.epochs import Pair, Voters, backups_of, majority, may_lead
+from postpass.control.member import INFINITY
 from postpass.control.replica import Replica
 from postpass.control.state import Held
 from postpass.fault import SLOW, Fault
 from postpass.manifest import Manifest, check
+from postpass.membership import Topology, next_voters
 from postpass.roster import State
 from postpass.wire import Body
 from postpass.world import now
@@ -44,7 +46,7 @@
         got = {n: str(a["disk"]) for n, a in good.items()}
         pairs = {n: Pair.of(a["pair"]) for n, a in good.items()}
         every = all(n in good for n in names if n not in gone)
-        state, loss = start.state, False
+        state, loss, flaw = start.state, False, ""
         blank = all(p.epoch == 0 for p in pairs.values()) and all(a["whole"] == 0 for a in good.values())
         if blank:
             if not every:
@@ -78,14 +80,13 @@
                     state, loss = State(edition, newest[1], start.state.losses + 1), True
                 elif start.whole != best.epoch:
                     return Err(Fault(step, me, flaw, SLOW))
-        # One at most joins or leaves the voters in an epoch, unless all of them have answered.
-        now_voters = got if every else voters
-        if not every and self.conf.announce:
-            # Not all have answered, and some may never: whoever has come is let in and whoever was dropped leaves, if
-            # most of the voters before and most of those after grant it.
-            crew = [n for n in self.members(man) if n in got or n in voters]
-            now_voters = {n: got.get(n, voters.get(n, "")) for n in crew}
+        # Without a majority of the voters before, all have answered: those are the voters from here on.
+        unopposed = blank or flaw != ""
+        now_voters = got if unopposed else voters
+        if not unopposed and (every or self.conf.announce):
+            now_voters = next_voters(voters, self.members(man), got, self.topology(man))
         rest = [n for n in self.members(man) if n != me and n in good]
+        rest = [n for n in rest if not good[n].get("leaving")] or rest
         area = {n: man["machines"][n]["area"] for n in self.members(man)}
         liked = sorted(
             rest,
@@ -109,7 +110,7 @@
             return Err(Fault(step, me, f"one of the backups {', '.join(backups)} did not take the state", SLOW))
         grants = await self.ask_all("grant", {"pair": asdict(pair), "who": me}, names, man)
         granted = {n: str(a["disk"]) for n, a in grants.items() if a["ok"]}
-        enough = majority(now_voters, granted) and (every or majority(voters, granted))
+        enough = majority(now_voters, granted) and (unopposed or majority(voters, granted))
         if not enough or self.witness.promised != epoch:
             return Err(Fault(step, me, "too few granted the epoch", SLOW))
         self.epoch, self.copied, self.leader = epoch, dict.fromkeys(backups, now()), me
@@ -124,6 +125,18 @@
         self.publish()
         return Ok(None)
 
+    def topology(self, man: Manifest) -> Topology:
+        """Where the machines stand, and what may be lost of them at once."""
+        return Topology({n: m["area"] for n, m in man["machines"].items()}, self.conf.tolerance)
+
+    def voters_to_change(self, man: Manifest, looks: dict[str, Body]) -> list[str]:
+        """As primary: who would join or leave the voters by the next safe change, given the witnesses' answers."""
+        voters, recent = self.held.pair.voters, now() - self.conf.bounds.detect
+        answered = {n: str(a["disk"]) for n, a in looks.items()} | {self.conf.name: self.disk_id}
+        answered |= {n: d for n, d in self.backup_disks.items() if self.copied.get(n, -INFINITY) > recent}
+        after = next_voters(voters, self.members(man), answered, self.topology(man))
+        return sorted(n for n in {*voters, *after} if voters.get(n) != after.get(n))
+
     @property
     def wanted_backups(self) -> int:
         """How many backups there should be: one more copy than may be lost, with the primary's own."""
--- a/postpass/control/leadership.py
+++ b/postpass/control/leadership.py
@@ -26,6 +26,7 @@
             man = self.known()
             if man is None or self.conf.name not in self.members(man):
                 continue
+            self.note_newcomers(man)
             try:
                 if self.epoch:
                     await self.lead_heartbeat(man)
@@ -54,13 +55,12 @@
             for name, at in self.copied.items():
                 self.spoke[name] = max(at, self.spoke.get(name, 0.0))
             self.spawn(self.reconcile())
-        lost = any(now() - at > b.detect for at in self.copied.values())
+        lost = any(now() - at > b.detect for at in self.copied.values()) or self.backup_leaves(looks)
         few = self.better_replica_set(man, list(looks))
-        odd = [n for n, a in looks.items() if pair.voters.get(n) != a["disk"]]
-        gone = [n for n in pair.voters if n not in self.members(man)]
-        if lost or few or odd or gone:
+        changed = self.voters_to_change(man, looks)
+        if lost or few or changed:
             async with self.lock:
-                why = "backup lost" if lost else "too few backups" if few else f"voters {odd or gone}"
+                why = "backup lost" if lost else "too few backups" if few else f"voters {changed}"
                 self.epoch = 0
                 got = await self.run_election(man, why)
                 if isinstance(got, Ok):
@@ -68,6 +68,11 @@
                 else:
                     self.heard = now() - b.detect
 
+    def backup_leaves(self, looks: dict[str, Body]) -> bool:
+        """Was a backup told to leave, while another member could hold the state in its place?"""
+        others = [a for a in looks.values() if a["ok"] and not a.get("leaving")]
+        return bool(others) and bool(self.departing & set(self.held.pair.backups))
+
     async def lead_after_restart(self) -> None:
         """After a start: where most have started as well and nobody has heard a primary since, there is none to wait for.
 
@@ -122,17 +127,35 @@
                 self.heard = now() - b.detect + b.stagger * self.world.chance.random()
 
     async def depart(self) -> None:
-        """A primary that leaves asks a backup to lead, instead of being missed."""
+        """Goes only once others hold the state without this one, or once the time for leaving is over.
+
+        A primary hands over to a backup, which takes a backup of its own; if none does, it first takes another backup.
+        A backup waits until the primary, which hears of its leaving with the next heartbeat, has taken another one.
+        """
+        while self.epoch or self.conf.name in self.witness.pair:
+            if self.epoch and await self.hand_over():
+                return
+            man = self.known()
+            if man is None or self.members(man) == [self.conf.name]:
+                return
+            if self.held.whole and self.conf.name == self.witness.pair.primary:
+                async with self.lock:
+                    await self.run_election(man, "too few backups")
+            await asyncio.sleep(self.conf.bounds.beat / 4)
+
+    async def hand_over(self) -> bool:
+        """Asks the backups to lead, instead of being missed; True once one does."""
         async with self.lock:
             epoch, addrs = self.epoch, [a for n in self.held.pair.backups if (a := self.addr(n))]
             if not epoch or not addrs:
-                return
+                return False
             self.epoch = 0
             events.emit(131, self.conf.name, epoch=epoch, seen="handed over")
         for addr in addrs:
-            got = await self.lines.call(addr, "adopt", {"epoch": epoch}, self.conf.bounds.promise * 2)
+            got = await self.lines.call(addr, "adopt", {"epoch": epoch}, self.conf.bounds.promise)
             if isinstance(got, Ok) and got.unwrap()["ok"]:
-                return
+                return True
+        return False
 
     async def on_adopt(self, body: Body) -> PeerResponse:
         """The primary of an epoch leaves and won't write under it again: a backup may stand at once."""
--- a/postpass/control/member.py
+++ b/postpass/control/member.py
@@ -57,6 +57,8 @@
         self.witness, self.held, self.disk_id, self.epoch = Witness(), Held(), "", 0
         self.heard = 0.0
         self.copied: dict[str, float] = {}  # when each backup last answered
+        self.backup_disks: dict[str, str] = {}  # by which disk each backup last answered
+        self.departing: set[str] = set()  # members that were told to leave, by their last answer
         # When a primary was last heard in this life, and who waits for one.
         self.led, self.led_now = -INFINITY, asyncio.Event()
         self.next_confirmation: asyncio.Task[int] | None = None
@@ -123,6 +125,7 @@
         return {
             "disk": self.disk_id, "promised": self.witness.promised, "pair": asdict(self.witness.pair),
             "whole": self.held.whole, "edition": self.held.state.edition, "news": self.news.edition,
+            "leaving": self.leaving,
         }  # fmt: skip
 
     async def on_look(self, body: Body) -> PeerResponse:
--- a/postpass/control/registry.py
+++ b/postpass/control/registry.py
@@ -10,7 +10,7 @@
 from postpass.control.feed import Feed
 from postpass.control.member import INFINITY
 from postpass.fault import BAD, Fault
-from postpass.manifest import with_duty
+from postpass.manifest import Manifest, with_duty
 from postpass.roster import Entry, Standing, State
 from postpass.wire import Body, PeerResponse
 from postpass.world import now
@@ -50,6 +50,8 @@
         if flaws:
             return Err(Fault(step, self.conf.name, "\n".join(flaws), BAD))
         self.spoke[entry["name"]] = now()
+        if (man := self.known()) is not None:
+            self.note_newcomers(man)
         self.met.setdefault(entry["name"], now())
         got = await self.change(lambda s: Ok(roster.joined(s, entry)), self.conf.bounds.beat / 4)
         if isinstance(got, Err):
@@ -85,6 +87,12 @@
                 seen[name] = max(seen.get(name, -INFINITY), now() - float(age))
         return Ok({"leads": self.epoch > 0})
 
+    def note_newcomers(self, man: Manifest) -> None:
+        """Remembers when each machine came, as every member sees it: whoever leads next has to know which are new."""
+        first = not self.met
+        for name in man["machines"]:
+            self.met.setdefault(name, -INFINITY if first else now())
+
     async def reconcile(self) -> None:
         """The primary's care: who is gone, and how many copies there can be."""
         state, t, b = self.held.state, now(), self.conf.bounds
--- a/postpass/control/replica.py
+++ b/postpass/control/replica.py
@@ -46,7 +46,7 @@
                 task = asyncio.create_task(self.fetch(at))
                 self.fetches.add(task)
                 task.add_done_callback(self.fetches.discard)
-        return Ok({"ok": True, "promised": self.witness.promised, "disk": self.disk_id})
+        return Ok({"ok": True, "promised": self.witness.promised, "disk": self.disk_id, "leaving": self.leaving})
 
     async def append_to(self, held: Held | None, epoch: int, to: str) -> bool:
         addr = self.addr(to)
@@ -64,8 +64,10 @@
             if got.unwrap()["promised"] > epoch and self.epoch == epoch:
                 self.step_down(got.unwrap()["promised"])
             return False
+        (self.departing.add if got.unwrap().get("leaving") else self.departing.discard)(to)
         if epoch == self.epoch and to in self.held.pair.backups:
             self.copied[to] = now()
+            self.backup_disks[to] = str(got.unwrap()["disk"])
         return True
 
     async def append_to_all(self, held: Held | None, epoch: int) -> bool:
--- a/postpass/membership.py
+++ b/postpass/membership.py
@@ -173,6 +173,14 @@
     return next((change for change in options if is_safe(situation, change)), None)
 
 
+def next_voters(voters: Members, wanted: Sequence[str], answered: Members, topology: Topology) -> dict[str, str]:
+    """The voters of control's next epoch: those before with at most one safe change, given who answered by which disk.
+
+    A voter holds promises alone, so that whoever answers is ready; the state is kept by the primary and its backups."""
+    change = next_change(Situation(voters, wanted, answered, list(answered), topology))
+    return change.members if change is not None else dict(voters)
+
+
 def safe_copies(areas_of_stores: Sequence[str], most: int, tolerance: Tolerance) -> int:
     """How many copies the stores in these areas should hold: the most, up to `most`, that bear the next loss.
 
