Join control's votes and appends by member, disk and epoch

Joined with the rule for voters: a backup counts by its disk among the voters of the next epoch. Beyond the joining: a voter that leaves gives up its vote where the others then bear the next loss and would not before (four voters, three left); one that holds the state may still come to lead while it leaves; it waits for three quarters of graceS at most.

--- a/postpass/control/election.py
+++ b/postpass/control/election.py
@@ -8,14 +8,13 @@
 from result import Err, Ok, Result
 
 from postpass import events
-from postpass.control.epochs import Pair, Voters, backups_of, majority, may_lead
-from postpass.control.member import INFINITY
+from postpass.control.epochs import Acknowledgement, Pair, Voters, backups_of, majority, may_lead, votes
 from postpass.control.replica import Replica
 from postpass.control.state import Held
 from postpass.fault import SLOW, Fault
 from postpass.manifest import Manifest, check
 from postpass.membership import Topology, next_voters
-from postpass.roster import State
+from postpass.roster import State, recovered
 from postpass.wire import Body
 from postpass.world import now
 
@@ -34,7 +33,7 @@
         epoch = self.witness.promised + 1
         looks = await self.ask_all("look", {"epoch": epoch, "who": me}, names, man)
         top = max([self.witness.promised, *(a["promised"] for a in looks.values())])
-        good = {n: a for n, a in looks.items() if a["ok"]}
+        good = {n: a for n, a in looks.items() if a["ok"] and a["promised"] == epoch}
         if self.witness.promised < top:
             new = self.witness.look(top, "")
             if new is not None:
@@ -55,7 +54,7 @@
                 newest = await self.newest_known(man)
                 if newest is None:
                     return Err(Fault(step, me, "too few daemons confirm the newest edition", SLOW))
-                state, loss = State(newest[0] + 1, newest[1], 1), True
+                state, loss = recovered(newest[0] + 1, newest[1], 1), True
             elif first is not None:
                 state = first
             else:
@@ -77,15 +76,16 @@
                     if newest is None:
                         return Err(Fault(step, me, "too few daemons confirm the newest edition", SLOW))
                     edition = max(newest[0], *(a["edition"] for a in good.values())) + 1
-                    state, loss = State(edition, newest[1], start.state.losses + 1), True
+                    state, loss = recovered(edition, newest[1], start.state.losses + 1), True
                 elif start.whole != best.epoch:
                     return Err(Fault(step, me, flaw, SLOW))
         # Without a majority of the voters before, all have answered: those are the voters from here on.
         unopposed = blank or flaw != ""
-        now_voters = got if unopposed else voters
-        if not unopposed and (every or self.conf.announce):
-            now_voters = next_voters(voters, self.members(man), got, self.topology(man))
-        rest = [n for n in self.members(man) if n != me and n in good]
+        leaving = [n for n, a in good.items() if a.get("leaving")]
+        topology = self.topology(man)
+        now_voters = got if unopposed else next_voters(voters, self.members(man), got, topology, leaving)
+        # A backup's acknowledgements count by its disk, so only one whose disk is among the voters can be a backup.
+        rest = [n for n in self.members(man) if n != me and n in good and now_voters.get(n) == got[n]]
         rest = [n for n in rest if not good[n].get("leaving")] or rest
         area = {n: man["machines"][n]["area"] for n in self.members(man)}
         liked = sorted(
@@ -109,11 +109,14 @@
         if not await self.append_to_all(held, epoch):
             return Err(Fault(step, me, f"one of the backups {', '.join(backups)} did not take the state", SLOW))
         grants = await self.ask_all("grant", {"pair": asdict(pair), "who": me}, names, man)
-        granted = {n: str(a["disk"]) for n, a in grants.items() if a["ok"]}
+        granted = votes(
+            (Acknowledgement(n, str(a["disk"]), a["pair"]["epoch"]) for n, a in grants.items() if a["ok"]), epoch
+        )
         enough = majority(now_voters, granted) and (unopposed or majority(voters, granted))
         if not enough or self.witness.promised != epoch:
             return Err(Fault(step, me, "too few granted the epoch", SLOW))
         self.epoch, self.copied, self.leader = epoch, dict.fromkeys(backups, now()), me
+        self.wiped_backups.clear()
         self.announce_leader()
         if why not in ("backup lost", "too few backups") and not why.startswith("voters"):
             self.since, self.beats = now(), {}
@@ -133,8 +136,10 @@
         """As primary: who would join or leave the voters by the next safe change, given the witnesses' answers."""
         voters, recent = self.held.pair.voters, now() - self.conf.bounds.detect
         answered = {n: str(a["disk"]) for n, a in looks.items()} | {self.conf.name: self.disk_id}
-        answered |= {n: d for n, d in self.backup_disks.items() if self.copied.get(n, -INFINITY) > recent}
-        after = next_voters(voters, self.members(man), answered, self.topology(man))
+        answered |= {n: voters[n] for n, at in self.copied.items() if n in voters and at > recent}
+        leaving = [n for n, a in looks.items() if a.get("leaving")]
+        leaving += [n for n in self.departing if n in self.held.pair.backups]
+        after = next_voters(voters, self.members(man), answered, self.topology(man), leaving)
         return sorted(n for n in {*voters, *after} if voters.get(n) != after.get(n))
 
     @property
--- a/postpass/control/leadership.py
+++ b/postpass/control/leadership.py
@@ -12,6 +12,7 @@
 from postpass.control.registry import Registry
 from postpass.fault import Stop
 from postpass.manifest import Manifest
+from postpass.membership import gives_up_vote
 from postpass.wire import Body, PeerResponse
 from postpass.world import now
 
@@ -30,7 +31,8 @@
             try:
                 if self.epoch:
                     await self.lead_heartbeat(man)
-                elif not self.leaving:
+                elif not self.leaving or self.conf.name in self.witness.pair:
+                    # One that holds the state may be the only one that can lead, also while it leaves.
                     await self.watch_for_leader(man)
             except Stop as bad:
                 events.emit(103, self.conf.name, step=bad.fault.step, why=bad.fault.why)
@@ -55,7 +57,8 @@
             for name, at in self.copied.items():
                 self.spoke[name] = max(at, self.spoke.get(name, 0.0))
             self.spawn(self.reconcile())
-        lost = any(now() - at > b.detect for at in self.copied.values()) or self.backup_leaves(looks)
+        lost = bool(self.wiped_backups) or any(now() - at > b.detect for at in self.copied.values())
+        lost = lost or self.backup_leaves(looks)
         few = self.better_replica_set(man, list(looks))
         changed = self.voters_to_change(man, looks)
         if lost or few or changed:
@@ -132,17 +135,34 @@
         A primary hands over to a backup, which takes a backup of its own; if none does, it first takes another backup.
         A backup waits until the primary, which hears of its leaving with the next heartbeat, has taken another one.
         """
-        while self.epoch or self.conf.name in self.witness.pair:
-            if self.epoch and await self.hand_over():
-                return
+        handed_over = False
+        while self.epoch or self.needed():
+            if self.epoch:
+                handed_over = await self.hand_over()
             man = self.known()
             if man is None or self.members(man) == [self.conf.name]:
                 return
-            if self.held.whole and self.conf.name == self.witness.pair.primary:
+            if not handed_over and self.conf.name == self.witness.pair.primary:
                 async with self.lock:
-                    await self.run_election(man, "too few backups")
+                    got = await self.run_election(man, "too few backups")
+                if isinstance(got, Err):
+                    await asyncio.sleep(self.conf.bounds.promise)
             await asyncio.sleep(self.conf.bounds.beat / 4)
 
+    @property
+    def leave_limit(self) -> float:
+        """How long this member waits for others to hold what it holds; then it goes with its disk as it is."""
+        return max(super().leave_limit, self.conf.bounds.grace * 0.75)
+
+    def needed(self) -> bool:
+        """Would the others miss the copy or the vote of this member, as the newest epoch that it granted has them?"""
+        pair, man = self.witness.pair, self.known()
+        if self.conf.name in pair:
+            return True
+        if man is None or self.conf.name not in pair.voters:
+            return False
+        return gives_up_vote(pair.voters, self.conf.name, pair.voters, self.topology(man))
+
     async def hand_over(self) -> bool:
         """Asks the backups to lead, instead of being missed; True once one does."""
         async with self.lock:
--- a/postpass/control/registry.py
+++ b/postpass/control/registry.py
@@ -106,7 +106,7 @@
         if 2 * len(late) > max(len(every), 4):
             # So many at once: it may well be the way to here that is cut, and no beat can come.
             late = [w for w, q in quiet.items() if q > 10 * self.conf.beat]
-        gone = roster.replaced(man, silent, self.met, self.since, t, self.patience)
+        gone = roster.replaced(man, silent, self.met, t, self.patience)
         joined = max((self.met.get(n, 0.0) for n in with_duty(man, "store")), default=t)
         few = (
             t - max(joined, self.since) > b.recover / 4
