Test a second loss at the steps of a change of members

tests/membership_drill.py plays a change of members with configurations and lots being acknowledged, a second loss at a time or at a numbered point, and a loss of power of all with or without one more disk; as a command it takes every point of a step.

--- a/tests/membership_drill.py
+++ b/tests/membership_drill.py
@@ -7,11 +7,15 @@
 from __future__ import annotations
 
 import asyncio
+import multiprocessing
 import random
+import sys
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 from typing import Any
 
+import fire
+
 from postpass.data import Data
 from postpass.membership import Tolerance, Topology, bears_loss
 from postpass.part import Part
@@ -422,3 +426,66 @@
     verdict: Any = run_sim(main, drill.seed)
     assert isinstance(verdict, Verdict)
     return verdict
+
+
+# Heartbeats and the feed: met all the time, whether or not members change.
+NOISE = ("shuffle", "follow", "ping", "hear", "floor", "join", "beat", "order", "copy", "look")
+LENGTHS = (DETECT / 10, 1.0, DETECT, SYNC, 10 * SYNC)  # for how long the second machine is away
+
+
+def points_of(step: str, window: float = 2.5, **sizes: int) -> list[int]:
+    """The numbers of the points that control machines and stores pass while a step is under way."""
+    verdict = play(Drill(step, **sizes))  # type: ignore[arg-type]
+    return [
+        point.number
+        for at, point in verdict.points
+        if at - verdict.began <= window and point.host[:1] in "csn" and point.name.partition(".")[2] not in NOISE
+    ]
+
+
+def every_drill(step: str, every: int = 1, **sizes: int) -> list[Drill]:
+    """A loss of each kind, of each role, at every n-th point of a step; its length goes through all in turn."""
+    roles = ("owner", "mirror", "primary", "backup", "witness")
+    out: list[Drill] = []
+    for point in points_of(step, **sizes)[::every]:
+        for kind in KINDS:
+            for role in roles:
+                down = LENGTHS[len(out) % len(LENGTHS)]
+                wiped = ("", "primary", "mirror")[len(out) % 3]
+                out.append(Drill(step, Loss(kind, role, 0.0, down), point=point, last_wipe=wiped, **sizes))  # type: ignore[arg-type]
+    return out
+
+
+def attempt(drill: Drill) -> tuple[Drill, list[str], list[str]]:
+    """A run, with an error of the run itself as a flaw."""
+    try:
+        verdict = play(drill)
+    except Exception as bad:
+        return drill, [f"the run itself failed: {bad!r}"], []
+    return drill, verdict.flaws, verdict.notes
+
+
+def drills(step: str = "retire s4", every: int = 1, jobs: int = 2, most: int = 0) -> int:
+    """Plays a second loss at the points of a step; exit 1 if anything was lost or didn't serve again.
+
+    Args:
+      step: the change of members, such as `retire s4`, `replace mirror`, `refill owner`, `planned primary`.
+      every: at every n-th point; 1 for all.
+      jobs: how many runs at a time.
+      most: at the most so many runs, spread; 0 for all.
+    """
+    todo = every_drill(step, every)
+    if most and len(todo) > most:
+        todo = [todo[i * len(todo) // most] for i in range(most)]
+    failed = 0
+    with multiprocessing.Pool(jobs, maxtasksperchild=30) as pool:
+        for drill, flaws, notes in pool.imap_unordered(attempt, todo, chunksize=2):
+            if flaws:
+                failed += 1
+                print(drill, *flaws, *notes, sep="\n    ", flush=True)
+    print(f"{step}: {len(todo)} runs, {failed} failed")
+    return int(failed > 0)
+
+
+if __name__ == "__main__":
+    sys.exit(fire.Fire(drills))
