--- a/postpass/control/registry.py
+++ b/postpass/control/registry.py
@@ -10,7 +10,7 @@
 from postpass.control.feed import Feed
 from postpass.control.member import INFINITY
 from postpass.fault import BAD, Fault
-from postpass.manifest import with_duty
+from postpass.manifest import Manifest, with_duty
 from postpass.roster import Entry, Standing, State
 from postpass.wire import Body, PeerResponse
 from postpass.world import now
@@ -50,6 +50,8 @@
         if flaws:
             return Err(Fault(step, self.conf.name, "\n".join(flaws), BAD))
         self.spoke[entry["name"]] = now()
+        if (man := self.known()) is not None:
+            self.note_newcomers(man)
         self.met.setdefault(entry["name"], now())
         got = await self.change(lambda s: Ok(roster.joined(s, entry)), self.conf.bounds.beat / 4)
         if isinstance(got, Err):
@@ -87,6 +89,12 @@
                 seen[name] = max(seen.get(name, -INFINITY), now() - float(age))
         return Ok({"leads": self.epoch > 0})
 
+    def note_newcomers(self, man: Manifest) -> None:
+        """Remembers when each machine came, as every member sees it: whoever leads next has to know which are new."""
+        first = not self.met
+        for name in man["machines"]:
+            self.met.setdefault(name, -INFINITY if first else now())
+
     async def reconcile(self) -> None:
         """The primary's care: who is gone, and how many copies there can be."""
         state, t, b = self.committed.state, now(), self.conf.bounds
@@ -100,7 +108,7 @@
         if 2 * len(late) > max(len(every), 4):
             # So many at once: it may well be the way to here that is cut, and no beat can come.
             late = [w for w, q in quiet.items() if q > 10 * self.conf.beat]
-        gone = roster.replaced(man, silent, self.met, self.since, t, self.patience)
+        gone = roster.replaced(man, silent, self.met, t, self.patience)
         joined = max((self.met.get(n, 0.0) for n in with_duty(man, "store")), default=t)
         few = (
             t - max(joined, self.since) > b.recover / 4
