Count a primary's contact by the voters that answered it

Now that a primary keeps when each voter answered, its contact is since when most have; before, one silent backup made its feed stale for 0.57 to 0.85 s until another was taken.

--- a/postpass/control/contact.py
+++ b/postpass/control/contact.py
@@ -7,8 +7,11 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+
 from result import Err
 
+from postpass.control.epochs import Voters
 from postpass.control.member import INFINITY, ControlMember
 from postpass.fault import SHED, Fault
 from postpass.feed import Stale
@@ -18,14 +21,19 @@
 RELAYS = 3  # other members that a worker's heartbeat is sent to from one without contact
 
 
+def last_majority(voters: Voters, answered: Mapping[str, float]) -> float:
+    """The latest time since which most voters have answered; -INFINITY if there is none."""
+    newest_first = sorted((answered.get(name, -INFINITY) for name in voters), reverse=True)
+    return newest_first[len(voters) // 2] if newest_first else -INFINITY
+
+
 class Contact(ControlMember):
     """Keeps track of contact, and answers for a member that lost it."""
 
     def last_contact(self) -> float:
-        """When this member last heard its primary or, as the primary, all its backups; -INFINITY if it never did."""
-        if self.epoch and not self.copied:
-            return now()
-        return max(self.led, min(self.copied.values(), default=-INFINITY))
+        """When this member last heard its primary or, as the primary, most voters; -INFINITY if it never did."""
+        answered = self.answered | ({self.conf.name: now()} if self.epoch else {})
+        return max(self.led, last_majority(self.held.pair.voters, answered))
 
     def in_touch(self) -> bool:
         return now() - self.last_contact() <= self.conf.bounds.contact
--- a/tests/test_in_force.py
+++ b/tests/test_in_force.py
@@ -7,6 +7,7 @@
 from result import Err
 
 from postpass.config import Bounds
+from postpass.control.contact import last_majority
 from postpass.control.in_force import Hearing, VersionWait, awaited_senders
 from postpass.fault import Fault
 from postpass.manifest import Manifest
@@ -41,3 +42,12 @@
     wait = VersionWait(Lines(), random.Random(1), Bounds(), 7, "", 0.0, {"e1": "e1:1", "e2": "e2:1"})
     refused: PeerResponse = Err(Fault("connect", "e2:1", "refused", hint="refused"))
     assert wait._settles(refused) and not wait._settles_relayed(refused)
+
+
+def test_the_last_contact_of_a_primary_is_that_with_most_voters() -> None:
+    voters = {f"c{i}": f"d{i}" for i in range(1, 6)}
+    answered = {"c1": 9.0, "c2": 8.0, "c3": 7.0, "c4": 1.0, "gone": 9.0}
+    assert last_majority(voters, answered) == 7.0
+    assert last_majority({n: d for n, d in voters.items() if n != "c5"}, answered) == 7.0
+    assert last_majority(voters, {"c1": 9.0, "c2": 8.0}) == float("-inf") == last_majority({}, answered)
+    assert last_majority({"c1": "d1"}, answered) == 9.0
