Properties of answers and of items' results, against byte-level workers and callers

Cause: the ways in which workers' answers and callers' requests go wrong were tested one by one, as somebody thought of them. Change: hypothesis draws scenes of several faults against the product's own relay, connections, server and scheduler in virtual time (tests/answers.py, tests/item_answers.py); resets, closes, silence and splits at each byte are enumerated; 16 broken variants show that each property can fail.

--- /dev/null
+++ b/tests/item_answers.py
@@ -0,0 +1,141 @@
+"""Items of lots at byte-level stand-in workers: the product's own scheduler places and runs them, in virtual time.
+
+The owner of the lots is stood in for: it keeps what the scheduler tells it. `judge_items` holds that against what the
+workers answered.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import hashlib
+import random
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from typing import Any, cast
+
+from prometheus_client import CollectorRegistry
+from result import Ok
+
+from postpass.config import Config
+from postpass.items import Text
+from postpass.models import Prompt
+from postpass.news import News
+from postpass.sched import Job, Sched
+from postpass.wire import Body
+from postpass.workerlink import WorkerLinks
+from postpass.world import World
+from sim.loop import Host, SimLoop, run_sim
+from tests.answers import NAMES, Play, Record, StandInWorker, configuration, events
+
+ROUNDS, ROUND_S = 120, 0.1  # how often the scheduler fills places, and seconds between
+FAILURES = {"failed": ("failure", "bare failure"), "abandoned": ("never",)}
+
+
+@dataclass(frozen=True)
+class ItemScene:
+    """Workers with their plays, and how many items each of some lots has."""
+
+    plays: tuple[tuple[Play, ...], ...]
+    lots: tuple[int, ...]
+
+
+@dataclass
+class Told:
+    """What the scheduler told the owner, by lot and position, and what the workers ran."""
+
+    record: Record
+    errors: list[str]
+    results: dict[tuple[str, int], list[Body]] = field(default_factory=dict)
+
+
+def item_id(lot: str, position: int) -> str:
+    return f"{lot}-{position}"
+
+
+def whole_text(request_id: str) -> str:
+    lines = events(request_id).decode().split("\n")
+    return "\n".join(line.removeprefix("data: ") for line in lines if line.startswith("data: "))
+
+
+def jobs_of(scene: ItemScene) -> list[Job]:
+    out = []
+    for number, size in enumerate(scene.lots):
+        for position in range(size):
+            call = {"id": item_id(f"lot{number}", position), "path": "/s/x", "headers": {}, "tokens": 9,
+                    "body": base64.b64encode(b"body").decode()}  # fmt: skip
+            out.append(Job(0, f"lot{number}", position, "route:lot", 0.0, Prompt((), ""), "", call=call, text=Text()))
+    return out
+
+
+class SchedulerWithOwner(Sched):
+    """The product's scheduler with an owner that takes whatever it is told."""
+
+    told: Told
+
+    async def ask(self, part: int, verb: str, body: Body, wait: float) -> Any:
+        assert verb == "done"
+        self.told.results.setdefault((body["id"], body["item"]), []).append(body)
+        return Ok({})
+
+
+def scheduler(told: Told, workers: Sequence[str], seed: int) -> Sched:
+    conf = Config("e", "a", "127.0.0.1:1", "127.0.0.1:2", ("127.0.0.1:1",), ("sched",), announce=True)
+    news = News("e")
+    assert news.take(1, configuration(tuple(workers)))
+    news.heard = 1e9
+    unused = cast(Any, None)
+    world = World(chance=random.Random(seed))
+    sched = SchedulerWithOwner(conf, world, news, unused, unused, unused, CollectorRegistry())
+    sched.told = told
+    sched.active, sched.leases, sched.dialect = True, {0: 1e9}, NAMES
+    sched.workers = cast(Any, WorkerLinks())
+    return sched
+
+
+def run_items(scene: ItemScene, seed: int = 0) -> Told:
+    async def world(loop: SimLoop) -> Told:
+        told = Told(Record(), loop.errors)
+        names = [f"w{i + 1}" for i in range(len(scene.plays))]
+        for i, (name, plays) in enumerate(zip(names, scene.plays, strict=True)):
+            there = loop.add(Host(name, (f"127.0.1.{i + 1}",), "a"))
+            worker = StandInWorker(name, plays, told.record)
+            await loop.create_task(worker.serve(f"127.0.1.{i + 1}"), context=there.context())
+        here = loop.add(Host("e", ("127.0.0.1",), "a"))
+
+        async def schedule() -> None:
+            sched = scheduler(told, names, seed)
+            sched.jobs = {job.key: job for job in jobs_of(scene)}
+            for _ in range(ROUNDS):
+                sched.place_calls(sched.news.manifest or configuration(tuple(names)))
+                await asyncio.sleep(ROUND_S)
+                if not sched.jobs:
+                    break
+
+        await loop.create_task(schedule(), context=here.context())
+        told.errors += loop.unretrieved()
+        return told
+
+    return run_sim(world, seed)  # type: ignore[no-any-return]
+
+
+def judge_items(told: Told) -> list[str]:
+    """Each breach in words; empty if all held."""
+    out = [f"an error in the product: {e}" for e in told.errors]
+    for (lot, position), results in told.results.items():
+        name = item_id(lot, position)
+        if len(results) > 1:
+            out.append(f"{name} has {len(results)} results")
+        for result in results:
+            out += judge_result(name, result, told.record)
+    return out
+
+
+def judge_result(name: str, result: Body, record: Record) -> list[str]:
+    status, text = result["status"], result["output"]
+    if result["sum"] != hashlib.sha256(text.encode()).hexdigest()[:16]:
+        return [f"{name}: a sum of another text"]
+    if status == "done":
+        return [] if text == whole_text(name) else [f"{name}: not its whole text: {text!r}"]
+    said = [r for r in record.of(name) if r.play.kind in FAILURES[status] and r.play.identity == "own"]
+    return [] if said and not text else [f"{name} ended as {status}, which no worker said of it"]
--- /dev/null
+++ b/tests/test_answers.py
@@ -0,0 +1,198 @@
+"""Properties of answers and callers, over all the ways in which workers and callers can go wrong.
+
+CI plays the same examples each time. A hunt plays fresh ones: `POSTPASS_HUNT=EXAMPLES pytest tests/test_answers.py`.
+"""
+
+from __future__ import annotations
+
+import gc
+import os
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, replace
+from typing import Any
+
+import pytest
+from hypothesis import HealthCheck, Phase, given, settings
+from hypothesis import strategies as st
+
+from tests.answers import (
+    CUT_ENDS,
+    FRAMINGS,
+    IDENTITIES,
+    KINDS,
+    PROMISES,
+    SURPLUS,
+    Ask,
+    Connection,
+    Play,
+    Scene,
+    judge,
+    run_scene,
+)
+
+HUNT = int(os.environ.get("POSTPASS_HUNT", "0"))
+PATHS = ("/i/x", "/o/x", "/s/x", "/r/x")
+DELAYS = (0.0, 0.002, 0.1, 0.5, 1.4, 2.0)
+
+
+@pytest.fixture(autouse=True, scope="module")
+def quick_collections() -> Iterator[None]:
+    """Each simulated world ends with a collection: what was there before needs no look."""
+    gc.freeze()
+    yield
+    gc.unfreeze()
+
+
+def examples(count: int) -> Callable[[Any], Any]:
+    """Fixed examples in CI, as many fresh ones as asked for in a hunt."""
+    return settings(
+        max_examples=HUNT or count, derandomize=not HUNT, deadline=None, database=None, print_blob=bool(HUNT),
+        phases=(Phase.generate, Phase.shrink),
+        suppress_health_check=list(HealthCheck),
+    )  # fmt: skip
+
+
+positions = st.integers(0, 600)
+FAULTS: dict[str, st.SearchStrategy[Any]] = {
+    "framing": st.sampled_from(FRAMINGS),
+    "identity": st.sampled_from(IDENTITIES),
+    "interim": st.integers(1, 2),
+    "splits": st.lists(positions, min_size=1, max_size=4).map(tuple),
+    "delay": st.sampled_from(DELAYS),
+    "cut": positions,
+    "flip": st.tuples(positions, st.integers(0, 7)),
+    "surplus": st.sampled_from(SURPLUS),
+    "closes": st.just(True),
+    "encoded": st.just(True),
+}
+
+
+@dataclass(frozen=True)
+class Theme:
+    """What scenes are drawn from, so that rare faults meet often."""
+
+    kinds: tuple[str, ...] = tuple(KINDS)
+    faults: tuple[str, ...] = tuple(FAULTS)
+    paths: tuple[str, ...] = PATHS
+
+
+REFUSALS = tuple(name for name, kind in KINDS.items() if kind.not_run or kind.status in PROMISES)
+THEMES = {
+    "any": Theme(),
+    "refusals": Theme(REFUSALS, ("framing", "cut", "splits", "identity"), ("/o/x", "/s/x", "/i/x")),
+    "late": Theme(("success", "failure"), ("surplus", "delay")),
+    "resumed": Theme(("success", "unsealed", "bare failure"), ("cut", "splits", "surplus", "delay"), ("/r/x", "/s/x")),
+}
+
+
+@st.composite
+def plays(draw: Any, theme: Theme) -> Play:
+    """An answer with a few faults at most, so that one doesn't hide the other."""
+    faults = draw(st.lists(st.sampled_from(theme.faults), max_size=3, unique=True))
+    return Play(
+        draw(st.just("success") | st.sampled_from(theme.kinds)),
+        cut_end=draw(st.sampled_from(CUT_ENDS)) if "cut" in faults else "reset",
+        surplus_delay=draw(st.sampled_from((0.0, 0.01, 0.3))) if "surplus" in faults else 0.0,
+        **{fault: draw(FAULTS[fault]) for fault in faults},
+    )
+
+
+@st.composite
+def connections(draw: Any, theme: Theme, number: int) -> Connection:
+    methods = st.sampled_from(("POST", "POST", "GET", "HEAD"))
+    request = st.tuples(st.sampled_from(theme.paths), methods, st.booleans(), st.sampled_from((400, 1500)))
+    asks = tuple(
+        Ask(f"c{number}-{i}", path, method, chunked=chunked, deadline_ms=deadline)
+        for i, (path, method, chunked, deadline) in enumerate(draw(st.lists(request, min_size=1, max_size=3)))
+    )
+    return Connection(
+        asks,
+        edge=draw(st.integers(0, 1)),
+        splits=tuple(draw(st.lists(positions, max_size=3))),
+        pause=draw(st.sampled_from((0.0005, 0.02))),
+        cut=draw(st.none() | st.none() | positions),
+        junk=draw(st.sampled_from((False, False, False, True))),
+        leaves=draw(st.sampled_from((None, None, None, 0.0, 0.01, 0.6))),
+    )
+
+
+@st.composite
+def scenes(draw: Any, theme: Theme) -> Scene:
+    answers = st.lists(plays(theme), min_size=1, max_size=4).map(tuple)
+    return Scene(
+        tuple(draw(answers) for _ in range(draw(st.integers(1, 3)))),
+        tuple(draw(connections(theme, i)) for i in range(draw(st.integers(1, 4)))),
+        gap=draw(st.sampled_from((0.0, 0.05, 0.5))),
+        reused_at=draw(st.none() | st.none() | st.sampled_from((0.03, 0.2))),
+        seed=draw(st.integers(0, 99)),
+    )
+
+
+@pytest.mark.parametrize("theme", THEMES)
+def test_each_caller_gets_its_own_workers_answer_or_none(theme: str) -> None:
+    @examples(80)
+    @given(scenes(THEMES[theme]))
+    def holds(scene: Scene) -> None:
+        assert judge(run_scene(scene)) == []
+
+    holds()
+
+
+@pytest.mark.parametrize("path", PATHS)
+def test_two_edges_hold_an_address_that_went_to_another_service(path: str) -> None:
+    connections = tuple(Connection((Ask(f"c{i}", path),), edge=i % 2) for i in range(24))
+    outcome = run_scene(Scene(((), ()), connections, gap=0.02, reused_at=0.2))
+    assert judge(outcome) == []
+    strangers = [run for run in outcome.record.runs if run.worker == "other"]
+    assert strangers and not any(run.ran for run in strangers)
+    assert sum(got.startswith(b"HTTP/1.1 200") for _, got in outcome.got) >= 22
+
+
+# --- each byte, enumerated
+ANSWERS = {
+    "once": ("/o/x", Play()),
+    "chunked": ("/o/x", Play(framing="chunked")),
+    "stream": ("/s/x", Play()),
+    "resumed": ("/r/x", Play()),
+    "refused": ("/o/x", Play("full")),
+}
+
+
+def one_by_one(path: str, plays: list[Play]) -> list[str]:
+    """Breaches of scenes with one play each: both workers' first answers, with sound ones after."""
+    out = []
+    for play in plays:
+        asks = [Connection((Ask(f"c{i}", path),)) for i in range(2)]
+        out += judge(run_scene(Scene(((play,), (play,)), tuple(asks), gap=0.02)))
+    return out
+
+
+def size_of(path: str, play: Play) -> int:
+    outcome = run_scene(Scene(((play,),), (Connection((Ask("c0", path),)),)))
+    return len(outcome.record.runs[0].raw)
+
+
+def end_at(number: int) -> str:
+    """Mostly a reset or an orderly close, which come at once; now and then silence, or bytes that are lost as well."""
+    return CUT_ENDS[number // 4 % 4] if number % 4 == 0 else ("reset", "close")[number % 2]
+
+
+@pytest.mark.parametrize("name", ANSWERS)
+def test_an_answer_that_ends_at_any_byte(name: str) -> None:
+    path, play = ANSWERS[name]
+    cuts = [replace(play, cut=i, cut_end=end_at(i)) for i in range(size_of(path, play))]
+    assert one_by_one(path, cuts) == []
+
+
+@pytest.mark.parametrize("name", ["once", "chunked", "stream"])
+def test_an_answer_that_is_split_at_any_byte(name: str) -> None:
+    path, play = ANSWERS[name]
+    assert one_by_one(path, [replace(play, splits=(i,)) for i in range(1, size_of(path, play))]) == []
+
+
+def test_a_request_that_is_split_or_ends_at_any_byte() -> None:
+    asks = (Ask("c0", "/o/x", chunked=True), Ask("c1", "/s/x"))
+    for i in range(1, sum(len(a.data) for a in asks)):
+        broken_off = Connection(asks, cut=i, leaves=(None, 0.0)[i % 2])
+        for connection in (Connection(asks, splits=(i,)), broken_off):
+            assert judge(run_scene(Scene(((),), (connection,)))) == []
--- /dev/null
+++ b/tests/test_answers_broken.py
@@ -0,0 +1,213 @@
+"""Deliberately broken variants of the product: each property of answers and of items must catch its own, in scenes that
+the sound product passes (tests/test_answers.py, tests/test_item_answers.py). A property that can't fail proves nothing."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
+
+from postpass import items, ledger, relay, workerlink
+from postpass.dialect import Dialect
+from postpass.fault import Stop
+from postpass.front import front, refusal
+from postpass.items import Events
+from postpass.relay import Events as StreamEvents
+from postpass.relay import Names, Relay
+from postpass.sched import Sched
+from postpass.verdict import Proof, Verdict, verdict
+from postpass.workerlink import Exchange, Link
+from tests import answers
+from tests.answers import EVENTS, Ask, Connection, Play, Scene, chunk, event, judge, run_scene
+from tests.item_answers import ItemScene, judge_items, run_items
+from tests.test_answers import quick_collections
+
+__all__ = ["quick_collections"]
+
+Patch = Callable[[pytest.MonkeyPatch], None]
+
+
+# --- answers to callers
+def ids_are_not_compared(mp: pytest.MonkeyPatch) -> None:
+    mp.setattr(workerlink, "carries", lambda *_: True)
+
+
+def repeats_anything(mp: pytest.MonkeyPatch) -> None:
+    plain = ledger.next_attempt
+    mp.setattr(relay, "next_attempt", lambda log, **more: plain(log, **more | {"repeatable": True, "tries": 3}))
+
+
+def takes_a_cut_for_an_end(mp: pytest.MonkeyPatch) -> None:
+    plain = Link.fail
+
+    def fail(self: Link, step: str, why: str, *rest: Any, **more: Any) -> None:
+        if step == "body" and self.exchange is not None:
+            self.keep = False
+            self.finish()
+        else:
+            plain(self, step, why, *rest, **more)
+
+    mp.setattr(Link, "fail", fail)
+    # A length would show the cut.
+    mp.setattr(relay, "HOP_BACK", relay.HOP_BACK | {b"content-length"})
+
+
+def takes_any_refusal_for_a_proof(mp: pytest.MonkeyPatch) -> None:
+    def judged(status: int, headers: Any, names: Any) -> Verdict:
+        got = verdict(status, headers, names)
+        return Verdict(Proof.NOT_RUN) if got.proof is Proof.NONE and status == 503 else got
+
+    mp.setattr(relay, "verdict", judged)
+
+
+def takes_a_garbled_refusal_for_a_proof(mp: pytest.MonkeyPatch) -> None:
+    plain = Relay.read_refusal
+
+    async def read_refusal(self: Relay, exchange: Exchange) -> None:
+        try:
+            await plain(self, exchange)
+        except Stop:
+            pass
+
+    mp.setattr(Relay, "read_refusal", read_refusal)
+
+
+def passes_any_head(mp: pytest.MonkeyPatch) -> None:
+    mp.setattr(relay, "verdict", lambda *_: Verdict(Proof.ANSWER))
+
+
+def hides_failures(mp: pytest.MonkeyPatch) -> None:
+    plain = Relay.begin
+
+    async def begin(self: Relay, request: Any, exchange: Exchange, joined: bool) -> None:
+        exchange.status = 200 if exchange.status == 422 else exchange.status
+        await plain(self, request, exchange, joined)
+
+    mp.setattr(Relay, "begin", begin)
+
+
+def names_no_time(mp: pytest.MonkeyPatch) -> None:
+    mp.setattr(Relay, "retry_after", lambda *_: (b"x-nothing", b""))
+
+
+def writes_into_answers(mp: pytest.MonkeyPatch) -> None:
+    def broken(limits: Any, silence: float) -> type[HttpToolsProtocol]:
+        sound: Any = front(limits, silence)
+
+        class Broken(sound):  # type: ignore[misc]
+            def turn_away(self, status: int) -> None:
+                self.refused = True
+                self.transport.write(refusal(status))
+                self.transport.close()
+
+        return Broken
+
+    mp.setattr(answers, "front", broken)
+
+
+def joins_any_run(mp: pytest.MonkeyPatch) -> None:
+    """Doesn't tell the next worker where to go on, nor look where it does."""
+    plain_names, plain_resume = Names.__init__, StreamEvents.resume
+
+    def names(self: Names, dialect: Dialect) -> None:
+        plain_names(self, dialect)
+        self.last_event = b"x-nothing"
+
+    def resume(self: StreamEvents) -> None:
+        plain_resume(self)
+        self.joined = True
+
+    mp.setattr(Names, "__init__", names)
+    mp.setattr(StreamEvents, "resume", resume)
+
+
+def scene(path: str, *plays: Play, junk: bool = False) -> Scene:
+    """One request to as many workers as there are plays."""
+    return Scene(tuple((play,) for play in plays), (Connection((Ask("c0", path),), junk=junk),))
+
+
+CUT, LATE_CUT, UNPROVED = Play(cut=5), Play(framing="chunked", cut=-20), Play("unproved full")
+GARBLED = Play("full", framing="bad chunk")
+CALLERS: dict[str, tuple[Patch, Scene, str]] = {
+    "another's answer": (ids_are_not_compared, scene("/o/x", Play(identity="swapped")), "an answer to"),
+    "twice": (repeats_anything, scene("/o/x", CUT, CUT), "ran at"),
+    "a cut that looks whole": (takes_a_cut_for_an_end, scene("/o/x", LATE_CUT), "cut, but looks whole"),
+    "any refusal": (takes_any_refusal_for_a_proof, scene("/o/x", UNPROVED, UNPROVED), "ran at"),
+    "a garbled refusal": (takes_a_garbled_refusal_for_a_proof, scene("/o/x", GARBLED, GARBLED), "ran at"),
+    "a success without a seal": (passes_any_head, scene("/o/x", Play("unsealed")), "without a seal"),
+    "a false promise": (passes_any_head, scene("/o/x", UNPROVED), "and ran"),
+    "a failure turned": (hides_failures, scene("/o/x", Play("never")), "where its worker said never"),
+    "no time": (names_no_time, scene("/o/x", Play("full")), "without Retry-After"),
+    "written into": (writes_into_answers, scene("/o/x", Play(delay=0.1), junk=True), "a proper request, got 400"),
+    "joined wrongly": (joins_any_run, scene("/r/x", LATE_CUT, LATE_CUT), "not its events"),
+}
+
+
+@pytest.mark.parametrize("name", CALLERS)
+def test_each_broken_variant_is_caught(name: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    patch, played, wanted = CALLERS[name]
+    assert judge(run_scene(played)) == []
+    patch(monkeypatch)
+    assert any(wanted in breach for breach in judge(run_scene(played)))
+
+
+# --- results of items
+def takes_cut_items_for_whole(mp: pytest.MonkeyPatch) -> None:
+    plain = Exchange.chunks
+
+    async def chunks(self: Exchange) -> Any:
+        try:
+            async for data in plain(self):
+                yield data
+        except Stop:
+            pass
+
+    mp.setattr(Exchange, "chunks", chunks)
+
+
+def joins_texts_anyhow(mp: pytest.MonkeyPatch) -> None:
+    def event(self: Events) -> None:
+        self.text.pieces.append("\n".join(self.data))
+        self.text.last = self.number
+
+    mp.setattr(Events, "event", event)
+    plain = items.request_headers
+    mp.setattr(
+        items, "request_headers", lambda d, call, host, worker, wait, _last: plain(d, call, host, worker, wait, -1)
+    )
+
+
+def forgets_positions(mp: pytest.MonkeyPatch) -> None:
+    plain = Sched.tell
+
+    async def tell(self: Sched, job: Any, body: Any) -> None:
+        job.item = 0
+        await plain(self, job, body)
+
+    mp.setattr(Sched, "tell", tell)
+
+
+def abandons_what_failed(mp: pytest.MonkeyPatch) -> None:
+    mp.setattr(items, "FINAL", {500: "never", 422: "never"})
+
+
+SECOND_HALF = chunk(b"".join(event("lot0-0", n) for n in range(EVENTS // 2, EVENTS))) + b"0\r\n\r\n"
+HALF = Play(cut=-len(SECOND_HALF))  # so many whole events
+LATE_AGAIN = Play(surplus="repeat", surplus_delay=0.3)
+ITEMS: dict[str, tuple[Patch, ItemScene, str]] = {
+    "another's text": (ids_are_not_compared, ItemScene(((LATE_AGAIN,),), (8,)), "not its whole text"),
+    "a cut text": (takes_cut_items_for_whole, ItemScene(((HALF,),), (1,)), "not its whole text"),
+    "a text joined wrongly": (joins_texts_anyhow, ItemScene(((HALF,), (HALF,)), (1,)), "not its whole text"),
+    "another's position": (forgets_positions, ItemScene(((),), (2,)), "not its whole text"),
+    "given up": (abandons_what_failed, ItemScene(((Play("failure"),),), (1,)), "which no worker said"),
+}
+
+
+@pytest.mark.parametrize("name", ITEMS)
+def test_each_broken_variant_of_items_is_caught(name: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    patch, played, wanted = ITEMS[name]
+    assert judge_items(run_items(played)) == []
+    patch(monkeypatch)
+    assert any(wanted in breach for breach in judge_items(run_items(played)))
--- /dev/null
+++ b/tests/test_item_answers.py
@@ -0,0 +1,63 @@
+"""Properties of items' results, over all the ways in which workers' answers to items can go wrong."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from tests.answers import Play
+from tests.item_answers import ItemScene, judge_items, run_items, whole_text
+from tests.test_answers import THEMES, Theme, end_at, examples, plays, quick_collections
+
+__all__ = ["quick_collections"]
+
+
+def bounded(play: Play) -> Play:
+    """A worker that tells a shorter length than it sends has declared the shorter text whole."""
+    return replace(play, framing="chunked") if play.framing == "too short" else play
+
+
+@st.composite
+def item_scenes(draw: Any, theme: Theme) -> ItemScene:
+    answers = st.lists(plays(theme).map(bounded), min_size=1, max_size=6).map(tuple)
+    return ItemScene(
+        tuple(draw(answers) for _ in range(draw(st.integers(1, 3)))),
+        tuple(draw(st.lists(st.integers(1, 8), min_size=1, max_size=2))),
+    )
+
+
+@pytest.mark.parametrize("theme", THEMES)
+def test_an_item_has_its_own_workers_whole_text_under_its_position_or_none(theme: str) -> None:
+    @examples(60)
+    @given(item_scenes(THEMES[theme]))
+    def holds(scene: ItemScene) -> None:
+        assert judge_items(run_items(scene)) == []
+
+    holds()
+
+
+def test_sound_workers_end_every_item() -> None:
+    told = run_items(ItemScene(((), ()), (5, 3)))
+    assert judge_items(told) == [] and len(told.results) == 8
+    assert told.results["lot0", 4][0]["output"] == whole_text("lot0-4")
+
+
+def test_a_late_answer_to_another_item_is_no_text_of_this_one() -> None:
+    # With eight items for three places, the last of them goes out on a connection that brings an answer once more.
+    told = run_items(ItemScene(((Play(surplus="repeat", surplus_delay=0.3),),), (8,)))
+    assert judge_items(told) == [] and len(told.results) == 8
+    assert len(told.record.runs) == 9
+
+
+@pytest.mark.parametrize("framing", ["length", "chunked"])
+def test_an_item_whose_answer_ends_at_any_byte_goes_on_elsewhere(framing: str) -> None:
+    size = len(run_items(ItemScene(((Play(framing=framing),),), (1,))).record.runs[0].raw)
+    for i in range(size):
+        play = Play(framing=framing, cut=i, cut_end=end_at(i))
+        told = run_items(ItemScene(((play,), (play,)), (1,)))
+        assert judge_items(told) == []
+        assert play.cut_end == "silence" or len(told.results) == 1
