--- a/postpass/control/replica.py
+++ b/postpass/control/replica.py
@@ -6,8 +6,8 @@
 
 from result import Err, Ok
 
+from postpass.control.contact import Contact
 from postpass.control.epochs import Acknowledgement, Pair, majority
-from postpass.control.member import ControlMember
 from postpass.control.state import Held
 from postpass.fault import Fault, Stop
 from postpass.manifest import Manifest
@@ -16,7 +16,7 @@
 from postpass.world import hear, now
 
 
-class Replica(ControlMember):
+class Replica(Contact):
     """Copies the state to the replicas, and answers as one of them."""
 
     async def on_copy(self, body: Body) -> PeerResponse:
@@ -44,7 +44,7 @@
         edition = body.get("edition", 0)
         if edition > self.news.edition:
             if self.held.whole == body["epoch"] and self.held.state.edition == edition:
-                self.publish()
+                self.publish(self.held.state)
             elif at := self.addr(body["who"]) or body.get("at", ""):
                 task = asyncio.create_task(self.fetch(at))
                 self.fetches.add(task)
@@ -72,13 +72,15 @@
             self.step_down(answer["promised"])
         if epoch == self.epoch and to in pair.backups and pair.voters.get(to) != answer["disk"]:
             self.wiped_backups.add(to)
-            return None
         if not answer["ok"]:
             return None
-        if epoch == self.epoch and to in pair.backups:
-            self.copied[to] = now()
         # Releases before 0.3 don't repeat the epoch; the answer belongs to this request by its number.
-        return Acknowledgement(to, str(answer["disk"]), answer.get("epoch", epoch))
+        acknowledgement = Acknowledgement(to, str(answer["disk"]), answer.get("epoch", epoch))
+        if epoch == self.epoch and pair.counts(acknowledgement):
+            self.answered[to] = now()
+            if to in pair.backups:
+                self.copied[to] = now()
+        return acknowledgement
 
     async def append_to_all(self, held: Held | None, epoch: int) -> bool:
         """True once all backups of the epoch have acknowledged, each by the disk that the replica set names."""
@@ -98,7 +100,7 @@
             return False
         if self.epoch != epoch:
             return False
-        self.publish()
+        self.publish(state)
         # In force within its bound even if this machine dies now: the backups hand it out as well before the
         # operator is answered, and the witnesses are told.
         others = [n for n in self.members(state.manifest) if n not in held.pair]
@@ -112,6 +114,17 @@
     async def notify(self, name: str, epoch: int) -> None:
         await self.append_to(None, epoch, name)
 
+    async def heartbeat(self, epoch: int, man: Manifest) -> list[Acknowledgement]:
+        """One round to all other members; those that are late are not waited for once most have answered."""
+        others = [n for n in self.members(man) if n != self.conf.name]
+
+        def enough(got: dict[str, Acknowledgement | None]) -> bool:
+            return 2 * (1 + sum(a is not None for a in got.values())) > len(others) + 1
+
+        asks = {n: self.append_to(None, epoch, n) for n in others}
+        got = await hear(asks, enough, self.conf.bounds.promise / 2)
+        return [a for a in got.values() if a is not None]
+
     async def ask_all(
         self, verb: str, body: Body, names: list[str], man: Manifest, quick: bool = False
     ) -> dict[str, Body]:
