--- a/postpass/daemon.py
+++ b/postpass/daemon.py
@@ -110,6 +110,11 @@
     async def depart(self) -> None:
         """Hands over what only one daemon does; called once, when this one has been told to leave."""
 
+    @property
+    def leave_limit(self) -> float:
+        """How long handing over may take."""
+        return self.conf.bounds.recover / 4
+
     @property
     def drain(self) -> float:
         """How long calls under way may take once nothing new is accepted."""
@@ -197,7 +202,7 @@
             self.leaving = True
             events.emit(105, self.conf.name)
             try:
-                await asyncio.wait_for(self.depart(), self.conf.bounds.recover / 4)
+                await asyncio.wait_for(self.depart(), self.leave_limit)
             except (TimeoutError, Stop):
                 pass
         self.closed.set()
--- a/postpass/roster.py
+++ b/postpass/roster.py
@@ -164,7 +164,7 @@
 
 
 def replaced(
-    man: Manifest, silent: Mapping[str, float], met: Mapping[str, float], since: float, clock: float, patience: float
+    man: Manifest, silent: Mapping[str, float], met: Mapping[str, float], clock: float, patience: float
 ) -> list[str]:
     """Machines gone for good. `silent` tells for how long a machine was not heard, `met` when a name was first heard.
 
@@ -184,7 +184,7 @@
     def least(machine: Presence) -> int:
         return man["copies"] if "store" in machine.duties else LEAST_CONTROL
 
-    gone = machine_to_drop(present, least, patience, clock - since)
+    gone = machine_to_drop(present, least, patience)
     return [*out, gone] if gone is not None else out
 
 
