Acknowledge and confirm only with all holders and a majority of voters

Cause: a change, a no-op or a read was confirmed by the backups alone. With five control members the primary and its one backup, cut off from the other three, went on acknowledging and confirming reads.

Change: an acknowledgement and a confirmed read rest on answers of all holders and of most voters, by member, disk and epoch, to messages sent after the request came (`confirmed_by`, no clock in it). For a write the voters without a copy are asked while the disks sync. A backup that does not answer a read's round is replaced at once instead of being read past. That a worker leaves is acknowledged by the primary the first time through each member, also when it comes late; whether a store is emptied is read under the lock.

--- a/postpass/control/election.py
+++ b/postpass/control/election.py
@@ -182,6 +182,37 @@
         self.publish(state)
         return Ok(None)
 
+    async def confirm_leadership(self) -> bool:
+        """True if nobody else led when this was called: all holders and most voters answered under this epoch since. A backup
+        that does not answer is replaced, and the new replica set asked. Called with the lock held."""
+        for attempt in range(2):
+            epoch, pair = self.epoch, self.held.pair
+            if not epoch:
+                return False
+            answers = await self.confirmation_round()
+            if self.epoch != epoch:
+                return False
+            if pair.confirmed_by(answers):
+                return True
+            man = self.known()
+            if attempt or man is None or pair.copied_to_all(answers):
+                return False
+            await self.renew_replica_set(man, "backup lost", quick=True)
+        return False
+
+    async def renew_replica_set(self, man: Manifest, why: str, quick: bool = False) -> None:
+        """Leads on under a new epoch, if most voters still hear no other primary. Called with the lock held."""
+        epoch = self.epoch
+        prevotes = await self.collect_prevotes(man, quick)
+        if not epoch or self.epoch != epoch or not self.prevote_won(man, prevotes):
+            return
+        self.epoch = 0
+        got = await self.run_election(man, why, prevotes=prevotes)
+        if isinstance(got, Ok):
+            events.emit(132, self.conf.name, backup=",".join(self.held.pair.backups), why=why)
+        else:
+            self.heard = now() - self.conf.bounds.detect
+
     @property
     def wanted_backups(self) -> int:
         """How many backups there should be: one more copy than may be lost, with the primary's own."""
--- a/postpass/control/epochs.py
+++ b/postpass/control/epochs.py
@@ -61,6 +61,15 @@
         """Have all backups acknowledged?"""
         return set(self.backups) <= {a.member for a in answers if self.counts(a)}
 
+    def confirmed_by(self, answers: Iterable[Acknowledgement]) -> bool:
+        """The rule of acknowledging and of confirmed reads: all holders and most voters answered under this epoch.
+
+        A later primary has promises of most voters, so one of those that answered here had not promised it yet when it
+        did: nobody led a later epoch when the request that these answers follow came in.
+        """
+        counted = {a.member for a in answers if self.counts(a)}
+        return set(self.holders) <= counted and 2 * len(counted) > len(self.voters)
+
     @classmethod
     def of(cls, raw: dict[str, Any]) -> Pair:
         """From JSON; releases up to 0.2.0 knew one backup."""
--- a/postpass/control/leadership.py
+++ b/postpass/control/leadership.py
@@ -49,7 +49,9 @@
             self.spawn(self.reconcile())
         why = self.flaw_of_replica_set(man, answers)
         if why:
-            await self.renew_replica_set(man, epoch, why)
+            async with self.lock:
+                if self.epoch == epoch:
+                    await self.renew_replica_set(man, why)
 
     def flaw_of_replica_set(self, man: Manifest, answers: list[Acknowledgement]) -> str:
         """Why another replica set or other voters are wanted; empty if they are not."""
@@ -62,19 +64,6 @@
         gone = [n for n in pair.voters if n not in self.members(man)]
         return f"voters {strangers or gone}" if strangers or gone else ""
 
-    async def renew_replica_set(self, man: Manifest, epoch: int, why: str) -> None:
-        """Leads on under a new epoch, if most voters still hear no other primary."""
-        async with self.lock:
-            prevotes = await self.collect_prevotes(man)
-            if self.epoch != epoch or not self.prevote_won(man, prevotes):
-                return
-            self.epoch = 0
-            got = await self.run_election(man, why, prevotes=prevotes)
-            if isinstance(got, Ok):
-                events.emit(132, self.conf.name, backup=",".join(self.held.pair.backups), why=why)
-            else:
-                self.heard = now() - self.conf.bounds.detect
-
     async def lead_after_restart(self) -> None:
         """After a start: where most have started as well and nobody has heard a primary since, there is none to wait for.
 
--- a/postpass/control/member.py
+++ b/postpass/control/member.py
@@ -51,6 +51,7 @@
         # machine; when a machine's name was first heard; and, here alone, the primary's last word.
         self.beats: dict[str, float] = {}
         self.seqnos: dict[str, int] = {}
+        self.drained: dict[str, float] = {}  # workers whose leaving was acknowledged through this member, and when
         self.spoke: dict[str, float] = {}
         self.reported: dict[str, float] = {}  # when each other control machine last told whom it had heard
         self.met: dict[str, float] = {}
--- a/postpass/control/orders.py
+++ b/postpass/control/orders.py
@@ -156,8 +156,10 @@
 
     async def emptied(self, name: str) -> PeerResponse:
         """Does a store hold nothing any more that counts? Once that is so, it is no machine of the fleet any longer."""
-        state = self.committed.state
-        if not await self.confirm_leadership():
+        # Under the lock, so that a change that is being written is not taken for one that is in force.
+        async with self.lock:
+            state, confirmed = self.committed.state, await self.confirm_leadership()
+        if not confirmed:
             return Err(Fault("retire", self.conf.name, "could not be confirmed; ask again", SLOW))
         if name in state.retired:
             return Ok({"done": True})
--- a/postpass/control/registry.py
+++ b/postpass/control/registry.py
@@ -15,6 +15,8 @@
 from postpass.wire import Body, PeerResponse
 from postpass.world import now
 
+MOST_DRAINED = 4096  # workers whose acknowledged leaving a member remembers
+
 
 class Registry(Feed):
     """Keeps the registry of machines and workers."""
@@ -124,19 +126,25 @@
         flaws = roster.standing_flaws(standing, self.conf.areas)
         if flaws:
             return Err(Fault("beat", self.conf.name, "\n".join(flaws), BAD))
-        if seqno and seqno < self.seqnos.get(who, 0):
+        leaves = bool(standing.get("leave"))
+        if seqno and seqno < self.seqnos.get(who, 0) and not leaves:
             return Ok({})
         if seqno:
-            self.seqnos[who] = seqno
+            self.seqnos[who] = max(seqno, self.seqnos.get(who, 0))
         if len(self.seqnos) > 4096:
             self.seqnos = dict(list(self.seqnos.items())[-1024:])
         lately = self.epoch > 0 or now() - self.touched < 1.5 * self.conf.beat
-        if lately and roster.unchanged(self.news.manifest, who, standing):
+        # That a worker leaves is acknowledged by the primary, the first time; after that a heartbeat is one like any other.
+        acknowledged = not leaves or who in self.drained
+        if lately and acknowledged and roster.unchanged(self.news.manifest, who, standing):
             self.beats[who] = now()
             return Ok({})
-        return await self.forward(
-            "beat", {"who": who, "standing": standing, "seqno": seqno}, self.conf.bounds.leave / 3
-        )
+        got = await self.forward("beat", {"who": who, "standing": standing, "seqno": seqno}, self.conf.bounds.leave / 3)
+        if leaves and isinstance(got, Ok):
+            self.drained[who] = now()
+            if len(self.drained) > MOST_DRAINED:
+                del self.drained[next(iter(self.drained))]
+        return got
 
     async def leave_worker(self, who: str) -> PeerResponse:
         return await self.forward("beat", {"who": who, "standing": None, "seqno": 0}, self.conf.bounds.leave / 3)
@@ -147,10 +155,11 @@
             return Err(self.not_leader("beat"))
         b, who, seqno, asked = self.conf.bounds, body["who"], body["seqno"], now()
         standing: Standing | None = body["standing"]
-        if seqno and seqno < self.seqnos.get(who, 0):
+        leaves = standing is None or bool(standing.get("leave"))
+        if seqno and seqno < self.seqnos.get(who, 0) and not leaves:
             return Ok({})
         if seqno:
-            self.seqnos[who] = seqno
+            self.seqnos[who] = max(seqno, self.seqnos.get(who, 0))
         self.beats[who] = now()
 
         def fold(s: State) -> Result[State, Fault]:
@@ -159,6 +168,6 @@
         got = await self.change(fold, b.leave / 100)
         if isinstance(got, Err):
             return Err(got.unwrap_err())
-        if standing is None or standing.get("leave"):
+        if leaves:
             await self.in_force(got.unwrap(), None, self.committed.state.man, asked, b.leave / 6)
         return Ok({"edition": got.unwrap()})
--- a/postpass/control/replica.py
+++ b/postpass/control/replica.py
@@ -7,7 +7,7 @@
 from result import Err, Ok
 
 from postpass.control.contact import Contact
-from postpass.control.epochs import Acknowledgement, Pair, majority
+from postpass.control.epochs import Acknowledgement, Pair
 from postpass.control.state import Held
 from postpass.fault import Fault, Stop
 from postpass.manifest import Manifest
@@ -82,35 +82,62 @@
                 self.copied[to] = now()
         return acknowledgement
 
+    async def append_to_backups(self, held: Held | None, epoch: int) -> list[Acknowledgement]:
+        answers = await asyncio.gather(*(self.append_to(held, epoch, n) for n in self.held.pair.backups))
+        return [a for a in answers if a is not None]
+
     async def append_to_all(self, held: Held | None, epoch: int) -> bool:
         """True once all backups of the epoch have acknowledged, each by the disk that the replica set names."""
         pair = self.held.pair
-        answers = await asyncio.gather(*(self.append_to(held, epoch, n) for n in pair.backups))
-        return pair.epoch == epoch and pair.copied_to_all(a for a in answers if a is not None)
+        answers = await self.append_to_backups(held, epoch)
+        return pair.epoch == epoch and pair.copied_to_all(answers)
 
     async def commit(self, state: State) -> bool:
-        """Synced here and at all backups, and only then true."""
-        epoch = self.epoch
-        held = Held(epoch, self.held.pair, state)
-        await self.keep("state", held.dump())
-        if self.epoch != epoch:
-            return False
-        self.held = held
-        if not await self.append_to_all(held, epoch):
-            return False
-        if self.epoch != epoch:
+        """True once the state is synced here and at all backups, and most voters have answered under this epoch since."""
+        epoch, pair = self.epoch, self.held.pair
+        held = Held(epoch, pair, state)
+        # The voters that keep no copy are asked while the disks sync, so that their round trip adds no delay.
+        others = asyncio.create_task(self.answers_of_voters(epoch, pair))
+        try:
+            await self.keep("state", held.dump())
+            if self.epoch != epoch:
+                return False
+            self.held = held
+            answers = [self.own_acknowledgement(epoch), *await self.append_to_backups(held, epoch)]
+            if not pair.copied_to_all(answers):
+                return False
+            if not pair.confirmed_by(answers):
+                answers += await others
+        finally:
+            others.cancel()
+        if self.epoch != epoch or not pair.confirmed_by(answers):
             return False
         self.publish(state)
         # In force within its bound even if this machine dies now: the backups hand it out as well before the
         # operator is answered, and the witnesses are told.
-        others = [n for n in self.members(state.manifest) if n not in held.pair]
-        for name in others:
+        for name in [n for n in self.members(state.manifest) if n not in held.pair]:
             task = asyncio.create_task(self.notify(name, epoch))
             self.fetches.add(task)
             task.add_done_callback(self.fetches.discard)
         await self.append_to_all(None, epoch)
         return True
 
+    def own_acknowledgement(self, epoch: int) -> Acknowledgement:
+        return Acknowledgement(self.conf.name, self.disk_id, epoch)
+
+    async def answers_of_voters(self, epoch: int, pair: Pair) -> list[Acknowledgement]:
+        """A round to the voters that are no holders; ends once they and the holders are a majority."""
+        holders = [Acknowledgement(n, pair.voters.get(n, ""), epoch) for n in pair.holders]
+
+        def enough(got: dict[str, Acknowledgement | None]) -> bool:
+            return pair.confirmed_by([*holders, *(a for a in got.values() if a is not None)])
+
+        if enough({}):
+            return []
+        asks = {n: self.append_to(None, epoch, n) for n in pair.voters if n not in pair}
+        got = await hear(asks, enough, 0.0)
+        return [a for a in got.values() if a is not None]
+
     async def notify(self, name: str, epoch: int) -> None:
         await self.append_to(None, epoch, name)
 
@@ -144,16 +171,14 @@
         got = await hear({n: one(n) for n in names}, enough, b.beat / 8 if quick else b.beat)
         return {n: g.unwrap() for n, g in got.items() if isinstance(g, Ok)}
 
-    async def confirm_leadership(self) -> bool:
-        """A round trip to all backups, or without that to most voters: no one else leads, for whoever does has the state,
-        and the promises of most voters."""
+    async def confirmation_round(self) -> list[Acknowledgement]:
+        """Answers under this epoch to messages sent from now on; ends once they confirm it."""
         epoch, pair = self.epoch, self.held.pair
-        if not epoch:
-            return False
-        if pair.backups and await self.append_to_all(None, epoch):
-            return self.epoch == epoch
-        man = self.known()
-        assert man is not None
-        looks = await self.ask_all("copy", {"epoch": epoch}, [n for n in pair.voters if n != self.conf.name], man)
-        good = {n: str(a["disk"]) for n, a in looks.items() if a["ok"]} | {self.conf.name: self.disk_id}
-        return self.epoch == epoch and majority(pair.voters, good)
+        mine = self.own_acknowledgement(epoch)
+
+        def enough(got: dict[str, Acknowledgement | None]) -> bool:
+            return pair.confirmed_by([mine, *(a for a in got.values() if a is not None)])
+
+        asks = {n: self.append_to(None, epoch, n) for n in {*pair.voters, *pair.backups} - {self.conf.name}}
+        got = await hear(dict(sorted(asks.items())), enough, 0.0)
+        return [mine, *(a for a in got.values() if a is not None)]
--- a/postpass/control/writer.py
+++ b/postpass/control/writer.py
@@ -75,7 +75,7 @@
                 state = replace(state, edition=before.edition + 1)
                 done = await self.commit(state)
             else:
-                done = await self.confirm_leadership()
+                done = self.held.pair.confirmed_by(await self.confirmation_round()) and self.epoch == epoch
             if done:
                 return [Ok(state.edition) if isinstance(g, Ok) else Err(g.unwrap_err()) for g in out]
             if self.epoch == epoch:
--- a/tests/test_control_epochs.py
+++ b/tests/test_control_epochs.py
@@ -90,3 +90,24 @@
     assert in_touch(voters, {"c1": 5.0, "c2": 4.0, "c3": 3.0}, 3.0)
     assert not in_touch(voters, {"c1": 5.0, "c2": 4.0, "c3": 2.9}, 3.0)
     assert not in_touch(voters, {"c1": 5.0, "c2": 4.0, "stranger": 5.0}, 3.0)
+
+
+def test_an_acknowledgement_rests_on_all_holders_and_most_voters() -> None:
+    for size in range(1, 8):
+        voters = {f"c{i}": f"d{i}" for i in range(size)}
+        for backups in range(min(size, 3)):
+            pair = Pair(4, "c0", tuple(f"c{i}" for i in range(1, backups + 1)), voters)
+            for chosen in range(1 << size):
+                members = [f"c{i}" for i in range(size) if chosen >> i & 1]
+                answers = [Acknowledgement(n, voters[n], 4) for n in members]
+                want = set(pair.holders) <= set(members) and 2 * len(members) > size
+                assert pair.confirmed_by(answers) == want, (size, backups, members)
+                others = [Acknowledgement(n, "new", 4) for n in members] + [
+                    Acknowledgement(n, voters[n], 3) for n in members
+                ]
+                assert not pair.confirmed_by(others)
+                assert (
+                    not pair.confirmed_by([*others, Acknowledgement("c0", voters["c0"], 4)])
+                    or size == 1
+                    and not backups
+                )
--- a/tests/test_worst_days_leadership.py
+++ b/tests/test_worst_days_leadership.py
@@ -205,3 +205,42 @@
         return promised, taken, successor.epoch
 
     play(scene, seed, control=4)
+
+
+# --- C: a minority acknowledges nothing and confirms nothing
+ORDERS: dict[str, Any] = {
+    "change": lambda c: c.apply_source(document(4), 3),
+    "resend": lambda c: c.apply_source(document(3), 0),
+    "evacuate": lambda c: c.evacuate("a", True),
+    "no-op": lambda c: c.evacuate("b", False),
+    "retire": lambda c: c.retire("s1"),
+    "retired": lambda c: c.retired("s9"),
+    "drain": lambda c: c.beat_worker("w1", standing(1, leave=True), 9),
+    "end": lambda c: c.leave_worker("w1"),
+    "read": lambda c: c.read_source(),
+    "confirm": lambda c: c.on_read({"brief": 1}),
+}
+
+
+@pytest.mark.parametrize("what", sorted(ORDERS))
+@pytest.mark.parametrize("delay", [0.0, 6.0])
+def test_primary_and_backup_without_a_majority_acknowledge_nothing(what: str, delay: float) -> None:
+    async def scene(f: Fleet) -> None:
+        lead = await settle(f)
+        assert (await f.ask("c1", lambda c: c.beat_worker("w1", standing(1), 1))).is_ok()
+        holders = lead.held.pair.holders
+        assert len(holders) == 2
+        isolate(f, [*holders, "e1", "s1"])
+        await asyncio.sleep(delay)
+        for name in holders:
+            got = await f.ask(name, ORDERS[what])
+            assert got.is_err(), (name, got)
+            assert got.unwrap_err().code not in (404, 409, 412), (name, got)
+        assert await f.until(lambda: f.primary() is None, 3 * DETECTION_TIME) >= 0
+        f.loop.net.cuts.clear()
+        assert await f.until(f.primary, RECOVERY_TIME) >= 0
+        assert (
+            await f.ask(holders[0], lambda c: c.apply_source(document(5), leader(f).held.state.man["version"]))
+        ).is_ok()
+
+    play(scene, control=5, stores=5)
