Turn callers away at once from a primary that was cut off

It tries elections all the time, and counted as one that takes another backup, for which callers wait. Now that holds for twice the lease after most voters were heard.

--- a/postpass/control/contact.py
+++ b/postpass/control/contact.py
@@ -18,6 +18,7 @@
 from postpass.wire import Body, PeerResponse
 from postpass.world import hear, now
 
+RENEWAL = 2  # times the lease, for which a primary that takes another replica set still counts as one
 RELAYS = 3  # other members that a worker's heartbeat is sent to from one without contact
 
 
@@ -46,8 +47,10 @@
         return now() - max(self.last_contact(), self.started) > self.conf.bounds.contact
 
     def takes_another_epoch(self) -> bool:
-        """Is this the primary that takes another backup or voter? For a moment it leads no epoch then."""
-        return self.leader == self.conf.name and self.lock.locked()
+        """Is this the primary that takes another backup or voter? For a moment it leads no epoch then. One that was cut off
+        tries elections too, but has long lost most voters."""
+        renewing = self.leader == self.conf.name and self.lock.locked()
+        return renewing and now() - self.last_contact() <= RENEWAL * self.conf.bounds.contact
 
     def other_members(self) -> list[str]:
         """The addresses of the other control members."""
--- a/tests/test_worst_days_feed.py
+++ b/tests/test_worst_days_feed.py
@@ -180,6 +180,24 @@
 
         assert play(scene) < 3.0
 
+    def test_a_primary_that_was_cut_off_holds_up_no_caller(self) -> None:
+        """It tries elections all the time; nobody waits for them."""
+
+        async def scene(f: Fleet) -> float:
+            lead, _, _ = await settle(f)
+            cut(f, lead.conf.name, [n for n in names(f.controls()) if n != lead.conf.name])
+            await asyncio.sleep(2 * lease(lead) + 0.1)
+            slowest = 0.0
+            for _ in range(40):
+                began = f.loop.clock
+                got = await f.ask(lead.conf.name, lambda c: c.read_source())
+                assert got.unwrap_err().code == 503
+                slowest = max(slowest, f.loop.clock - began)
+                await asyncio.sleep(0.2)
+            return slowest
+
+        assert play(scene, control=4) < 0.2
+
 
 class Test_WithoutControl:
     def test_the_data_plane_serves_on_and_a_daemon_that_starts_serves_in_bounded_time(self) -> None:
