--- a/postpass/control/member.py
+++ b/postpass/control/member.py
@@ -61,6 +61,7 @@
         self.heard = 0.0
         self.copied: dict[str, float] = {}  # when each backup last answered
         self.answered: dict[str, float] = {}  # when each voter's disk last answered under this epoch
+        self.departing: set[str] = set()  # members that were told to leave, by their last answer
         self.wiped_backups: set[str] = set()  # backups that answered with another disk than the replica set names
         # When a primary was last heard in this life, and who waits for one.
         self.led, self.led_now = -INFINITY, asyncio.Event()
@@ -128,6 +129,7 @@
         return {
             "disk": self.disk_id, "promised": self.witness.promised, "pair": asdict(self.witness.pair),
             "whole": self.held.whole, "edition": self.held.state.edition, "news": self.news.edition,
+            "leaving": self.leaving,
         }  # fmt: skip
 
     async def on_look(self, body: Body) -> PeerResponse:
--- a/postpass/membership.py
+++ b/postpass/membership.py
@@ -173,6 +173,32 @@
     return next((change for change in options if is_safe(situation, change)), None)
 
 
+def gives_up_vote(voters: Members, leaving: str, answered: Collection[str], topology: Topology) -> bool:
+    """Is a voter that is told to leave better no voter while it is away?
+
+    So it is where the others alone bear the next loss and would not with its vote still counted: of four voters one away
+    leaves three, all of which it takes; three voters bear the loss of one more.
+    """
+    others = [name for name in voters if name != leaving]
+    live = [name for name in others if name in answered]
+    return bears_loss(others, live, topology) and not bears_loss(voters, live, topology)
+
+
+def next_voters(
+    voters: Members, wanted: Sequence[str], answered: Members, topology: Topology, leaving: Collection[str] = ()
+) -> dict[str, str]:
+    """The voters of control's next epoch: those before with at most one safe change, given who answered by which disk,
+    and who of them is told to leave.
+
+    A voter holds promises alone, so that whoever answers is ready; the state is kept by the primary and its backups."""
+    present = {name: disk for name, disk in answered.items() if name not in leaving}
+    for name in leaving:
+        if name in voters and gives_up_vote(voters, name, present, topology):
+            return {other: disk for other, disk in voters.items() if other != name}
+    change = next_change(Situation(voters, wanted, present, list(present), topology))
+    return change.members if change is not None else dict(voters)
+
+
 def safe_copies(areas_of_stores: Sequence[str], most: int, tolerance: Tolerance) -> int:
     """How many copies the stores in these areas should hold: the most, up to `most`, that bear the next loss.
 
@@ -218,14 +244,14 @@
     born: int  # grows with every start of its process
 
 
-def has_successor(old: Presence, others: Iterable[Presence], patience: float, led: float) -> bool:
+def has_successor(old: Presence, others: Iterable[Presence], patience: float) -> bool:
     """Has another machine come for one that is silent, so that the silent one may be dropped?
 
     One of the same duties in the same area that announced itself since shortly before the silent one was last heard: a
     planned replacement starts the new machine first. Or one that started later, where the silent one has been away for
-    long: this primary, which leads for `led`, knows nothing of who came before.
+    long: a primary may know nothing of who came before it led.
     """
-    long = (2 if old.silent >= led else 3) * patience
+    long = 2 * patience
     for other in others:
         if (other.duties, other.area) != (old.duties, old.area) or other.silent > patience:
             continue
@@ -234,9 +260,7 @@
     return False
 
 
-def machine_to_drop(
-    machines: Mapping[str, Presence], least: Callable[[Presence], int], patience: float, led: float
-) -> str | None:
+def machine_to_drop(machines: Mapping[str, Presence], least: Callable[[Presence], int], patience: float) -> str | None:
     """The machine with a disk that is gone for good; None if there is none, or if the rest would be too few.
 
     One at a time: the next once those that stay have taken over what the one before held.
@@ -245,6 +269,6 @@
         if old.silent <= patience:
             continue
         others = [o for n, o in machines.items() if n != name and o.duties == old.duties and o.silent <= patience]
-        if len(others) >= least(old) and has_successor(old, others, patience, led):
+        if len(others) >= least(old) and has_successor(old, others, patience):
             return name
     return None
