--- a/tests/test_item_answers.py
+++ b/tests/test_item_answers.py
@@ -46,6 +46,12 @@
     assert told.results["lot0", 4][0]["output"] == whole_text("lot0-4")
 
 
+def test_the_request_before_may_have_been_of_the_same_item() -> None:
+    # Found by a hunt: the check took the failure for another item's.
+    told = run_items(ItemScene(((Play(cut=74), Play("never", identity="previous")),), (1,)))
+    assert judge_items(told) == [] and told.results["lot0", 0][0]["status"] == "abandoned"
+
+
 def test_a_late_answer_to_another_item_is_no_text_of_this_one() -> None:
     # With eight items for three places, the last of them goes out on a connection that brings an answer once more.
     told = run_items(ItemScene(((Play(surplus="repeat", surplus_delay=0.3),),), (8,)))
