--- a/postpass/wire.py
+++ b/postpass/wire.py
@@ -26,6 +26,7 @@
 from postpass import events
 from postpass.config import split
 from postpass.fault import BROKE, LACK, SLOW, Fault
+from postpass.ordered import OrderedSet
 
 IDL: Any = thriftpy2.load(str(Path(__file__).parent / "idl" / "peer.thrift"), module_name="postpass_peer_thrift")
 PACKET = 8 << 10
@@ -292,8 +293,8 @@
     who: str
     handlers: dict[str, Handler]
     server: asyncio.AbstractServer | None = None
-    tasks: set[asyncio.Task[None]] = field(default_factory=set)
-    links: set[asyncio.StreamWriter] = field(default_factory=set)
+    tasks: OrderedSet[asyncio.Task[None]] = field(default_factory=OrderedSet)
+    links: OrderedSet[asyncio.StreamWriter] = field(default_factory=OrderedSet)
 
     async def listen(self, addr: str) -> None:
         host, port = split(addr)
--- a/postpass/world.py
+++ b/postpass/world.py
@@ -20,6 +20,7 @@
 from starlette.types import ASGIApp
 
 from postpass.disk import Disk
+from postpass.ordered import OrderedSet
 
 T = TypeVar("T")
 
@@ -91,6 +92,7 @@
         log_config=None, access_log=False, timeout_graceful_shutdown=math.ceil(drain), server_header=False, date_header=False,
     )  # fmt: skip
     server = _Quiet(conf)
+    server.server_state.connections = OrderedSet()  # type: ignore[assignment]  # closed in the order they were opened
 
     async def watch() -> None:
         await stop.wait()
--- a/sim/replay.py
+++ b/sim/replay.py
@@ -16,7 +16,7 @@
 import random
 import sys
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Sequence
 from contextlib import AbstractContextManager, contextmanager
 from dataclasses import dataclass
 from typing import Any
@@ -146,8 +146,17 @@
     return found
 
 
+def listed(names: str | Sequence[str]) -> list[str]:
+    """Names with commas between them, which the command line hands over as one string or as several."""
+    return [name for name in (names.split(",") if isinstance(names, str) else names) if name]
+
+
 def main(
-    runs: int = 10, programmes: str = "", scenarios: str = "", disturbances: str = ",".join(DISTURBANCES), seed: int = 1
+    runs: int = 10,
+    programmes: str | Sequence[str] = "",
+    scenarios: str | Sequence[str] = "",
+    disturbances: str | Sequence[str] = tuple(DISTURBANCES),
+    seed: int = 1,
 ) -> int:
     """Prints how many replays of each programme or scenario diverged; exit 1 if any did.
 
@@ -158,12 +167,12 @@
       disturbances: which of them, with commas between them.
       seed: the seed of the recorded runs.
     """
-    names = programmes.split(",") if programmes else [] if scenarios else list(PROGRAMMES)
+    names = listed(programmes) or ([] if scenarios else list(PROGRAMMES))
     chosen = [parse(PROGRAMMES[name].text, name) for name in names]
-    chosen += [parse((FOLDER / f"{name}.txt").read_text(), name) for name in scenarios.split(",") if name]
+    chosen += [parse((FOLDER / f"{name}.txt").read_text(), name) for name in listed(scenarios)]
     bad = 0
     for scenario in chosen:
-        for disturbance in disturbances.split(","):
+        for disturbance in listed(disturbances):
             found = replay(scenario, seed, disturbance, runs)
             bad += len(found)
             print(f"{scenario.name} under another {disturbance}: {runs} replays, {len(found)} diverged", flush=True)
--- a/tests/test_replay.py
+++ b/tests/test_replay.py
@@ -8,12 +8,13 @@
 import aiohttp
 import pytest
 
+from postpass.ordered import OrderedSet
 from sim import replay
 from sim.crash import PROGRAMMES
 from sim.fleet import SimConnector
 from sim.loop import Host, SimLoop, run_sim
 from sim.replay import DISTURBANCES, Divergence, Recording
-from sim.runner import parse
+from sim.runner import FOLDER, parse
 
 IDLE_LIMIT = 2.0
 
@@ -24,6 +25,21 @@
     assert [str(found) for found in replay.replay(scenario, 1, disturbance, runs=3)] == []
 
 
+@pytest.mark.parametrize("name", ["disk-sync-fails", "restarts-by-sigterm"])
+def test_a_replay_passes_the_same_points_when_processes_close_their_connections(name: str) -> None:
+    scenario = parse((FOLDER / f"{name}.txt").read_text(), name)
+    assert [str(found) for found in replay.replay(scenario, 1, "addresses", runs=2)] == []
+
+
+def test_an_ordered_set_is_walked_as_its_elements_came() -> None:
+    ordered = OrderedSet([3, 1, 2])
+    ordered.discard(3)
+    ordered.discard(9)
+    ordered.add(1)
+    ordered.add(3)
+    assert list(ordered) == [1, 2, 3] and len(ordered) == 3 and 2 in ordered and 9 not in ordered
+
+
 def test_a_disturbed_process_clock_is_read_by_whoever_reads_one() -> None:
     before = time.monotonic
     with replay.another_process_clock(0):
