Split taking a configuration into steps, and document the orders of control

Only splits, renames of local names and docstrings: `take_configuration` (complexity 16, 15 branches) becomes the first configuration, the flaw that refuses one, the commit and the answer of a leader that can't prove itself; `b`, `s` and `g` in feed, writer and orders get whole names. What peers, operators and disks see is unchanged.

--- a/postpass/control/api.py
+++ b/postpass/control/api.py
@@ -22,6 +22,7 @@
     """Wires verbs, HTTP routes and tasks to what the other modules do."""
 
     def handlers(self) -> dict[str, Any]:
+        """The verbs of peers, with what answers them."""
         return {"look": self.on_look, "grant": self.on_grant, "copy": self.on_copy, "apply": self.on_apply,
                 "read": self.on_read, "adopt": self.on_adopt, "hear": self.on_hear,
                 "join": self.onward("join"), "beat": self.onward("beat"), "order": self.onward("order")}  # fmt: skip
@@ -37,9 +38,11 @@
         return handle
 
     def ways(self) -> list[Any]:
+        """The HTTP routes for operators."""
         return [Route("/v1/manifest", self.http_manifest, methods=["GET", "PUT"])]
 
     def tasks(self) -> list[Task]:
+        """What runs for as long as the process does."""
         return [
             self.tick(),
             self.lead_after_restart(),
@@ -47,6 +50,7 @@
         ]
 
     async def http_manifest(self, request: Request) -> Response:
+        """Reads the manifest in force, or puts another in its place if it was made from that one."""
         if request.method == "GET":
             got = await self.forward("read", {})
             if isinstance(got, Ok) and got.unwrap()["manifest"] is None:
@@ -93,6 +97,7 @@
         return JSONResponse(body, code, headers=more)
 
     async def more_status(self) -> Body:
+        """What the status page tells of a control member beyond what each daemon tells."""
         return {
             "control": {
                 "epoch": self.witness.pair.epoch, "promised": self.witness.promised, "primary": self.witness.pair.primary,
--- a/postpass/control/configuration.py
+++ b/postpass/control/configuration.py
@@ -30,6 +30,7 @@
 
     @cached_property
     def order(self) -> ConfigurationOrder:
+        """The identity of this order, by which it is known again."""
         return ConfigurationOrder.of(self.sent, self.base if self.is_patch else None)
 
     @cached_property
@@ -40,6 +41,7 @@
         return self.translator.terms(self.sent).err() or []
 
     def __call__(self, state: State) -> Result[State, Fault]:
+        """The state with the order applied, or why it is refused."""
         current = state.man.get("version", 0)
         recollection = taken_orders.recall(state.orders, self.order, current)
         if recollection is Recollection.TAKEN:
--- a/postpass/control/feed.py
+++ b/postpass/control/feed.py
@@ -18,11 +18,13 @@
     """Serves followers, confirms reads, and asks who runs a version."""
 
     async def on_ping(self, body: Body) -> PeerResponse:
+        """Answers a ping; one that asks for an entry is told of this member and whether its disk is blank."""
         if "entry" in body:
             return Ok({"entry": self.entry(), "blank": self.blank()})
         return await super().on_ping(body)
 
     async def on_follow(self, body: Body) -> PeerResponse:
+        """Answers a poll of the feed, and notes that its sender was heard."""
         if "who" in body:
             self.spoke[body["who"]] = now()
         return await super().on_follow(body)
@@ -46,7 +48,7 @@
             quiet = now() - self.conf.bounds.detect
             sends = {n for n, m in after["machines"].items() if {"edge", "sched"} & set(m["duties"])}
             waits = {n: a for n, a in waits.items() if n in sends and max(self.spoke.get(n, 0), self.since) > quiet}
-        b, peers = self.conf.bounds, dict(waits)
+        bounds, peers = self.conf.bounds, dict(waits)
 
         def word(got: PeerResponse) -> bool:
             """Does this answer settle it: the edition runs there, or nothing does?"""
@@ -58,7 +60,7 @@
             turn = 0
             while name in waits and (left := until - now()) > 0:
                 if turn % 2 == 0:
-                    wait = min(left, b.follow)
+                    wait = min(left, bounds.follow)
                     ask = {"want": edition, "at": mine, "wait": wait * 0.9}
                     done = word(await self.lines.call(addr, "ping", ask, wait))
                 else:
@@ -66,14 +68,14 @@
                     others = self.world.chance.sample(sorted(n for n in peers if n != name), min(3, len(peers) - 1))
                     ask = {"reach": addr, "want": edition}
                     got = await asyncio.gather(
-                        *(self.lines.call(peers[o], "ping", ask, min(left, b.follow)) for o in others)
+                        *(self.lines.call(peers[o], "ping", ask, min(left, bounds.follow)) for o in others)
                     )
                     done = any(g.is_ok() and word(g) for g in got)
                 if done:
                     waits.pop(name, None)
                     return
                 turn += 1
-                await asyncio.sleep(min(left, b.follow / 8))
+                await asyncio.sleep(min(left, bounds.follow / 8))
 
         await asyncio.gather(*(one(n, a) for n, a in peers.items()))
         events.emit(144, self.conf.name, edition=edition, waits=",".join(sorted(waits)) or "for nobody")
@@ -138,6 +140,7 @@
                 return Err(Fault("read", self.conf.name, "no primary now; ask again", SHED))
 
     async def on_read(self, body: Body) -> PeerResponse:
+        """Tells the configuration, or only its version, once this member has proved that it leads."""
         if "wait" in body:
             return await self.read_waiting(float(body["wait"]))
         if body.get("brief") and self.epoch:
--- a/postpass/control/orders.py
+++ b/postpass/control/orders.py
@@ -40,74 +40,93 @@
         man, base = got.unwrap(), body["base"]
         async with self.lock:
             if not self.epoch:
-                if self.known() is not None or base not in (0, -1):
-                    hint = self.witness.pair.primary if self.witness.pair.primary != me else ""
-                    return Err(Fault(step, me, "not the primary", MOVED, hint))
-                if me not in self.members(man):
-                    return Err(Fault(step, me, f"machines: {me} is not a control machine of this manifest", BAD))
-                found = await self.run_election(man, "founded", State(1, man))
-                if isinstance(found, Err):
-                    return found
-                return Ok({"edition": 1})
+                return await self.take_first_configuration(man, base)
             state = self.held.state
             if state.manifest is not None and dump(state.manifest) == dump(man):
                 if not await self.confirm_leadership():
-                    return Err(Fault(step, me, "could not be confirmed; ask again", SLOW))
+                    return Err(self.unconfirmed(step))
                 return Ok({"edition": state.edition})
-            if base != state.edition:
-                if not await self.confirm_leadership():
-                    return Err(Fault(step, me, "could not be confirmed; ask again", SLOW))
-                return Err(
-                    Fault(
-                        step,
-                        me,
-                        f"edition {state.edition} is in force, this was made from {base}",
-                        OLD,
-                        str(state.edition),
-                    )
-                )
-            if state.manifest is not None and man["parts"] != state.manifest["parts"]:
-                return Err(Fault(step, me, f"parts: stays {state.manifest['parts']}; lots are spread by it", BAD))
-            if not set(self.members(man)) & set(self.held.pair.holders):
-                return Err(Fault(step, me, "machines: neither primary nor backup stays a control machine", BAD))
-            strange = await self.strangers(state.manifest, man)
-            if strange:
-                return Err(Fault(step, me, "\n".join(strange), BAD))
-            try:
-                done = await self.commit(State(state.edition + 1, man, state.losses))
-            except Stop as bad:
-                return Err(bad.fault)
-            if not done:
-                # It may or may not come to be: whoever leads next decides. This one leads no further.
-                if self.epoch:
-                    self.epoch = 0
-                    self.heard = now() - self.conf.bounds.detect
-                return Err(Fault(step, me, "not known whether it was taken; ask again", SLOW))
-            return Ok({"edition": state.edition + 1})
+            flaw = await self.configuration_flaw(man, base, state)
+            if flaw is not None:
+                return Err(flaw)
+            return await self.commit_configuration(State(state.edition + 1, man, state.losses))
+
+    async def take_first_configuration(self, man: Manifest, base: int) -> PeerResponse:
+        """Founds the fleet with its first manifest; refuses if this member only doesn't lead. Holds the lock."""
+        step, me = "apply", self.conf.name
+        if self.known() is not None or base not in (0, -1):
+            hint = self.witness.pair.primary if self.witness.pair.primary != me else ""
+            return Err(Fault(step, me, "not the primary", MOVED, hint))
+        if me not in self.members(man):
+            return Err(Fault(step, me, f"machines: {me} is not a control machine of this manifest", BAD))
+        found = await self.run_election(man, "founded", State(1, man))
+        if isinstance(found, Err):
+            return found
+        return Ok({"edition": 1})
+
+    async def configuration_flaw(self, man: Manifest, base: int, state: State) -> Fault | None:
+        """Why a manifest can't follow the state in force, if it can't. Holds the lock."""
+        step, me = "apply", self.conf.name
+        if base != state.edition:
+            if not await self.confirm_leadership():
+                return self.unconfirmed(step)
+            why = f"edition {state.edition} is in force, this was made from {base}"
+            return Fault(step, me, why, OLD, str(state.edition))
+        if state.manifest is not None and man["parts"] != state.manifest["parts"]:
+            return Fault(step, me, f"parts: stays {state.manifest['parts']}; lots are spread by it", BAD)
+        if not set(self.members(man)) & set(self.held.pair.holders):
+            return Fault(step, me, "machines: neither primary nor backup stays a control machine", BAD)
+        strange = await self.strangers(state.manifest, man)
+        return Fault(step, me, "\n".join(strange), BAD) if strange else None
+
+    async def commit_configuration(self, state: State) -> PeerResponse:
+        """Makes a state durable at the replicas; steps down if it can't be told whether it was. Holds the lock."""
+        try:
+            done = await self.commit(state)
+        except Stop as bad:
+            return Err(bad.fault)
+        if not done:
+            # It may or may not come to be: whoever leads next decides. This one leads no further.
+            if self.epoch:
+                self.epoch = 0
+                self.heard = now() - self.conf.bounds.detect
+            return Err(Fault("apply", self.conf.name, "not known whether it was taken; ask again", SLOW))
+        return Ok({"edition": state.edition})
+
+    def unconfirmed(self, step: str) -> Fault:
+        """What a member says that leads as far as it knows, and couldn't prove it in time."""
+        return Fault(step, self.conf.name, "could not be confirmed; ask again", SLOW)
 
     async def apply_source(self, source: Any, base: int) -> PeerResponse:
         """The operator's document as a whole, made on top of version `base`."""
         return await self.command({"what": "source", "source": source, "base": base})
 
     async def patch_source(self, change: Any, base: int) -> PeerResponse:
+        """A change of the operator's document, made on top of version `base`."""
         return await self.command({"what": "patch", "source": change, "base": base})
 
     async def read_source(self) -> PeerResponse:
+        """The operator's document in force, with its version."""
         return await self.forward("read", {"source": 1}, self.conf.bounds.manifest / 4)
 
     async def evacuate(self, area: str, away: bool) -> PeerResponse:
+        """Takes all traffic from a zone, or lets it come back."""
         return await self.command({"what": "evacuate" if away else "return", "area": area})
 
     async def retire(self, name: str) -> PeerResponse:
+        """Asks that a store be emptied for good."""
         return await self.command({"what": "retire", "name": name})
 
     async def retired(self, name: str) -> PeerResponse:
+        """Asks whether a store that was to be emptied is so."""
         return await self.command({"what": "retired", "name": name})
 
     async def command(self, body: Body) -> PeerResponse:
+        """Hands an order to whoever leads."""
         return await self.forward("order", body, self.conf.bounds.manifest / 2)
 
     async def on_order(self, body: Body) -> PeerResponse:
+        """Takes an order as the leader, and answers once it is in force, or names those that have not said so in time."""
         if not await self.is_leading():
             return Err(self.not_leader("order"))
         asked, what = now(), body["what"]
@@ -122,6 +141,7 @@
         return Ok({"edition": edition, "waits": waits})
 
     def folding(self, body: Body) -> Fold:
+        """The change of the state that an order asks for."""
         what = body["what"]
         if what == "source":
             return self.configuration(body["source"], body["base"], is_patch=False)
@@ -130,18 +150,20 @@
         if what in ("evacuate", "return"):
             area = body["area"]
             if area not in self.conf.areas:
-                return lambda s: Err(Fault(what, self.conf.name, f"unknown area {area!r:.60}", LACK))
-            return lambda s: Ok(roster.evacuated(s, area) if what == "evacuate" else roster.returned(s, area))
+                return lambda _: Err(Fault(what, self.conf.name, f"unknown area {area!r:.60}", LACK))
+            return lambda state: Ok(
+                roster.evacuated(state, area) if what == "evacuate" else roster.returned(state, area)
+            )
         if what == "retire":
 
-            def retire(s: State) -> Result[State, Fault]:
-                flaw = roster.retire_flaw(s, body["name"], self.conf.tolerance)
+            def retire(state: State) -> Result[State, Fault]:
+                flaw = roster.retire_flaw(state, body["name"], self.conf.tolerance)
                 if flaw:
                     return Err(Fault("retire", self.conf.name, flaw[1], flaw[0]))
-                return Ok(roster.retiring(s, body["name"], self.conf.tolerance))
+                return Ok(roster.retiring(state, body["name"], self.conf.tolerance))
 
             return retire
-        return lambda s: Err(Fault("order", self.conf.name, f"unknown order {what!r:.60}", BAD))
+        return lambda _: Err(Fault("order", self.conf.name, f"unknown order {what!r:.60}", BAD))
 
     def configuration(self, sent: Any, base: int, is_patch: bool) -> Fold:
         """The operator's document, whole or as a change of the one of version `base`."""
@@ -152,7 +174,7 @@
         """Does a store hold nothing any more that counts? Once that is so, it is no machine of the fleet any longer."""
         state = self.held.state
         if not await self.confirm_leadership():
-            return Err(Fault("retire", self.conf.name, "could not be confirmed; ask again", SLOW))
+            return Err(self.unconfirmed("retire"))
         if name in state.retired:
             return Ok({"done": True})
         man = state.man
@@ -160,7 +182,7 @@
             return Err(Fault("retire", self.conf.name, f"no store {name!r:.60}", LACK))
         if not man["machines"][name].get("retire") or not await self.holds_nothing(name, man):
             return Ok({"done": False})
-        got = await self.change(lambda s: Ok(roster.emptied(s, name)), 0.0)
+        got = await self.change(lambda state: Ok(roster.emptied(state, name)), 0.0)
         return Ok({"done": isinstance(got, Ok)})
 
     async def holds_nothing(self, name: str, man: Manifest) -> bool:
@@ -171,8 +193,8 @@
             *(self.lines.call(man["machines"][n]["peer"], "parts", {}, self.conf.bounds.follow) for n in stores)
         )
         best: dict[int, Body] = {}
-        for g in got:
-            for row in g.unwrap()["parts"] if isinstance(g, Ok) else []:
+        for answer in got:
+            for row in answer.unwrap()["parts"] if isinstance(answer, Ok) else []:
                 if row["owning"] and row["ready"] and row["epoch"] > best.get(row["part"], {"epoch": -1})["epoch"]:
                     best[row["part"]] = row
         return all(
--- a/postpass/control/writer.py
+++ b/postpass/control/writer.py
@@ -38,6 +38,7 @@
         return await edit.done
 
     async def write(self) -> None:
+        """Writes what waits, whenever its time has come."""
         while True:
             if not self.edits:
                 self.due = INFINITY
@@ -61,7 +62,7 @@
 
     async def write_edits(self, edits: list[Edit]) -> list[Result[int, Fault]]:
         """One write for many changes. If the backup is silent another one is taken, and all are laid on once more."""
-        me, b = self.conf.name, self.conf.bounds
+        me, bounds = self.conf.name, self.conf.bounds
         for _ in range(2):
             epoch, before = self.epoch, self.held.state
             if not epoch or before.manifest is None:
@@ -82,7 +83,7 @@
                 self.epoch = 0
                 again = await self.run_election(state.man, "backup lost")
                 if isinstance(again, Err):
-                    self.heard = now() - b.detect
+                    self.heard = now() - bounds.detect
                 else:
                     events.emit(132, me, backup=",".join(self.held.pair.backups), why="it did not take a write")
         return [Err(Fault("write", me, "not known whether it was taken; ask again", SLOW)) for _ in edits]
@@ -98,6 +99,7 @@
                 return got
 
     async def forward_once(self, verb: str, body: Body, limit: float) -> PeerResponse:
+        """Tries this member, then whoever it names as primary, then all others."""
         got: PeerResponse = await getattr(self, f"on_{verb}")(body)
         tried = {self.conf.name}
         names = [n for n in self.members() if n != self.conf.name]
