Read several programmes' names from the command line of the crash points

Cause: `--programmes lots,apply` comes from `fire` as a tuple, and failed with "'tuple' object has no attribute 'split'". Change: `listed` takes one string or several, for `sim.crash` and `sim.replay`. Measured: the command failed so before, and strikes both programmes after.

--- a/sim/crash.py
+++ b/sim/crash.py
@@ -11,6 +11,7 @@
 import multiprocessing
 import sys
 from collections import Counter, defaultdict
+from collections.abc import Sequence
 from dataclasses import dataclass, replace
 from pathlib import Path
 
@@ -100,7 +101,14 @@
     return replace(s, expect=[])
 
 
-def crash(every: int = 40, seed: int = 1, jobs_: int = 8, programmes: str = "", most: int = 0, out: str = "") -> int:
+def listed(names: str | Sequence[str]) -> list[str]:
+    """Names with commas between them, which the command line hands over as one string or as several."""
+    return [name for name in (names.split(",") if isinstance(names, str) else names) if name]
+
+
+def crash(
+    every: int = 40, seed: int = 1, jobs_: int = 8, programmes: str | Sequence[str] = "", most: int = 0, out: str = ""
+) -> int:
     """Strikes at the points of each programme; exit 1 if anything happened that must never happen.
 
     Args:
@@ -111,7 +119,7 @@
       most: at the most so many strikes a programme, spread; 0 for all.
       out: a file for the report.
     """
-    names = programmes.split(",") if programmes else list(PROGRAMMES)
+    names = listed(programmes) or list(PROGRAMMES)
     rows, bad, total = [], 0, 0
     with multiprocessing.Pool(jobs_, maxtasksperchild=50) as pool:
         for name in names:
--- a/sim/replay.py
+++ b/sim/replay.py
@@ -24,7 +24,7 @@
 
 import fire
 
-from sim.crash import PROGRAMMES
+from sim.crash import PROGRAMMES, listed
 from sim.points import Point
 from sim.runner import FOLDER, Scenario, parse, play
 
@@ -146,11 +146,6 @@
     return found
 
 
-def listed(names: str | Sequence[str]) -> list[str]:
-    """Names with commas between them, which the command line hands over as one string or as several."""
-    return [name for name in (names.split(",") if isinstance(names, str) else names) if name]
-
-
 def main(
     runs: int = 10,
     programmes: str | Sequence[str] = "",
--- a/tests/test_replay.py
+++ b/tests/test_replay.py
@@ -10,7 +10,7 @@
 
 from postpass.ordered import OrderedSet
 from sim import replay
-from sim.crash import PROGRAMMES
+from sim.crash import PROGRAMMES, listed
 from sim.fleet import SimConnector
 from sim.loop import Host, SimLoop, run_sim
 from sim.replay import DISTURBANCES, Divergence, Recording
@@ -49,6 +49,11 @@
     assert time.monotonic is before and aiohttp.connector.monotonic is before  # type: ignore[attr-defined]
 
 
+def test_several_names_on_a_command_line_come_as_one_string_or_as_several() -> None:
+    assert listed("lots") == ["lots"] and listed("lots,apply") == listed(("lots", "apply")) == ["lots", "apply"]
+    assert listed("") == []
+
+
 def test_the_first_difference_of_two_recordings_is_told() -> None:
     one = Recording((), ({"ev": "call"},), 5)
     assert replay.compare(one, one) is None
