--- a/tests/test_readable_code.py
+++ b/tests/test_readable_code.py
@@ -14,11 +14,11 @@
 from tests import readable_code
 from tests.readable_code import MOVED, MOVED_TERMS, ROOT, STANDARD_MODULES, STANDARD_TERMS
 
-# From the lowest to the highest; a module imports from lower layers alone.
+# From the lowest to the highest; a module imports from lower layers alone. One that is not there yet is passed over.
 LAYERS = {
     "control": (
-        "epochs", "state", "journal", "changes", "configuration", "member", "replica", "election", "writer", "feed", "registry",
-        "leadership", "orders", "api", "daemon",
+        "epochs", "state", "journal", "changes", "configuration", "member", "contact", "replica", "election", "writer",
+        "in_force", "feed", "registry", "leadership", "orders", "api", "daemon",
     )
 }  # fmt: skip
 # Withdrawn words that still stand in names, by module. The users of these names are being worked on.
