--- a/postpass/control/replica.py
+++ b/postpass/control/replica.py
@@ -52,7 +52,10 @@
         return self.append_answer(body, True)
 
     def append_answer(self, body: Body, ok: bool) -> PeerResponse:
-        return Ok({"ok": ok, "epoch": body["epoch"], "promised": self.witness.promised, "disk": self.disk_id})
+        return Ok({
+            "ok": ok, "epoch": body["epoch"], "promised": self.witness.promised, "disk": self.disk_id,
+            "leaving": self.leaving,
+        })  # fmt: skip
 
     async def append_to(self, held: Held | None, epoch: int, to: str) -> Acknowledgement | None:
         """Sends the state, or a heartbeat alone; the member's acknowledgement, if it gave one."""
@@ -74,6 +77,7 @@
             self.wiped_backups.add(to)
         if not answer["ok"]:
             return None
+        (self.departing.add if answer.get("leaving") else self.departing.discard)(to)
         # Releases before 0.3 don't repeat the epoch; the answer belongs to this request by its number.
         acknowledgement = Acknowledgement(to, str(answer["disk"]), answer.get("epoch", epoch))
         if epoch == self.epoch and pair.counts(acknowledgement):
