Promise an epoch on disk before anything of it, and follow granted epochs only

Change: `Witness.accept` says what must be on disk before a message of an epoch takes effect. A primary says that its epoch is granted; a candidate's copy is taken only by those that promised to it, and changes neither the leader nor when it was last heard. A new primary sends a heartbeat to all at once.

--- a/postpass/control/election.py
+++ b/postpass/control/election.py
@@ -180,8 +180,13 @@
         for name in sorted(set(now_voters) - {n for n, d in voters.items() if now_voters.get(n) == d}):
             events.emit(134, self.conf.name, joins=name)
         self.publish(state)
+        # Who leads is told by the granted epoch alone; members that wait for a primary need not wait for the next beat.
+        self.spawn(self.announce_epoch(epoch, man))
         return Ok(None)
 
+    async def announce_epoch(self, epoch: int, man: Manifest) -> None:
+        await self.heartbeat(epoch, man)
+
     async def confirm_leadership(self) -> bool:
         """True if nobody else led when this was called: all holders and most voters answered under this epoch since. A backup
         that does not answer is replaced, and the new replica set asked. Called with the lock held."""
--- a/postpass/control/epochs.py
+++ b/postpass/control/epochs.py
@@ -91,6 +91,18 @@
             return replace(self, promised=epoch, to=who)
         return None
 
+    def accept(self, epoch: int, who: str, granted: bool) -> Witness | None:
+        """What must be on disk before a message of that epoch takes effect; None if it is refused.
+
+        A primary whose epoch a majority granted is followed, whoever else asked here for a promise of that epoch: no
+        majority can grant it to another. A candidate is heard only by those that promised the epoch to it.
+        """
+        if granted and epoch > self.promised:
+            return replace(self, promised=epoch, to=who)
+        if epoch == self.promised and (granted or who == self.to):
+            return self
+        return None
+
     def grant(self, pair: Pair, who: str) -> Witness | None:
         if pair.epoch < self.promised or (pair.epoch == self.promised and who != self.to):
             return None
--- a/postpass/control/leadership.py
+++ b/postpass/control/leadership.py
@@ -108,7 +108,7 @@
         b = self.conf.bounds
         order = sorted(self.members(man), key=lambda n: (n not in self.held.pair, self.members(man).index(n)))
         rank = order.index(self.conf.name)
-        if now() - self.heard <= b.detect + rank * b.stagger:
+        if now() - self.heard <= b.detect + rank * b.stagger or now() < self.candidate_until + rank * b.stagger:
             return
         if self.held.whole == 0 and self.news.manifest is None:
             return
--- a/postpass/control/member.py
+++ b/postpass/control/member.py
@@ -60,6 +60,8 @@
         self.witness, self.held, self.disk_id, self.epoch = Witness(), Held(), "", 0
         self.committed = Committed()
         self.heard = 0.0
+        self.candidate_until = 0.0  # until when a candidate that was given a promise may become the primary
+        self.promise_on_disk = 0  # the highest promise that is synced
         self.copied: dict[str, float] = {}  # when each backup last answered
         self.answered: dict[str, float] = {}  # when each voter's disk last answered under this epoch
         self.departing: set[str] = set()  # members that were told to leave, by their last answer
@@ -103,6 +105,7 @@
                     self.disk.rename(name, f"damaged-{name}")
             self.witness, self.held = Witness(), Held()
             self.disk_id = (await open_vault(self.conf.name, self.disk, self.world.chance, 1 << 16, 0)).name
+        self.promise_on_disk = self.witness.promised
         if self.held.state.manifest is not None:
             # An older edition is better than none to find the others by; it may be behind, never ahead
             # of what this pair's disk took.
@@ -143,10 +146,13 @@
         new = self.witness.look(body["epoch"], body["who"])
         if new is None:
             return Ok(self.about() | {"ok": False})
-        # Whoever asks may soon lead: this one's own try can wait for that.
-        self.heard = max(self.heard, now() - self.conf.bounds.detect + self.conf.bounds.promise)
+        self.yield_to_candidate()
         return await self.promise(new)
 
+    def yield_to_candidate(self) -> None:
+        """Whoever asks may soon lead: this one's own try can wait for that. It is no primary yet, and is not taken for one."""
+        self.candidate_until = now() + self.conf.bounds.promise
+
     def hears_another_primary(self, candidate: str) -> bool:
         """Is there a primary, by what was heard here, that `candidate` would depose?"""
         if self.epoch:
@@ -157,10 +163,11 @@
         new = self.witness.grant(Pair.of(body["pair"]), body["who"])
         if new is None:
             return Ok(self.about() | {"ok": False})
-        self.heard = self.led = now()
+        self.yield_to_candidate()
         return await self.promise(new)
 
     async def promise(self, new: Witness) -> PeerResponse:
+        """Answers once the promise is on disk."""
         self.witness = new
         if self.epoch and new.promised > self.epoch:
             self.step_down(new.promised)
@@ -168,6 +175,7 @@
             await self.keep("epochs", new.dump())
         except Stop as bad:
             return Err(bad.fault)
+        self.promise_on_disk = max(self.promise_on_disk, new.promised)
         return Ok(self.about() | {"ok": self.witness == new})
 
     def step_down(self, seen: int | str) -> None:
--- a/postpass/control/replica.py
+++ b/postpass/control/replica.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-from result import Err, Ok
+from result import Err, Ok, Result
 
 from postpass.control.contact import Contact
 from postpass.control.epochs import Acknowledgement, Pair
@@ -20,37 +20,67 @@
     """Copies the state to the replicas, and answers as one of them."""
 
     async def on_copy(self, body: Body) -> PeerResponse:
-        """From the primary to its backup: the state to sync, or just a round trip under the epoch."""
-        if body["epoch"] < self.witness.promised:
+        """From the primary, or from a candidate to its backups: the state to sync, or just a heartbeat under the epoch.
+        Nothing of an epoch is accepted before the promise of that epoch is on disk."""
+        # Releases before 0.3 don't tell whether their epoch is granted, and take every sender for a primary.
+        granted = bool(body.get("granted", True))
+        accepted = self.witness.accept(body["epoch"], body.get("who", ""), granted)
+        if accepted is None:
             return self.append_answer(body, False)
-        self.heard = self.led = now()
-        self.leader = body.get("who", "")
-        self.announce_leader()
-        if "held" in body:
-            raw = body["held"]
-            new = Held(raw["whole"], Pair.of(raw["pair"]), State(**raw["state"]))
-            if new.pair.voters.get(self.conf.name) != self.disk_id:
-                # Meant for the disk that this member had before; it may have been under way since then.
-                return self.append_answer(body, False)
-            if (new.whole, new.state.edition) < (self.held.whole, self.held.state.edition):
-                return self.append_answer(body, False)
-            try:
-                await self.keep("state", new.dump())
-            except Stop as bad:
-                return Err(bad.fault)
+        if accepted.promised > self.promise_on_disk:
+            promised = await self.promise(accepted)
+            if isinstance(promised, Err):
+                return promised
             if body["epoch"] < self.witness.promised:
                 return self.append_answer(body, False)
-            self.held = new
-        edition = body.get("edition", 0)
-        if edition > self.news.edition:
-            if self.held.whole == body["epoch"] and self.held.state.edition == edition:
-                self.publish(self.held.state)
-            elif at := self.addr(body["who"]) or body.get("at", ""):
-                task = asyncio.create_task(self.fetch(at))
-                self.fetches.add(task)
-                task.add_done_callback(self.fetches.discard)
+        if granted:
+            self.follow_leader(body.get("who", ""))
+        if "held" in body:
+            stored = await self.store_copy(body)
+            if isinstance(stored, Err):
+                return Err(stored.unwrap_err())
+            if not stored.unwrap():
+                return self.append_answer(body, False)
+        if granted:
+            self.learn_edition(body)
         return self.append_answer(body, True)
 
+    def follow_leader(self, name: str) -> None:
+        """The primary of a granted epoch was heard."""
+        self.heard = self.led = now()
+        self.leader = name
+        self.announce_leader()
+
+    async def store_copy(self, body: Body) -> Result[bool, Fault]:
+        """Syncs the state that was sent; False if it is not one for this disk and epoch to take."""
+        raw = body["held"]
+        new = Held(raw["whole"], Pair.of(raw["pair"]), State(**raw["state"]))
+        if new.pair.voters.get(self.conf.name) != self.disk_id:
+            # Meant for the disk that this member had before; it may have been under way since then.
+            return Ok(False)
+        if (new.whole, new.state.edition) < (self.held.whole, self.held.state.edition):
+            return Ok(False)
+        try:
+            await self.keep("state", new.dump())
+        except Stop as bad:
+            return Err(bad.fault)
+        if body["epoch"] < self.witness.promised:
+            return Ok(False)
+        self.held = new
+        return Ok(True)
+
+    def learn_edition(self, body: Body) -> None:
+        """The primary tells the edition in force: publishes it, or fetches it if this member has no copy of it."""
+        edition = body.get("edition", 0)
+        if edition <= self.news.edition:
+            return
+        if self.held.whole == body["epoch"] and self.held.state.edition == edition:
+            self.publish(self.held.state)
+        elif at := self.addr(body["who"]) or body.get("at", ""):
+            task = asyncio.create_task(self.fetch(at))
+            self.fetches.add(task)
+            task.add_done_callback(self.fetches.discard)
+
     def append_answer(self, body: Body, ok: bool) -> PeerResponse:
         return Ok({
             "ok": ok, "epoch": body["epoch"], "promised": self.witness.promised, "disk": self.disk_id,
@@ -62,7 +92,10 @@
         addr = self.addr(to)
         if not addr:
             return None
-        body: Body = {"epoch": epoch, "who": self.conf.name, "edition": self.news.edition, "at": self.conf.peer}
+        body: Body = {
+            "epoch": epoch, "who": self.conf.name, "edition": self.news.edition, "at": self.conf.peer,
+            "granted": self.epoch == epoch,
+        }  # fmt: skip
         if held:
             body["held"] = held.raw()
         # Where machines announce themselves another backup is soon found; an order doesn't wait long for this one.
--- a/tests/test_worst_days_leadership.py
+++ b/tests/test_worst_days_leadership.py
@@ -3,18 +3,20 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import random
 from collections.abc import Iterable
-from dataclasses import replace
+from dataclasses import asdict, replace
 from typing import Any
 
 import pytest
 
-from postpass.control import Control
+from postpass.control import Control, Held
+from postpass.control.epochs import Pair
 from postpass.roster import Standing
 from sim.disk import SimDisk
 from sim.loop import SimLoop, run_sim
-from tests.announced import Fleet
+from tests.announced import Fleet, Node
 from tests.test_platform_configuration import document
 
 DETECTION_TIME = 1.5
@@ -244,3 +246,77 @@
         ).is_ok()
 
     play(scene, control=5, stores=5)
+
+
+# --- 4: nothing of an epoch before its promise is synced; a candidate is no primary
+def test_a_candidate_without_a_grant_is_taken_for_no_primary() -> None:
+    async def scene(f: Fleet) -> None:
+        lead = await settle(f)
+        node = f.nodes[next(n for n in lead.held.pair.voters if n not in lead.held.pair)]
+        member, disk = node.daemon, node.disk
+        assert isinstance(member, Control) and disk is not None
+        believed, epoch = (member.leader, member.witness.promised), lead.epoch
+
+        async def copy(c: Control, **body: Any) -> Any:
+            return (await c.on_copy({"edition": 0, **body})).unwrap()["ok"]
+
+        def deliver(**body: Any) -> Any:
+            return f.ask(member.conf.name, lambda c: copy(c, **body))
+
+        assert not await deliver(epoch=epoch + 5, who="c9", granted=False), "it was promised nothing"
+        assert (member.leader, member.witness.promised) == believed
+        ask = {"epoch": epoch + 5, "who": "c9", "handover": 1}
+        assert (await f.ask(member.conf.name, lambda c: c.on_look(ask))).unwrap()["ok"]
+        led, heard = member.led, member.heard
+        assert await deliver(epoch=epoch + 5, who="c9", granted=False)
+        assert not await deliver(epoch=epoch + 5, who="c8", granted=False), "the promise is another's"
+        pair = Pair(epoch + 5, "c9", (), lead.held.pair.voters)
+        grant = {"pair": asdict(pair), "who": "c9"}
+        assert (await f.ask(member.conf.name, lambda c: c.on_grant(grant))).unwrap()["ok"]
+        assert (member.leader, member.led, member.heard) == (believed[0], led, heard), (
+            "an epoch not granted was followed"
+        )
+        assert await deliver(epoch=epoch + 6, who="c8", granted=True)
+        assert member.leader == "c8" and json.loads(disk.read("epochs"))["promised"] == epoch + 6
+
+    play(scene, control=4)
+
+
+@pytest.mark.parametrize("control", [3, 4, 5])
+def test_no_state_is_on_a_disk_before_the_promise_of_its_epoch(control: int) -> None:
+    async def scene(f: Fleet) -> int:
+        seen: list[tuple[int, int]] = []
+
+        def watch(node: Node) -> None:
+            disk = node.disk
+            if disk is None or node.conf.duties:
+                return
+
+            def synced(what: str) -> None:
+                if what == "synced.state":
+                    promised = json.loads(disk.kept["epochs"])["promised"] if "epochs" in disk.kept else 0
+                    seen.append((Held.load(bytes(disk.kept["state"])).whole, promised))
+
+            disk.tap = synced
+
+        for node in f.nodes.values():
+            watch(node)
+        lead = await settle(f)
+        for turn, (gap, silent) in enumerate(((0.1, True), (0.5, False), (3.0, True), (0.2, True))):
+            name = lead.conf.name if turn % 2 else lead.held.pair.backup
+            if turn < 2:
+                f.kill(name, silent=silent)
+            else:
+                wipe(f, name)
+                watch(f.nodes[name])
+            await asyncio.sleep(gap)
+            f.boot(name)
+            await asyncio.sleep(6)
+            assert f.primary() is not None
+            lead = leader(f)
+            assert (await f.ask(name, lambda c, turn=turn: c.apply_source(document(4 + turn), 3 + turn))).is_ok()
+        early = [s for s in seen if s[0] > s[1]]
+        assert not early, early
+        return len(seen)
+
+    assert play(scene, control=control) > 20
