Rebuild control from daemons only if nobody may come back with newer state

Change: `unheard_holders` says who might still hold a newer state: all members of the configuration in force, the voters and the holders of the newest epoch seen; an announced holder counts even if dropped. Control drops no holder before the replica set is renewed without it.

--- a/postpass/control/election.py
+++ b/postpass/control/election.py
@@ -17,6 +17,7 @@
     majority,
     may_campaign,
     may_lead,
+    unheard_holders,
     votes,
 )
 from postpass.control.replica import Replica
@@ -107,6 +108,8 @@
                 newest = await self.newest_known(man)
                 if newest is None:
                     return Err(Fault(step, me, "too few daemons confirm the newest edition", SLOW))
+                if unheard := self.unheard(newest[1], good):
+                    return Err(Fault(step, me, f"{', '.join(unheard)} may hold the newest state", SLOW))
                 state, loss = recovered(newest[0] + 1, newest[1], 1), True
             elif first is not None:
                 state = first
@@ -128,6 +131,8 @@
                     newest = await self.newest_known(man)
                     if newest is None:
                         return Err(Fault(step, me, "too few daemons confirm the newest edition", SLOW))
+                    if unheard := self.unheard(newest[1], good):
+                        return Err(Fault(step, me, f"{', '.join(unheard)} may hold the newest state", SLOW))
                     edition = max(newest[0], *(a["edition"] for a in good.values())) + 1
                     state, loss = recovered(edition, newest[1], start.state.losses + 1), True
                 elif start.whole != best.epoch:
@@ -230,6 +235,15 @@
         after = next_voters(voters, self.members(man), answered, self.topology(man), leaving)
         return sorted(n for n in {*voters, *after} if voters.get(n) != after.get(n))
 
+    def unheard(self, man: Manifest, answers: dict[str, Body]) -> list[str]:
+        """Who might hold a newer state than those that answered, by the newest configuration in force."""
+        newest = max((Pair.of(a["pair"]) for a in answers.values()), key=lambda p: p.epoch)
+        known = {*self.electorate(man), *newest.voters, *newest.holders}
+        dropped = {n for n in known if n not in man["machines"] or man["machines"][n].get("gone")}
+        # Where machines announce themselves it was no operator that dropped them.
+        declared_gone = set() if man.get("announced") else dropped
+        return sorted(unheard_holders(newest, self.members(man), dropped, declared_gone, answers))
+
     @property
     def wanted_backups(self) -> int:
         """How many backups there should be: one more copy than may be lost, with the primary's own."""
--- a/postpass/control/epochs.py
+++ b/postpass/control/epochs.py
@@ -4,7 +4,7 @@
 
 import json
 import math
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import asdict, dataclass, field, replace
 from typing import Any
 
@@ -155,6 +155,25 @@
     return {a.member: a.disk for a in answers if a.epoch == epoch}
 
 
+def unheard_holders(
+    newest: Pair,
+    members: Iterable[str],
+    dropped: Collection[str],
+    declared_gone: Collection[str],
+    answered: Collection[str],
+) -> set[str]:
+    """Who might still come back with a newer state than any that answered. The state is rebuilt from daemons only if this
+    is empty.
+
+    `newest` is the newest replica set that an answer tells, `members` are those of the newest configuration in force.
+    All of these and all voters must answer, but for those that this configuration has `dropped`: every holder has it, so
+    none of them makes a dropped one a holder of a later epoch. A holder of `newest` itself must answer even so, unless
+    the operator has declared it gone.
+    """
+    needed = ({*members, *newest.voters} - set(dropped)) | (set(newest.holders) - set(declared_gone))
+    return needed - {""} - set(answered)
+
+
 def may_lead(me: str, whole: int, own: Pair, pairs: dict[str, Pair], voters: Voters, got: Voters) -> str:
     """The rule of takeover: empty if `me` may go on from the state it holds of epoch `whole`, else why not.
 
--- a/postpass/control/registry.py
+++ b/postpass/control/registry.py
@@ -110,7 +110,8 @@
         if 2 * len(late) > max(len(every), 4):
             # So many at once: it may well be the way to here that is cut, and no beat can come.
             late = [w for w, q in quiet.items() if q > 10 * self.conf.beat]
-        gone = roster.replaced(man, silent, self.met, t, self.patience)
+        # A holder leaves the replica set first: whoever is dropped can't lead, though it may hold the newest state.
+        gone = [n for n in roster.replaced(man, silent, self.met, t, self.patience) if n not in self.held.pair]
         joined = max((self.met.get(n, 0.0) for n in with_duty(man, "store")), default=t)
         few = (
             t - max(joined, self.since) > b.recover / 4
--- a/tests/test_worst_days_leadership.py
+++ b/tests/test_worst_days_leadership.py
@@ -10,7 +10,9 @@
 from typing import Any
 
 import pytest
+from result import Ok
 
+from postpass import roster
 from postpass.control import Control, Held
 from postpass.control.epochs import Pair
 from postpass.roster import Standing
@@ -320,3 +322,45 @@
         return len(seen)
 
     assert play(scene, control=control) > 20
+
+
+# --- 10: nothing is rebuilt from daemons while the newest state may come back
+@pytest.mark.parametrize("control", [3, 4, 5])
+@pytest.mark.parametrize("dropped", [False, True])
+def test_no_loss_is_declared_while_a_holder_is_only_away(control: int, dropped: bool) -> None:
+    async def scene(f: Fleet) -> tuple[int, float, int]:
+        lead = await settle(f)
+        first, backup = lead.held.pair.holders
+        if dropped:
+            # The backup acknowledges the very change that drops it, and is gone before the replica set is renewed.
+            got = await f.ask(first, lambda c: c.change(lambda s: Ok(roster.dropped(s, [backup])), 0.0))
+            assert got.is_ok(), got
+        f.kill(backup, silent=True)
+        wipe(f, first)
+        await asyncio.sleep(0.2)
+        f.boot(first)
+        await asyncio.sleep(30)
+        told = max(c.held.state.losses for c in f.controls())
+        if dropped:
+            return told, 0.0, 0
+        f.boot(backup)
+        read = await readable(f, 3)
+        return told, read, max(c.held.state.losses for c in f.controls())
+
+    told, read, losses = play(scene, control=control)
+    assert told == 0 and losses == 0 and 0 <= read < RECOVERY_TIME, (told, read, losses)
+
+
+def test_a_silent_holder_is_dropped_only_after_the_replica_set_is_renewed() -> None:
+    async def scene(f: Fleet) -> bool:
+        lead = await settle(f)
+        backup = lead.held.pair.backup
+        f.kill(backup, silent=True)
+        f.add("n1", "control", f.nodes[backup].conf.area, "10.0.21.1")
+        dropped = await f.until(
+            lambda: all(backup not in c.held.state.man["machines"] for c in f.controls() if c.epoch), 20
+        )
+        assert dropped >= 0
+        return all(backup not in c.held.pair for c in f.controls() if c.epoch)
+
+    assert play(scene, control=4)
