--- a/postpass/delta.py
+++ b/postpass/delta.py
@@ -4,18 +4,34 @@
 
 from typing import Any
 
-Delta = list[list[Any]]  # [path] drops what is there; [path, value] sets it
+# [path] drops what is there; [path, value] sets it; [path, start, count, items] replaces a part of a list.
+Delta = list[list[Any]]
 
 
-def delta(old: Any, new: Any, path: tuple[str, ...] = ()) -> Delta:
-    """Invariant: patch(old, delta(old, new)) == new, keys in the order of `new`'s additions."""
+def delta(old: Any, new: Any, path: tuple[str, ...] = (), splices: bool = False) -> Delta:
+    """Invariant: patch(old, delta(old, new)) == new, keys in the order of `new`'s additions.
+
+    With `splices` only the part of a list that differs is given; the feed gives whole lists, which every release reads.
+    """
     if old is new:
         return []
+    if splices and isinstance(old, list) and isinstance(new, list):
+        return _splice(old, new, path)
     if not isinstance(old, dict) or not isinstance(new, dict):
         return [] if old == new else [[list(path), new]]
     gone: Delta = [[[*path, k]] for k in old if k not in new]
     fresh: Delta = [[[*path, k], v] for k, v in new.items() if k not in old]
-    return gone + fresh + [d for k in old if k in new for d in delta(old[k], new[k], (*path, k))]
+    return gone + fresh + [d for k in old if k in new for d in delta(old[k], new[k], (*path, k), splices)]
+
+
+def _splice(old: list[Any], new: list[Any], path: tuple[str, ...]) -> Delta:
+    shorter = min(len(old), len(new))
+    start = next((i for i in range(shorter) if old[i] != new[i]), shorter)
+    if start == len(old) == len(new):
+        return []
+    rest = shorter - start
+    same_end = next((i for i in range(rest) if old[-1 - i] != new[-1 - i]), rest)
+    return [[list(path), start, len(old) - start - same_end, new[start : len(new) - same_end]]]
 
 
 def patch(old: Any, changes: Delta) -> Any:
@@ -25,6 +41,9 @@
 
 
 def _put(tree: Any, path: list[str], value: list[Any]) -> Any:
+    if not path and len(value) == 3:
+        start, count, items = value
+        return [*tree[:start], *items, *tree[start + count :]]
     if not path:
         return value[0]
     name, rest = path[0], path[1:]
@@ -48,5 +67,19 @@
         old, new = {"r": tree(3)}, {"r": tree(3)}
         before = json.dumps(old)
         assert patch(old, delta(old, new)) == new
+        assert patch(old, delta(old, new, splices=True)) == new
         assert json.dumps(old) == before
     assert delta({"a": 1}, {"a": 1}) == []
+
+
+def test_a_splice_carries_only_the_part_of_a_list_that_differs() -> None:
+    import random
+
+    chance = random.Random(7)
+    for _ in range(500):
+        old = {"routes": [chance.randrange(3) for _ in range(chance.randrange(6))]}
+        new = {"routes": [chance.randrange(3) for _ in range(chance.randrange(6))]}
+        assert patch(old, delta(old, new, splices=True)) == new
+    many = {"routes": [{"name": n} for n in range(1000)]}
+    other = {"routes": [{"name": n, "more": 1} if n == 500 else {"name": n} for n in range(1000)]}
+    assert delta(many, other, splices=True) == [[["routes"], 500, 1, [{"name": 500, "more": 1}]]]
--- a/postpass/idl/peer.thrift
+++ b/postpass/idl/peer.thrift
@@ -22,6 +22,13 @@
 // One entry of the log on disk.
 struct Entry { 1: i32 part, 2: string op, 3: i64 seq, 4: i64 epoch, 5: string kind, 6: binary body }
 
+// One record of control's state: a whole state, or the change that leads to it from the state `base_...`.
+struct StateRecord {
+  1: i32 format, 2: i64 epoch, 3: i64 edition, 4: string checksum,
+  5: i64 base_epoch, 6: i64 base_edition, 7: string base_checksum,
+  8: binary body    // JSON
+}
+
 service Peer {
   Hi hi(1: Hi hi) throws (1: Fault fault),
 
--- a/postpass/seglog.py
+++ b/postpass/seglog.py
@@ -34,13 +34,23 @@
     while at + HEAD.size <= len(data):
         size, crc = HEAD.unpack_from(data, at)
         body = data[at + HEAD.size : at + HEAD.size + size]
-        if size > ENTRY_MOST or len(body) < size or zlib.crc32(body) != crc:
+        # No entry is empty, but zeros, which a file system may leave behind a tail, would pass for one.
+        if size == 0 or size > ENTRY_MOST or len(body) < size or zlib.crc32(body) != crc:
             break
         out.append(unpack(IDL.Entry, body))
         at += HEAD.size + size
     return out, at
 
 
+def whole_but_damaged(data: bytes, at: int) -> bool:
+    """Does an entry of full length with a wrong checksum stand there? A torn write leaves a short one, or zeros."""
+    if at + HEAD.size > len(data):
+        return False
+    size, crc = HEAD.unpack_from(data, at)
+    body = data[at + HEAD.size : at + HEAD.size + size]
+    return 0 < size == len(body) and any(body) and zlib.crc32(body) != crc
+
+
 def any_entry_after(data: bytes, at: int) -> bool:
     """Does a whole entry stand anywhere behind a broken place? Then it is no torn tail."""
     return any(
@@ -53,7 +63,8 @@
 @dataclass(eq=False)
 class SegLog:
     """Invariants: `synced` <= `ends`; entries up to `synced` survive the power; once `bad` is set nothing
-    more is called synced. `held` bytes of room are kept for entries marked vital (ends, results, trims)."""
+    more is called synced. `held` bytes of room are kept for entries marked vital (ends, results, trims).
+    `strict`: a last entry of full length whose checksum is wrong counts as damage instead of a torn tail."""
 
     who: str
     disk: Disk
@@ -67,6 +78,7 @@
     held: int = 0
     snap: int = 0  # bytes of the last snapshot
     group: bool = True  # off only for measurements: a sync for each append
+    strict: bool = False
     marks: deque[int] = field(default_factory=deque)
     dirty: asyncio.Event = field(default_factory=asyncio.Event)
     moved: asyncio.Event = field(default_factory=asyncio.Event)
@@ -98,7 +110,8 @@
             data = self.disk.read(name)
             entries, at = scan(data)
             if at != len(data):
-                if i < len(live) - 1 or any_entry_after(data, at):
+                damaged = any_entry_after(data, at) or (self.strict and whole_but_damaged(data, at))
+                if i < len(live) - 1 or damaged:
                     raise Stop(Fault("read log", self.who, f"{name} is damaged at byte {at}", BROKE))
                 events.emit(111, self.who, file=name, at=at, bytes=len(data) - at)
                 self.disk.cut(name, at)
@@ -181,7 +194,7 @@
             data = b"".join(map(frame, entries)) + frame(IDL.Entry(part=-1, op="sealed"))
             # From here on the old segment takes no more: whatever is appended while the snapshot is
             # written goes to the new one, which is read after it.
-            old, last, fresh, mark = self.number, self.name, self.number + 1, self.ends
+            old, last, fresh, mark, size = self.number, self.name, self.number + 1, self.ends, self.size
             self.number, self.size = fresh, 0
             try:
                 await self.disk.sync(last)
@@ -190,6 +203,9 @@
                 if bad.errno == 28:
                     # No room for it: the segments so far stay, nothing is lost but the space.
                     events.emit(114, self.who, step="snapshot", bytes=len(data))
+                    if self.size == 0:
+                        # Nothing came meanwhile: without a file of its own the number would be a gap.
+                        self.number, self.size = old, size
                     return
                 self.bad = f"snapshot failed: {bad.strerror}"
                 events.emit(113, self.who, why=self.bad)
--- a/postpass/vault.py
+++ b/postpass/vault.py
@@ -14,7 +14,8 @@
 from postpass.seglog import SegLog
 
 MARK = "identity"
-FORMAT = 2  # of the files in a folder; a later one is left alone
+FORMAT = 2  # of the files in a folder that is made now
+STATE_FORMAT = 3  # of a folder of control whose state is a log; releases up to 0.2.0 leave it alone
 
 
 @dataclass(frozen=True)
@@ -28,17 +29,28 @@
     entries: list[Any]
 
 
-async def open_vault(who: str, disk: Disk, chance: random.Random, segment: int, held: int) -> Vault:
-    """Opens or formats a data folder. Damaged files are set aside by name and never served from."""
-    log = SegLog(who, disk, segment, held=held)
+async def open_vault(
+    who: str,
+    disk: Disk,
+    chance: random.Random,
+    segment: int,
+    held: int,
+    strict: bool = False,
+    reads: int = FORMAT,
+) -> Vault:
+    """Opens or formats a data folder. Damaged files are set aside by name and never served from.
+
+    `strict` is the log's; `reads` is the highest format that the caller reads.
+    """
+    log = SegLog(who, disk, segment, held=held, strict=strict)
     names = disk.names()
     ident = ""
     if MARK in names:
         try:
             mark = json.loads(disk.read(MARK))
             ident = str(mark["disk"])
-            if mark.get("format", 1) > FORMAT:
-                why = f"the folder has format {mark['format']}, this release reads up to {FORMAT}; nothing was touched"
+            if mark.get("format", 1) > reads:
+                why = f"the folder has format {mark['format']}, this release reads up to {reads}; nothing was touched"
                 raise Stop(Fault("open data folder", who, why))
         except (ValueError, KeyError, TypeError):
             events.emit(112, who, file=MARK, why="unreadable")
@@ -49,7 +61,7 @@
         except Stop as bad:
             events.emit(112, who, step=bad.fault.step, why=bad.fault.why)
             ident = ""
-            log = SegLog(who, disk, segment, held=held)
+            log = SegLog(who, disk, segment, held=held, strict=strict)
     if not ident:
         for name in names:
             if name.startswith(("log-", "snap-", "epochs")):
@@ -58,12 +70,17 @@
         for name in old:
             disk.remove(name)
         ident = f"{who}-{chance.getrandbits(48):012x}"
-        await disk.write(MARK, json.dumps({"disk": ident, "format": FORMAT}).encode())
+        await mark_format(disk, ident, FORMAT)
         events.emit(110, who, disk=ident)
         return Vault(ident, True, log, [])
     return Vault(ident, False, log, entries)
 
 
+async def mark_format(disk: Disk, name: str, number: int) -> None:
+    """Writes the folder's identity with the format that its files have from now on."""
+    await disk.write(MARK, json.dumps({"disk": name, "format": number}).encode())
+
+
 def distrust(disk: Disk) -> None:
     """After a failed sync nothing in the folder may vote again."""
     try:
