--- a/postpass/state_journal.py
+++ b/postpass/control/journal.py
@@ -17,7 +17,6 @@
 from postpass.fault import BROKE, FULL, Fault, Stop
 from postpass.news import mass, shift
 from postpass.seglog import SegLog
-from postpass.vault import distrust
 from postpass.wire import IDL, pack, unpack
 
 RECORD_FORMAT = 1  # of a record in the log; a later one is left alone
@@ -170,7 +169,7 @@
 @dataclass(eq=False)
 class StateJournal:
     """Invariants: `image` is what the log on disk leads to; whatever `append` and `replace` return was synced, and so
-    survives a loss of power. After a failed sync the folder is distrusted and every later call raises Stop."""
+    survives a loss of power. After a failed sync every later call raises Stop, until the folder is opened again."""
 
     who: str
     disk: Disk
@@ -185,11 +184,19 @@
             journal = cls(who, disk, log, replay(entries))
         except UnknownFormat as error:
             raise Stop(Fault("open data folder", who, f"{error}; nothing was touched", BROKE)) from error
-        if log.name in disk.names():
-            # A process that was killed may have left records here which were never synced.
-            await journal._guarded(disk.sync(log.name))
+        if journal.image is not None and log.total:
+            await journal._make_durable()
         return journal
 
+    async def _make_durable(self) -> None:
+        """What was read may be in the system's cache alone: left by a killed process, or behind a failed sync."""
+        try:
+            await self.compact()
+        except Stop as stop:
+            if stop.fault.code != FULL:
+                raise
+            await self._guarded(self.disk.sync(self.log.name))
+
     async def append(self, change: Change) -> Image:
         """Syncs a change of the state held. One that is held already is synced again. Raises BaseMismatch for another."""
         return await asyncio.shield(asyncio.create_task(self._append(change)))
@@ -248,8 +255,4 @@
             await write
         except OSError as error:
             self.log.bad = f"sync failed: {error.strerror}"
-            distrust(self.disk)
             raise Stop(Fault("sync", self.who, self.log.bad, BROKE)) from error
-        except Stop:
-            distrust(self.disk)
-            raise
--- a/postpass/vault.py
+++ b/postpass/vault.py
@@ -81,6 +81,13 @@
     await disk.write(MARK, json.dumps({"disk": name, "format": number}).encode())
 
 
+async def raise_format(disk: Disk, number: int) -> None:
+    """Marks an older folder, which releases that don't read the format then leave alone."""
+    mark = json.loads(disk.read(MARK))
+    if mark.get("format", 1) < number:
+        await mark_format(disk, str(mark["disk"]), number)
+
+
 def distrust(disk: Disk) -> None:
     """After a failed sync nothing in the folder may vote again."""
     try:
