Keep control's state as a log of changes, on disk and between members

And a primary whose disk stalled held the write lock, sent no heartbeat and yet told those who asked that it was alive: nobody took over for as long as the stall lasted, and later its own elections held up those of the others.

A backup takes it on exactly that base (epoch, version, checksum), syncs it and names the state that it then holds; any other answer, also that of an earlier release, which takes the message for a heartbeat, gets the whole state. Elections send whole states as before. The state file of 0.2.0 is read once and replaced; the folder is then marked format 3, which that release leaves alone. A primary that can't sync within the detection time steps down, and a member with a write under way doesn't stand for election.

Red before: test_costs_no_acknowledged_change[stalled-primary], "assert 9 > 9": no change was taken in the last second of nine. The other tests of tests/test_worst_days_state.py on restarts passed before as well.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -852,6 +852,21 @@
     return out
 
 
+def state(routes: int = 60) -> Row:
+    """What a change of control's state costs."""
+    from bench.control_state import state_row
+
+    return state_row(routes)
+
+
+def catch_up(missed: int = 100, routes: int = 60) -> Row:
+    """How soon a control member that missed changes holds the state again."""
+    from bench.control_state import catch_up_row
+
+    return catch_up_row(missed, routes)
+
+
 if __name__ == "__main__":
     sys.exit(fire.Fire({"measure": measure, "program": program_row, "fleet": fleet_row, "stream": stream_row, "lot": lot_row, "memory": memory_row,
-                        "manifest": manifest_row, "backlog": backlog_row, "running": running_row}))  # fmt: skip
+                        "manifest": manifest_row, "backlog": backlog_row, "running": running_row,
+                        "state": state, "catch_up": catch_up}))  # fmt: skip
--- a/postpass/control/api.py
+++ b/postpass/control/api.py
@@ -43,6 +43,7 @@
         return [
             self.tick(),
             self.lead_after_restart(),
+            self.compact_journal(),
             *([self.found_fleet(), self.write(), self.report()] if self.conf.announce else []),
         ]
 
--- a/postpass/control/election.py
+++ b/postpass/control/election.py
@@ -104,7 +104,7 @@
         # The new backups hold the whole state before the epoch is granted: nothing is written in between.
         if self.witness.promised != epoch:
             return Err(Fault(step, me, "a higher epoch was promised", SLOW))
-        await self.keep("state", held.dump())
+        held = (await self.store(held)).held
         self.held = held
         if not await self.append_to_all(held, epoch):
             return Err(Fault(step, me, f"one of the backups {', '.join(backups)} did not take the state", SLOW))
--- a/postpass/control/journal.py
+++ b/postpass/control/journal.py
@@ -201,9 +201,9 @@
         """Syncs a change of the state held. One that is held already is synced again. Raises BaseMismatch for another."""
         return await asyncio.shield(asyncio.create_task(self._append(change)))
 
-    async def replace(self, image: Image) -> None:
+    async def replace(self, image: Image) -> Image:
         """Syncs a whole state in place of the one held."""
-        await asyncio.shield(asyncio.create_task(self._replace(image)))
+        return await asyncio.shield(asyncio.create_task(self._replace(image)))
 
     async def compact_if_due(self) -> bool:
         """Writes a snapshot once the log has outgrown the last one by a ratio, if there is room for it."""
@@ -229,10 +229,11 @@
             await self._guarded(self.log.sync())
             return self.image
 
-    async def _replace(self, image: Image) -> None:
+    async def _replace(self, image: Image) -> Image:
         async with self.lock:
             await self._write_snapshot(image)
             self.image = image
+            return image
 
     async def _compact(self) -> None:
         async with self.lock:
--- a/postpass/control/leadership.py
+++ b/postpass/control/leadership.py
@@ -110,6 +110,9 @@
             return
         if self.held.whole == 0 and self.news.manifest is None:
             return
+        if self.disk_busy:
+            # It could not sync its own promise, and would only hold up those that can.
+            return
         async with self.lock:
             if self.epoch:
                 return
--- a/postpass/control/member.py
+++ b/postpass/control/member.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Coroutine
 from dataclasses import asdict, dataclass, field
 from typing import Any
 
@@ -13,17 +14,28 @@
 from postpass.config import Config
 from postpass.control.changes import Edit
 from postpass.control.epochs import Pair, Witness
+from postpass.control.journal import Change, Image, StateJournal
 from postpass.control.state import Held
 from postpass.daemon import Daemon
 from postpass.disk import Disk
-from postpass.fault import MOVED, Fault, Stop
+from postpass.fault import FULL, MOVED, Fault, Stop
 from postpass.manifest import Manifest, with_duty
 from postpass.roster import Translator
-from postpass.vault import open_vault
+from postpass.vault import STATE_FORMAT, open_vault, raise_format
 from postpass.wire import RELEASE, Body, PeerResponse
 from postpass.world import World, now
 
 INFINITY = float("inf")
+STATE_FILE = "state"  # of releases up to 0.2.0: the whole state, written anew at every change
+STATE_SEGMENT = 1 << 16  # bytes of the log of changes after which a snapshot may be due
+
+
+@dataclass(frozen=True)
+class Stored:
+    """A state that was synced here, with its keys in the journal's order, and the change that led to it, if one did."""
+
+    held: Held
+    change: Change | None
 
 
 @dataclass(eq=False)
@@ -31,6 +43,7 @@
     """One control member. Invariants: writes go one at a time under `lock`; `epoch` > 0 only while this is the primary
     of it; what `news` holds was on the disks of all holders."""
 
+    journal: StateJournal = field(init=False)
     witness: Witness = Witness()
     held: Held = Held()
     disk_id: str = ""
@@ -82,21 +95,14 @@
         return self.world.disk
 
     async def open(self) -> None:
-        vault = await open_vault(self.conf.name, self.disk, self.world.chance, 1 << 16, 0)
-        self.disk_id = vault.name
-        names = self.disk.names()
         try:
-            if not vault.fresh and "epochs" in names:
-                self.witness = Witness.load(self.disk.read("epochs"))
-            if not vault.fresh and "state" in names:
-                self.held = Held.load(self.disk.read("state"))
+            await self.read_folder()
         except (ValueError, KeyError, TypeError) as bad:
             events.emit(112, self.conf.name, why=repr(bad))
-            for name in ("identity", "epochs", "state"):
+            for name in ("identity", "epochs", STATE_FILE):
                 if name in self.disk.names():
                     self.disk.rename(name, f"damaged-{name}")
-            self.witness, self.held = Witness(), Held()
-            self.disk_id = (await open_vault(self.conf.name, self.disk, self.world.chance, 1 << 16, 0)).name
+            await self.read_folder()
         if self.held.state.manifest is not None:
             # An older edition is better than none to find the others by; it may be behind, never ahead
             # of what this pair's disk took.
@@ -104,6 +110,70 @@
         self.circle.me["disk"] = self.disk_id
         self.heard = now()
 
+    async def read_folder(self) -> None:
+        """Reads the promises and the state, that of releases up to 0.2.0 too; a damaged file raises ValueError."""
+        self.witness, self.held = Witness(), Held()
+        vault = await open_vault(
+            self.conf.name, self.disk, self.world.chance, STATE_SEGMENT, 0, strict=True, reads=STATE_FORMAT
+        )
+        self.disk_id = vault.name
+        if not vault.fresh and "epochs" in self.disk.names():
+            self.witness = Witness.load(self.disk.read("epochs"))
+        self.journal = await StateJournal.open(self.conf.name, self.disk, vault.log, vault.entries)
+        old = Held()
+        if not vault.fresh and self.journal.image is None and STATE_FILE in self.disk.names():
+            old = Held.load(self.disk.read(STATE_FILE))
+        # Releases that know only the state file must not go on with it from here on.
+        await raise_format(self.disk, STATE_FORMAT)
+        if old.whole:
+            await self.journal.replace(Image.of(old.whole, old.state.edition, old.raw()))
+        if STATE_FILE in self.disk.names():
+            self.disk.remove(STATE_FILE)
+        if self.journal.image is not None:
+            self.held = Held.of(self.journal.image.tree)
+
+    async def store(self, held: Held) -> Stored:
+        """Syncs a state here, as a change of the one that is held, where there is one."""
+        base, tree, version = self.journal.image, held.raw(), held.state.edition
+        if base is None:
+            image = await self.write_journal(self.journal.replace(Image.of(held.whole, version, tree)))
+            return Stored(Held.of(image.tree), None)
+        change, _ = base.change_to(held.whole, version, tree)
+        image = await self.write_journal(self.journal.append(change))
+        return Stored(Held.of(image.tree), change)
+
+    @property
+    def disk_busy(self) -> bool:
+        """Is a write under way? Where it lasts, the disk stalls."""
+        return self.disk_lock.locked() or self.journal.lock.locked()
+
+    def stored(self) -> Held:
+        """The state that was synced here last."""
+        image = self.journal.image
+        return Held.of(image.tree) if image is not None else Held()
+
+    async def write_journal(self, write: Coroutine[Any, Any, Image]) -> Image:
+        if self.bad:
+            write.close()
+            raise Stop(Fault("sync", self.conf.name, self.bad))
+        try:
+            return await write
+        except Stop as stop:
+            if stop.fault.code != FULL:
+                self.fail_disk(stop.fault.why)
+            raise
+
+    async def compact_journal(self) -> None:
+        """Writes a snapshot of the state now and then, so that the log of changes stays short."""
+        while True:
+            await asyncio.sleep(self.conf.bounds.beat)
+            try:
+                await self.journal.compact_if_due()
+            except Stop as stop:
+                if stop.fault.code != FULL:
+                    self.fail_disk(stop.fault.why)
+                    raise
+
     async def keep(self, name: str, data: bytes) -> None:
         if self.bad:
             raise Stop(Fault("sync", self.conf.name, self.bad))
@@ -113,12 +183,16 @@
         except OSError as bad:
             if bad.errno == 28:
                 raise Stop(Fault("sync", self.conf.name, f"{name}: {bad.strerror}")) from bad
-            self.bad = f"{name}: {bad.strerror}"
-            events.emit(113, self.conf.name, why=self.bad)
-            self.failed = Fault("sync", self.conf.name, self.bad)
-            self.stop.set()
-            self.closed.set()
-            raise Stop(self.failed) from bad
+            raise Stop(self.fail_disk(f"{name}: {bad.strerror}")) from bad
+
+    def fail_disk(self, why: str) -> Fault:
+        """A write failed: nothing more is written or answered by this process, which ends."""
+        self.bad = why
+        events.emit(113, self.conf.name, why=why)
+        self.failed = Fault("sync", self.conf.name, why)
+        self.stop.set()
+        self.closed.set()
+        return self.failed
 
     def about(self) -> Body:
         return {
--- a/postpass/control/replica.py
+++ b/postpass/control/replica.py
@@ -6,7 +6,9 @@
 
 from result import Err, Ok
 
-from postpass.control.epochs import Acknowledgement, Pair, majority
+from postpass import events
+from postpass.control.epochs import Acknowledgement, majority
+from postpass.control.journal import Change, Image, JournalError
 from postpass.control.member import ControlMember
 from postpass.control.state import Held
 from postpass.fault import Fault, Stop
@@ -26,21 +28,14 @@
         self.heard = self.led = now()
         self.leader = body.get("who", "")
         self.announce_leader()
-        if "held" in body:
-            raw = body["held"]
-            new = Held(raw["whole"], Pair.of(raw["pair"]), State(**raw["state"]))
-            if new.pair.voters.get(self.conf.name) != self.disk_id:
-                # Meant for the disk that this member had before; it may have been under way since then.
-                return self.append_answer(body, False)
-            if (new.whole, new.state.edition) < (self.held.whole, self.held.state.edition):
-                return self.append_answer(body, False)
+        if "held" in body or "change" in body:
             try:
-                await self.keep("state", new.dump())
+                taken = await (self.take_change(body) if "change" in body else self.take_state(body))
             except Stop as bad:
                 return Err(bad.fault)
-            if body["epoch"] < self.witness.promised:
+            if not taken or body["epoch"] < self.witness.promised:
                 return self.append_answer(body, False)
-            self.held = new
+            self.held = self.stored()
         edition = body.get("edition", 0)
         if edition > self.news.edition:
             if self.held.whole == body["epoch"] and self.held.state.edition == edition:
@@ -51,16 +46,47 @@
                 task.add_done_callback(self.fetches.discard)
         return self.append_answer(body, True)
 
-    def append_answer(self, body: Body, ok: bool) -> PeerResponse:
-        return Ok({"ok": ok, "epoch": body["epoch"], "promised": self.witness.promised, "disk": self.disk_id})
+    async def take_state(self, body: Body) -> bool:
+        """Syncs a whole state, unless a newer one is held."""
+        new = Held.of(body["held"])
+        if new.pair.voters.get(self.conf.name) != self.disk_id:
+            # Meant for the disk that this member had before; it may have been under way since then.
+            return False
+        if (new.whole, new.state.edition) < (self.held.whole, self.held.state.edition):
+            return False
+        await self.write_journal(self.journal.replace(Image.of(new.whole, new.state.edition, new.raw())))
+        return True
 
-    async def append_to(self, held: Held | None, epoch: int, to: str) -> Acknowledgement | None:
-        """Sends the state, or a heartbeat alone; the member's acknowledgement, if it gave one."""
+    async def take_change(self, body: Body) -> bool:
+        """Syncs a change if exactly the state that it builds on is held here; if not, the primary sends the whole."""
+        try:
+            change = Change.from_json(body["change"])
+            if change.base.epoch != body["epoch"] or change.position.epoch != body["epoch"]:
+                return False
+            await self.write_journal(self.journal.append(change))
+        except JournalError as error:
+            events.emit(145, self.conf.name, why=str(error)[:160])
+            return False
+        return True
+
+    def append_answer(self, body: Body, ok: bool) -> PeerResponse:
+        answer = {"ok": ok, "epoch": body["epoch"], "promised": self.witness.promised, "disk": self.disk_id}
+        image = self.journal.image
+        if "change" in body and image is not None:
+            answer["holds"] = image.position.as_json()
+        return Ok(answer)
+
+    async def append_to(
+        self, held: Held | None, epoch: int, to: str, change: Change | None = None
+    ) -> Acknowledgement | None:
+        """Sends the state, as a change where one is given, or a heartbeat alone; the member's acknowledgement, if any."""
         addr = self.addr(to)
         if not addr:
             return None
         body: Body = {"epoch": epoch, "who": self.conf.name, "edition": self.news.edition, "at": self.conf.peer}
-        if held:
+        if change is not None:
+            body["change"] = change.as_json()
+        elif held:
             body["held"] = held.raw()
         # Where machines announce themselves another backup is soon found; an order doesn't wait long for this one.
         wait = self.conf.bounds.promise / (2 if self.conf.announce else 1)
@@ -73,6 +99,13 @@
         if epoch == self.epoch and to in pair.backups and pair.voters.get(to) != answer["disk"]:
             self.wiped_backups.add(to)
             return None
+        if (
+            change is not None
+            and self.epoch == epoch
+            and not (answer["ok"] and answer.get("holds") == change.position.as_json())
+        ):
+            # It held another state, or is of a release that takes whole states only and took this for a heartbeat.
+            return await self.append_to(held, epoch, to)
         if not answer["ok"]:
             return None
         if epoch == self.epoch and to in pair.backups:
@@ -80,21 +113,26 @@
         # Releases before 0.3 don't repeat the epoch; the answer belongs to this request by its number.
         return Acknowledgement(to, str(answer["disk"]), answer.get("epoch", epoch))
 
-    async def append_to_all(self, held: Held | None, epoch: int) -> bool:
+    async def append_to_all(self, held: Held | None, epoch: int, change: Change | None = None) -> bool:
         """True once all backups of the epoch have acknowledged, each by the disk that the replica set names."""
         pair = self.held.pair
-        answers = await asyncio.gather(*(self.append_to(held, epoch, n) for n in pair.backups))
+        answers = await asyncio.gather(*(self.append_to(held, epoch, n, change) for n in pair.backups))
         return pair.epoch == epoch and pair.copied_to_all(a for a in answers if a is not None)
 
     async def commit(self, state: State) -> bool:
         """Synced here and at all backups, and only then true."""
         epoch = self.epoch
-        held = Held(epoch, self.held.pair, state)
-        await self.keep("state", held.dump())
+        try:
+            async with asyncio.timeout(self.conf.bounds.detect):
+                stored = await self.store(Held(epoch, self.held.pair, state))
+        except TimeoutError:
+            # While its disk stalls this member sends no heartbeat and takes no change; another may lead meanwhile.
+            self.step_down(epoch)
+            return False
         if self.epoch != epoch:
             return False
-        self.held = held
-        if not await self.append_to_all(held, epoch):
+        self.held = held = stored.held
+        if not await self.append_to_all(held, epoch, stored.change):
             return False
         if self.epoch != epoch:
             return False
--- a/postpass/control/state.py
+++ b/postpass/control/state.py
@@ -24,6 +24,11 @@
         """As JSON has it; shares what it can with this one."""
         return {"whole": self.whole, "pair": asdict(self.pair), "state": dict(vars(self.state))}
 
+    @classmethod
+    def of(cls, raw: Body) -> Held:
+        """From JSON; shares its parts with it."""
+        return cls(raw["whole"], Pair.of(raw["pair"]), State(**raw["state"]))
+
     def dump(self) -> bytes:
         body = json.dumps(self.raw(), separators=(",", ":"))
         return json.dumps({"sum": hashlib.sha256(body.encode()).hexdigest(), "body": body}).encode()
@@ -33,5 +38,4 @@
         raw = json.loads(data)
         if hashlib.sha256(raw["body"].encode()).hexdigest() != raw["sum"]:
             raise ValueError("the sum doesn't match")
-        body = json.loads(raw["body"])
-        return cls(body["whole"], Pair.of(body["pair"]), State(**body["state"]))
+        return cls.of(json.loads(raw["body"]))
--- a/postpass/events.py
+++ b/postpass/events.py
@@ -46,6 +46,10 @@
     142: ("fresh", "A started daemon has news that are proved fresh; only now does it take or place any work."),
     143: ("deaf", "This daemon hears neither control nor any other daemon and gives no new work, or hears one again."),
     144: ("in-force", "All that serve have said that they run a new edition, or some have not within the bound."),
+    145: (
+        "change-unfit",
+        "A change of the control state did not fit the state held here; the whole state is asked for.",
+    ),
     150: ("sched-on", "This daemon schedules lots from now on."),
     151: ("sched-off", "This daemon schedules no longer: one before it in the order is back, or it is fenced."),
     152: ("loan-back", "Batch items were cancelled at a worker to hand room back to live callers."),
