Explain and measure the state's log, and show that its tests can fail

New test: as the answer comes all lose power and the primary its disk; a backup that kept the change in memory alone turns it red, which no test did before.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -866,7 +866,14 @@
     return catch_up_row(missed, routes)
 
 
+def state_disk(routes: int = 60, writes: int = 300) -> Row:
+    """How long a write of control's state takes on a real disk, whole and as a change."""
+    from bench.control_state import disk_row
+
+    return disk_row(routes, writes)
+
+
 if __name__ == "__main__":
     sys.exit(fire.Fire({"measure": measure, "program": program_row, "fleet": fleet_row, "stream": stream_row, "lot": lot_row, "memory": memory_row,
                         "manifest": manifest_row, "backlog": backlog_row, "running": running_row,
-                        "state": state, "catch_up": catch_up}))  # fmt: skip
+                        "state": state, "catch_up": catch_up, "state_disk": state_disk}))  # fmt: skip
--- a/bench/control_state.py
+++ b/bench/control_state.py
@@ -3,22 +3,32 @@
 
 python -m bench.capacity state --routes 600
 python -m bench.capacity catch_up --missed 1000
+python -m bench.capacity state_disk --routes 600
 """
 
 from __future__ import annotations
 
 import asyncio
+import hashlib
+import json
 import logging as pylog
+import random
 import time
 from collections import Counter
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass
+from pathlib import Path
+from tempfile import TemporaryDirectory
 from typing import Any, cast
 
 from bench.capacity import Meter, Row, metered, more_routes, roles
 from postpass.control import Control
+from postpass.control.journal import Image, StateJournal, Tree
+from postpass.delta import patch
+from postpass.disk import RealDisk
 from postpass.roster import Standing
+from postpass.vault import open_vault
 from sim.announced import AnnouncedFleet, Sizes
 from sim.disk import SimDisk
 from sim.loop import HOST, SimLoop, run_sim
@@ -202,3 +212,61 @@
 
     row: Row = run_sim(main, 1)
     return row | {"seconds": round(time.time() - began, 1)}
+
+
+def state_tree(routes: int) -> Tree:
+    """A state of the shape that control keeps, with so many routes."""
+    like = {
+        "host": "x.example",
+        "kind": "stream",
+        "split": [{"pool": "llm", "weight": 100}],
+        "timeout": 5.0,
+        "tries": 2,
+    }
+    named = {f"r{n}": {**like, "prefix": f"/{n}/"} for n in range(routes)}
+    servers = {f"w{n}": {"url": f"http://10.0.0.{n}:9000", "area": "a", "slots": 8} for n in range(20)}
+    manifest = {"routes": named, "pools": {"llm": {"servers": servers}}}
+    source = {"routes": [{"name": name, **route} for name, route in named.items()]}
+    return {"whole": 1, "pair": {"epoch": 1}, "state": {"edition": 1, "manifest": manifest, "source": source}}
+
+
+def with_slots(tree: Tree, version: int) -> Tree:
+    slots = ["state", "manifest", "pools", "llm", "servers", "w1", "slots"]
+    changed: Tree = patch(tree, [[["state", "edition"], version], [slots, version]])
+    return changed
+
+
+def percentiles(times: list[float]) -> Row:
+    ranked = sorted(times)
+    return {
+        "p50_ms": round(ranked[len(ranked) // 2] * 1e3, 3),
+        "p99_ms": round(ranked[len(ranked) * 99 // 100] * 1e3, 3),
+    }
+
+
+def disk_row(routes: int = 60, writes: int = 300) -> Row:
+    """On a real disk, in turns: a change as 0.2.0 wrote it, the whole state into a new file, and as a record of the log."""
+
+    async def main(folder: str) -> Row:
+        whole_disk, log_disk = RealDisk(Path(folder) / "whole"), RealDisk(Path(folder) / "log")
+        vault = await open_vault("bench", log_disk, random.Random(1), 1 << 16, 0)
+        journal = await StateJournal.open("bench", log_disk, vault.log, vault.entries)
+        tree = state_tree(routes)
+        image = await journal.replace(Image.of(1, 1, tree))
+        whole: list[float] = []
+        log: list[float] = []
+        for version in range(2, writes + 2):
+            began = time.perf_counter()
+            body = json.dumps(with_slots(tree, version), separators=(",", ":"))
+            total = hashlib.sha256(body.encode()).hexdigest()
+            await whole_disk.write("state", json.dumps({"sum": total, "body": body}).encode())
+            whole.append(time.perf_counter() - began)
+            began = time.perf_counter()
+            change, _ = image.change_to(1, version, with_slots(image.tree, version))
+            image = await journal.append(change)
+            log.append(time.perf_counter() - began)
+            await journal.compact_if_due()
+        return {"routes": routes, "writes": writes, "whole": percentiles(whole), "log": percentiles(log)}
+
+    with TemporaryDirectory() as folder:
+        return asyncio.run(main(folder))
--- a/tests/test_worst_days_state.py
+++ b/tests/test_worst_days_state.py
@@ -218,6 +218,14 @@
 ]
 
 
+def all_lose_power(fleet: Fleet) -> None:
+    for name in list(fleet.nodes):
+        fleet.kill(name, silent=True)
+    for node in fleet.nodes.values():
+        if node.disk is not None:
+            node.disk.power_off()
+
+
 class Test_a_member_that_missed_changes:
     @pytest.mark.parametrize(("role", "fault", "missed"), MEMBER_CASES)
     def test_follows_to_the_end_while_changes_go_on(self, role: str, fault: Fault, missed: int) -> None:
@@ -291,11 +299,7 @@
             name = role_of(fleet, role)
             fault.strike(fleet, name)
             await changes.make(missed)
-            for other in list(fleet.nodes):
-                fleet.kill(other, silent=True)
-            for node in fleet.nodes.values():
-                if node.disk is not None:
-                    node.disk.power_off()
+            all_lose_power(fleet)
             if fault.kind == "wiped":
                 fleet.nodes[name].disk = SimDisk(random.Random(f"{name} new"))
             # The one that was away is first, then the others.
@@ -416,6 +420,24 @@
         assert 0 <= play(scene) <= FOLLOW_BOUND
 
 
+class Test_an_acknowledged_change:
+    @pytest.mark.parametrize("made", [1, 10, 300])
+    def test_is_on_the_backups_disk(self, made: int) -> None:
+        """As the answer comes all lose power, and the primary its disk."""
+
+        async def scene(fleet: Fleet, changes: Changes) -> None:
+            await changes.make(made, pause=0.0)
+            name = role_of(fleet, "primary")
+            all_lose_power(fleet)
+            fleet.nodes[name].disk = SimDisk(random.Random(f"{name} new"))
+            for other in fleet.nodes:
+                fleet.boot(other)
+            await leader_with_all(fleet, changes)
+            await changes.make(3)
+
+        play(scene)
+
+
 def in_the_old_format(disk: SimDisk) -> Held:
     """Turns a folder into one of release 0.2.0: the whole state in one file, no log, format 2."""
 
@@ -435,14 +457,6 @@
     return held
 
 
-def all_lose_power(fleet: Fleet) -> None:
-    for name in list(fleet.nodes):
-        fleet.kill(name, silent=True)
-    for node in fleet.nodes.values():
-        if node.disk is not None:
-            node.disk.power_off()
-
-
 async def off_loop(call: Any) -> Any:
     """Runs a blocking call that has a loop of its own."""
     with ThreadPoolExecutor(1) as pool:
