--- a/postpass/control/leadership.py
+++ b/postpass/control/leadership.py
@@ -12,6 +12,7 @@
 from postpass.control.registry import Registry
 from postpass.fault import Stop
 from postpass.manifest import Manifest
+from postpass.membership import gives_up_vote
 from postpass.wire import Body, PeerResponse
 from postpass.world import now
 
@@ -26,10 +27,12 @@
             man = self.known()
             if man is None or self.conf.name not in self.members(man):
                 continue
+            self.note_newcomers(man)
             try:
                 if self.epoch:
                     await self.lead_heartbeat(man)
-                elif not self.leaving:
+                elif not self.leaving or self.conf.name in self.witness.pair:
+                    # One that holds the state may be the only one that can lead, also while it leaves.
                     await self.watch_for_leader(man)
             except Stop as bad:
                 events.emit(103, self.conf.name, step=bad.fault.step, why=bad.fault.why)
@@ -53,14 +56,13 @@
 
     def flaw_of_replica_set(self, man: Manifest, answers: list[Acknowledgement]) -> str:
         """Why another replica set or other voters are wanted; empty if they are not."""
-        pair, oldest = self.held.pair, now() - self.conf.bounds.detect
-        if self.wiped_backups or any(at < oldest for at in self.copied.values()):
+        oldest = now() - self.conf.bounds.detect
+        if self.wiped_backups or self.backup_leaves(answers) or any(at < oldest for at in self.copied.values()):
             return "backup lost"
         if self.better_replica_set(man, [a.member for a in answers]):
             return "too few backups"
-        strangers = [a.member for a in answers if not pair.counts(a)]
-        gone = [n for n in pair.voters if n not in self.members(man)]
-        return f"voters {strangers or gone}" if strangers or gone else ""
+        changed = self.voters_to_change(man, answers)
+        return f"voters {changed}" if changed else ""
 
     async def renew_replica_set(self, man: Manifest, epoch: int, why: str) -> None:
         """Leads on under a new epoch, if most voters still hear no other primary."""
@@ -75,6 +77,12 @@
             else:
                 self.heard = now() - self.conf.bounds.detect
 
+    def backup_leaves(self, answers: list[Acknowledgement]) -> bool:
+        """Was a backup told to leave, while another member could hold the state in its place?"""
+        pair = self.held.pair
+        others = [a for a in answers if a.member not in pair and a.member not in self.departing]
+        return bool(others) and bool(self.departing & set(pair.backups))
+
     async def lead_after_restart(self) -> None:
         """After a start: where most have started as well and nobody has heard a primary since, there is none to wait for.
 
@@ -130,17 +138,52 @@
                 self.heard = now() - b.detect + b.stagger * self.world.chance.random()
 
     async def depart(self) -> None:
-        """A primary that leaves asks a backup to lead, instead of being missed."""
+        """Goes only once others hold the state without this one, or once the time for leaving is over.
+
+        A primary hands over to a backup, which takes a backup of its own; if none does, it first takes another backup.
+        A backup waits until the primary, which hears of its leaving with the next heartbeat, has taken another one.
+        """
+        handed_over = False
+        while self.epoch or self.needed():
+            if self.epoch:
+                handed_over = await self.hand_over()
+            man = self.known()
+            if man is None or self.members(man) == [self.conf.name]:
+                return
+            if not handed_over and self.conf.name == self.witness.pair.primary:
+                async with self.lock:
+                    got = await self.run_election(man, "too few backups")
+                if isinstance(got, Err):
+                    await asyncio.sleep(self.conf.bounds.promise)
+            await asyncio.sleep(self.conf.bounds.beat / 4)
+
+    @property
+    def leave_limit(self) -> float:
+        """How long this member waits for others to hold what it holds; then it goes with its disk as it is."""
+        return max(super().leave_limit, self.conf.bounds.grace * 0.75)
+
+    def needed(self) -> bool:
+        """Would the others miss the copy or the vote of this member, as the newest epoch that it granted has them?"""
+        pair, man = self.witness.pair, self.known()
+        if self.conf.name in pair:
+            return True
+        if man is None or self.conf.name not in pair.voters:
+            return False
+        return gives_up_vote(pair.voters, self.conf.name, pair.voters, self.topology(man))
+
+    async def hand_over(self) -> bool:
+        """Asks the backups to lead, instead of being missed; True once one does."""
         async with self.lock:
             epoch, addrs = self.epoch, [a for n in self.held.pair.backups if (a := self.addr(n))]
             if not epoch or not addrs:
-                return
+                return False
             self.epoch = 0
             events.emit(131, self.conf.name, epoch=epoch, seen="handed over")
         for addr in addrs:
-            got = await self.lines.call(addr, "adopt", {"epoch": epoch}, self.conf.bounds.promise * 2)
+            got = await self.lines.call(addr, "adopt", {"epoch": epoch}, self.conf.bounds.promise)
             if isinstance(got, Ok) and got.unwrap()["ok"]:
-                return
+                return True
+        return False
 
     async def on_adopt(self, body: Body) -> PeerResponse:
         """The primary of an epoch leaves and won't write under it again: a backup may stand at once."""
--- a/postpass/control/replica.py
+++ b/postpass/control/replica.py
@@ -70,7 +70,10 @@
         return True
 
     def append_answer(self, body: Body, ok: bool) -> PeerResponse:
-        answer = {"ok": ok, "epoch": body["epoch"], "promised": self.witness.promised, "disk": self.disk_id}
+        answer: Body = {
+            "ok": ok, "epoch": body["epoch"], "promised": self.witness.promised, "disk": self.disk_id,
+            "leaving": self.leaving,
+        }  # fmt: skip
         image = self.journal.image
         if "change" in body and image is not None:
             answer["holds"] = image.position.as_json()
@@ -103,6 +106,7 @@
             return await self.append_to(held, epoch, to) if self.epoch == epoch else None
         if not answer["ok"]:
             return None
+        (self.departing.add if answer.get("leaving") else self.departing.discard)(to)
         # Releases before 0.3 don't repeat the epoch; the answer belongs to this request by its number.
         acknowledgement = Acknowledgement(to, str(answer["disk"]), answer.get("epoch", epoch))
         if epoch == self.epoch and pair.counts(acknowledgement):
