--- a/postpass/control/contact.py
+++ b/postpass/control/contact.py
@@ -37,6 +37,7 @@
         return max(self.led, last_majority(self.held.pair.voters, answered))
 
     def in_touch(self) -> bool:
+        """Is the last contact recent enough to hand out what this member knows?"""
         return now() - self.last_contact() <= self.conf.bounds.contact
 
     def lost_touch(self) -> bool:
@@ -57,9 +58,11 @@
         return [addr for n in self.members() if n != self.conf.name and (addr := self.addr(n))]
 
     def stale(self) -> Stale:
+        """The answer of a member that is out of touch, with the others to ask instead."""
         return Stale(self.news.edition, tuple(self.other_members()))
 
     def out_of_touch(self, step: str) -> Fault:
+        """The error of a member that is out of touch, with the others to ask instead."""
         others = ", ".join(self.other_members()) or "no other is known"
         return Fault(step, self.conf.name, f"out of touch with the primary; ask another: {others}", SHED)
 
--- a/postpass/control/feed.py
+++ b/postpass/control/feed.py
@@ -23,6 +23,7 @@
     """Serves followers, confirms reads, and asks who runs a version."""
 
     async def on_ping(self, body: Body) -> PeerResponse:
+        """Answers a ping; one that asks for an entry is told of this member and whether its disk is blank."""
         if "entry" in body:
             return Ok({"entry": self.entry(), "blank": self.blank()})
         return await super().on_ping(body)
@@ -43,16 +44,22 @@
         self, edition: int, before: Manifest | None, after: Manifest, asked: float, limit: float = 0.0
     ) -> list[str]:
         """Who of the old and the new manifest has neither said that it runs this edition nor is shown not to run."""
-        b, me = self.conf.bounds, self.conf.name
+        bounds, me = self.conf.bounds, self.conf.name
         if after.get("announced"):
             hearing = Hearing(self.spoke, self.reported, self.since)
-            machines = awaited_senders(after, me, hearing, now(), b.detect, 4 * self.patience)
+            machines = awaited_senders(after, me, hearing, now(), bounds.detect, 4 * self.patience)
         else:
             every = {n: m for man in (before, after) if man for n, m in man["machines"].items()}
             gone = {n for n, m in after["machines"].items() if m.get("gone")}
             machines = {n: m["peer"] for n, m in every.items() if n != me and n not in gone}
         wait = VersionWait(
-            self.lines, self.world.chance, b, edition, self.news.addr(me), asked + (limit or b.manifest), machines
+            self.lines,
+            self.world.chance,
+            bounds,
+            edition,
+            self.news.addr(me),
+            asked + (limit or bounds.manifest),
+            machines,
         )
         waits = await wait.run()
         events.emit(144, me, edition=edition, waits=",".join(waits) or "for nobody")
@@ -124,6 +131,7 @@
                 return Err(Fault("read", self.conf.name, "no primary now; ask again", SHED))
 
     async def on_read(self, body: Body) -> PeerResponse:
+        """Tells the configuration, or only its version, once this member has proved that it leads."""
         if "wait" in body:
             return await self.read_waiting(float(body["wait"]))
         if body.get("brief") and self.epoch:
--- a/tests/test_replay.py
+++ b/tests/test_replay.py
@@ -8,12 +8,13 @@
 import aiohttp
 import pytest
 
+from postpass.ordered import OrderedSet
 from sim import replay
-from sim.crash import PROGRAMMES
+from sim.crash import PROGRAMMES, listed
 from sim.fleet import SimConnector
 from sim.loop import Host, SimLoop, run_sim
 from sim.replay import DISTURBANCES, Divergence, Recording
-from sim.runner import parse
+from sim.runner import FOLDER, parse
 
 IDLE_LIMIT = 2.0
 
@@ -24,6 +25,21 @@
     assert [str(found) for found in replay.replay(scenario, 1, disturbance, runs=3)] == []
 
 
+@pytest.mark.parametrize("name", ["disk-sync-fails", "restarts-by-sigterm"])
+def test_a_replay_passes_the_same_points_when_processes_close_their_connections(name: str) -> None:
+    scenario = parse((FOLDER / f"{name}.txt").read_text(), name)
+    assert [str(found) for found in replay.replay(scenario, 1, "addresses", runs=2)] == []
+
+
+def test_an_ordered_set_is_walked_as_its_elements_came() -> None:
+    ordered = OrderedSet([3, 1, 2])
+    ordered.discard(3)
+    ordered.discard(9)
+    ordered.add(1)
+    ordered.add(3)
+    assert list(ordered) == [1, 2, 3] and len(ordered) == 3 and 2 in ordered and 9 not in ordered
+
+
 def test_a_disturbed_process_clock_is_read_by_whoever_reads_one() -> None:
     before = time.monotonic
     with replay.another_process_clock(0):
@@ -33,6 +49,11 @@
     assert time.monotonic is before and aiohttp.connector.monotonic is before  # type: ignore[attr-defined]
 
 
+def test_several_names_on_a_command_line_come_as_one_string_or_as_several() -> None:
+    assert listed("lots") == ["lots"] and listed("lots,apply") == listed(("lots", "apply")) == ["lots", "apply"]
+    assert listed("") == []
+
+
 def test_the_first_difference_of_two_recordings_is_told() -> None:
     one = Recording((), ({"ev": "call"},), 5)
     assert replay.compare(one, one) is None
