--- a/postpass/control/journal.py
+++ b/postpass/control/journal.py
@@ -30,15 +30,15 @@
     """A record that can't be used: nothing was changed by it."""
 
 
-class BaseMismatch(JournalError):
+class BaseMismatchError(JournalError):
     """A change that builds on another state than the one held."""
 
 
-class ChecksumMismatch(JournalError):
+class ChecksumMismatchError(JournalError):
     """A state that is not the one its checksum was made of."""
 
 
-class UnknownFormat(JournalError):
+class UnknownFormatError(JournalError):
     """A record of a later release."""
 
 
@@ -51,10 +51,12 @@
     checksum: str
 
     def as_json(self) -> list[Any]:
+        """As peers send it."""
         return [self.epoch, self.version, self.checksum]
 
     @classmethod
     def from_json(cls, raw: Any) -> Self:
+        """Reads what a peer sent; raises JournalError if it is no position."""
         if not isinstance(raw, list) or [type(x) for x in raw] != [int, int, str]:
             raise JournalError(f"position: want [epoch, version, checksum], got {raw!r:.80}")
         return cls(*raw)
@@ -69,10 +71,12 @@
     delta: Delta
 
     def as_json(self) -> Tree:
+        """As peers send it."""
         return {"base": self.base.as_json(), "position": self.position.as_json(), "delta": self.delta}
 
     @classmethod
     def from_json(cls, raw: Any) -> Self:
+        """Reads what a peer sent; raises JournalError if it is no change."""
         if not isinstance(raw, dict) or not isinstance(raw.get("delta"), list):
             raise JournalError(f"change: want base, position and delta, got {raw!r:.80}")
         return cls(Position.from_json(raw.get("base")), Position.from_json(raw.get("position")), raw["delta"])
@@ -88,6 +92,7 @@
 
     @classmethod
     def of(cls, epoch: int, version: int, tree: Tree) -> Self:
+        """The image of a whole state, whose checksum is made of all its parts."""
         total = mass(tree) % CHECKSUM_SPACE
         return cls(Position(epoch, version, _checksum(total)), tree, total)
 
@@ -103,15 +108,16 @@
         return Change(self.position, position, steps), Image(position, patched, total)
 
     def apply(self, change: Change) -> Image:
+        """The image that the change leads to; raises JournalError if it builds on another state or is garbled."""
         if change.base != self.position:
-            raise BaseMismatch(f"the change builds on {change.base}, {self.position} is held")
+            raise BaseMismatchError(f"the change builds on {change.base}, {self.position} is held")
         try:
             tree = patch(self.tree, change.delta)
             total = (self.total + shift(self.tree, tree)) % CHECKSUM_SPACE
         except (TypeError, KeyError, IndexError, ValueError, AttributeError) as error:
             raise JournalError(f"the change can't be applied: {error!r:.120}") from error
         if _checksum(total) != change.position.checksum:
-            raise ChecksumMismatch(f"the change gives checksum {_checksum(total)}, not {change.position.checksum}")
+            raise ChecksumMismatchError(f"the change gives checksum {_checksum(total)}, not {change.position.checksum}")
         return Image(change.position, tree, total)
 
 
@@ -121,10 +127,12 @@
 
 # --- records of the log
 def change_entry(change: Change) -> Any:
+    """The entry of the log that holds a change."""
     return _entry(CHANGE, change.position, change.base, change.delta)
 
 
 def snapshot_entry(image: Image) -> Any:
+    """The entry of the log that holds a whole state."""
     return _entry(SNAPSHOT, image.position, Position(0, 0, ""), image.tree)
 
 
@@ -151,17 +159,19 @@
     except Exception as error:  # the library raises whatever the bytes lead it to
         raise JournalError(f"a record can't be read: {error!r:.120}") from error
     if record.format != RECORD_FORMAT or entry.op not in (SNAPSHOT, CHANGE):
-        raise UnknownFormat(f"record {entry.op!r:.20} has format {record.format}, this release reads {RECORD_FORMAT}")
+        raise UnknownFormatError(
+            f"record {entry.op!r:.20} has format {record.format}, this release reads {RECORD_FORMAT}"
+        )
     position = Position(record.epoch, record.edition, record.checksum)
     body = json.loads(record.body)
     if entry.op == CHANGE:
         if image is None:
-            raise BaseMismatch("the log begins with a change")
+            raise BaseMismatchError("the log begins with a change")
         base = Position(record.base_epoch, record.base_edition, record.base_checksum)
         return image.apply(Change(base, position, body))
     whole = Image.of(position.epoch, position.version, body)
     if whole.position != position:
-        raise ChecksumMismatch(f"the snapshot has checksum {whole.position.checksum}, not {position.checksum}")
+        raise ChecksumMismatchError(f"the snapshot has checksum {whole.position.checksum}, not {position.checksum}")
     return whole
 
 
@@ -182,7 +192,7 @@
         """Raises JournalError if the records don't join, which is damage, and Stop if a later release wrote them."""
         try:
             journal = cls(who, disk, log, replay(entries))
-        except UnknownFormat as error:
+        except UnknownFormatError as error:
             raise Stop(Fault("open data folder", who, f"{error}; nothing was touched", BROKE)) from error
         if journal.image is not None and log.total:
             await journal._make_durable()
@@ -198,7 +208,7 @@
             await self._guarded(self.disk.sync(self.log.name))
 
     async def append(self, change: Change) -> Image:
-        """Syncs a change of the state held. One that is held already is synced again. Raises BaseMismatch for another."""
+        """Syncs a change of the state held. One that is held already is synced again. Raises BaseMismatchError for another."""
         return await asyncio.shield(asyncio.create_task(self._append(change)))
 
     async def replace(self, image: Image) -> Image:
@@ -220,7 +230,7 @@
         async with self.lock:
             self._check_trusted()
             if self.image is None:
-                raise BaseMismatch("no state is held here")
+                raise BaseMismatchError("no state is held here")
             if self.image.position != change.position:
                 image = self.image.apply(change)
                 self.log.append([change_entry(change)])
--- a/tests/test_control_journal.py
+++ b/tests/test_control_journal.py
@@ -11,14 +11,14 @@
 import pytest
 
 from postpass.control.journal import (
-    BaseMismatch,
+    BaseMismatchError,
     Change,
-    ChecksumMismatch,
+    ChecksumMismatchError,
     Image,
     JournalError,
     Position,
     StateJournal,
-    UnknownFormat,
+    UnknownFormatError,
     change_entry,
     replay,
     snapshot_entry,
@@ -87,13 +87,13 @@
             Image.of(1, 1, tree(1, source="other")),  # the same version of another content
         )
         for other in others:
-            with pytest.raises(BaseMismatch):
+            with pytest.raises(BaseMismatchError):
                 other.apply(change)
 
     def test_a_garbled_change_is_refused(self) -> None:
         base = Image.of(1, 1, tree(1))
         change, _ = advanced(base, 2)
-        with pytest.raises(ChecksumMismatch):
+        with pytest.raises(ChecksumMismatchError):
             base.apply(Change(change.base, change.position, change.delta[1:]))
         garbled: list[Any] = [[[["state", "edition", "deeper"], 3]], [[3]], [["ab"]], [[]]]
         for delta in garbled:
@@ -127,9 +127,9 @@
             entries.append(change_entry(change))
         assert replay(entries) == image
         assert replay([]) is None
-        with pytest.raises(BaseMismatch):
+        with pytest.raises(BaseMismatchError):
             replay([*entries[:3], *entries[4:]])
-        with pytest.raises(BaseMismatch, match="begins with a change"):
+        with pytest.raises(BaseMismatchError, match="begins with a change"):
             replay(entries[1:])
 
     def test_a_record_of_a_later_release_is_not_taken_for_damage(self) -> None:
@@ -137,7 +137,7 @@
         record = unpack(IDL.StateRecord, entry.body)
         record.format = 2
         entry.body = pack(record)
-        with pytest.raises(UnknownFormat, match="format 2, this release reads 1"):
+        with pytest.raises(UnknownFormatError, match="format 2, this release reads 1"):
             replay([entry])
 
         async def run() -> None:
@@ -384,7 +384,7 @@
             assert await journal.append(change) == after
             assert len(disk.read(segment_of(disk))) == size
             twin, _ = advanced(before, 6, source="another content")
-            with pytest.raises(BaseMismatch):
+            with pytest.raises(BaseMismatchError):
                 await journal.append(twin)
             assert journal.image == after
 
@@ -394,7 +394,7 @@
 def test_a_change_without_any_state_is_refused() -> None:
     async def run() -> None:
         _, journal = await opened(SimDisk(random.Random(1)))
-        with pytest.raises(BaseMismatch, match="no state"):
+        with pytest.raises(BaseMismatchError, match="no state"):
             await journal.append(advanced(Image.of(1, 1, tree(1)), 2)[0])
 
     asyncio.run(run())
