Join the log of changes of control's state

Conflicts in append and commit are resolved so that a change or a state is taken only after its epoch's promise is on disk.

--- a/postpass/control/election.py
+++ b/postpass/control/election.py
@@ -162,7 +162,7 @@
         # The new backups hold the whole state before the epoch is granted: nothing is written in between.
         if self.witness.promised != epoch:
             return Err(Fault(step, me, "a higher epoch was promised", SLOW))
-        await self.keep("state", held.dump())
+        held = (await self.store(held)).held
         self.held = held
         if not await self.append_to_all(held, epoch):
             return Err(Fault(step, me, f"one of the backups {', '.join(backups)} did not take the state", SLOW))
@@ -184,7 +184,7 @@
         )
         for name in sorted(set(now_voters) - {n for n, d in voters.items() if now_voters.get(n) == d}):
             events.emit(134, self.conf.name, joins=name)
-        self.publish(state)
+        self.publish(held.state)
         # Who leads is told by the granted epoch alone; members that wait for a primary need not wait for the next beat.
         self.spawn(self.announce_epoch(epoch, man))
         return Ok(None)
