--- a/tests/test_worst_days_leadership.py
+++ b/tests/test_worst_days_leadership.py
@@ -329,6 +329,7 @@
             assert f.primary() is not None
             lead = leader(f)
             assert (await f.ask(name, lambda c, turn=turn: c.apply_source(document(4 + turn), 3 + turn))).is_ok()
+        assert max(epoch for epoch, _ in seen) > 2
         early = [s for s in seen if s[0] > s[1]]
         assert not early, early
         return len(seen)
