Carry the voters before a replica set until its epoch is known to be granted

Cause: the voters of an epoch that nobody granted could elect a primary. A candidate with a promise that is older than a restart names a wiped member's new disk as voter; that one and the candidate are a majority of these voters, while the primary of a later epoch was granted by the disk before.

Change: `Pair.previous_voters` are the voters of the epoch before, where they differ; elections that rest on the replica set need majorities of both, also when they look for later epochs that may stand. Voters change only from a settled replica set. A primary that renews its replica set on a heartbeat settles the change before it leads; any other settles it with the next write or the next heartbeat while no order waits.

Mutants of the model that drop the voters before, or look among the new ones alone, are found.

--- a/model/control/rules.py
+++ b/model/control/rules.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from functools import lru_cache
+from typing import NamedTuple
 
 from model.control import transcribed
 from model.control.state import NO_VOTE, NOBODY, Answer, Member, ReplicaSet
@@ -25,10 +26,10 @@
     grant: Callable[[Witness, Pair, str], Witness | None] = Witness.grant
     may_campaign: Callable[[Iterable[str], Voters, Iterable[PreVote]], bool] = epochs.may_campaign
     may_lead: Callable[[str, int, Pair, dict[str, Pair], Voters, Voters], str] = epochs.may_lead
-    majority: transcribed.Count = epochs.majority
     without_majority: Callable[[transcribed.Heard], tuple[str, bool]] = transcribed.without_majority
-    wins: Callable[[transcribed.Ballot, transcribed.Count], bool] = transcribed.wins
-    settles: bool = False  # Does an epoch carry the voters before it, until it is known that it was granted?
+    elected_by: Callable[[Pair, Voters], bool] = Pair.elected_by
+    voters_after: Callable[[Pair, Voters], Voters] = epochs.voters_after
+    previous_voters: Callable[[Pair, Voters], Voters] = epochs.previous_voters
     next_voters: Callable[[list[str], Voters, Voters, bool], Voters] = transcribed.next_voters
     takes_append: Callable[[transcribed.Offer], bool] = transcribed.takes_append
     acknowledges: Callable[[Pair, Voters], bool] = transcribed.acknowledges
@@ -51,22 +52,34 @@
     return f"d{member + 1}.{disk}"
 
 
+def _disk_number(text: str) -> int:
+    return int(text.partition(".")[2]) if text else NO_VOTE
+
+
 @lru_cache(maxsize=1 << 16)
 def pair_of(value: ReplicaSet) -> Pair:
     """The product's type for a replica set."""
     if value.primary == NOBODY:
         return Pair()
-    voters = {name(m): _disk(m, d) for m, d in enumerate(value.voters) if d != NO_VOTE}
-    return Pair(value.epoch, name(value.primary), tuple(name(b) for b in value.backups), voters)
+    backups = tuple(name(b) for b in value.backups)
+    return Pair(value.epoch, name(value.primary), backups, _voters(value.voters), _voters(value.unsettled))
 
 
 @dataclass(frozen=True)
 class Candidacy:
-    """What a candidate may do with the answers that it has: why not to lead, and whether acknowledged orders are lost."""
+    """What a candidate may do with the answers that it has: why not to lead, whether acknowledged orders are lost, and
+    whether it leads without a majority of the voters before, since all have answered."""
 
     refusal: str
-    loses_state: bool
-    all_answered: bool
+    loses_state: bool = False
+    unopposed: bool = False
+
+
+class Electorate(NamedTuple):
+    """The voters of a new epoch and those before it, as a replica set has them."""
+
+    voters: tuple[int, ...]
+    unsettled: tuple[int, ...]
 
 
 class Decisions:
@@ -78,7 +91,7 @@
         self.promised = lru_cache(maxsize=1 << 16)(self._promised)
         self.granted = lru_cache(maxsize=1 << 16)(self._granted)
         self.candidacy = lru_cache(maxsize=1 << 18)(self._candidacy)
-        self.voters_after = lru_cache(maxsize=1 << 16)(self._voters_after)
+        self.electorate_after = lru_cache(maxsize=1 << 16)(self._electorate_after)
         self.elected = lru_cache(maxsize=1 << 16)(self._elected)
         self.acknowledges = lru_cache(maxsize=1 << 16)(self._acknowledges)
         self.confirms = lru_cache(maxsize=1 << 16)(self._confirms)
@@ -106,39 +119,37 @@
         pairs = {name(a.member): pair_of(a.granted) for a in answers}
         got = _disks(answers)
         if all(p.epoch == 0 for p in pairs.values()) and all(a.state_epoch == 0 for a in answers):
-            return Candidacy("nothing to begin from", False, all_answered)
+            return Candidacy("nothing to begin from")
         newest = max(pairs.values(), key=lambda p: p.epoch)
         # Whether they hear a primary is a matter of time, so any of them may have said that it does not.
         willing = [PreVote(member, disk, False) for member, disk in got.items()]
         everyone = list(got) if all_answered else [name(m) for m in range(self.members)]
         if not self.rules.may_campaign(everyone, newest.voters, willing):
-            return Candidacy("the pre-vote is lost", False, all_answered)
+            return Candidacy("the pre-vote is lost")
         pair = pair_of(own)
-        if own.unsettled and not self.rules.majority(_voters(own.unsettled), got):
-            return Candidacy("no majority of the voters before answered", False, all_answered)
         refusal = self.rules.may_lead(name(me), state_epoch, pair, pairs, pair.voters, got)
         if not refusal:
-            return Candidacy("", False, all_answered)
+            return Candidacy("")
         epochs_held = {name(a.member): a.state_epoch for a in answers}
         heard = transcribed.Heard(name(me), refusal, all_answered, pairs, got, epochs_held)
-        return Candidacy(*self.rules.without_majority(heard), all_answered)
-
-    def _voters_after(
-        self, before: tuple[int, ...], answers: tuple[Answer, ...], all_answered: bool, wanted: tuple[int, ...]
-    ) -> tuple[int, ...]:
-        voters = self.rules.next_voters([name(m) for m in wanted], _voters(before), _disks(answers), all_answered)
-        disks = {_disk(a.member, a.disk): a.disk for a in answers}
-        disks |= {_disk(m, d): d for m, d in enumerate(before)}
-        return tuple([disks.get(voters.get(name(m), ""), NO_VOTE) for m in range(self.members)])
-
-    def _elected(
-        self, proposal: ReplicaSet, before: ReplicaSet, all_answered: bool, grants: tuple[Answer, ...]
-    ) -> bool:
-        unsettled = _voters(before.unsettled)
-        ballot = transcribed.Ballot(
-            _voters(proposal.voters), _voters(before.voters), unsettled, all_answered, _disks(grants)
-        )
-        return self.rules.wins(ballot, self.rules.majority)
+        return Candidacy(*self.rules.without_majority(heard), unopposed=True)
+
+    def _electorate_after(
+        self, before: ReplicaSet, answers: tuple[Answer, ...], unopposed: bool, wanted: tuple[int, ...]
+    ) -> Electorate:
+        own, got = pair_of(before), _disks(answers)
+        voters = self.rules.next_voters([name(m) for m in wanted], own.voters, got, unopposed)
+        if unopposed:
+            return Electorate(self._numbers(voters), ())
+        voters = self.rules.voters_after(own, voters)
+        previous = self.rules.previous_voters(own, voters)
+        return Electorate(self._numbers(voters), self._numbers(previous) if previous else ())
+
+    def _numbers(self, voters: Voters) -> tuple[int, ...]:
+        return tuple([_disk_number(voters.get(name(m), "")) for m in range(self.members)])
+
+    def _elected(self, proposal: ReplicaSet, grants: tuple[Answer, ...]) -> bool:
+        return self.rules.elected_by(pair_of(proposal), _disks(grants))
 
     def _acknowledges(self, replica_set: ReplicaSet, answers: tuple[Answer, ...]) -> bool:
         return self.rules.acknowledges(pair_of(replica_set), _disks(answers))
--- a/model/control/state.py
+++ b/model/control/state.py
@@ -17,8 +17,8 @@
 class ReplicaSet(NamedTuple):
     """An epoch's primary and backups, and its voters: a disk for each member, or `NO_VOTE`.
 
-    `unsettled` are the voters of the epoch before, for as long as it is not known that this one was granted; it is
-    empty where the rules don't keep that.
+    `unsettled` are the voters of the epoch before, where they differ, for as long as it is not known that this one was
+    granted.
     """
 
     epoch: int
@@ -56,8 +56,6 @@
     answers: tuple[Answer, ...] = ()
     grants: tuple[Answer, ...] = ()
     proposal: ReplicaSet = BLANK
-    before: ReplicaSet = BLANK
-    all_answered: bool = False
     order: int = READ
     required: int = 0
 
--- a/model/control/steps.py
+++ b/model/control/steps.py
@@ -81,7 +81,7 @@
         if current is not None and current.kind == PREPARE and member.promised == current.epoch:
             yield from self._proposals(state, me, member, current)
         if current is not None and current.kind == INSTALL and member.promised == current.epoch:
-            if self.decide.elected(current.proposal, current.before, current.all_answered, current.grants):
+            if self.decide.elected(current.proposal, current.grants):
                 yield self._lead(state, me, member, current)
 
     def _proposals(self, state: State, me: int, member: Member, current: Round) -> Iterator[ControlStep]:
@@ -94,7 +94,7 @@
             yield Step(what, state, self._breach({Invariant.NO_FALSE_LOSS: True}))
             return
         for wanted in self._wanted(state, me):
-            yield from self._proposals_of(state, me, member, current, wanted, verdict.all_answered)
+            yield from self._proposals_of(state, me, member, current, wanted, verdict.unopposed)
 
     def _wanted(self, state: State, me: int) -> Iterator[tuple[int, ...]]:
         """The members that a candidate counts on: it may or may not have heard who is to leave."""
@@ -104,15 +104,13 @@
             yield tuple(m for m in present if m not in state.leaving)
 
     def _proposals_of(
-        self, state: State, me: int, member: Member, current: Round, wanted: tuple[int, ...], all_answered: bool
+        self, state: State, me: int, member: Member, current: Round, wanted: tuple[int, ...], unopposed: bool
     ) -> Iterator[ControlStep]:
-        before = member.replica_set
-        unsettled = before.voters if self.rules.settles else ()
-        after = self.decide.voters_after(before.voters, current.answers, all_answered, wanted)
+        after = self.decide.electorate_after(member.replica_set, current.answers, unopposed, wanted)
         others = [a.member for a in current.answers if a.member != me and a.member in wanted]
         for backups in permutations(others, min(len(others), self.size.tolerate)):
-            proposal = ReplicaSet(current.epoch, me, backups, after, unsettled)
-            install = Round(INSTALL, current.epoch, proposal=proposal, before=before, all_answered=all_answered)
+            proposal = ReplicaSet(current.epoch, me, backups, after.voters, after.unsettled)
+            install = Round(INSTALL, current.epoch, proposal=proposal)
             new = member._replace(state_epoch=current.epoch, replica_set=proposal, round=(install,))
             told = ", ".join(name(b) for b in backups)
             reached = _send(_put(state, me, new), Message(APPEND, current.epoch, me, proposal, member.log))
@@ -128,7 +126,7 @@
         primaries = (*state.primaries[:epoch], me, *state.primaries[epoch + 1 :])
         new = member._replace(leads=epoch, round=())
         reached = _put(state, me, new)._replace(primaries=primaries)
-        if self.rules.settles:
+        if member.replica_set.unsettled:
             settled = member.replica_set._replace(unsettled=())
             reached = _put(reached, me, new._replace(replica_set=settled))
             reached = _send(reached, Message(APPEND, epoch, me, settled, member.log))
@@ -331,9 +329,9 @@
         )
 
     def _settled(self, state: State, primary: Member) -> bool:
-        """Do all backups know that the primary's epoch was granted, where the rules keep that?"""
+        """Do all backups know that the primary's epoch was granted, where its voters are not those before?"""
         copies = [state.members[b].replica_set for b in primary.replica_set.backups]
-        return not self.rules.settles or all(copy == primary.replica_set for copy in copies)
+        return not any(copy.unsettled for copy in copies)
 
     def _departures(self, state: State, me: int, member: Member) -> Iterator[ControlStep]:
         """A member is asked to leave for good, and goes once a primary that hears the others lets it."""
--- a/model/control/symmetry.py
+++ b/model/control/symmetry.py
@@ -46,7 +46,6 @@
         answers=_answers(value.answers, names),
         grants=_answers(value.grants, names),
         proposal=_replica_set(value.proposal, names),
-        before=_replica_set(value.before, names),
     )
 
 
--- a/model/control/transcribed.py
+++ b/model/control/transcribed.py
@@ -6,23 +6,20 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from dataclasses import dataclass
 
 from postpass.control.epochs import Acknowledgement, Pair, Voters, majority
 
 
-def next_voters(everyone: list[str], before: Voters, answered: Voters, all_answered: bool) -> Voters:
-    """The voters of a new epoch (`run_election`, where machines announce themselves)."""
-    if all_answered:
-        return {n: answered[n] for n in everyone}
+def next_voters(everyone: list[str], before: Voters, answered: Voters, unopposed: bool) -> Voters:
+    """The voters of a new epoch (`run_election`). The product makes one safe change an epoch; here all that answered by
+    another disk change at once, which allows more."""
+    if unopposed:
+        return {n: answered[n] for n in everyone if n in answered}
     members = [n for n in everyone if n in answered or n in before]
     return {n: answered.get(n, before.get(n, "")) for n in members}
 
 
-Count = Callable[[Voters, Voters], bool]
-
-
 @dataclass(frozen=True)
 class Offer:
     """A state that a primary or candidate sends to a backup, and what the backup has: epoch, whether that is settled,
@@ -71,23 +68,6 @@
     return True
 
 
-@dataclass(frozen=True)
-class Ballot:
-    """The grants of an epoch, and the voters that they are counted by: those of the epoch itself, those of the epoch that
-    the candidate goes on from, and the ones before these, if that epoch is not known to have been granted."""
-
-    new: Voters
-    old: Voters
-    unsettled: Voters
-    all_answered: bool
-    granted: Voters
-
-
-def wins(ballot: Ballot, most: Count) -> bool:
-    """Is the epoch granted (`run_election`), where `most` tells a majority?"""
-    return most(ballot.new, ballot.granted) and (ballot.all_answered or most(ballot.old, ballot.granted))
-
-
 @dataclass(frozen=True)
 class Heard:
     """What a candidate that `may_lead` refuses has heard from those that promised."""
--- a/postpass/control/election.py
+++ b/postpass/control/election.py
@@ -14,9 +14,10 @@
     PreVote,
     Voters,
     backups_of,
-    majority,
     may_campaign,
     may_lead,
+    previous_voters,
+    voters_after,
     votes,
 )
 from postpass.control.replica import Replica
@@ -34,7 +35,8 @@
 
     def electorate(self, man: Manifest) -> list[str]:
         """All that may have a vote: the members of the configuration, and the voters of the epochs known here."""
-        return list(dict.fromkeys([*self.members(man), *self.held.pair.voters, *self.witness.pair.voters]))
+        voters = [*self.held.pair.voters, *self.held.pair.previous_voters, *self.witness.pair.voters]
+        return list(dict.fromkeys([*self.members(man), *voters]))
 
     def gone(self, man: Manifest) -> set[str]:
         """Those of the electorate that the configuration has no more, or declares gone."""
@@ -73,9 +75,11 @@
         first: State | None = None,
         prevotes: dict[str, Body] | None = None,
         handover: bool = False,
+        settle: bool = False,
     ) -> Result[None, Fault]:
         """Tries to become the primary of a new epoch; `first` is the state of a fleet that has none yet. A primary that
-        hands over asks for it itself, so the others still hear it."""
+        hands over asks for it itself, so the others still hear it. With `settle` it leads only once a change of voters
+        is settled, where no order waits for it."""
         me = self.conf.name
         step = "stand"
         if prevotes is None:
@@ -84,8 +88,6 @@
             if all(a["whole"] == 0 and a["pair"]["epoch"] == 0 for a in prevotes.values()):
                 return Err(Fault(step, me, "a fleet is founded only when all its control machines answer", SLOW))
             return Err(Fault(step, me, "too few voters answered that they hear no other primary", SLOW))
-        start = self.held
-        voters: Voters = start.pair.voters
         names, gone = self.electorate(man), self.gone(man)
         epoch = max(int(a["promised"]) for a in prevotes.values()) + 1
         looks = await self.collect_promises(man, epoch, prevotes, handover)
@@ -95,6 +97,7 @@
             return Err(Fault(step, me, f"epoch {epoch} was not promised by enough; {top} was seen", SLOW))
         # Only now: a copy that was under way when this one promised may have been answered since.
         start = self.held
+        voters: Voters = start.pair.voters
         got = {n: str(a["disk"]) for n, a in good.items()}
         pairs = {n: Pair.of(a["pair"]) for n, a in good.items()}
         every = all(n in good for n in names if n not in gone)
@@ -136,7 +139,9 @@
         unopposed = blank or flaw != ""
         leaving = [n for n, a in good.items() if a.get("leaving") and n != me]
         topology = self.topology(man)
-        now_voters = got if unopposed else next_voters(voters, self.members(man), got, topology, leaving)
+        wanted = next_voters(voters, self.members(man), got, topology, leaving)
+        now_voters = got if unopposed else voters_after(start.pair, wanted)
+        before = {} if unopposed else previous_voters(start.pair, now_voters)
         # A backup's acknowledgements count by its disk, so only one whose disk is among the voters can be a backup.
         rest = [n for n in self.members(man) if n != me and n in good and now_voters.get(n) == got[n]]
         rest = [n for n in rest if not good[n].get("leaving")] or rest
@@ -152,7 +157,7 @@
         backups = backups_of(
             liked, area if self.conf.announce else {n: n for n in liked}, self.conf.area, self.wanted_backups
         )
-        pair = Pair(epoch, me, backups, now_voters)
+        pair = Pair(epoch, me, backups, now_voters, before)
         held = Held(epoch, pair, state)
         # The new backups hold the whole state before the epoch is granted: nothing is written in between.
         if self.witness.promised != epoch:
@@ -165,9 +170,14 @@
         granted = votes(
             (Acknowledgement(n, str(a["disk"]), a["pair"]["epoch"]) for n, a in grants.items() if a["ok"]), epoch
         )
-        enough = majority(now_voters, granted) and (unopposed or majority(voters, granted))
-        if not enough or self.witness.promised != epoch:
+        if not pair.elected_by(granted) or self.witness.promised != epoch:
             return Err(Fault(step, me, "too few granted the epoch", SLOW))
+        self.held = Held(epoch, pair.settled(), state)
+        self.unsettled_epoch = epoch if pair.previous_voters else 0
+        if settle and self.unsettled_epoch:
+            await self.settle()
+            if self.witness.promised != epoch:
+                return Err(Fault(step, me, "a higher epoch was promised", SLOW))
         self.epoch, self.copied, self.leader = epoch, dict.fromkeys(backups, now()), me
         self.wiped_backups.clear()
         self.answered = {n: now() for n, d in now_voters.items() if granted.get(n) == d}
@@ -219,7 +229,7 @@
         if not epoch or self.epoch != epoch or not self.prevote_won(man, prevotes):
             return
         self.epoch = 0
-        got = await self.run_election(man, why, prevotes=prevotes)
+        got = await self.run_election(man, why, prevotes=prevotes, settle=not quick)
         if isinstance(got, Ok):
             events.emit(132, self.conf.name, backup=",".join(self.held.pair.backups), why=why)
         else:
--- a/postpass/control/epochs.py
+++ b/postpass/control/epochs.py
@@ -33,12 +33,17 @@
 @dataclass(frozen=True)
 class Pair:
     """Invariant: an epoch names one primary and its backups, for good; every one of them has synced a write before it is
-    answered."""
+    answered.
+
+    `previous_voters` are those of the epoch before, where they differ. Elections that rest on this replica set need a
+    majority of them as well until it is settled: until the primary, once this epoch was granted, wrote them off.
+    """
 
     epoch: int = 0
     primary: str = ""
     backups: tuple[str, ...] = ()
     voters: Voters = field(default_factory=dict)
+    previous_voters: Voters = field(default_factory=dict)
 
     def __contains__(self, name: object) -> bool:
         return name == self.primary or name in self.backups
@@ -70,11 +75,24 @@
         counted = {a.member for a in answers if self.counts(a)}
         return set(self.holders) <= counted and 2 * len(counted) > len(self.voters)
 
+    @property
+    def electorates(self) -> list[Voters]:
+        """The sets of voters of each of which an election that rests on this replica set needs a majority."""
+        return [self.voters, self.previous_voters] if self.previous_voters else [self.voters]
+
+    def settled(self) -> Pair:
+        """This replica set, once its epoch is known to be granted."""
+        return replace(self, previous_voters={})
+
+    def elected_by(self, granted: Voters) -> bool:
+        """Do the disks that granted this epoch make its primary the leader?"""
+        return all(majority(voters, granted) for voters in self.electorates)
+
     @classmethod
     def of(cls, raw: dict[str, Any]) -> Pair:
-        """From JSON; releases up to 0.2.0 knew one backup."""
+        """From JSON; releases up to 0.2.0 knew one backup, and none before 0.3 knew the voters of the epoch before."""
         backups = raw["backups"] if "backups" in raw else [raw["backup"]] if raw["backup"] else []
-        return cls(raw["epoch"], raw["primary"], tuple(backups), raw["voters"])
+        return cls(raw["epoch"], raw["primary"], tuple(backups), raw["voters"], raw.get("previous_voters", {}))
 
 
 @dataclass(frozen=True)
@@ -143,23 +161,44 @@
     return {a.member: a.disk for a in answers if a.epoch == epoch}
 
 
+def voters_after(own: Pair, wanted: Voters) -> Voters:
+    """The voters of an epoch that follows the replica set `own`: they change only from a settled one, so no epoch rests
+    on more than two sets of them."""
+    return own.voters if own.previous_voters else wanted
+
+
+def previous_voters(own: Pair, voters: Voters) -> Voters:
+    """The voters before, which an epoch with these `voters` carries along when it follows the replica set `own`."""
+    if own.previous_voters:
+        return own.previous_voters
+    return own.voters if voters != own.voters else {}
+
+
 def may_lead(me: str, whole: int, own: Pair, pairs: dict[str, Pair], voters: Voters, got: Voters) -> str:
     """The rule of takeover: empty if `me` may go on from the state it holds of epoch `whole`, else why not.
 
     `got` has the disk of each member that promised, `me` among them. A disk that the replica set doesn't name may hold
-    an older state of the same epoch: the primary never counted its answers. `pairs` is what each answering voter last granted; `own` is the pair of epoch `whole`. An epoch above
-    `whole` stands in the way unless it is proved that no majority granted it: those that answered and did
-    not grant it have promised a higher one, so they never will.
+    an older state of the same epoch: the primary never counted its answers. `pairs` is what each answering voter last
+    granted; `own` is the pair of epoch `whole`. An epoch above `whole` stands in the way unless it is proved that no
+    majority granted it: those that answered and did not grant it have promised a higher one, so they never will. All of
+    this holds for `voters` and for the voters before them, if `own` is not settled.
     """
     if whole == 0 or own.epoch != whole or me not in own or own.voters.get(me) != got.get(me):
         return "not of the pair whose state this is, or the state isn't whole"
-    if not majority(voters, got):
+    electorates = [voters, own.previous_voters] if own.previous_voters else [voters]
+    if not all(majority(electorate, got) for electorate in electorates):
         return "no majority answered"
-    valid = {n for n, d in voters.items() if got.get(n) == d}
-    for pair in {p.epoch: p for p in pairs.values() if p.epoch > whole}.values():
-        # One that has granted a later one may have granted this one before.
-        granted = {n for n in valid if n in pairs and pairs[n].epoch >= pair.epoch}
-        missing = set(voters) - valid
-        if 2 * len(granted | missing) > len(voters):
+    later = {p.epoch: p for p in pairs.values() if p.epoch > whole}
+    for pair in later.values():
+        if any(may_be_granted(pair.epoch, electorate, pairs, got) for electorate in electorates):
             return f"epoch {pair.epoch} of {pair.primary} may stand"
     return ""
+
+
+def may_be_granted(epoch: int, voters: Voters, pairs: dict[str, Pair], got: Voters) -> bool:
+    """Could a majority of these voters have granted this epoch, as far as those tell that promised a later one?"""
+    valid = {n for n, d in voters.items() if got.get(n) == d}
+    # One that has granted a later one may have granted this one before.
+    granted = {n for n in valid if n in pairs and pairs[n].epoch >= epoch}
+    missing = set(voters) - valid
+    return 2 * len(granted | missing) > len(voters)
--- a/postpass/control/leadership.py
+++ b/postpass/control/leadership.py
@@ -55,6 +55,9 @@
             async with self.lock:
                 if self.epoch == epoch:
                     await self.renew_replica_set(man, why)
+        elif self.unsettled_epoch == epoch and not self.lock.locked():
+            async with self.lock:
+                await self.settle()
 
     def flaw_of_replica_set(self, man: Manifest, answers: list[Acknowledgement]) -> str:
         """Why another replica set or other voters are wanted; empty if they are not."""
--- a/postpass/control/member.py
+++ b/postpass/control/member.py
@@ -63,6 +63,7 @@
         self.copied: dict[str, float] = {}  # when each backup last answered
         self.answered: dict[str, float] = {}  # when each voter's disk last answered under this epoch
         self.departing: set[str] = set()  # members that were told to leave, by their last answer
+        self.unsettled_epoch = 0  # the epoch led, while the holders' disks name the voters before it as well
         self.wiped_backups: set[str] = set()  # backups that answered with another disk than the replica set names
         # When a primary was last heard in this life, and who waits for one.
         self.led, self.led_now = -INFINITY, asyncio.Event()
--- a/postpass/control/replica.py
+++ b/postpass/control/replica.py
@@ -32,7 +32,7 @@
             if new.pair.voters.get(self.conf.name) != self.disk_id:
                 # Meant for the disk that this member had before; it may have been under way since then.
                 return self.append_answer(body, False)
-            if (new.whole, new.state.edition) < (self.held.whole, self.held.state.edition):
+            if new.order < self.held.order:
                 return self.append_answer(body, False)
             try:
                 await self.keep("state", new.dump())
@@ -142,6 +142,14 @@
         got = await hear(asks, enough, 0.0)
         return [a for a in got.values() if a is not None]
 
+    async def settle(self) -> None:
+        """Once more the state to the disks of all holders, now that its epoch is known to be granted: an election that
+        rests on it needs no majority of the voters before any more. Called with the lock held."""
+        held = self.held
+        await self.keep("state", held.dump())
+        if await self.append_to_all(held, held.whole) and self.unsettled_epoch == held.whole:
+            self.unsettled_epoch = 0
+
     async def notify(self, name: str, epoch: int) -> None:
         await self.append_to(None, epoch, name)
 
--- a/postpass/control/state.py
+++ b/postpass/control/state.py
@@ -28,6 +28,12 @@
     pair: Pair = Pair()
     state: State = State()
 
+    @property
+    def order(self) -> tuple[int, bool, int]:
+        """Of two states that a member is given the greater one is the later: nothing is written before a replica set is
+        settled."""
+        return self.whole, not self.pair.previous_voters, self.state.edition
+
     def raw(self) -> Body:
         """As JSON has it; shares what it can with this one."""
         return {"whole": self.whole, "pair": asdict(self.pair), "state": dict(vars(self.state))}
--- a/tests/model_mutants.py
+++ b/tests/model_mutants.py
@@ -47,14 +47,31 @@
 REPAIRED = Rules(acknowledges=holders_and_majority, confirms=holders_and_majority, may_leave=leaves_no_less_safe)
 
 
-def wins_under_all_voters(ballot: transcribed.Ballot, most: transcribed.Count) -> bool:
-    """Granted by majorities of the new voters, of those before, and of those before these if that is not settled."""
-    joint = [ballot.new, ballot.old, *([ballot.unsettled] if ballot.unsettled else [])]
-    return all(most(voters, ballot.granted) for voters in joint)
+def leads_by_new_voters(me: str, whole: int, own: Pair, pairs: dict[str, Pair], voters: Voters, got: Voters) -> str:
+    """Up to release 0.3: whoever holds the state of an epoch that nobody granted needs its voters alone."""
+    return may_lead(me, whole, own.settled(), pairs, voters, got)
 
 
-# A replica set whose voters differ from those before carries both, until it is known to have been granted.
-JOINT = replace(REPAIRED, wins=wins_under_all_voters, settles=True)
+def compares_later_epochs_by_new_voters(
+    me: str, whole: int, own: Pair, pairs: dict[str, Pair], voters: Voters, got: Voters
+) -> str:
+    """The voters before must have answered, but may have granted a later epoch."""
+    if own.previous_voters and not majority(own.previous_voters, got):
+        return "no majority of the voters before answered"
+    return may_lead(me, whole, own.settled(), pairs, voters, got)
+
+
+def changes_any_voters(own: Pair, wanted: Voters) -> Voters:
+    return wanted
+
+
+def carries_last_voters(own: Pair, voters: Voters) -> Voters:
+    return own.voters if voters != own.voters else {}
+
+
+NEW_VOTERS_ALONE = replace(
+    REPAIRED, may_lead=leads_by_new_voters, voters_after=changes_any_voters, previous_voters=carries_last_voters
+)
 
 
 def half(voters: Voters, got: Voters) -> bool:
@@ -76,7 +93,11 @@
         with mock.patch.object(epochs, "majority", count):
             return may_lead(me, whole, own, pairs, voters, got)
 
-    return replace(REPAIRED, majority=count, may_lead=rule, may_campaign=anyone_campaigns)  # type: ignore[arg-type]
+    def elected_by(pair: Pair, granted: Voters) -> bool:
+        with mock.patch.object(epochs, "majority", count):
+            return pair.elected_by(granted)
+
+    return replace(REPAIRED, may_lead=rule, elected_by=elected_by, may_campaign=anyone_campaigns)
 
 
 def leads_past_later_epochs(me: str, whole: int, own: Pair, pairs: dict[str, Pair], voters: Voters, got: Voters) -> str:
@@ -215,6 +236,19 @@
     "c3 leads epoch 3 with version 0",
 )
 
+# The order that the primary of epoch 3 acknowledged is on its disk alone, since its backup is wiped; the candidate of epoch
+# 2 has proposed the new disk as a voter.
+ORDER_ACKNOWLEDGED_BEFORE_THE_WIPE = (
+    *VOTER_WIPED_AFTER_ITS_GRANT[:-1],
+    "c1 leads epoch 3 with version 0",
+    "c1 takes order 0 as version 1",
+    "c3 syncs version 1 of epoch 3 from c1",
+    "c1 acknowledges order 0",
+    "c3 loses its disk and starts empty",
+    "c3 promises epoch 2 to c2",
+    "c2 proposes epoch 2 with the backups c3",
+)
+
 # The rules of release 0.2.0: faults A and C and hazard 8 of the review, and two that the model found.
 RELEASED = [
     Mutant(
@@ -252,17 +286,32 @@
     ),
     Mutant(
         "the voters of an epoch that nobody granted elect a primary",
-        REPAIRED,
+        NEW_VOTERS_ALONE,
         Invariant.ONE_PRIMARY,
         SMALL._replace(wipes=1, epochs=3, bases=()),
         after=VOTER_WIPED_AFTER_ITS_GRANT,
     ),
     Mutant(
         "the voters of an epoch that nobody granted elect a primary: what it acknowledges is lost",
-        REPAIRED,
+        NEW_VOTERS_ALONE,
         Invariant.KEPT,
         SMALL._replace(wipes=1, epochs=4),
         frozenset({Invariant.KEPT}),
         EPOCH_LED_TWICE,
     ),
+    Mutant(
+        "a later epoch is looked for among the new voters alone",
+        replace(REPAIRED, may_lead=compares_later_epochs_by_new_voters),
+        Invariant.BEARS_LOSS,
+        SMALL._replace(wipes=1, epochs=4),
+        after=ORDER_ACKNOWLEDGED_BEFORE_THE_WIPE,
+    ),
+    Mutant(
+        "a later epoch is looked for among the new voters alone: an acknowledged order is lost",
+        replace(REPAIRED, may_lead=compares_later_epochs_by_new_voters),
+        Invariant.KEPT,
+        SMALL._replace(wipes=1, epochs=4),
+        frozenset({Invariant.KEPT}),
+        ORDER_ACKNOWLEDGED_BEFORE_THE_WIPE,
+    ),
 ]
--- a/tests/test_control_epochs.py
+++ b/tests/test_control_epochs.py
@@ -9,8 +9,11 @@
     Voters,
     Witness,
     in_touch,
+    majority,
     may_campaign,
     may_lead,
+    previous_voters,
+    voters_after,
     votes,
 )
 
@@ -111,3 +114,55 @@
                     or size == 1
                     and not backups
                 )
+
+
+# --- voters of an epoch that nobody is known to have granted
+THREE: Voters = {"c1": "d1", "c2": "d2", "c3": "d3"}
+WIPED: Voters = THREE | {"c3": "new"}
+
+
+def test_a_replica_set_without_previous_voters_is_settled_also_in_the_form_of_earlier_releases() -> None:
+    raw = {"epoch": 3, "primary": "c1", "backups": ["c2"], "voters": THREE}
+    assert Pair.of(raw) == Pair(3, "c1", ("c2",), THREE) == Pair.of(raw | {"previous_voters": {}})
+    unsettled = Pair(3, "c1", ("c2",), WIPED, THREE)
+    assert Pair.of(raw | {"voters": WIPED, "previous_voters": THREE}) == unsettled
+    assert unsettled.settled() == Pair(3, "c1", ("c2",), WIPED)
+    promised = Witness().look(3, "c1")
+    assert promised is not None
+    granted = promised.grant(unsettled, "c1")
+    assert granted is not None and Witness.load(granted.dump()) == granted
+
+
+def test_an_epoch_carries_the_voters_before_it_only_where_they_differ() -> None:
+    settled = Pair(1, "c1", ("c2",), THREE)
+    assert previous_voters(settled, THREE) == {}
+    assert previous_voters(settled, WIPED) == THREE
+    assert voters_after(settled, WIPED) == WIPED
+
+
+def test_voters_change_only_from_a_settled_replica_set() -> None:
+    unsettled = Pair(2, "c2", ("c3",), WIPED, THREE)
+    assert voters_after(unsettled, {"c2": "d2", "c3": "new"}) == WIPED
+    assert previous_voters(unsettled, WIPED) == THREE
+
+
+def test_an_unsettled_epoch_is_granted_by_majorities_of_both_sets_of_voters() -> None:
+    unsettled = Pair(2, "c2", ("c3",), WIPED, THREE)
+    for chosen in range(1 << 4):
+        answers = [("c1", "d1"), ("c2", "d2"), ("c3", "d3"), ("c3", "new")]
+        granted = dict(a for i, a in enumerate(answers) if chosen >> i & 1)
+        both = majority(THREE, granted) and majority(WIPED, granted)
+        assert unsettled.elected_by(granted) == both
+        assert unsettled.settled().elected_by(granted) == majority(WIPED, granted)
+
+
+def test_the_new_voters_of_an_epoch_that_nobody_granted_elect_no_primary() -> None:
+    # c1 leads epoch 3, granted by c1 and the disk that c3 had; c2's epoch 2 names the disk that c3 has now.
+    founded, third = Pair(1, "c1", ("c2",), THREE), Pair(3, "c1", ("c3",), THREE)
+    proposed = Pair(2, "c2", ("c3",), WIPED, THREE)
+    got = {"c2": "d2", "c3": "new"}
+    assert may_lead("c3", 2, proposed, {"c2": founded, "c3": Pair()}, WIPED, got) == "no majority answered"
+    # With c1 a majority of both answers, and epoch 3 stands by the voters that granted it.
+    pairs = {"c1": third, "c2": founded, "c3": Pair()}
+    assert "epoch 3" in may_lead("c3", 2, proposed, pairs, WIPED, got | {"c1": "d1"})
+    assert may_lead("c3", 2, proposed.settled(), pairs, WIPED, got | {"c1": "d1"}) == ""
--- a/tests/test_model_control.py
+++ b/tests/test_model_control.py
@@ -11,7 +11,15 @@
 from model.control.steps import ControlModel
 from model.control.symmetry import canonical, renamed
 from model.search import Limits, search
-from tests.model_mutants import JOINT, MUTANTS, RELEASED, SMALL, Mutant
+from tests.model_mutants import (
+    MUTANTS,
+    ORDER_ACKNOWLEDGED_BEFORE_THE_WIPE,
+    RELEASED,
+    REPAIRED,
+    SMALL,
+    VOTER_WIPED_AFTER_ITS_GRANT,
+    Mutant,
+)
 
 RACE = (0, 0)  # Two orders that build on the same version: one of them must be refused.
 SEQUENCE = (0, 1)
@@ -29,7 +37,7 @@
     ids=str,
 )
 def test_no_invariant_breaks_in_any_run_of_this_size(size: Size) -> None:
-    found = search(ControlModel(size, JOINT).system())
+    found = search(ControlModel(size, REPAIRED).system())
     assert found.complete and not found.breach, found.text()
 
 
@@ -50,12 +58,28 @@
     assert len(found.trace) == found.depth
 
 
+@pytest.mark.parametrize(
+    ("after", "size"),
+    [
+        (VOTER_WIPED_AFTER_ITS_GRANT, SMALL._replace(wipes=1, epochs=3, bases=())),
+        (VOTER_WIPED_AFTER_ITS_GRANT, SMALL._replace(wipes=1, epochs=4)),
+        (ORDER_ACKNOWLEDGED_BEFORE_THE_WIPE, SMALL._replace(wipes=1, epochs=4)),
+    ],
+    ids=["led twice", "led twice, with an order", "order before the wipe"],
+)
+def test_the_product_bears_voters_of_an_epoch_that_nobody_granted(after: tuple[str, ...], size: Size) -> None:
+    model = ControlModel(size, REPAIRED)
+    found = search(replace(model.system(), initial=begin(model, after)))
+    print(found.text())
+    assert found.complete and not found.breach, found.text()
+
+
 def test_every_invariant_has_a_rule_whose_fault_breaks_it() -> None:
     assert {m.breaks for m in [*MUTANTS, *RELEASED]} == set(Invariant)
 
 
 def test_a_search_repeats_itself() -> None:
-    one, two = (search(ControlModel(SMALL, JOINT).system()) for _ in range(2))
+    one, two = (search(ControlModel(SMALL, REPAIRED).system()) for _ in range(2))
     assert (one.states, one.transitions, one.depth) == (two.states, two.transitions, two.depth)
 
 
--- /dev/null
+++ b/tests/test_worst_days_voters.py
@@ -0,0 +1,99 @@
+"""Voters of an epoch that nobody granted, brought about by an answer that is slower than a restart."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import pytest
+
+from postpass.control import Control
+from postpass.control.epochs import Pair
+from postpass.manifest import Manifest
+from postpass.wire import Body
+from tests.announced import Fleet
+from tests.test_worst_days_leadership import (
+    DETECTION_TIME,
+    RECOVERY_TIME,
+    isolate,
+    leader,
+    play,
+    readable,
+    settle,
+    wipe,
+)
+
+
+def promise_of(candidate: str, epoch: int) -> Body:
+    """A request for a promise, as a candidate sends it; the pre-vote is past."""
+    return {"epoch": epoch, "who": candidate, "handover": 1}
+
+
+async def campaign(candidate: Control, late: dict[str, Body]) -> None:
+    """An election with promises of others that were under way since before the candidate was cut off."""
+    ask_all, man = candidate.ask_all, candidate.known()
+    assert man is not None
+
+    async def ask_with_late_answers(
+        verb: str, body: Body, names: list[str], man: Manifest, quick: bool = False
+    ) -> dict[str, Body]:
+        answers = await ask_all(verb, body, names, man, quick)
+        return answers | {n: a for n, a in late.items() if verb == "look" and n in names}
+
+    candidate.ask_all = ask_with_late_answers  # type: ignore[method-assign]
+    prevotes = await candidate.collect_prevotes(man, True)
+    prevotes = {n: a | {"promised": min(a["promised"], candidate.witness.promised)} for n, a in prevotes.items()}
+    async with candidate.lock:
+        got = await candidate.run_election(man, "primary lost", prevotes=prevotes)
+        assert got.is_err(), "it needs a majority of the voters before"
+    candidate.ask_all = ask_all  # type: ignore[method-assign]
+
+
+async def propose_to_the_wiped_member(f: Fleet) -> Pair:
+    """The replica set that leads: the primary leads two epochs on, granted by itself and a voter that is then wiped; the backup before has a promise
+    of the epoch between, and proposes it with the new disk as voter and backup."""
+    primary = await settle(f)
+    first, second = primary.conf.name, primary.held.pair.backup
+    third = next(n for n in ("c1", "c2", "c3") if n not in (first, second))
+    epoch = primary.epoch
+    isolate(f, [second])
+    late = await f.ask(first, lambda c: c.on_look(promise_of(second, epoch + 1)))
+    assert late.unwrap()["ok"]
+
+    def leads_on() -> bool:
+        lead = f.primary()
+        return lead is not None and lead.epoch > epoch + 1 and lead.held.pair.backups == (third,)
+
+    assert await f.until(leads_on, RECOVERY_TIME) >= 0
+    led = leader(f).held.pair
+    assert led.primary == first
+    wipe(f, third)
+    isolate(f, [first])
+    f.loop.net.cuts -= {(second, third), (third, second)}
+    f.boot(third)
+    await f.until(lambda: f.nodes[third].daemon is not None and f.nodes[third].daemon.known() is not None, 5)  # type: ignore[union-attr]
+    await f.ask(second, lambda c: campaign(c, {first: late.unwrap()}))
+    return led
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_the_new_voters_of_an_epoch_that_nobody_granted_elect_nobody(seed: int) -> None:
+    async def scene(f: Fleet) -> Any:
+        led = await propose_to_the_wiped_member(f)
+        third = led.backup
+        held = f.nodes[third].daemon.held  # type: ignore[union-attr]
+        assert held.pair.epoch == led.epoch - 1 and held.pair.voters[third] != led.voters[third], held
+        epochs = {led.primary: led.epoch}
+        for _ in range(int(3 * RECOVERY_TIME)):
+            await asyncio.sleep(1)
+            epochs |= {c.conf.name: c.epoch for c in f.controls() if c.epoch and c.conf.name != led.primary}
+        assert set(epochs) == {led.primary}, epochs
+        # What was cut off comes back, and the fleet goes on from what was acknowledged.
+        f.loop.net.cuts.clear()
+        assert await readable(f, 3) >= 0
+        await asyncio.sleep(2 * DETECTION_TIME)
+        disks = {c.conf.name: c.disk_id for c in f.controls()}
+        assert leader(f).held.pair.voters == disks
+        assert (await f.ask(leader(f).conf.name, lambda c: c.read_source())).unwrap()["version"] == 3
+
+    play(scene, seed)
