--- a/postpass/control/contact.py
+++ b/postpass/control/contact.py
@@ -18,6 +18,7 @@
 from postpass.wire import Body, PeerResponse
 from postpass.world import hear, now
 
+RENEWAL = 2  # times the lease, for which a primary that takes another replica set still counts as one
 RELAYS = 3  # other members that a worker's heartbeat is sent to from one without contact
 
 
@@ -36,6 +37,7 @@
         return max(self.led, last_majority(self.held.pair.voters, answered))
 
     def in_touch(self) -> bool:
+        """Is the last contact recent enough to hand out what this member knows?"""
         return now() - self.last_contact() <= self.conf.bounds.contact
 
     def lost_touch(self) -> bool:
@@ -46,17 +48,21 @@
         return now() - max(self.last_contact(), self.started) > self.conf.bounds.contact
 
     def takes_another_epoch(self) -> bool:
-        """Is this the primary that takes another backup or voter? For a moment it leads no epoch then."""
-        return self.leader == self.conf.name and self.lock.locked()
+        """Is this the primary that takes another backup or voter? For a moment it leads no epoch then. One that was cut off
+        tries elections too, but has long lost most voters."""
+        renewing = self.leader == self.conf.name and self.lock.locked()
+        return renewing and now() - self.last_contact() <= RENEWAL * self.conf.bounds.contact
 
     def other_members(self) -> list[str]:
         """The addresses of the other control members."""
         return [addr for n in self.members() if n != self.conf.name and (addr := self.addr(n))]
 
     def stale(self) -> Stale:
+        """The answer of a member that is out of touch, with the others to ask instead."""
         return Stale(self.news.edition, tuple(self.other_members()))
 
     def out_of_touch(self, step: str) -> Fault:
+        """The error of a member that is out of touch, with the others to ask instead."""
         others = ", ".join(self.other_members()) or "no other is known"
         return Fault(step, self.conf.name, f"out of touch with the primary; ask another: {others}", SHED)
 
--- a/postpass/control/replica.py
+++ b/postpass/control/replica.py
@@ -129,16 +129,16 @@
     def own_acknowledgement(self, epoch: int) -> Acknowledgement:
         return Acknowledgement(self.conf.name, self.disk_id, epoch)
 
-    async def answers_of_voters(self, epoch: int, pair: Pair) -> list[Acknowledgement]:
+    async def answers_of_voters(self, epoch: int, replica_set: Pair) -> list[Acknowledgement]:
         """A round to the voters that are no holders; ends once they and the holders are a majority."""
-        holders = [Acknowledgement(n, pair.voters.get(n, ""), epoch) for n in pair.holders]
+        holders = [Acknowledgement(n, replica_set.voters.get(n, ""), epoch) for n in replica_set.holders]
 
         def enough(got: dict[str, Acknowledgement | None]) -> bool:
-            return pair.confirmed_by([*holders, *(a for a in got.values() if a is not None)])
+            return replica_set.confirmed_by([*holders, *(a for a in got.values() if a is not None)])
 
         if enough({}):
             return []
-        asks = {n: self.append_to(None, epoch, n) for n in pair.voters if n not in pair}
+        asks = {n: self.append_to(None, epoch, n) for n in replica_set.voters if n not in replica_set}
         got = await hear(asks, enough, 0.0)
         return [a for a in got.values() if a is not None]
 
