--- a/postpass/control/election.py
+++ b/postpass/control/election.py
@@ -17,6 +17,7 @@
     may_campaign,
     may_lead,
     previous_voters,
+    unheard_holders,
     voters_after,
     votes,
 )
@@ -110,6 +111,8 @@
                 newest = await self.newest_known(man)
                 if newest is None:
                     return Err(Fault(step, me, "too few daemons confirm the newest edition", SLOW))
+                if unheard := self.unheard(newest[1], good):
+                    return Err(Fault(step, me, f"{', '.join(unheard)} may hold the newest state", SLOW))
                 state, loss = recovered(newest[0] + 1, newest[1], 1), True
             elif first is not None:
                 state = first
@@ -131,6 +134,8 @@
                     newest = await self.newest_known(man)
                     if newest is None:
                         return Err(Fault(step, me, "too few daemons confirm the newest edition", SLOW))
+                    if unheard := self.unheard(newest[1], good):
+                        return Err(Fault(step, me, f"{', '.join(unheard)} may hold the newest state", SLOW))
                     edition = max(newest[0], *(a["edition"] for a in good.values())) + 1
                     state, loss = recovered(edition, newest[1], start.state.losses + 1), True
                 elif start.whole != best.epoch:
@@ -190,19 +195,13 @@
         for name in sorted(set(now_voters) - {n for n, d in voters.items() if now_voters.get(n) == d}):
             events.emit(134, self.conf.name, joins=name)
         self.publish(state)
+        # Who leads is told by the granted epoch alone; members that wait for a primary need not wait for the next beat.
+        self.spawn(self.announce_epoch(epoch, man))
         return Ok(None)
 
-    def topology(self, man: Manifest) -> Topology:
-        """Where the machines stand, and what may be lost of them at once."""
-        return Topology({n: m["area"] for n, m in man["machines"].items()}, self.conf.tolerance)
-
-    def voters_to_change(self, man: Manifest, answers: list[Acknowledgement]) -> list[str]:
-        """As primary: who would join or leave the voters by the next safe change, given who answered the heartbeat."""
-        voters = self.held.pair.voters
-        answered = {a.member: a.disk for a in answers} | {self.conf.name: self.disk_id}
-        leaving = sorted(self.departing & set(answered))
-        after = next_voters(voters, self.members(man), answered, self.topology(man), leaving)
-        return sorted(n for n in {*voters, *after} if voters.get(n) != after.get(n))
+    async def announce_epoch(self, epoch: int, man: Manifest) -> None:
+        """The first heartbeat of a new primary, to all members."""
+        await self.heartbeat(epoch, man)
 
     async def confirm_leadership(self) -> bool:
         """True if nobody else led when this was called: all holders and most voters answered under this epoch since. A backup
@@ -235,6 +234,27 @@
         else:
             self.heard = now() - self.conf.bounds.detect
 
+    def topology(self, man: Manifest) -> Topology:
+        """Where the machines stand, and what may be lost of them at once."""
+        return Topology({n: m["area"] for n, m in man["machines"].items()}, self.conf.tolerance)
+
+    def voters_to_change(self, man: Manifest, answers: list[Acknowledgement]) -> list[str]:
+        """As primary: who would join or leave the voters by the next safe change, given who answered the heartbeat."""
+        voters = self.held.pair.voters
+        answered = {a.member: a.disk for a in answers} | {self.conf.name: self.disk_id}
+        leaving = sorted(self.departing & set(answered))
+        after = next_voters(voters, self.members(man), answered, self.topology(man), leaving)
+        return sorted(n for n in {*voters, *after} if voters.get(n) != after.get(n))
+
+    def unheard(self, man: Manifest, answers: dict[str, Body]) -> list[str]:
+        """Who might hold a newer state than those that answered, by the newest configuration in force."""
+        newest = max((Pair.of(a["pair"]) for a in answers.values()), key=lambda p: p.epoch)
+        known = {*self.electorate(man), *newest.voters, *newest.holders}
+        dropped = {n for n in known if n not in man["machines"] or man["machines"][n].get("gone")}
+        # Where machines announce themselves it was no operator that dropped them.
+        declared_gone = set() if man.get("announced") else dropped
+        return sorted(unheard_holders(newest, self.members(man), dropped, declared_gone, answers))
+
     @property
     def wanted_backups(self) -> int:
         """How many backups there should be: one more copy than may be lost, with the primary's own."""
--- a/tests/model_mutants.py
+++ b/tests/model_mutants.py
@@ -48,7 +48,7 @@
 
 
 def leads_by_new_voters(me: str, whole: int, own: Pair, pairs: dict[str, Pair], voters: Voters, got: Voters) -> str:
-    """Up to release 0.3: whoever holds the state of an epoch that nobody granted needs its voters alone."""
+    """Before release 0.3: whoever holds the state of an epoch that nobody granted needs its voters alone."""
     return may_lead(me, whole, own.settled(), pairs, voters, got)
 
 
