--- a/postpass/control/election.py
+++ b/postpass/control/election.py
@@ -53,7 +53,7 @@
 
     def prevote_won(self, man: Manifest, answers: dict[str, Body]) -> bool:
         """The rule of the pre-vote, by the voters of the newest epoch that an answer tells."""
-        newest = max((Pair.of(a["pair"]) for a in answers.values()), key=lambda p: p.epoch)
+        newest = max((Pair.of(a["pair"]) for a in answers.values()), key=lambda replica_set: replica_set.epoch)
         prevotes = [PreVote(n, str(a["disk"]), not a["ok"]) for n, a in answers.items()]
         return may_campaign(set(self.electorate(man)) - self.gone(man), newest.voters, prevotes)
 
@@ -121,7 +121,7 @@
         else:
             flaw = may_lead(me, start.whole, start.pair, pairs, voters, got)
             if flaw:
-                best = max(pairs.values(), key=lambda p: p.epoch)
+                best = max(pairs.values(), key=lambda replica_set: replica_set.epoch)
                 # A voter of the newest pair that answers with that epoch's state can lead; it goes first.
                 able = [
                     n
@@ -200,7 +200,7 @@
         return Ok(None)
 
     async def announce_epoch(self, epoch: int, man: Manifest) -> None:
-        """The first heartbeat of a new primary, to all members."""
+        """One heartbeat at once, so that all members hear of a granted epoch."""
         await self.heartbeat(epoch, man)
 
     async def confirm_leadership(self) -> bool:
@@ -248,7 +248,7 @@
 
     def unheard(self, man: Manifest, answers: dict[str, Body]) -> list[str]:
         """Who might hold a newer state than those that answered, by the newest configuration in force."""
-        newest = max((Pair.of(a["pair"]) for a in answers.values()), key=lambda p: p.epoch)
+        newest = max((Pair.of(a["pair"]) for a in answers.values()), key=lambda replica_set: replica_set.epoch)
         known = {*self.electorate(man), *newest.voters, *newest.holders}
         dropped = {n for n in known if n not in man["machines"] or man["machines"][n].get("gone")}
         # Where machines announce themselves it was no operator that dropped them.
@@ -291,7 +291,7 @@
 
     def may_try_to_lead(self, man: Manifest, every: dict[str, Body]) -> bool:
         """Is it this one's turn to try? One that can't lead would only burn epochs of one that can."""
-        best = max((Pair.of(a["pair"]) for a in every.values()), key=lambda p: p.epoch)
+        best = max((Pair.of(a["pair"]) for a in every.values()), key=lambda replica_set: replica_set.epoch)
         if self.held.whole >= best.epoch or (
             self.conf.name in best and best.voters.get(self.conf.name) == self.disk_id
         ):
--- a/postpass/control/replica.py
+++ b/postpass/control/replica.py
@@ -42,7 +42,7 @@
             if not stored.unwrap():
                 return self.append_answer(body, False)
         if granted:
-            self.learn_edition(body)
+            self.learn_version(body)
         return self.append_answer(body, True)
 
     def follow_leader(self, name: str) -> None:
@@ -69,7 +69,7 @@
         self.held = new
         return Ok(True)
 
-    def learn_edition(self, body: Body) -> None:
+    def learn_version(self, body: Body) -> None:
         """The primary tells the edition in force: publishes it, or fetches it if this member has no copy of it."""
         edition = body.get("edition", 0)
         if edition <= self.news.edition:
--- a/tests/membership_drill.py
+++ b/tests/membership_drill.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextvars
 import multiprocessing
 import random
 import sys
@@ -236,7 +237,8 @@
             act()
             self.away -= 1
 
-        self.fleet.loop.create_task(run())
+        # Outside the struck host's own context, or the task would die with it when it strikes itself at one of its points.
+        self.fleet.loop.create_task(run(), context=contextvars.Context())
 
     async def lose(self, loss: Loss) -> None:
         if loss.since == "done":
