Model: call the product's rule of acknowledged writes and confirmed reads

Cause: the rule became a function of the product, `Pair.confirmed_by`, and the model still had its own. Change: both transcriptions and the tests' own rule are gone.

--- a/model/control/rules.py
+++ b/model/control/rules.py
@@ -32,8 +32,8 @@
     previous_voters: Callable[[Pair, Voters], Voters] = epochs.previous_voters
     next_voters: Callable[[list[str], Voters, Voters, bool], Voters] = transcribed.next_voters
     takes_append: Callable[[transcribed.Offer], bool] = transcribed.takes_append
-    acknowledges: Callable[[Pair, Voters], bool] = transcribed.acknowledges
-    confirms: Callable[[Pair, Voters], bool] = transcribed.confirms
+    acknowledges: Callable[[Pair, Voters], bool] = transcribed.confirmed
+    confirms: Callable[[Pair, Voters], bool] = transcribed.confirmed
     whole: Callable[[Pair, Voters], bool] = transcribed.whole
     may_leave: Callable[[str, Pair, Voters, int], bool] = transcribed.may_leave
     remembers: Callable[[tuple[int, ...], int], bool] = transcribed.remembers
--- a/model/control/transcribed.py
+++ b/model/control/transcribed.py
@@ -8,7 +8,7 @@
 
 from dataclasses import dataclass
 
-from postpass.control.epochs import Acknowledgement, Pair, Voters, majority
+from postpass.control.epochs import Acknowledgement, Pair, Voters
 
 
 def next_voters(everyone: list[str], before: Voters, answered: Voters, unopposed: bool) -> Voters:
@@ -37,20 +37,10 @@
     return offer.names_my_disk and offer.epoch >= offer.promised and offer.sent >= offer.have
 
 
-def acknowledges(replica_set: Pair, answered: Voters) -> bool:
-    """Is a write acknowledged after these answers, the primary's own among them (`commit`)?"""
-    return replica_set.copied_to_all(_acknowledgements(replica_set, answered))
-
-
-def confirms(replica_set: Pair, answered: Voters) -> bool:
-    """Do these answers confirm the leadership, for a read or a repeated order (`confirm_leadership`)?"""
-    if replica_set.backups and acknowledges(replica_set, answered):
-        return True
-    return majority(replica_set.voters, answered)
-
-
-def _acknowledgements(replica_set: Pair, answered: Voters) -> list[Acknowledgement]:
-    return [Acknowledgement(member, disk, replica_set.epoch) for member, disk in answered.items()]
+def confirmed(replica_set: Pair, answered: Voters) -> bool:
+    """Do these answers, the primary's own among them, acknowledge a write (`commit`) or confirm the leadership for a read
+    or a repeated order (`confirm_leadership`)?"""
+    return replica_set.confirmed_by(Acknowledgement(m, disk, replica_set.epoch) for m, disk in answered.items())
 
 
 def whole(replica_set: Pair, answered: Voters) -> bool:
--- a/tests/model_mutants.py
+++ b/tests/model_mutants.py
@@ -31,12 +31,6 @@
     after: tuple[str, ...] = ()
 
 
-def holders_and_majority(replica_set: Pair, answered: Voters) -> bool:
-    """All holders and a majority of voters have answered, each counted by its disk."""
-    holders = all(answered.get(n) == replica_set.voters.get(n) for n in replica_set.holders)
-    return holders and majority(replica_set.voters, answered)
-
-
 def leaves_no_less_safe(me: str, replica_set: Pair, answered: Voters, tolerate: int) -> bool:
     """The leaver has neither a vote nor a copy, and the others bear the tolerated loss."""
     votes = sum(answered.get(n) == disk for n, disk in replica_set.voters.items())
@@ -44,7 +38,8 @@
     return me not in replica_set.voters and me not in replica_set and borne
 
 
-REPAIRED = Rules(acknowledges=holders_and_majority, confirms=holders_and_majority, may_leave=leaves_no_less_safe)
+# The product's rules, and a leaver that waits until the rest bears the next loss.
+REPAIRED = Rules(may_leave=leaves_no_less_safe)
 
 
 def leads_by_new_voters(me: str, whole: int, own: Pair, pairs: dict[str, Pair], voters: Voters, got: Voters) -> str:
