Change voters only where nobody waits for the election

Cause: a renewal on the way of a read or an order changed voters, and led before the change was settled; another loss in that moment could leave too few of the voters before.

Change: a takeover, a restart, a handover and a renewal that an order or read waits for keep the voters; the new primary changes them with its next heartbeat, and settles the change before it leads. So neither a takeover nor an acknowledgement waits for a settlement, unless the takeover is from a state whose epoch nobody settled.

--- a/postpass/control/election.py
+++ b/postpass/control/election.py
@@ -76,11 +76,11 @@
         first: State | None = None,
         prevotes: dict[str, Body] | None = None,
         handover: bool = False,
-        settle: bool = False,
+        change_voters: bool = False,
     ) -> Result[None, Fault]:
         """Tries to become the primary of a new epoch; `first` is the state of a fleet that has none yet. A primary that
-        hands over asks for it itself, so the others still hear it. With `settle` it leads only once a change of voters
-        is settled, where no order waits for it."""
+        hands over asks for it itself, so the others still hear it. Where nobody waits for it, `change_voters` also makes
+        the next safe change of voters, and settles it before the epoch is led."""
         me = self.conf.name
         step = "stand"
         if prevotes is None:
@@ -144,7 +144,7 @@
         unopposed = blank or flaw != ""
         leaving = [n for n, a in good.items() if a.get("leaving") and n != me]
         topology = self.topology(man)
-        wanted = next_voters(voters, self.members(man), got, topology, leaving)
+        wanted = next_voters(voters, self.members(man), got, topology, leaving) if change_voters else voters
         now_voters = got if unopposed else voters_after(start.pair, wanted)
         before = {} if unopposed else previous_voters(start.pair, now_voters)
         # A backup's acknowledgements count by its disk, so only one whose disk is among the voters can be a backup.
@@ -179,7 +179,7 @@
             return Err(Fault(step, me, "too few granted the epoch", SLOW))
         self.held = Held(epoch, pair.settled(), state)
         self.unsettled_epoch = epoch if pair.previous_voters else 0
-        if settle and self.unsettled_epoch:
+        if self.unsettled_epoch:
             await self.settle()
             if self.witness.promised != epoch:
                 return Err(Fault(step, me, "a higher epoch was promised", SLOW))
@@ -228,7 +228,7 @@
         if not epoch or self.epoch != epoch or not self.prevote_won(man, prevotes):
             return
         self.epoch = 0
-        got = await self.run_election(man, why, prevotes=prevotes, settle=not quick)
+        got = await self.run_election(man, why, prevotes=prevotes, change_voters=not quick)
         if isinstance(got, Ok):
             events.emit(132, self.conf.name, backup=",".join(self.held.pair.backups), why=why)
         else:
--- a/postpass/control/leadership.py
+++ b/postpass/control/leadership.py
@@ -141,7 +141,7 @@
                 return
             if not handed_over and self.conf.name == self.witness.pair.primary:
                 async with self.lock:
-                    got = await self.run_election(man, "too few backups")
+                    got = await self.run_election(man, "too few backups", change_voters=True)
                 if isinstance(got, Err):
                     await asyncio.sleep(self.conf.bounds.promise)
             await asyncio.sleep(self.conf.bounds.beat / 4)
--- a/tests/test_control_state.py
+++ b/tests/test_control_state.py
@@ -16,3 +16,16 @@
         assert "sum" in str(bad)
     else:
         raise AssertionError("damage was not seen")
+
+
+def test_a_settled_state_is_later_than_any_proposal_of_its_epoch() -> None:
+    voters = {"c1": "d1", "c2": "d2"}
+    proposed = Pair(3, "c1", ("c2",), voters, {"c1": "d1", "c2": "old"})
+    order = [
+        Held(2, Pair(2, "c1", ("c2",), voters), State(9, None)),
+        Held(3, proposed, State(7, None)),
+        Held(3, proposed.settled(), State(7, None)),
+        Held(3, proposed.settled(), State(8, None)),
+    ]
+    assert [held.order for held in order] == sorted({held.order for held in order})
+    assert all(Held.load(held.dump()) == held for held in order)
--- a/tests/test_worst_days_voters.py
+++ b/tests/test_worst_days_voters.py
@@ -9,12 +9,14 @@
 
 from postpass.control import Control
 from postpass.control.epochs import Pair
+from postpass.control.state import Held
 from postpass.manifest import Manifest
 from postpass.wire import Body
 from tests.announced import Fleet
 from tests.test_worst_days_leadership import (
     DETECTION_TIME,
     RECOVERY_TIME,
+    current_disks,
     isolate,
     leader,
     play,
@@ -24,6 +26,13 @@
 )
 
 
+def pair_on_disk(f: Fleet, name: str) -> Pair:
+    """The replica set whose state a member has on its disk."""
+    disk = f.nodes[name].disk
+    assert disk is not None
+    return Held.load(disk.read("state")).pair
+
+
 def promise_of(candidate: str, epoch: int) -> Body:
     """A request for a promise, as a candidate sends it; the pre-vote is past."""
     return {"epoch": epoch, "who": candidate, "handover": 1}
@@ -44,7 +53,7 @@
     prevotes = await candidate.collect_prevotes(man, True)
     prevotes = {n: a | {"promised": min(a["promised"], candidate.witness.promised)} for n, a in prevotes.items()}
     async with candidate.lock:
-        got = await candidate.run_election(man, "primary lost", prevotes=prevotes)
+        got = await candidate.run_election(man, "primary lost", prevotes=prevotes, change_voters=True)
         assert got.is_err(), "it needs a majority of the voters before"
     candidate.ask_all = ask_all  # type: ignore[method-assign]
 
@@ -97,3 +106,50 @@
         assert (await f.ask(leader(f).conf.name, lambda c: c.read_source())).unwrap()["version"] == 3
 
     play(scene, seed)
+
+
+@pytest.mark.parametrize("control", [3, 4, 5])
+def test_a_wiped_voter_is_back_only_once_no_election_needs_the_voters_before(control: int) -> None:
+    """Else the next loss, right after the repair, could leave too few of the voters before."""
+
+    async def scene(f: Fleet) -> None:
+        primary = (await settle(f)).conf.name
+        wiped = leader(f).held.pair.backup
+        wipe(f, wiped)
+        await asyncio.sleep(1)
+        f.boot(wiped)
+
+        def repaired() -> bool:
+            lead = f.primary()
+            return lead is not None and lead.held.pair.voters == current_disks(f)
+
+        assert await f.until(repaired, RECOVERY_TIME) >= 0
+        pair = leader(f).held.pair
+        assert pair.primary == primary and pair.backups
+        assert [name for name in pair.holders if pair_on_disk(f, name).previous_voters] == []
+
+    play(scene, control=control)
+
+
+def test_a_takeover_changes_no_voters_and_the_new_primary_does() -> None:
+    """So a takeover has nothing to settle, and is not slower than with the same voters."""
+
+    async def scene(f: Fleet) -> None:
+        primary = await settle(f)
+        before = primary.held.pair
+        wiped = next(n for n in before.voters if n not in before)
+        f.kill(before.primary, silent=True)
+        await asyncio.sleep(0.2)
+        wipe(f, wiped)
+        f.boot(wiped)
+        assert await f.until(f.primary, RECOVERY_TIME) >= 0
+        taken_over = leader(f).held.pair
+        assert taken_over.primary == before.backup and taken_over.voters == before.voters
+
+        def repaired() -> bool:
+            lead = f.primary()
+            return lead is not None and lead.held.pair.voters == before.voters | current_disks(f)
+
+        assert await f.until(repaired, RECOVERY_TIME) >= 0
+
+    play(scene, control=5)
