--- a/postpass/control/leadership.py
+++ b/postpass/control/leadership.py
@@ -55,6 +55,9 @@
             async with self.lock:
                 if self.epoch == epoch:
                     await self.renew_replica_set(man, why)
+        elif self.unsettled_epoch == epoch and not self.lock.locked():
+            async with self.lock:
+                await self.settle()
 
     def flaw_of_replica_set(self, man: Manifest, answers: list[Acknowledgement]) -> str:
         """Why another replica set or other voters are wanted; empty if they are not."""
@@ -141,7 +144,7 @@
                 return
             if not handed_over and self.conf.name == self.witness.pair.primary:
                 async with self.lock:
-                    got = await self.run_election(man, "too few backups")
+                    got = await self.run_election(man, "too few backups", change_voters=True)
                 if isinstance(got, Err):
                     await asyncio.sleep(self.conf.bounds.promise)
             await asyncio.sleep(self.conf.bounds.beat / 4)
--- a/postpass/control/replica.py
+++ b/postpass/control/replica.py
@@ -61,7 +61,7 @@
         if new.pair.voters.get(self.conf.name) != self.disk_id:
             # Meant for the disk that this member had before; it may have been under way since then.
             return False
-        if (new.whole, new.state.edition) < (self.held.whole, self.held.state.edition):
+        if new.order < self.held.order:
             return False
         await self.write_journal(self.journal.replace(Image.of(new.whole, new.state.edition, new.raw())))
         return True
@@ -202,6 +202,14 @@
         got = await hear(asks, enough, 0.0)
         return [a for a in got.values() if a is not None]
 
+    async def settle(self) -> None:
+        """Once more the state to the disks of all holders, now that its epoch is known to be granted: an election that
+        rests on it needs no majority of the voters before any more. Called with the lock held."""
+        held = (await self.store(self.held)).held
+        self.held = held
+        if await self.append_to_all(held, held.whole) and self.unsettled_epoch == held.whole:
+            self.unsettled_epoch = 0
+
     async def notify(self, name: str, epoch: int) -> None:
         await self.append_to(None, epoch, name)
 
