Wait for the mark of a change on all disks before a repair counts as complete

Cause: `Store.complete` was true once all members had synced a change of members, while the mark that settles it could stand on the owner's disk alone. Found by the model of a partition.

Change: `Part.proven` tells whether the mark is covered; complete is that with all members live, which have then synced it. The model calls it in place of its transcription and holds the product's rule; the rule before is a mutant. `pp status` calls a retirement complete by the same rule. Nothing new stands in a dumped base, which older releases load.

Tests that stood before: the model's stand-in for the mend is gone, since the product's rule is searched itself. "A covered change is never settled" now names the rule before as well, which it relied on: with the mend such a repair is never complete, and so it breaks nothing, which a test of its own holds.

--- a/model/partition/rules.py
+++ b/model/partition/rules.py
@@ -74,15 +74,9 @@
 
 
 def complete(part: Part, situation: Situation) -> bool:
-    """Have all members synced the last change of members (`Store.complete`)? Transcribed as well."""
-    return part.ready and part.view.crew_seq <= part.covered and synced_by_all(part, situation, part.view.crew_seq)
-
-
-def synced_by_all(part: Part, situation: Situation, seq: int) -> bool:
-    """Are all members ready, and have they synced their logs up to `seq`?"""
-    current = part.view.crew
-    synced = all(part.recorder.get(n, d, "persisted") >= seq for n, d in current.items() if n != part.me)
-    return situation.live == set(current) and synced
+    """Do all members answer, with logs that prove who the members are? Both parts are the product's, joined as in
+    `Store.complete`."""
+    return part.proven() and situation.live == set(situation.current)
 
 
 @dataclass(frozen=True)
--- a/postpass/lots.py
+++ b/postpass/lots.py
@@ -90,6 +90,11 @@
         return len(self.order) == self.size
 
 
+# Lots are dumped by themselves. Where a base holds the mark that settled a change does not matter, since a base holds only
+# what is covered; releases before this field could not load it.
+NOT_DUMPED = frozenset({"lots", "settled_seq"})
+
+
 @dataclass(eq=False)
 class LotView(Base):
     """Folded record by record. Invariant: the same records give the same view, on every store."""
@@ -103,6 +108,9 @@
     predicate: str = ""
     old_predicate: str = ""
     predicate_seq: int = 0
+    settled_seq: int = (
+        0  # the mark that settled the last change; 0 if there is none, or it is in a base that was loaded
+    )
     losses: int = 0  # the partition's edition: how often more was lost than is tolerated
     lost: dict[str, int] = field(default_factory=dict)  # lots known to be lost
 
@@ -120,6 +128,8 @@
     def _mark(self, seq: int, body: Body) -> None:
         # A mark may prove that everything up to `settled` was covered: then what held before a change holds no more.
         upto = body.get("settled", 0)
+        if 0 < self.unsettled() <= upto:
+            self.settled_seq = seq
         if self.crew_seq <= upto:
             self.old_crew = self.crew
         if self.predicate_seq <= upto:
@@ -180,7 +190,7 @@
         return out
 
     def dump(self) -> bytes:
-        flat = {k: v for k, v in vars(self).items() if k != "lots"}
+        flat = {k: v for k, v in vars(self).items() if k not in NOT_DUMPED}
         lots = [vars(lot) | {"results": list(lot.results.items()), "raw": len(lot.raw)} for lot in self.lots.values()]
         return joined(flat | {"lots": lots}, b"".join(lot.raw for lot in self.lots.values()))
 
--- a/postpass/overview.py
+++ b/postpass/overview.py
@@ -14,6 +14,7 @@
     out = []
     for name, m in man["machines"].items():
         held = sorted(p for p, (_, row) in parts.items() if name in row["crew"])
+        unsynced = sorted(p for p, (_, row) in parts.items() if m.get("retire") and not row.get("complete", True))
         unknown = man["parts"] - len(parts)
         if m.get("retire") or m.get("gone"):
             word = "retire" if m.get("retire") else "gone"
@@ -21,6 +22,8 @@
                 out.append(f"{word} {name}: pending, still a member of partitions {held}")
             elif unknown:
                 out.append(f"{word} {name}: pending, {unknown} partitions have no owner that could tell")
+            elif unsynced:
+                out.append(f"{word} {name}: pending, not all members of partitions {unsynced} have synced that it left")
             else:
                 out.append(f"{word} {name}: complete, no partition counts on it")
     for area in man.get("evacuated", []):
@@ -121,6 +124,10 @@
     assert pending(seen) == ["retire s4: pending, still a member of partitions [0, 1, 2, 3]"]
     for p in seen["machines"]["s1"]["store"]["parts"]:
         p["crew"] = {n: d for n, d in p["crew"].items() if n != "s4"}
+    rows = seen["machines"]["s1"]["store"]["parts"]
+    rows[2]["complete"] = False
+    assert pending(seen) == ["retire s4: pending, not all members of partitions [2] have synced that it left"]
+    rows[2]["complete"] = True
     assert pending(seen) == ["retire s4: complete, no partition counts on it"]
     seen["manifest"]["evacuated"] = ["a"]
     assert pending(seen)[1].startswith("evacuate a: pending, 0 edges")
--- a/postpass/part.py
+++ b/postpass/part.py
@@ -235,6 +235,15 @@
         """As owner: up to where a mark may settle changes, since they are covered and the log doesn't prove it; else 0."""
         return self.covered if self.ready and 0 < self.view.unsettled() <= self.covered else 0
 
+    def proven(self) -> bool:
+        """As owner: does the log prove who the members are, and is that proof covered itself?
+
+        After a loss of power there is nothing but logs: one that holds a change of members and not the mark that settles
+        it also asks for the members before the change, of whom too few may be left.
+        """
+        proof = max(self.view.crew_seq, self.view.settled_seq)
+        return self.ready and self.view.unsettled() == 0 and proof <= self.covered
+
     def sync_to(self, place: int) -> bool:
         """The log on disk is synced up to `place`: what does that make persisted here?"""
         seq = -1
@@ -380,6 +389,30 @@
     assert fresh.advance() and fresh.covered == fresh.mark
 
 
+def test_a_change_is_proven_once_the_mark_that_settles_it_is_covered() -> None:
+    part = _owner()
+    members = {"s1": "d1", "s2": "d2", "s3": "d3"}
+    for name, disk in members.items():
+        part.recorder.put(name, disk, "persisted", 2)
+    assert not part.proven() and part.advance() and part.proven()  # founded: there is nothing to settle
+    change = part.make("crew", {"crew": members | {"s4": "new"}}).seq
+    assert not part.proven()
+    for name, disk in members.items():
+        part.recorder.put(name, disk, "persisted", change)
+    assert part.advance() and not part.proven()
+    mark = part.make("mark", {"settled": change}).seq
+    assert not part.proven()
+    for name, disk in members.items():
+        part.recorder.put(name, disk, "persisted", mark)
+    assert part.advance() and part.proven()
+    part.make("mark", {})
+    assert part.proven()  # what comes after is nothing to wait for
+    part.tape.rebase(mark)
+    part.tape.base = LotView.load(part.base_dump())
+    part.view = head(part.tape)
+    assert part.proven()  # a base holds only what is covered
+
+
 def test_a_mark_settles_only_changes_up_to_what_was_covered_when_it_was_written() -> None:
     part = _owner()
     part.covered = 2
--- a/postpass/store.py
+++ b/postpass/store.py
@@ -769,14 +769,11 @@
         return Situation(part.view.crew, self.news.order(part.id), ready, answering, self.topology(part))
 
     def complete(self, part: Part) -> bool:
-        """As owner: do all members answer, and have they synced the last change of members? From then on one that has left
-        may lose its disk: whatever it held is on the disks of all of them."""
-        if not part.ready or part.view.crew_seq > part.covered:
-            return False
-        here = self.situation(part)
-        return here.live == set(here.current) and all(
-            part.recorder.get(n, d, "persisted") >= part.view.crew_seq for n, d in here.current.items()
-        )
+        """As owner: do all members answer, and have they synced the last change of members with the mark that settles it?
+        From then on one that has left may lose its disk, and any one of them the next: whatever was held, and the proof
+        of who the members are, is on the disks of all of them."""
+        here = self.situation(part)  # `live` have synced all that is covered
+        return part.proven() and here.live == set(here.current)
 
     def topology(self, part: Part) -> Topology:
         """Where the machines stand, and what may be lost of them at once."""
--- a/tests/membership_drill.py
+++ b/tests/membership_drill.py
@@ -30,7 +30,9 @@
 SYNC = 5.0  # `bounds.sync` of the fleet
 DETECT = 1.5  # `bounds.detect`
 RECOVER = 12.0  # `bounds.recover`
+PARTS = 8  # partitions of the fleet
 MOST_AWAY = 60.0  # longer than any loss lasts
+INSTANT = 0.0001  # how often the moment is looked for at which power fails: shorter than a way through the network
 
 
 @dataclass(frozen=True)
@@ -39,7 +41,7 @@
     seconds later."""
 
     kind: str
-    victim: str  # a name, or a role: primary, backup, witness, owner, mirror, joined, left
+    victim: str  # a name, or a role: primary, backup, witness, owner, mirror, joined, left, last owner
     after: float
     down: float
     since: str = "start"
@@ -55,6 +57,7 @@
     last_wipe: str = ""  # who also loses its disk in the loss of power at the end
     settle: float = SYNC + 1.0  # between the last machine's return and the loss of power of all
     point: int = 0
+    power_at_complete: bool = False  # power fails the moment all partitions count the step as repaired
     evacuated: str = ""  # an area whose stores own nothing, from before the step on
     quiet: bool = False  # no lots are written from the step on
     seed: int = 1
@@ -71,6 +74,7 @@
     flaws: list[str] = field(default_factory=list)
     points: list[tuple[float, Point]] = field(default_factory=list)
     began: float = 0.0
+    repaired: float = 0.0  # how long after that all partitions were complete, where a drill waits for it
     notes: list[str] = field(default_factory=list)
 
 
@@ -108,6 +112,7 @@
     lots: int = 0
     joined: str = ""
     left: str = ""
+    last_owner: str = ""  # who owned the partition that was complete last
     gone: set[str] = field(default_factory=set)
     writing: bool = True
     away: int = 0
@@ -182,7 +187,7 @@
                 return ""
             mirrors = [n for n in sorted(owner[1].view.crew) if n != owner[0] and n in self.fleet.up()]
             return owner[0] if role == "owner" else next((n for n in mirrors if n != self.joined), "")
-        return {"joined": self.joined, "left": self.left}.get(role, role)
+        return {"joined": self.joined, "left": self.left, "last owner": self.last_owner}.get(role, role)
 
     def strike(self, kind: str, name: str, down: float) -> None:
         """Loses a machine now, and has it back `down` seconds later."""
@@ -353,11 +358,15 @@
         await asyncio.gather(*losses)
         # A retirement may wait for the machine that is away.
         await f.until(lambda: step.done() and self.away == 0 and (not drill.point or self.struck), MOST_AWAY)
-        await asyncio.sleep(drill.settle)
-        await self.check_serving("after the loss", 0.0)
-        self.writing = False
-        await asyncio.gather(*writers)
-        await asyncio.sleep(0.1)
+        if drill.power_at_complete:
+            await self.wait_for_complete()
+            self.writing = False
+        else:
+            await asyncio.sleep(drill.settle)
+            await self.check_serving("after the loss", 0.0)
+            self.writing = False
+            await asyncio.gather(*writers)
+            await asyncio.sleep(0.1)
         await self.fail_power()
         await self.check_serving("after the loss of power of all", RECOVER)
         await self.check_kept()
@@ -372,6 +381,31 @@
             self.struck = True
             self.strike(loss.kind, self.named(loss.victim), loss.down)
 
+    def incomplete(self) -> list[int]:
+        """The partitions that don't tell yet that all machines which are up are members again and whole."""
+        there = {n: s.disk_id for n in store_names(self.fleet) if (s := store_of(self.fleet, n)) is not None}
+        mine = owners(self.fleet)
+        out = []
+        for number in range(PARTS):
+            name, part = mine.get(number, ("", None))
+            store = store_of(self.fleet, name) if name else None
+            if part is None or store is None or part.view.crew != there or not store.complete(part):
+                out.append(number)
+        return out
+
+    async def wait_for_complete(self) -> None:
+        """Until every partition is complete; `self.last_owner` owns the one that was last."""
+        began, waiting = self.clock, self.incomplete()
+        while waiting and self.clock - began < MOST_AWAY:
+            await asyncio.sleep(INSTANT)
+            now_waiting = self.incomplete()
+            if not now_waiting:
+                self.last_owner = owners(self.fleet)[waiting[-1]][0]
+                self.verdict.repaired = self.clock - self.verdict.began
+            waiting = now_waiting
+        if waiting:
+            self.flaw(f"partitions {waiting} are never complete")
+
     async def fail_power(self) -> None:
         f, lost = self.fleet, self.named(self.drill.last_wipe) if self.drill.last_wipe else ""
         self.verdict.notes.append(f"{self.clock:.2f} power of all, wiped: {lost or 'none'}")
@@ -387,13 +421,13 @@
             self.boot(name)
 
     def serving(self) -> bool:
-        return self.fleet.primary() is not None and len(owners(self.fleet)) == 8
+        return self.fleet.primary() is not None and len(owners(self.fleet)) == PARTS
 
     async def check_serving(self, when: str, limit: float) -> None:
         took = await self.fleet.until(self.serving, max(limit, RECOVER))
         if took < 0:
             lead, mine = self.fleet.primary(), owners(self.fleet)
-            lacks = [n for n in range(8) if n not in mine]
+            lacks = [n for n in range(PARTS) if n not in mine]
             self.flaw(f"{when}: not serving: primary {lead.conf.name if lead else 'none'}, no owner of {lacks}")
 
     async def check_kept(self) -> None:
--- a/tests/test_model_partition.py
+++ b/tests/test_model_partition.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from model.partition.rules import Disks, Rules, synced_by_all
+from model.partition.rules import Disks, Rules
 from model.partition.state import EVERY, Invariant, Size, formed
 from model.partition.steps import PartitionModel
 from model.partition.symmetry import canonical, renamed
@@ -66,35 +66,42 @@
     return True
 
 
-def settled_by_all(part: Part, situation: Situation) -> bool:
-    """Complete, and all members have synced the mark that settles the last change of members."""
-    whole = part.ready and part.view.unsettled() == 0
-    return whole and synced_by_all(part, situation, part.tape.last)
+def complete_without_the_mark(part: Part, situation: Situation) -> bool:
+    """The rule up to release 0.2.0: all members have synced the change of members, but not the mark that settles it."""
+    change, current = part.view.crew_seq, part.view.crew
+    synced = all(part.recorder.get(n, d, "persisted") >= change for n, d in current.items() if n != part.me)
+    return part.ready and change <= part.covered and synced and situation.live == set(current)
 
 
-REPAIRED = Rules(complete=settled_by_all)
-
 MUTANTS = [
-    Mutant("a repair counts as complete before all have the mark that settles it", Rules(), Invariant.BEARS_LOSS, SMALL._replace(lots=0, wipes=2)),
+    Mutant("a repair counts as complete before all have the mark that settles it", Rules(complete=complete_without_the_mark), Invariant.BEARS_LOSS, SMALL._replace(lots=0, wipes=2)),
+    Mutant("a repair counts as complete once a majority has that mark", Rules(complete=lambda part, situation: part.proven()), Invariant.BEARS_LOSS, SMALL._replace(lots=0, wipes=2)),
+    Mutant("a change is settled before it is covered", Rules(settles=settles_what_is_not_covered), Invariant.KEPT, SMALL._replace(wipes=1)),
     Mutant("half of the members elect", Rules(may_lead=half_may_lead), Invariant.ONE_OWNER, SMALL._replace(members=4, lots=0)),
     Mutant("a vote counts by name, whatever the disk", Rules(votes_by_disk=False), Invariant.KEPT, SMALL._replace(wipes=1), EVERY - {Invariant.BEARS_LOSS}),
     Mutant("the members before a change have no vote while it is not covered", Rules(may_lead=leads_under_the_new_members_alone), Invariant.ONE_OWNER, SMALL._replace(wipes=1)),
     Mutant("an epoch is promised twice", Rules(promises=promises_again), Invariant.ONE_OWNER),
     Mutant("a mirror follows a deposed owner", Rules(takes_stream=follows_anyone), Invariant.KEPT),
     Mutant("a record is covered before it is copied", Rules(advance=covers_at_once), Invariant.KEPT),
-    Mutant("a covered change is never settled", Rules(settles=settles_nothing), Invariant.BEARS_LOSS, SMALL._replace(lots=0, wipes=2)),
-    Mutant("members leave because they lack a copy", replace(REPAIRED, next_change=takes_in_whoever_answers), Invariant.BEARS_LOSS, SMALL._replace(lots=0, wipes=2)),
+    Mutant("a covered change is never settled", Rules(settles=settles_nothing, complete=complete_without_the_mark), Invariant.BEARS_LOSS, SMALL._replace(lots=0, wipes=2)),
+    Mutant("members leave because they lack a copy", Rules(next_change=takes_in_whoever_answers), Invariant.BEARS_LOSS, SMALL._replace(lots=0, wipes=2)),
     Mutant("a loss is declared for a tolerated loss", Rules(may_lead=lambda part, view, voters: len(voters) > 3), Invariant.NO_FALSE_LOSS),
 ]  # fmt: skip
 
 
 @pytest.mark.parametrize(
     "size",
-    [SMALL, SMALL._replace(members=4), SMALL._replace(lots=0, wipes=1), SMALL._replace(lots=0, epochs=3)],
+    [
+        SMALL,
+        SMALL._replace(members=4),
+        SMALL._replace(lots=0, wipes=1),
+        SMALL._replace(lots=0, wipes=2),
+        SMALL._replace(lots=0, epochs=3),
+    ],
     ids=str,
 )
 def test_no_invariant_breaks_in_any_run_of_this_size(size: Size) -> None:
-    found = search(PartitionModel(size, REPAIRED).system())
+    found = search(PartitionModel(size).system())
     assert found.complete and not found.breach, found.text()
 
 
@@ -106,6 +113,18 @@
     assert found.breach == mutant.breaks, found.text()
 
 
+def breach_at_second_loss(rules: Rules) -> str:
+    """What the search tells if it reaches a second loss, which is tolerated only once the first is repaired."""
+    model = PartitionModel(SMALL._replace(lots=0, wipes=2), rules)
+    told = replace(model.system(), flaw=lambda state: "" if state.wipes_left else "a second loss")
+    return search(told).breach
+
+
+def test_a_repair_is_complete_at_some_time_if_and_only_if_its_change_is_settled() -> None:
+    assert breach_at_second_loss(Rules()) == "a second loss"
+    assert breach_at_second_loss(Rules(settles=settles_nothing)) == ""
+
+
 def test_every_invariant_has_a_rule_whose_fault_breaks_it() -> None:
     assert {m.breaks for m in MUTANTS} == set(Invariant)
 
--- a/tests/test_worst_days_membership.py
+++ b/tests/test_worst_days_membership.py
@@ -81,3 +81,12 @@
     for step, victim in (("wipe primary 0.5", "backup"), ("wipe owner 0.5", "mirror"), ("refill mirror", "owner")):
         verdict = play(Drill(step, Loss("wipe", victim, 0.1, 1.0), control=5, stores=6, lost=2))
         assert verdict.flaws == [], verdict.notes
+
+
+@pytest.mark.parametrize("seed", range(1, 7))
+@pytest.mark.parametrize("stores", [3, 4])
+def test_an_owner_may_be_lost_the_moment_a_repair_is_complete(stores: int, seed: int) -> None:
+    """Then power fails for all: each log that is left must prove by itself that the change of members is covered."""
+    drill = Drill("wipe s2 1.0", power_at_complete=True, last_wipe="last owner", stores=stores, quiet=True, seed=seed)
+    verdict = play(drill)
+    assert verdict.repaired and verdict.flaws == [], verdict.notes
