--- a/postpass/control/replica.py
+++ b/postpass/control/replica.py
@@ -4,10 +4,12 @@
 
 import asyncio
 
-from result import Err, Ok, Result
+from result import Err, Ok
 
+from postpass import events
 from postpass.control.contact import Contact
 from postpass.control.epochs import Acknowledgement, Pair
+from postpass.control.journal import Change, Image, JournalError
 from postpass.control.state import Held
 from postpass.fault import Fault, Stop
 from postpass.manifest import Manifest
@@ -35,12 +37,14 @@
                 return self.append_answer(body, False)
         if granted:
             self.follow_leader(body.get("who", ""))
-        if "held" in body:
-            stored = await self.store_copy(body)
-            if isinstance(stored, Err):
-                return Err(stored.unwrap_err())
-            if not stored.unwrap():
+        if "held" in body or "change" in body:
+            try:
+                taken = await (self.take_change(body) if "change" in body else self.take_state(body))
+            except Stop as bad:
+                return Err(bad.fault)
+            if not taken or body["epoch"] < self.witness.promised:
                 return self.append_answer(body, False)
+            self.held = self.stored()
         if granted:
             self.learn_version(body)
         return self.append_answer(body, True)
@@ -51,23 +55,28 @@
         self.leader = name
         self.announce_leader()
 
-    async def store_copy(self, body: Body) -> Result[bool, Fault]:
-        """Syncs the state that was sent; False if it is not one for this disk and epoch to take."""
-        raw = body["held"]
-        new = Held(raw["whole"], Pair.of(raw["pair"]), State(**raw["state"]))
+    async def take_state(self, body: Body) -> bool:
+        """Syncs a whole state, unless a newer one is held."""
+        new = Held.of(body["held"])
         if new.pair.voters.get(self.conf.name) != self.disk_id:
             # Meant for the disk that this member had before; it may have been under way since then.
-            return Ok(False)
-        if (new.whole, new.state.edition) < (self.held.whole, self.held.state.edition):
-            return Ok(False)
+            return False
+        if new.order < self.held.order:
+            return False
+        await self.write_journal(self.journal.replace(Image.of(new.whole, new.state.edition, new.raw())))
+        return True
+
+    async def take_change(self, body: Body) -> bool:
+        """Syncs a change if exactly the state that it builds on is held here; if not, the primary sends the whole."""
         try:
-            await self.keep("state", new.dump())
-        except Stop as bad:
-            return Err(bad.fault)
-        if body["epoch"] < self.witness.promised:
-            return Ok(False)
-        self.held = new
-        return Ok(True)
+            change = Change.from_json(body["change"])
+            if change.base.epoch != body["epoch"] or change.position.epoch != body["epoch"]:
+                return False
+            await self.write_journal(self.journal.append(change))
+        except JournalError as error:
+            events.emit(145, self.conf.name, why=str(error)[:160])
+            return False
+        return True
 
     def learn_version(self, body: Body) -> None:
         """The primary tells the edition in force: publishes it, or fetches it if this member has no copy of it."""
@@ -82,13 +91,19 @@
             task.add_done_callback(self.fetches.discard)
 
     def append_answer(self, body: Body, ok: bool) -> PeerResponse:
-        return Ok({
+        answer: Body = {
             "ok": ok, "epoch": body["epoch"], "promised": self.witness.promised, "disk": self.disk_id,
             "leaving": self.leaving,
-        })  # fmt: skip
+        }  # fmt: skip
+        image = self.journal.image
+        if "change" in body and image is not None:
+            answer["holds"] = image.position.as_json()
+        return Ok(answer)
 
-    async def append_to(self, held: Held | None, epoch: int, to: str) -> Acknowledgement | None:
-        """Sends the state, or a heartbeat alone; the member's acknowledgement, if it gave one."""
+    async def append_to(
+        self, held: Held | None, epoch: int, to: str, change: Change | None = None
+    ) -> Acknowledgement | None:
+        """Sends the state, as a change where one is given, or a heartbeat alone; the member's acknowledgement, if any."""
         addr = self.addr(to)
         if not addr:
             return None
@@ -96,7 +111,9 @@
             "epoch": epoch, "who": self.conf.name, "edition": self.news.edition, "at": self.conf.peer,
             "granted": self.epoch == epoch,
         }  # fmt: skip
-        if held:
+        if change is not None:
+            body["change"] = change.as_json()
+        elif held:
             body["held"] = held.raw()
         # Where machines announce themselves another backup is soon found; an order doesn't wait long for this one.
         wait = self.conf.bounds.promise / (2 if self.conf.announce else 1)
@@ -108,6 +125,9 @@
             self.step_down(answer["promised"])
         if epoch == self.epoch and to in pair.backups and pair.voters.get(to) != answer["disk"]:
             self.wiped_backups.add(to)
+        elif change is not None and not (answer["ok"] and answer.get("holds") == change.position.as_json()):
+            # It held another state, or is of a release that takes whole states only and took this for a heartbeat.
+            return await self.append_to(held, epoch, to) if self.epoch == epoch else None
         if not answer["ok"]:
             return None
         (self.departing.add if answer.get("leaving") else self.departing.discard)(to)
@@ -119,8 +139,10 @@
                 self.copied[to] = now()
         return acknowledgement
 
-    async def append_to_backups(self, held: Held | None, epoch: int) -> list[Acknowledgement]:
-        answers = await asyncio.gather(*(self.append_to(held, epoch, n) for n in self.held.pair.backups))
+    async def append_to_backups(
+        self, held: Held | None, epoch: int, change: Change | None = None
+    ) -> list[Acknowledgement]:
+        answers = await asyncio.gather(*(self.append_to(held, epoch, n, change) for n in self.held.pair.backups))
         return [a for a in answers if a is not None]
 
     async def append_to_all(self, held: Held | None, epoch: int) -> bool:
@@ -132,24 +154,29 @@
     async def commit(self, state: State) -> bool:
         """True once the state is synced here and at all backups, and most voters have answered under this epoch since."""
         epoch, pair = self.epoch, self.held.pair
-        held = Held(epoch, pair, state)
         # The voters that keep no copy are asked while the disks sync, so that their round trip adds no delay.
         others = asyncio.create_task(self.answers_of_voters(epoch, pair))
         try:
-            await self.keep("state", held.dump())
+            async with asyncio.timeout(self.conf.bounds.detect):
+                stored = await self.store(Held(epoch, pair, state))
             if self.epoch != epoch:
                 return False
-            self.held = held
-            answers = [self.own_acknowledgement(epoch), *await self.append_to_backups(held, epoch)]
+            self.held = held = stored.held
+            backups = await self.append_to_backups(held, epoch, stored.change)
+            answers = [self.own_acknowledgement(epoch), *backups]
             if not pair.copied_to_all(answers):
                 return False
             if not pair.confirmed_by(answers):
                 answers += await others
+        except TimeoutError:
+            # While its disk stalls this member takes no change; another may lead meanwhile.
+            self.step_down(epoch)
+            return False
         finally:
             others.cancel()
         if self.epoch != epoch or not pair.confirmed_by(answers):
             return False
-        self.publish(state)
+        self.publish(held.state)
         # In force within its bound even if this machine dies now: the backups hand it out as well before the
         # operator is answered, and the witnesses are told.
         for name in [n for n in self.members(state.manifest) if n not in held.pair]:
@@ -175,6 +202,14 @@
         got = await hear(asks, enough, 0.0)
         return [a for a in got.values() if a is not None]
 
+    async def settle(self) -> None:
+        """Once more the state to the disks of all holders, now that its epoch is known to be granted: an election that
+        rests on it needs no majority of the voters before any more. Called with the lock held."""
+        held = (await self.store(self.held)).held
+        self.held = held
+        if await self.append_to_all(held, held.whole) and self.unsettled_epoch == held.whole:
+            self.unsettled_epoch = 0
+
     async def notify(self, name: str, epoch: int) -> None:
         await self.append_to(None, epoch, name)
 
