--- a/postpass/control/election.py
+++ b/postpass/control/election.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import asdict
+from dataclasses import asdict, replace
 
 from result import Err, Ok, Result
 
@@ -167,7 +167,7 @@
         # The new backups hold the whole state before the epoch is granted: nothing is written in between.
         if self.witness.promised != epoch:
             return Err(Fault(step, me, "a higher epoch was promised", SLOW))
-        await self.keep("state", held.dump())
+        held = (await self.store(held)).held
         self.held = held
         if not await self.append_to_all(held, epoch):
             return Err(Fault(step, me, f"one of the backups {', '.join(backups)} did not take the state", SLOW))
@@ -177,9 +177,9 @@
         )
         if not pair.elected_by(granted) or self.witness.promised != epoch:
             return Err(Fault(step, me, "too few granted the epoch", SLOW))
-        self.held = Held(epoch, pair.settled(), state)
-        self.unsettled_epoch = epoch if pair.previous_voters else 0
-        if self.unsettled_epoch:
+        self.unsettled_epoch = 0
+        if pair.previous_voters:
+            self.held, self.unsettled_epoch = replace(held, pair=pair.settled()), epoch
             await self.settle()
             if self.witness.promised != epoch:
                 return Err(Fault(step, me, "a higher epoch was promised", SLOW))
@@ -194,7 +194,7 @@
         )
         for name in sorted(set(now_voters) - {n for n, d in voters.items() if now_voters.get(n) == d}):
             events.emit(134, self.conf.name, joins=name)
-        self.publish(state)
+        self.publish(held.state)
         # Who leads is told by the granted epoch alone; members that wait for a primary need not wait for the next beat.
         self.spawn(self.announce_epoch(epoch, man))
         return Ok(None)
--- a/tests/test_worst_days_voters.py
+++ b/tests/test_worst_days_voters.py
@@ -9,7 +9,6 @@
 
 from postpass.control import Control
 from postpass.control.epochs import Pair
-from postpass.control.state import Held
 from postpass.manifest import Manifest
 from postpass.wire import Body
 from tests.announced import Fleet
@@ -27,10 +26,10 @@
 
 
 def pair_on_disk(f: Fleet, name: str) -> Pair:
-    """The replica set whose state a member has on its disk."""
-    disk = f.nodes[name].disk
-    assert disk is not None
-    return Held.load(disk.read("state")).pair
+    """The replica set whose state a member has synced."""
+    member = f.nodes[name].daemon
+    assert isinstance(member, Control)
+    return member.stored().pair
 
 
 def promise_of(candidate: str, epoch: int) -> Body:
