--- a/postpass/control/election.py
+++ b/postpass/control/election.py
@@ -194,7 +194,7 @@
         )
         for name in sorted(set(now_voters) - {n for n, d in voters.items() if now_voters.get(n) == d}):
             events.emit(134, self.conf.name, joins=name)
-        self.publish(held.state)
+        self.publish(self.held.state)
         # Who leads is told by the granted epoch alone; members that wait for a primary need not wait for the next beat.
         self.spawn(self.announce_epoch(epoch, man))
         return Ok(None)
