--- a/postpass/control/election.py
+++ b/postpass/control/election.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import asdict
+from dataclasses import asdict, replace
 
 from result import Err, Ok, Result
 
@@ -177,9 +177,9 @@
         )
         if not pair.elected_by(granted) or self.witness.promised != epoch:
             return Err(Fault(step, me, "too few granted the epoch", SLOW))
-        self.held = Held(epoch, pair.settled(), held.state)
-        self.unsettled_epoch = epoch if pair.previous_voters else 0
-        if self.unsettled_epoch:
+        self.unsettled_epoch = 0
+        if pair.previous_voters:
+            self.held, self.unsettled_epoch = replace(held, pair=pair.settled()), epoch
             await self.settle()
             if self.witness.promised != epoch:
                 return Err(Fault(step, me, "a higher epoch was promised", SLOW))
--- a/postpass/control/replica.py
+++ b/postpass/control/replica.py
@@ -205,9 +205,10 @@
     async def settle(self) -> None:
         """Once more the state to the disks of all holders, now that its epoch is known to be granted: an election that
         rests on it needs no majority of the voters before any more. Called with the lock held."""
-        held = (await self.store(self.held)).held
-        self.held = held
-        if await self.append_to_all(held, held.whole) and self.unsettled_epoch == held.whole:
+        stored = await self.store(self.held)
+        self.held, epoch = stored.held, stored.held.whole
+        answers = await self.append_to_backups(stored.held, epoch, stored.change)
+        if self.held.pair.copied_to_all(answers) and self.unsettled_epoch == epoch:
             self.unsettled_epoch = 0
 
     async def notify(self, name: str, epoch: int) -> None:
