--- a/bench/order_memory.py
+++ b/bench/order_memory.py
@@ -38,13 +38,14 @@
 
 
 def document(routes: int, version: int) -> dict[str, Any]:
+    """A configuration of so many routes, in the words of the product."""
     route = {
-        "host": "a.example", "kind": "idem", "timeoutMs": 2500, "targetMs": 200, "prio": 1, "service": "app", "tries": 2,
+        "host": "a.example", "way": "idempotent", "timeout": 2.5, "target": 0.2, "priority": 1, "pool": "app", "tries": 2,
     }  # fmt: skip
     return {
         "version": version,
         "routes": [route | {"name": f"r{n}", "prefix": f"/p{n}/"} for n in range(routes)],
-        "services": [{"name": "app", "health": "/up", "maxConns": 100, "coldRateS": 0.0}],
+        "pools": [{"name": "app", "health": "/up", "connections": 100, "cold_rate": 0.0}],
     }
 
 
