--- a/bench/callers.py
+++ b/bench/callers.py
@@ -94,15 +94,16 @@
     def edge(self) -> str:
         return self.edges[self.chance.randrange(len(self.edges))]
 
-    def another(self, last: str) -> str:
-        """Any edge but the last one, as a caller goes on who is told to, or who can't reach it."""
-        rest = [e for e in self.edges if e != last] or self.edges
+    def another(self, *tried: str) -> str:
+        """Any edge but those tried, as a caller goes on who is told to, or who can't reach one."""
+        rest = [e for e in self.edges if e not in tried] or self.edges
         return rest[self.chance.randrange(len(rest))]
 
     # --- live
     async def live(
-        self, kind: str, once: bool | None = None, key: bool = False, tag: str = "", edge: str = "", hops: int = 3
-    ) -> None:
+        self, kind: str, once: bool | None = None, key: bool = False, tag: str = "", edge: str = "", hops: int = 3,
+        tried: tuple[str, ...] = (),
+    ) -> None:  # fmt: skip
         tag = tag or self.tag(kind)
         if once is None:
             once = self.chance.random() < self.load.once
@@ -166,7 +167,8 @@
         except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as bad:
             why = why or repr(bad)[:100]
         if onward and hops:
-            await self.live(kind, once, key, tag, self.another(edge), hops - 1)
+            tried = (*tried, edge)
+            await self.live(kind, once, key, tag, self.another(*tried), hops - 1, tried)
             return
         self.tell("call", tag=tag, kind=kind, once=once, key=key, began=began, first=first, end=end, ran=ran, status=status, why=why,
                   retry=wait, got=got, want=words("\n".join([*shared, own])))  # fmt: skip
