--- a/postpass/membership.py
+++ b/postpass/membership.py
@@ -247,15 +247,19 @@
 def has_successor(old: Presence, others: Iterable[Presence], patience: float) -> bool:
     """Has another machine come for one that is silent, so that the silent one may be dropped?
 
-    One of the same duties in the same area that announced itself since shortly before the silent one was last heard: a
-    planned replacement starts the new machine first. Or one that started later, where the silent one has been away for
-    long: a primary may know nothing of who came before it led.
+    One of the same duties in the same area that announced itself since the silent one was last heard. Where the silent one
+    has been away for long, also one that came shortly before, since a planned replacement starts the new machine first, and
+    one that started later, since a primary may know nothing of who came before it led. A machine that is frozen or cut off
+    for a moment soon after another was added is no replaced one.
     """
     long = 2 * patience
     for other in others:
         if (other.duties, other.area) != (old.duties, old.area) or other.silent > patience:
             continue
-        if other.known < old.silent + SUCCESSOR_EARLIER * patience or (old.silent > long and other.born > old.born):
+        if other.known < old.silent:
+            return True
+        came_shortly_before = other.known < old.silent + SUCCESSOR_EARLIER * patience
+        if old.silent > long and (came_shortly_before or other.born > old.born):
             return True
     return False
 
