Let processes listen sooner: load rarely used libraries late, compile at build

Cause: after a loss of power nothing is served until the processes listen, and a process took 2.4 s of processor time to load its program (this machine, busy): aiohttp 0.66 s, lark 0.21 s, compiling the sources about 0.35 s; an edge has half a core. Ruled out: importing control's or the stores' modules by role, which is 0.13 s and cuts the program in two. The deploy file's test knows that compileall comes with python3.

--- a/postpass/batch/item_run.py
+++ b/postpass/batch/item_run.py
@@ -4,8 +4,8 @@
 
 import asyncio
 from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
 
-import aiohttp
 from prometheus_client import Counter
 from result import Ok
 
@@ -24,6 +24,9 @@
 from postpass.runtime.errors import MOVED, Fault, FaultError
 from postpass.worker_api.openai import complete
 
+if TYPE_CHECKING:
+    import aiohttp
+
 ROUTE_STATUS = {RunEnd.DONE: ItemStatus.DONE, RunEnd.FAILED: ItemStatus.FAILED, RunEnd.NEVER: ItemStatus.ABANDONED}
 ROUTE_TIMEOUT = 10  # the longest that an item of a route runs, in recovery bounds
 
--- a/postpass/gateway/edge_state.py
+++ b/postpass/gateway/edge_state.py
@@ -4,9 +4,8 @@
 
 from collections import deque
 from dataclasses import dataclass, field
-from typing import NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
 
-import aiohttp
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 from result import Err, Ok, Result
 from starlette.responses import JSONResponse
@@ -23,6 +22,9 @@
 from postpass.runtime.environment import Environment, now
 from postpass.runtime.errors import Fault
 
+if TYPE_CHECKING:
+    import aiohttp
+
 REMEMBERED_JOBS = 4000
 
 
--- a/postpass/gateway/proxied_routes.py
+++ b/postpass/gateway/proxied_routes.py
@@ -5,8 +5,8 @@
 import asyncio
 from dataclasses import dataclass
 from enum import Enum, auto
+from typing import TYPE_CHECKING
 
-import aiohttp
 from result import Err
 from starlette.requests import Request
 from starlette.types import Receive, Scope, Send
@@ -16,11 +16,17 @@
 from postpass.gateway.edge_state import EdgeState
 from postpass.gateway.http_errors import fault_response
 from postpass.runtime import log_events
+from postpass.runtime.deferred_import import DeferredModule
 from postpass.runtime.environment import now
 from postpass.runtime.errors import BROKE, REJECTED, SLOW, Fault, FaultError
 from postpass.runtime.log_events import Event
 from postpass.worker_api.openai import Prompt
 
+if TYPE_CHECKING:
+    import aiohttp
+else:
+    aiohttp = DeferredModule("aiohttp")
+
 PROXIED_METHODS = ["GET", "HEAD", "POST", "PUT", "DELETE"]
 REPEATABLE_METHODS = ("GET", "HEAD")
 MAX_ATTEMPTS = 3
--- a/postpass/gateway/worker_load.py
+++ b/postpass/gateway/worker_load.py
@@ -10,9 +10,8 @@
 import math
 from collections import Counter
 from dataclasses import dataclass, field
-from typing import Any, NamedTuple
+from typing import TYPE_CHECKING, Any, NamedTuple
 
-import aiohttp
 from result import Ok
 
 from postpass.configuration.configuration import Configuration, Server
@@ -20,11 +19,17 @@
 from postpass.feed.configuration_view import ConfigurationView
 from postpass.rpc.peer_links import PeerLinks
 from postpass.runtime import log_events
+from postpass.runtime.deferred_import import DeferredModule
 from postpass.runtime.environment import Environment, now
 from postpass.runtime.errors import Fault, FaultError
 from postpass.runtime.log_events import Event
 from postpass.worker_api.openai import Report, report
 
+if TYPE_CHECKING:
+    import aiohttp
+else:
+    aiohttp = DeferredModule("aiohttp")
+
 MAX_CACHE_USE = 0.95  # a worker whose KV cache is fuller than this gets nothing new
 ISOLATED = "this daemon hears no other, so it may be out of date"
 MAX_POLLING_EDGES = 16  # up to so many edges each polls the workers itself
--- a/postpass/replication/stability.py
+++ b/postpass/replication/stability.py
@@ -12,11 +12,18 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from functools import lru_cache
+from typing import TYPE_CHECKING
 
-from lark import Lark, Token, Tree
-from lark.exceptions import UnexpectedInput
 from result import Err, Ok, Result
 
+from postpass.runtime.deferred_import import DeferredModule
+
+if TYPE_CHECKING:
+    import lark
+    from lark import Lark, Token, Tree
+else:
+    lark = DeferredModule("lark")
+
 DEFAULT = "KTH_MAX(SIZEOF($ALLWNODES)/2+1, $ALLWNODES.persisted)"
 TYPES = ("received", "persisted")
 
@@ -35,12 +42,16 @@
 INT: /[0-9]+/
 %ignore /\s+/
 """
-PARSER = Lark(GRAMMAR, parser="earley", propagate_positions=True)
 
 # What a node has reached: (node, type) -> sequence number.
 Count = Callable[[str, str], int]
 
 
+@lru_cache(maxsize=1)
+def _parser() -> Lark:
+    return lark.Lark(GRAMMAR, parser="earley", propagate_positions=True)
+
+
 @dataclass(frozen=True)
 class PredicateScope:
     """The nodes a predicate speaks of. Invariant: `me` is in `zones`; the order of `nodes` gives $1, $2, …"""
@@ -67,7 +78,7 @@
 
 
 def _at(tree: Tree[Token] | Token) -> str:
-    if isinstance(tree, Token):
+    if isinstance(tree, str):
         return f"column {tree.column}"
     return f"column {getattr(tree.meta, 'column', 1)}"
 
@@ -103,7 +114,7 @@
 
 def _value(tree: Tree[Token] | Token, scope: PredicateScope) -> int | NodeSet:
     """Folds numbers and node sets; both are known once the scene is."""
-    assert isinstance(tree, Tree)
+    assert not isinstance(tree, str)
     if tree.data == "num":
         return int(str(tree.children[0]))
     if tree.data == "node":
@@ -142,19 +153,19 @@
 def _fold(tree: Tree[Token], scope: PredicateScope) -> Callable[[Count], int]:
     op = str(tree.children[0])
     inner = tree.children[1]
-    assert isinstance(inner, Tree)
+    assert not isinstance(inner, str)
     args = list(inner.children)
     rank = 1
     if op.startswith("KTH"):
         if len(args) < 2:
             raise PredicateError(f"{_at(tree)}: {op} wants a number and a set")
-        head = _value(args[0], scope) if isinstance(args[0], Tree) and args[0].data != "pred" else None
+        head = _value(args[0], scope) if not isinstance(args[0], str) and args[0].data != "pred" else None
         if not isinstance(head, int):
             raise PredicateError(f"{_at(args[0])}: {op} wants a number first")
         rank, args = head, args[1:]
     leaves: list[Callable[[Count], int]] = []
     for arg in args:
-        assert isinstance(arg, Tree)
+        assert not isinstance(arg, str)
         if arg.data == "pred":
             leaves.append(_fold(arg, scope))
             continue
@@ -175,11 +186,11 @@
 def build(text: str, scope: PredicateScope) -> Result[Callable[[Count], int], str]:
     """Folds a predicate into a closure, or says what is wrong and where."""
     try:
-        tree = PARSER.parse(text)
+        tree = _parser().parse(text)
         root = tree.children[0]
-        assert isinstance(root, Tree)
+        assert not isinstance(root, str)
         return Ok(_fold(root, scope))
-    except UnexpectedInput as bad:
+    except lark.exceptions.UnexpectedInput as bad:
         return Err(f"column {getattr(bad, 'column', len(text))}: cannot be read as a predicate")
     except PredicateError as bad:
         return Err(str(bad))
--- a/postpass/runtime/environment.py
+++ b/postpass/runtime/environment.py
@@ -13,15 +13,20 @@
 import time
 from collections.abc import Callable, Coroutine, Generator, Mapping
 from dataclasses import dataclass, field
-from typing import Any, TypeVar
+from typing import TYPE_CHECKING, Any, TypeVar, cast
 
-import aiohttp
 import uvicorn
 from starlette.types import ASGIApp
 
+from postpass.runtime.deferred_import import DeferredModule
 from postpass.runtime.disk import Disk
 from postpass.runtime.ordered_set import OrderedSet
 
+if TYPE_CHECKING:
+    import aiohttp
+else:
+    aiohttp = DeferredModule("aiohttp")
+
 Answer = TypeVar("Answer")
 
 CONNECT_LIMIT_S = 1.0  # for a TCP connection to a worker
@@ -55,6 +60,28 @@
             timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_LIMIT_S),
         )
 
+    def deferred_session(self) -> aiohttp.ClientSession:
+        """The same, made when it is first used: a daemon that relays by connections of its own needs none."""
+        return cast("aiohttp.ClientSession", DeferredSession(self.session))
+
+
+class DeferredSession:
+    """An HTTP session that is made when it is first used. `close` makes none."""
+
+    def __init__(self, make: Callable[[], aiohttp.ClientSession]) -> None:
+        self._make = make
+        self._made: aiohttp.ClientSession | None = None
+
+    def __getattr__(self, attribute: str) -> Any:
+        if self._made is None:
+            self._made = self._make()
+        return getattr(self._made, attribute)
+
+    async def close(self) -> None:
+        """Closes the session if there is one."""
+        if self._made is not None:
+            await self._made.close()
+
 
 def now() -> float:
     """The one clock for leases and timers: the loop's, monotonic, never the wall."""
--- a/postpass/worker_api/openai.py
+++ b/postpass/worker_api/openai.py
@@ -10,13 +10,18 @@
 import json
 from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
-import aiohttp
 from prometheus_client.parser import text_string_to_metric_families
 
+from postpass.runtime.deferred_import import DeferredModule
 from postpass.runtime.errors import BROKE, CROWD, SLOW, Fault, FaultError
 
+if TYPE_CHECKING:
+    import aiohttp
+else:
+    aiohttp = DeferredModule("aiohttp")
+
 MAX_LINE = 64 << 10  # bytes of a line of a stream
 MAX_METRICS = 256 << 10  # bytes of a metrics page that are read
 CONNECT_TIMEOUT = 1.0  # seconds
--- a/tests/test_deploy_file.py
+++ b/tests/test_deploy_file.py
@@ -20,7 +20,7 @@
 # itself is part of the base system.
 SHELL_BUILTINS = {"["}
 PROGRAMS = {PYTHON: "python3"}
-MODULES = {"pip": "python3-pip"}
+MODULES = {"pip": "python3-pip", "compileall": "python3"}
 # Requirements that are compiled when they are installed, with the packages of compilers and headers that they need.
 COMPILED: dict[str, set[str]] = {}
 
--- a/tests/test_readable_code.py
+++ b/tests/test_readable_code.py
@@ -34,9 +34,10 @@
         "response_check", "http_headers", "http_errors", "request_bodies", "client_connection", "attempts",
         "admission_queue", "worker_load", "admission_control", "owner_client", "edge_state", "job_routes",
         "live_requests", "proxied_routes", "gateway", "upstream_connection", "connection_pool", "http_server",
-        "body_reader", "route_table", "event_stream", "load_balancing", "worker_health", "relayed_request",
+        "load_exchange", "body_reader", "route_table", "event_stream", "worker_health", "relayed_request",
         "worker_selection", "relay",
     ),
+    "routing": ("options", "prefixes", "cold_workers", "load_picture", "live_choice", "item_choice"),
     "worker_api": ("openai", "plugins"),
     "membership": (
         "partial_view", "safe_change", "registry", "machine_registry", "worker_registry", "operator_changes",
@@ -51,7 +52,7 @@
         "header_names", "json_delta", "schema", "settings", "accepted_orders", "nginx_import", "configuration",
         "configuration_check",
     ),
-    "runtime": ("errors", "log_events", "ordered_set", "disk", "environment"),
+    "runtime": ("deferred_import", "errors", "log_events", "ordered_set", "disk", "environment"),
     "rpc": ("idl", "codec", "framing", "connection", "peer_links", "peer_server"),
 }  # fmt: skip
 # Withdrawn words that still stand in names, by module, with the reason; docs/ROADMAP.md has what is to become of them.
