Share one picture of load, and decide placement by it in one package

Change: postpass/routing holds the decisions as pure functions with a switch each (RoutingOptions); gateway/load_exchange tells every edge and the scheduler what all others have at each worker, by hubs, ten times a second; live requests go to the less loaded of two by that, long prefixes to two homes that may be overrun a little, items get what live requests leave but a tenth, the emptiest worker first. Checks changed: the test of prompts kept apart went with the split; the measurement of running items sets its reserve, since items get 0.9 of idle slots now and not 0.75; the case of forgotten ends found that no item ran in a pool of one slot (mended).

--- a/bench/capacity/measurements/backlog.py
+++ b/bench/capacity/measurements/backlog.py
@@ -9,6 +9,7 @@
 
 from bench.capacity.meter import Row, metered, resident_bytes
 from bench.capacity.simulated_fleet import FOUNDING_LIMIT, active_schedulers, announced_fleet
+from postpass.routing.options import DEFAULT_OPTIONS
 from sim.announced import Sizes
 from sim.hollow import hand_in, patient
 from sim.loop import SimLoop, run_sim
@@ -62,7 +63,6 @@
     pylog.disable(pylog.CRITICAL)
 
     async def main(loop: SimLoop) -> Row:
-        # Three quarters of a worker's slots go to items.
         slots = -(-running * 4 // 3 // WORKERS)
         sizes = Sizes(edges=2, stores=4, cores=3, zones=4, models=WORKERS, plains=2, slots=slots)
         fleet = announced_fleet(loop, sizes, Engine(pace=1.0, crowd=0.0))
@@ -72,6 +72,10 @@
         await asyncio.sleep(SETTLE)
         schedulers = active_schedulers(fleet)
         active = list(schedulers)
+        # The reserve leaves room for just so many items; the half keeps rounding out of it.
+        reserve = 1 - (running - 0.5) / (slots * WORKERS)
+        for scheduler in schedulers.values():
+            scheduler.route_capacity.options = replace(DEFAULT_OPTIONS, live_reserve=reserve)
         with metered() as meter:
             await asyncio.sleep(span)
             idle = meter.cost(active, span)
--- a/bench/capacity/measurements/configuration.py
+++ b/bench/capacity/measurements/configuration.py
@@ -10,8 +10,9 @@
 from bench.capacity.target import Target
 from postpass.control.epochs import ReplicaSet
 from postpass.control.state import ReplicatedState
-from postpass.gateway.load_balancing import Prefix, WorkerCandidate, choose_worker, long_prompt_workers
 from postpass.membership.registry import State
+from postpass.routing.live_choice import EdgeView, Prompt, WorkerCandidate, choose_worker
+from postpass.routing.prefixes import Prefix
 from sim.announced import Sizes, module
 from sim.loop import SimLoop
 
@@ -34,16 +35,15 @@
     replica_set = ReplicaSet(1, "c1", ("c2",), {})
     replicated_state = ReplicatedState(1, replica_set, State(1, configuration, source=document))
     candidates = [WorkerCandidate(f"i-{i:04x}", SLOTS, i % 3) for i in range(workers)]
-    apart = long_prompt_workers([candidate.name for candidate in candidates])
+    view = EdgeView(EDGES, PROMPT_TOKENS)
     return {
         "workers": workers,
         "routes": routes,
         "state": len(replicated_state.dump()),
         "dump_ms": timed(replicated_state.dump) * 1e3,
         "terms_ms": timed(lambda: translator.terms(document)) * 1e3,
-        "choose_us": timed(lambda: choose_worker(candidates, NO_PREFIX, EDGES, chance, PROMPT_TOKENS, apart)) * 1e6,
-        "choose_prefix_us": timed(lambda: choose_worker(candidates, PREFIX, EDGES, chance, PROMPT_TOKENS, apart)) * 1e6,
-        "readers_us": timed(lambda: long_prompt_workers([candidate.name for candidate in candidates])) * 1e6,
+        "choose_us": timed(lambda: choose_worker(candidates, Prompt(NO_PREFIX, PROMPT_TOKENS), view, chance)) * 1e6,
+        "choose_prefix_us": timed(lambda: choose_worker(candidates, Prompt(PREFIX, PROMPT_TOKENS), view, chance)) * 1e6,
     }
 
 
--- a/postpass/batch/capacity.py
+++ b/postpass/batch/capacity.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from prometheus_client import Counter
@@ -15,6 +16,9 @@
 from postpass.configuration.configuration import Class, Configuration
 from postpass.configuration.settings import Settings
 from postpass.gateway.worker_load import WorkerLoad, share_of
+from postpass.routing.item_choice import ItemWorker, item_rooms
+from postpass.routing.load_picture import IDLE, LoadReport
+from postpass.routing.options import DEFAULT_OPTIONS, RoutingOptions
 from postpass.runtime import log_events
 from postpass.runtime.environment import now
 
@@ -22,7 +26,6 @@
 DEFAULT_RESERVE = 0.25  # of the live load that is kept free for its growth
 LOANS_KEPT = 500  # loans that the figures of the simulator are taken from
 LOAN_RECALLED = 152  # number of the log event
-ROUTE_SHARE = 0.75  # of a worker's slots that items of routes may take
 GROWTH = 0.5  # slots by which a worker's limit grows with each item that ran
 
 
@@ -110,7 +113,7 @@
 
 @dataclass(eq=False)
 class WorkerLimit:
-    """How many items of routes one worker takes. Invariant: `most` is 1 to `ROUTE_SHARE` of its slots."""
+    """How many items of routes one worker takes, by what it said to those before. Invariant: `most` is 1 to its slots."""
 
     most: float
     closed_until: float = 0.0  # loop time in seconds
@@ -122,28 +125,37 @@
 
     def completed(self, slots: int) -> None:
         """The worker, which has so many slots, ran an item: raises the limit."""
-        self.most = min(max(1.0, slots * ROUTE_SHARE), self.most + GROWTH)
+        self.most = min(max(1.0, float(slots)), self.most + GROWTH)
 
-    def free(self) -> int:
-        """How many further items may be sent now."""
-        return max(0, int(self.most) - self.running) if now() >= self.closed_until else 0
+    @property
+    def allowed(self) -> float:
+        """How many items may run there now; none for a moment after a rejection."""
+        return self.most if now() >= self.closed_until else 0.0
 
 
 @dataclass(eq=False)
 class RouteCapacity:
-    """Slots for the items of routes, by what the workers said to those before."""
+    """Slots for the items of routes: what live requests leave, and what the workers said to those before.
+
+    `live_load` tells what others have at each worker; None while nothing was heard.
+    """
 
     limits: dict[tuple[str, str], WorkerLimit] = field(default_factory=dict)  # (pool, worker) -> limit
+    live_load: Callable[[], LoadReport | None] = lambda: None
+    options: RoutingOptions = DEFAULT_OPTIONS
 
     def free(self, configuration: Configuration, pool: str) -> dict[str, int]:
-        """Free slots at each worker of a pool that may be sent to."""
-        out = {}
+        """How many more items each worker of a pool that may be sent to gets now."""
+        load = self.live_load()
+        workers = []
         for name, server in configuration["pools"][pool]["servers"].items():
             if self.barred(configuration, pool, name):
                 continue
-            limit = self.limits.setdefault((pool, name), WorkerLimit(max(1.0, server["slots"] * ROUTE_SHARE)))
-            out[name] = limit.free()
-        return out
+            slots = server["slots"]
+            limit = self.limits.setdefault((pool, name), WorkerLimit(max(1.0, float(slots))))
+            live = None if load is None else load.get(name, IDLE).requests
+            workers.append(ItemWorker(name, slots, limit.running, live, limit.allowed))
+        return item_rooms(workers, self.options)
 
     def barred(self, configuration: Configuration, pool: str, worker: str) -> str:
         """Why a worker gets no items; empty if it may."""
--- a/postpass/batch/placement.py
+++ b/postpass/batch/placement.py
@@ -15,6 +15,7 @@
 from postpass.configuration.header_names import Dialect
 from postpass.configuration.settings import Settings
 from postpass.feed.configuration_view import ConfigurationView
+from postpass.routing.item_choice import choose_item_worker
 from postpass.runtime.environment import now
 from postpass.worker_api.plugins import Candidate, PlacementRequest, affinity_key, affinity_worker, place
 
@@ -119,10 +120,9 @@
             item.pool = weighted_pool(item.request["id"], split)
         return True
 
-    def request_worker(self, item: LeasedItem, slots: Slots) -> str | None:
-        """A worker with a free slot; the items of a job, whose prompts begin alike, go to few workers."""
-        names = [name for name, free in slots.items() if free > 0]
-        if not names or item.request is None:
+    def request_worker(self, item: LeasedItem, rooms: Slots) -> str | None:
+        """The worker for an item; None if none has room."""
+        if item.request is None:
             return None
         key = prompt_prefix(item.request["headers"], self.runner.dialect) or item.job
-        return max(names, key=lambda name: hashlib.sha256(f"{key}/{name}".encode()).digest())
+        return choose_item_worker(rooms, key.encode(), self.capacity.options)
--- a/postpass/batch/scheduler.py
+++ b/postpass/batch/scheduler.py
@@ -9,9 +9,8 @@
 
 import asyncio
 from dataclasses import dataclass, field
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
-import aiohttp
 from prometheus_client import CollectorRegistry, Counter, Gauge
 from result import Ok
 
@@ -26,10 +25,14 @@
 from postpass.configuration.settings import Settings
 from postpass.feed.configuration_view import ConfigurationView
 from postpass.gateway.worker_load import WorkerLoad
+from postpass.routing.load_picture import LoadReport, WorkerUse
 from postpass.rpc.codec import Body, PeerResponse
 from postpass.rpc.peer_links import PeerLinks
 from postpass.runtime.environment import Environment
 
+if TYPE_CHECKING:
+    import aiohttp
+
 
 @dataclass(eq=False)
 class Scheduler:
@@ -71,6 +74,9 @@
         Gauge("postpass_items_running", "Items at workers", registry=self.registry).set_function(
             lambda: len(self.items.running())
         )
+        Gauge("postpass_items_waiting", "Items held that wait for a slot", registry=self.registry).set_function(
+            lambda: len(self.items.waiting())
+        )
         Gauge("postpass_sched_active", "1 while this daemon schedules", registry=self.registry).set_function(
             lambda: float(self.active)
         )
@@ -96,6 +102,19 @@
         self.wake.set()
         return Ok({})
 
+    def own_use(self) -> LoadReport:
+        """The items of routes that run, by worker."""
+        counts: dict[str, int] = {}
+        for (_, worker), limit in self.route_capacity.limits.items():
+            if limit.running:
+                counts[worker] = counts.get(worker, 0) + limit.running
+        return {worker: WorkerUse(items=items) for worker, items in counts.items()}
+
+    def note_load(self) -> None:
+        """There is news of the load of workers: an item that waits may find a slot."""
+        if self.active and any(item.request is not None for item in self.items.waiting()):
+            self.wake.set()
+
     def leave(self) -> None:
         """Takes and starts no more; what runs may come to its end."""
         self.election.leaving = True
--- a/postpass/configuration/settings.py
+++ b/postpass/configuration/settings.py
@@ -179,6 +179,11 @@
         """Seconds between two polls of the configuration feed, and the time limit of a quick request."""
         return self.manifest / 4
 
+    @property
+    def exchange(self) -> float:
+        """Seconds between two exchanges of the load of workers."""
+        return self.leave / 25
+
     @property
     def probe(self) -> float:
         """Seconds between two probes of a worker."""
--- a/postpass/daemon/data_plane.py
+++ b/postpass/daemon/data_plane.py
@@ -4,9 +4,9 @@
 
 import asyncio
 from dataclasses import dataclass
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
-import aiohttp
+from prometheus_client import Gauge
 from result import Ok
 from starlette.routing import BaseRoute
 
@@ -19,13 +19,18 @@
 from postpass.gateway.connection_pool import ConnectionPool
 from postpass.gateway.gateway import Gateway
 from postpass.gateway.http_server import HeadLimits, limited_protocol, serve_ready
+from postpass.gateway.load_exchange import LoadExchange
 from postpass.gateway.relay import Relay
 from postpass.gateway.worker_load import WorkerLoad
 from postpass.replication.store import Store
+from postpass.routing.load_picture import LoadReport, summed
 from postpass.rpc.codec import RELEASE, Body, PeerResponse
 from postpass.rpc.peer_links import PeerLinks
 from postpass.runtime.environment import Environment
 
+if TYPE_CHECKING:
+    import aiohttp
+
 LEAVE_NOTICED = 2.5  # seconds until nobody passes new connections to an edge that says that it isn't ready
 GRACE_RESERVE = 1.0  # seconds of the grace period that are left for closing
 
@@ -44,6 +49,7 @@
     session: aiohttp.ClientSession | None = None
     relay: Relay | None = None
     connection_pool: ConnectionPool | None = None
+    load_exchange: LoadExchange | None = None
 
     def __init__(
         self, settings: Settings, environment: Environment, release: str = "", dialect: Dialect | None = None
@@ -51,6 +57,7 @@
         super().__init__(settings, environment, release or RELEASE)
         self.dialect = dialect or Dialect()
         self.edge = self.scheduler = self.store = self.session = self.relay = self.connection_pool = None
+        self.load_exchange = None
         if "store" in settings.duties:
             self.store = Store(settings, environment, self.configuration_view, self.peer_links)
             self.store.owner.announce_epochs = self.gossip.raise_epochs
@@ -66,12 +73,15 @@
             self.partial_view.own_record["disk"] = self.store.disk_id
         duties = self.settings.duties
         if {"edge", "sched"} & set(duties):
-            self.session = self.environment.session()
+            deferred = self.settings.announce
+            self.session = self.environment.deferred_session() if deferred else self.environment.session()
             self.worker_load = self._new_worker_load(self.session, self.peer_links)
             if "edge" in duties:
                 self._open_edge(self.session)
             if "sched" in duties:
                 self._open_scheduler(self.session)
+            if self.settings.announce:
+                self._open_load_exchange()
 
     def _new_worker_load(self, session: aiohttp.ClientSession, peer_links: PeerLinks | None) -> WorkerLoad:
         """The load of the workers, as one duty sees it; with `peer_links` it is shared between edges."""
@@ -105,6 +115,43 @@
         if self.settings.announce:
             self.scheduler.runner.workers = self.connection_pool = ConnectionPool()
 
+    def _open_load_exchange(self) -> None:
+        """Lets the edge and the scheduler of an announced fleet go by what all have at the workers."""
+        exchange = LoadExchange(self.settings, self.environment, self.configuration_view, self.peer_links, self.own_use)
+        self.load_exchange = exchange
+        Gauge(
+            "postpass_load_picture_age_seconds", "Age of what is known of the load of others", registry=self.registry
+        ).set_function(lambda: exchange.age)
+        if self.relay is not None:
+            self.relay.workers.others_load = self.others_of_edge
+        if self.scheduler is not None:
+            self.scheduler.route_capacity.live_load = self.others_of_scheduler
+            exchange.updated = self.scheduler.note_load
+            if self.relay is None:
+                exchange.wanted = lambda: self.scheduler is not None and self.scheduler.active
+
+    def own_use(self) -> LoadReport:
+        """What this process has at each worker."""
+        edge = self.relay.workers.own_use() if self.relay is not None else {}
+        scheduler = self.scheduler.own_use() if self.scheduler is not None else {}
+        return summed([edge, scheduler]) if edge and scheduler else edge or scheduler
+
+    def others_of_edge(self) -> LoadReport | None:
+        """What there is at the workers besides what the edge of this process has; None if that is not known."""
+        exchange = self.load_exchange
+        if exchange is None or not exchange.is_fresh:
+            return None
+        scheduler = self.scheduler.own_use() if self.scheduler is not None else {}
+        return summed([exchange.others, scheduler]) if scheduler else exchange.others
+
+    def others_of_scheduler(self) -> LoadReport | None:
+        """What there is at the workers besides what the scheduler of this process has; None if that is not known."""
+        exchange = self.load_exchange
+        if exchange is None or not exchange.is_fresh:
+            return None
+        edge = self.relay.workers.own_use() if self.relay is not None else {}
+        return summed([exchange.others, edge]) if edge else exchange.others
+
     def handlers(self) -> dict[str, Any]:
         """The verbs of peers that the duties answer."""
         mine: dict[str, Any] = {"floor": self.on_floor} if "edge" in self.settings.duties else {}
@@ -112,8 +159,11 @@
             mine |= {"wake": self.scheduler.on_wake}
         return mine | (self.store.handlers() if self.store is not None else {})
 
-    async def on_floor(self, _body: Body) -> PeerResponse:
-        """What this edge has read off the workers, for edges of its zone that don't ask them themselves."""
+    async def on_floor(self, body: Body) -> PeerResponse:
+        """What this edge has read off the workers, for edges of its zone that don't ask them themselves; or, in an
+        announced fleet, what all have there, for one that tells what it has itself."""
+        if self.load_exchange is not None and "use" in body:
+            return await self.load_exchange.on_report(body)
         return Ok({"spots": self.worker_load.as_json()})
 
     async def depart(self) -> None:
@@ -197,6 +247,8 @@
             # Workers of an announced fleet are not asked for their state: it costs them, and control tells it.
             out += [] if self.settings.announce else [self.worker_load.poll_loop(self.settings.bounds.probe)]
             out += [serve_ready(self.settings.ready, lambda: not self.ready())] if self.settings.ready else []
+        if self.load_exchange is not None:
+            out.append(self.load_exchange.run())
         if self.scheduler is not None:
             out += self.scheduler.tasks() + ([] if self.settings.announce else [self.watch_batch()])
         return out
@@ -219,6 +271,8 @@
                 self.relay.close()
             if self.connection_pool is not None:
                 self.connection_pool.close()
+            if self.load_exchange is not None:
+                self.load_exchange.close()
 
     async def more_status(self) -> Body:
         """What the duties add to the status page."""
--- a/postpass/gateway/relay.py
+++ b/postpass/gateway/relay.py
@@ -78,6 +78,9 @@
         self.first_byte_seconds = Histogram(
             "postpass_relayed_first_seconds", "Time to the first byte of an answer", ["route"], registry=registry
         )
+        self.choices = Counter(
+            "postpass_worker_choices", "Workers chosen for relayed requests, by reason", ["reason"], registry=registry
+        )
         Gauge("postpass_worker_connections", "Connections to workers that are open", registry=registry).set_function(
             lambda: sum(len(x) for x in self.connections.opened.values())
         )
@@ -197,11 +200,7 @@
         worker = last.worker if last else ""
         if decision.action is Action.DONE:
             if request.late:
-                log_events.emit(
-                    Event.PROXY_LATE, self.settings.name, route=request.route_name, worker=worker, first=f"{request.first_delay:.3f}",
-                    pause=f"{request.longest_pause:.3f}", tokens=request.tokens.decode(), shared=request.prefix.tokens,
-                    tries=len(request.attempt_log.attempts),
-                )  # fmt: skip
+                self._note_late(request, worker)
             return
         if decision.action is Action.REJECT:
             wait = max(LEAST_RETRY_AFTER, request.route["target"] * REASK_SHARE)
@@ -214,6 +213,17 @@
             await self.answer(request.send, 504 if now() >= request.until else 502)
         # Otherwise nothing more is said, and the server closes the connection in the middle of the answer.
 
+    def _note_late(self, request: RelayedRequest, worker: str) -> None:
+        """Logs an answer that missed its aims, with why its worker was chosen and what was known of it then."""
+        choice = request.choice
+        log_events.emit(
+            Event.PROXY_LATE, self.settings.name, route=request.route_name, worker=worker,
+            first=f"{request.first_delay:.3f}", pause=f"{request.longest_pause:.3f}", tokens=request.tokens.decode(),
+            shared=request.prefix.tokens, tries=len(request.attempt_log.attempts),
+            chosen=choice.reason if choice else "", used=choice.used if choice else 0,
+            unread=choice.unread if choice else 0, shared_load=self.workers.others_load() is not None,
+        )  # fmt: skip
+
     async def _run_attempts(self, request: RelayedRequest) -> Decision:
         route = request.route
         ask_until = request.began + route["target"] * REASK_SHARE
@@ -228,6 +238,8 @@
             if chosen is None:
                 action = Action.REJECT if request.attempt_log.never_ran else Action.ERROR
                 return Decision(action, "no worker is left")
+            if request.choice is not None:
+                self.choices.labels(request.choice.reason).inc()
             await self._attempt(request, *chosen)
 
     # --- one attempt
@@ -245,6 +257,7 @@
         seconds_left = request.until - now()
         headers = self._attempt_headers(request, name, seconds_left)
         health.in_flight += 1
+        self._note_unread(request, health, request.prompt_tokens)
         exchange: Exchange | None = None
         sent = now()
         try:
@@ -256,14 +269,20 @@
             )  # fmt: skip
             if await self._is_answer(request, exchange, name, health):
                 health.answered(now() - sent)
-                await self.deliver(request, exchange)
+                await self.deliver(request, exchange, health)
         except FaultError as stop:
             self._note_fault(request, stop.fault, name, health)
         finally:
             health.in_flight -= 1
+            self._note_unread(request, health, 0)
             if exchange is not None:
                 exchange.close()
 
+    def _note_unread(self, request: RelayedRequest, health: WorkerHealth, tokens: int) -> None:
+        """So many tokens of the request's prompt may still have to be read at its worker."""
+        health.unread += tokens - request.unread
+        request.unread = tokens
+
     def _attempt_headers(self, request: RelayedRequest, name: str, seconds_left: float) -> Headers:
         """The request's headers with those that are of one attempt."""
         names = self.names
@@ -327,7 +346,7 @@
                 raise
 
     # --- the answer
-    async def deliver(self, request: RelayedRequest, exchange: Exchange) -> None:
+    async def deliver(self, request: RelayedRequest, exchange: Exchange, health: WorkerHealth) -> None:
         """Passes the answer on. Raises FaultError if it is cut, or if it is better asked for elsewhere."""
         self._check_status(request, exchange)
         events = request.events if exchange.status == 200 else None
@@ -338,6 +357,8 @@
         size = 0
         while True:
             data = await exchange.next_chunk()
+            if request.unread:
+                self._note_unread(request, health, 0)
             end = exchange.complete and not exchange.has_unread
             if data and events is not None:
                 try:
--- a/postpass/gateway/relayed_request.py
+++ b/postpass/gateway/relayed_request.py
@@ -10,7 +10,8 @@
 from postpass.gateway.attempts import AttemptLog
 from postpass.gateway.event_stream import EventStream
 from postpass.gateway.http_headers import HeaderNames, Headers, end_to_end, header, parse_number
-from postpass.gateway.load_balancing import NO_PREFIX, Prefix, prefix_of
+from postpass.routing.live_choice import Choice
+from postpass.routing.prefixes import NO_PREFIX, Prefix, prefix_of
 
 NOT_YET = -1.0
 MAX_URGENCY = 6  # live requests have an urgency of at most this; those of jobs stand behind
@@ -41,6 +42,8 @@
     first_delay: float = NOT_YET  # seconds until the first piece of an answer went out
     latest: float = 0.0  # when the last one did
     longest_pause: float = 0.0  # seconds between two of them
+    choice: Choice | None = None  # of the newest attempt's worker
+    unread: int = 0  # tokens of its prompt that the worker of the open attempt may still have to read
 
     @property
     def repeatable(self) -> bool:
--- a/postpass/gateway/worker_health.py
+++ b/postpass/gateway/worker_health.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-from postpass.gateway.load_balancing import Bucket
+from postpass.routing.cold_workers import Bucket
 
 FULL_FOR = 0.05  # seconds that a worker which turned a request away is tried last
 AVOID_FIRST, AVOID_MOST = 0.1, 1.0  # seconds that a worker is avoided after a broken connection, doubling
@@ -17,6 +17,7 @@
     """One life of a worker as this edge sees it. Times are seconds of the loop's clock."""
 
     in_flight: int = 0  # requests of this edge under way there
+    unread: int = 0  # prompt tokens of those among them that were not answered yet
     failures: int = 0  # since its last answer
     silent: bool = False  # at the last failure nothing came
     avoid_until: float = -1.0
--- a/postpass/gateway/worker_selection.py
+++ b/postpass/gateway/worker_selection.py
@@ -2,27 +2,29 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
 
 from postpass.configuration.configuration import Configuration, Pool, Server
 from postpass.configuration.settings import Settings
 from postpass.feed.configuration_view import ConfigurationView
-from postpass.gateway.load_balancing import (
-    NO_WORKERS,
-    Bucket,
+from postpass.gateway.relayed_request import RelayedRequest
+from postpass.gateway.route_table import RouteTable, route_table_of
+from postpass.gateway.worker_health import WorkerHealth
+from postpass.routing.cold_workers import Bucket, cold_edges, cold_share
+from postpass.routing.live_choice import (
+    EdgeView,
+    Prompt,
     WorkerCandidate,
     choose_worker,
-    cold_edges,
-    cold_share,
-    long_prompt_workers,
     pool_order,
 )
-from postpass.gateway.relayed_request import RelayedRequest
-from postpass.gateway.route_table import RouteTable, route_table_of
-from postpass.gateway.worker_health import WorkerHealth
+from postpass.routing.load_picture import IDLE, LoadReport, WorkerUse
+from postpass.routing.options import DEFAULT_OPTIONS, RoutingOptions
 from postpass.runtime.environment import Environment, now
 
 UNLIMITED_RATE = 1e9  # requests a second
+PROMPT_WEIGHT = 1 / 64  # of the newest prompt in the tokens that one usually has
 
 
 @dataclass(eq=False)
@@ -36,8 +38,10 @@
     table: RouteTable = field(default_factory=lambda: RouteTable({}))
     edges: list[str] = field(default_factory=list)  # all that aren't gone, sorted
     senders: int = 1  # processes that send requests to workers: edges and schedulers
-    long_prompt_workers: dict[str, frozenset[str]] = field(default_factory=dict)  # by pool
     health_by_worker: dict[str, WorkerHealth] = field(default_factory=dict)
+    usual_tokens_by_pool: dict[str, float] = field(default_factory=dict)  # of a prompt, smoothed
+    others_load: Callable[[], LoadReport | None] = lambda: None  # what others have at workers; None if not known
+    options: RoutingOptions = DEFAULT_OPTIONS
 
     def refresh(self) -> None:
         """Learns the configuration in force if it is a new one."""
@@ -51,10 +55,6 @@
         machines = {n: m for n, m in configuration["machines"].items() if not m.get("gone")}
         self.edges = sorted(n for n, m in machines.items() if "edge" in m["duties"])
         self.senders = max(1, sum(bool({"edge", "sched"} & set(m["duties"])) for m in machines.values()))
-        self.long_prompt_workers = {
-            pool: long_prompt_workers([n for n, s in p["servers"].items() if not self.barred(configuration, s)])
-            for pool, p in configuration["pools"].items()
-        }
         known = {n for p in configuration["pools"].values() for n in p["servers"]}
         for name in [n for n, h in self.health_by_worker.items() if n not in known and not h.in_flight]:
             del self.health_by_worker[name]
@@ -78,7 +78,17 @@
         users = cold_edges(name, self.edges, rate)
         return cold_share(rate, len(users)) if self.settings.name in users else None
 
-    def candidates(self, configuration: Configuration, pool: Pool, tried: set[str]) -> list[WorkerCandidate]:
+    def own_use(self) -> LoadReport:
+        """What this edge has at each worker."""
+        return {
+            name: WorkerUse(live=health.in_flight, unread=health.unread)
+            for name, health in self.health_by_worker.items()
+            if health.in_flight
+        }
+
+    def candidates(
+        self, configuration: Configuration, pool: Pool, tried: set[str], others: LoadReport
+    ) -> list[WorkerCandidate]:
         """The workers of a pool that may get a request which was tried at those of `tried`."""
         found: list[WorkerCandidate] = []
         at = now()
@@ -91,7 +101,12 @@
                 if rate is None or health.bucket.filled(at, rate).level < 1:
                     continue
             avoided, full = health.avoid_until > at, health.full_until > at
-            found.append(WorkerCandidate(name, server["slots"], health.in_flight, avoided, full, health.lag))
+            found.append(
+                WorkerCandidate(
+                    name, server["slots"], health.in_flight, avoided, full, health.lag, health.unread,
+                    others.get(name, IDLE),
+                )
+            )  # fmt: skip
         return found
 
     def choose(self, request: RelayedRequest) -> tuple[str, str] | None:
@@ -99,17 +114,27 @@
         configuration = self.configuration_view.manifest
         assert configuration is not None
         tried = {a.worker for a in request.attempt_log.attempts}
+        others = self.others_load()
+        options = replace(self.options, shared_load=False) if others is None else self.options
+        prompt = Prompt(request.prefix, request.prompt_tokens)
         for pool in pool_order(request.route["split"], request.request_id or b""):
             if pool not in configuration["pools"]:
                 continue
-            name = choose_worker(
-                self.candidates(configuration, configuration["pools"][pool], tried), request.prefix, len(self.edges),
-                self.environment.chance, request.prompt_tokens, self.long_prompt_workers.get(pool, NO_WORKERS),
-            )  # fmt: skip
-            if name is not None:
-                return pool, name
+            candidates = self.candidates(configuration, configuration["pools"][pool], tried, others or {})
+            view = EdgeView(len(self.edges), self.usual_tokens(pool, prompt.tokens))
+            choice = choose_worker(candidates, prompt, view, self.environment.chance, options)
+            if choice is not None:
+                request.choice = choice
+                return pool, choice.worker
         return None
 
+    def usual_tokens(self, pool: str, tokens: int) -> float:
+        """Tokens that a prompt for a pool usually has, with one more prompt seen."""
+        usual = self.usual_tokens_by_pool.get(pool, float(tokens))
+        usual += (tokens - usual) * PROMPT_WEIGHT
+        self.usual_tokens_by_pool[pool] = usual
+        return usual
+
     def check_admission(self, request: RelayedRequest, pool: str, name: str, addr: str) -> str:
         """Asked right before the first byte leaves: what speaks against it by the configuration in force now; empty
         if nothing does. Counts the request against a cold worker's rate."""
--- /dev/null
+++ b/tests/gateway/test_load_exchange.py
@@ -0,0 +1,151 @@
+"""Edges and schedulers tell each other what they have at the workers, by hubs that may be lost."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import Any, cast
+
+from result import Err
+
+from postpass.configuration.settings import Settings
+from postpass.feed.configuration_view import ConfigurationView
+from postpass.gateway.load_exchange import LoadExchange
+from postpass.routing.load_picture import IDLE, WorkerUse
+from postpass.rpc.codec import Body, PeerResponse
+from postpass.rpc.peer_links import PeerLinks
+from postpass.runtime.environment import Environment
+from postpass.runtime.errors import SLOW, Fault
+from sim.loop import SimLoop, run_sim
+
+
+class Fleet:
+    """Edges in zones and a scheduler; a message is handled at once, unless one of the two is down."""
+
+    def __init__(self, edges: int, zones: int) -> None:
+        self.down: set[str] = set()
+        self.messages = 0
+        self.use: dict[str, dict[str, WorkerUse]] = {}
+        places = {f"e{n}": f"z{n % zones}" for n in range(edges)}
+        machines = {name: {"duties": ["edge"], "area": zone} for name, zone in places.items()}
+        machines["s"] = {"duties": ["sched", "store"], "area": "elsewhere"}
+        self.exchanges = {name: self.exchange(name, machine["area"], machines) for name, machine in machines.items()}
+
+    def exchange(self, name: str, zone: Any, machines: dict[str, Any]) -> LoadExchange:
+        """The exchange of one daemon, by whose name its address goes."""
+        view = ConfigurationView(name)
+        view.manifest, view.revision = cast(Any, {"machines": {n: m | {"peer": n} for n, m in machines.items()}}), 1
+        self.use[name] = {}
+        settings = Settings(name, zone, name, name, ())
+        environment = Environment(chance=random.Random(name))
+        return LoadExchange(settings, environment, view, cast(PeerLinks, Links(self, name)), lambda: self.use[name])
+
+    async def play(self, seconds: float) -> None:
+        """All run for so long."""
+        tasks = [asyncio.create_task(self.run(name)) for name in self.exchanges]
+        await asyncio.sleep(seconds)
+        for task in tasks:
+            task.cancel()
+
+    async def run(self, name: str) -> None:
+        """One daemon, which does nothing while it is down."""
+        if name not in self.down:
+            await self.exchanges[name].run()
+
+
+class Links:
+    """The links of one daemon."""
+
+    def __init__(self, fleet: Fleet, name: str) -> None:
+        self.fleet, self.name = fleet, name
+
+    async def request(self, address: str, message: str, body: Body, limit: float) -> PeerResponse:
+        """Hands a message over."""
+        assert message == "floor"
+        self.fleet.messages += 1
+        if {address, self.name} & self.fleet.down:
+            await asyncio.sleep(limit)
+            return Err(Fault("connect", address, "down", SLOW, unsent=True))
+        return await self.fleet.exchanges[address].on_report(body)
+
+
+def played(fleet: Fleet, seconds: float = 3.0) -> None:
+    """Plays a fleet in virtual time."""
+
+    async def main(_loop: SimLoop) -> None:
+        await fleet.play(seconds)
+        # The pictures are judged as of the end, by the same clock.
+        for name, exchange in fleet.exchanges.items():
+            assert exchange.is_fresh or name in fleet.down
+
+    run_sim(main, 1)
+
+
+def load_at(fleet: Fleet, name: str, worker: str) -> WorkerUse:
+    """What a daemon knows of the others."""
+    return fleet.exchanges[name].others_at(worker)
+
+
+def test_each_daemon_knows_what_all_others_have() -> None:
+    for edges, zones in ((3, 1), (8, 4), (53, 4), (40, 2)):
+        fleet = Fleet(edges, zones)
+        for n in range(edges):
+            fleet.use[f"e{n}"] = {"w": WorkerUse(live=1, unread=n)}
+        fleet.use["s"] = {"w": WorkerUse(items=7)}
+        played(fleet)
+        tokens = sum(range(edges))
+        for n in range(edges):
+            assert load_at(fleet, f"e{n}", "w") == WorkerUse(edges - 1, 7, tokens - n)
+        assert load_at(fleet, "s", "w") == WorkerUse(edges, 0, tokens)
+        assert load_at(fleet, "s", "other") == IDLE
+
+
+def test_lost_hubs_are_replaced_and_their_members_counts_are_not_lost() -> None:
+    fleet = Fleet(24, 2)
+    fleet.exchanges["e0"]._learn()
+    hubs = set(fleet.exchanges["e0"].all_hubs)
+    assert len(hubs) == 2
+    fleet.down = hubs
+    living = [name for name in fleet.exchanges if name not in hubs and name != "s"]
+    for name in living:
+        fleet.use[name] = {"w": WorkerUse(live=1)}
+    played(fleet, 6.0)
+    zones = {name: fleet.exchanges[name].settings.zone for name in living}
+    for name in living:
+        same_zone = sum(zone == zones[name] for zone in zones.values())
+        # Its own zone at least; the hub that stepped in elsewhere is not known to all at once.
+        assert load_at(fleet, name, "w").live >= same_zone - 1
+
+
+def test_who_hears_nobody_has_no_fresh_picture() -> None:
+    fleet = Fleet(8, 2)
+    fleet.down = {"e3"}
+
+    async def main(_loop: SimLoop) -> None:
+        assert not fleet.exchanges["e3"].is_fresh
+        await fleet.play(2.0)
+        assert not fleet.exchanges["e3"].is_fresh and fleet.exchanges["e0"].is_fresh
+        await asyncio.sleep(2.0)
+        assert not fleet.exchanges["e0"].is_fresh
+
+    run_sim(main, 1)
+
+
+def test_a_daemon_that_has_nothing_to_tell_or_decide_asks_nobody() -> None:
+    fleet = Fleet(2, 1)
+    for exchange in fleet.exchanges.values():
+        exchange.wanted = lambda: False
+
+    async def main(_loop: SimLoop) -> None:
+        await fleet.play(2.0)
+
+    run_sim(main, 1)
+    assert fleet.messages == 0
+
+
+def test_the_number_of_messages_is_bounded() -> None:
+    fleet = Fleet(53, 4)
+    played(fleet, 5.0)
+    interval = fleet.exchanges["e0"].interval
+    # One a member and interval, and about one a pair of hubs.
+    assert fleet.messages <= (53 + 1 + 12) * 5.0 / (interval * 0.9) * 1.1
--- /dev/null
+++ b/tests/routing/test_item_choice.py
@@ -0,0 +1,42 @@
+"""How many items a worker gets, and which worker gets the next one."""
+
+from __future__ import annotations
+
+from postpass.routing.item_choice import ITEM_SHARE, ItemWorker, choose_item_worker, item_rooms
+from postpass.routing.options import RoutingOptions
+
+
+def test_items_leave_a_reserve_of_all_slots_and_fill_the_emptiest_workers_first() -> None:
+    workers = [ItemWorker("a", 12, 0, 6), ItemWorker("b", 12, 0, 0), ItemWorker("c", 12, 4, 8)]
+    rooms = item_rooms(workers, RoutingOptions(live_reserve=1 / 6))
+    # 18 slots are free, 6 of them stay so.
+    assert sum(rooms.values()) == 12 and rooms["c"] == 0 and rooms["b"] > rooms["a"]
+    left = {w.name: w.slots - (w.live or 0) - w.items - rooms[w.name] for w in workers}
+    assert left["a"] - left["b"] in (-1, 0, 1)
+
+
+def test_a_worker_gets_no_more_than_it_took_before_and_than_it_has_slots() -> None:
+    workers = [ItemWorker("a", 12, 3, 0, limit=4.5), ItemWorker("b", 12, 0, 14), ItemWorker("c", 12, 2, 0, limit=0.0)]
+    assert item_rooms(workers, RoutingOptions(live_reserve=0.0)) == {"a": 1, "b": 0, "c": 0}
+
+
+def test_while_nothing_is_known_of_live_requests_items_have_a_fixed_part() -> None:
+    workers = [ItemWorker("a", 12, 2), ItemWorker("b", 1, 0)]
+    assert item_rooms(workers) == {"a": int(12 * ITEM_SHARE) - 2, "b": 1}
+    known = [ItemWorker("a", 12, 2, 9)]
+    assert item_rooms(known, RoutingOptions(shared_load=False)) == {"a": int(12 * ITEM_SHARE) - 2}
+
+
+def test_items_go_where_most_room_is_and_among_equals_where_their_prefix_tends_to() -> None:
+    assert choose_item_worker({"a": 1, "b": 3, "c": 0}, b"x") == "b"
+    even = dict.fromkeys("abcdef", 2)
+    homes = {choose_item_worker(even, b"%d" % key) for key in range(60)}
+    assert homes == set(even) and choose_item_worker(even, b"7") == choose_item_worker(even, b"7")
+    assert choose_item_worker({"a": 0}, b"x") is None and choose_item_worker({}, b"x") is None
+
+
+def test_one_item_may_run_however_small_the_pool_is() -> None:
+    assert item_rooms([ItemWorker("a", 1, 0, 0)]) == {"a": 1}
+    busy = [ItemWorker("a", 10, 0, 9), ItemWorker("b", 10, 0, 10)]
+    assert item_rooms(busy, RoutingOptions(live_reserve=0.2)) == {"a": 1, "b": 0}
+    assert item_rooms([ItemWorker("a", 10, 1, 8)], RoutingOptions(live_reserve=0.2)) == {"a": 0}
--- /dev/null
+++ b/tests/routing/test_load_picture.py
@@ -0,0 +1,74 @@
+"""Who gathers the load of workers, and the sums that come of it."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+import pytest
+
+from postpass.routing.load_picture import (
+    FEW_EDGES_INTERVALS,
+    HUB_MESSAGES,
+    IDLE,
+    MEMBERS_PER_HUB,
+    WorkerUse,
+    exchange_interval,
+    hub_order,
+    hubs,
+    report_as_json,
+    report_from_json,
+    summed,
+    without,
+)
+
+
+def zones(count: int, edges: int) -> dict[str, list[str]]:
+    """So many edges spread over zones."""
+    return {f"z{z}": [f"e{n}" for n in range(edges) if n % count == z] for z in range(count)}
+
+
+@pytest.mark.parametrize(("count", "edges"), [(1, 3), (4, 53), (7, 163), (5, 240)])
+def test_each_hub_serves_so_many_edges_and_all_agree_on_who_is_one(count: int, edges: int) -> None:
+    by_zone = zones(count, edges)
+    gathering = hubs(by_zone)
+    assert len(set(gathering)) == len(gathering)
+    served = Counter(hub_order(name, zone, by_zone)[0] for zone, names in by_zone.items() for name in names)
+    assert set(served) <= set(gathering)
+    assert max(served.values()) <= MEMBERS_PER_HUB * 2
+    # Who can't reach its hub goes to another of its zone, and then elsewhere; nobody is named twice.
+    for zone, names in by_zone.items():
+        order = hub_order(names[0], zone, by_zone)
+        together = names if edges > MEMBERS_PER_HUB else [n for every in by_zone.values() for n in every]
+        assert len(set(order)) == len(order) and set(order[: len(together)]) == set(together)
+        assert set(gathering) <= set(order)
+
+
+def test_a_daemon_in_a_zone_without_edges_tells_a_hub_elsewhere() -> None:
+    assert hub_order("s1", "z9", zones(2, 8))[0] in hubs(zones(2, 8))
+    assert hub_order("s1", "z9", {}) == []
+
+
+def test_large_fleets_exchange_less_often_so_that_no_hub_has_too_much_to_do() -> None:
+    assert len(hubs(zones(4, 8))) == 1 and exchange_interval(0.1, zones(2, 8)) == 0.1 * FEW_EDGES_INTERVALS
+    for by_zone in (zones(4, 53), zones(7, 163), zones(5, 240)):
+        largest = max(len(names) for names in by_zone.values())
+        messages = min(largest, MEMBERS_PER_HUB) + len(hubs(by_zone))
+        assert messages / exchange_interval(0.1, by_zone) <= HUB_MESSAGES + 1e-9
+
+
+def test_reports_add_up_and_come_apart_again() -> None:
+    first, second = {"a": WorkerUse(1, 2, 300), "b": WorkerUse(1)}, {"a": WorkerUse(2, 0, 50)}
+    total = summed([first, second])
+    assert total == {"a": WorkerUse(3, 2, 350), "b": WorkerUse(1)} and total["a"].requests == 5
+    assert without(total, second) == first
+    # A report that was taken off twice never leaves less than nothing.
+    assert without(second, total) == {"a": IDLE}
+
+
+def test_reports_go_over_the_wire_without_what_is_idle() -> None:
+    report = {"a": WorkerUse(1, 2, 300), "b": IDLE}
+    assert report_as_json(report) == {"a": [1, 2, 300]}
+    assert report_from_json(report_as_json(report)) == {"a": WorkerUse(1, 2, 300)}
+    for foreign in ({"a": 1}, {"a": ["x", 1, 2]}, {"a": [1, 2, 3, 4]}):
+        with pytest.raises((TypeError, ValueError)):
+            report_from_json(foreign)
--- a/tests/sim/test_broken_variants.py
+++ b/tests/sim/test_broken_variants.py
@@ -21,13 +21,14 @@
 from postpass.daemon.data_plane import DataPlane
 from postpass.daemon.gossip import Gossip
 from postpass.daemon.process import Daemon
-from postpass.gateway import attempts, load_balancing, relay, worker_selection
+from postpass.gateway import attempts, relay, worker_selection
 from postpass.gateway.connection_pool import ConnectionPool
 from postpass.gateway.event_stream import EventStream
 from postpass.gateway.relay import Relay
 from postpass.gateway.upstream_connection import UpstreamConnection
 from postpass.gateway.worker_selection import WorkerSelection
 from postpass.membership import registry
+from postpass.routing import live_choice
 from postpass.runtime.environment import now
 from postpass.runtime.errors import LACK, SLOW, Fault
 from postpass.storage.segmented_log import SegmentedLog
@@ -114,7 +115,7 @@
 
 
 def goes_elsewhere(mp: pytest.MonkeyPatch) -> None:
-    plain = load_balancing.pool_order
+    plain = live_choice.pool_order
     mp.setattr(
         worker_selection, "pool_order", lambda split, key: ["app2" if p == "app" else p for p in plain(split, key)]
     )
