Exchange load at moments of one's own, without drawing from the process's chance

Ruled out: a list of messages that may be missing. Change: each daemon's interval is spread by its name.

--- a/postpass/daemon/data_plane.py
+++ b/postpass/daemon/data_plane.py
@@ -117,7 +117,7 @@
 
     def _open_load_exchange(self) -> None:
         """Lets the edge and the scheduler of an announced fleet go by what all have at the workers."""
-        exchange = LoadExchange(self.settings, self.environment, self.configuration_view, self.peer_links, self.own_use)
+        exchange = LoadExchange(self.settings, self.configuration_view, self.peer_links, self.own_use)
         self.load_exchange = exchange
         Gauge(
             "postpass_load_picture_age_seconds", "Age of what is known of the load of others", registry=self.registry
--- a/postpass/gateway/load_exchange.py
+++ b/postpass/gateway/load_exchange.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import zlib
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
 from functools import partial
@@ -31,7 +32,7 @@
 )
 from postpass.rpc.codec import Body, PeerResponse
 from postpass.rpc.peer_links import PeerLinks
-from postpass.runtime.environment import Environment, now
+from postpass.runtime.environment import now
 
 STALE_INTERVALS = 5  # after so many intervals a report counts no more
 RETRY_INTERVALS = 20  # for so many a hub that didn't answer is passed over
@@ -48,7 +49,6 @@
     """
 
     settings: Settings
-    environment: Environment
     configuration_view: ConfigurationView
     peer_links: PeerLinks
     own_use: Callable[[], LoadReport]
@@ -82,9 +82,11 @@
     # --- rounds
     async def run(self) -> None:
         """Exchanges until it is cancelled."""
+        phase = zlib.crc32(self.settings.name.encode()) / 2**32
         while True:
             self._learn()
-            await asyncio.sleep(self.interval * (0.9 + 0.2 * self.environment.chance.random()))
+            # Each has a moment of its own, so that not all messages come at once.
+            await asyncio.sleep(self.interval * (0.9 + 0.2 * phase))
             self._forget_stale()
             if not self.order or not self.wanted():
                 continue
