Tell each other of workers that fail, and count a worker's 500 as a failure

Cause: with more edges than a worker has slots, an edge meets a failing worker once in seconds, so each of 53 edges finds out by a request of its own; and one that fails at once has nothing to read, which made it the first choice of the shared picture. Answers of 500 and 502 reset what the edge knew of failures. Ruled out: longer times of leaving alone at each edge (an edge's next try comes later anyway); believing a single report (an edge that is cut off would take workers from all). Change: the load exchange carries how the last try of each worker ended; one that failed more edges than it answered is left alone by edges and scheduler, unless more than half would be.

--- a/postpass/batch/capacity.py
+++ b/postpass/batch/capacity.py
@@ -153,8 +153,9 @@
                 continue
             slots = server["slots"]
             limit = self.limits.setdefault((pool, name), WorkerLimit(max(1.0, float(slots))))
-            live = None if load is None else load.get(name, IDLE).requests
-            workers.append(ItemWorker(name, slots, limit.running, live, limit.allowed))
+            others = None if load is None else load.get(name, IDLE)
+            live, failing = (None, False) if others is None else (others.requests, others.fails_most)
+            workers.append(ItemWorker(name, slots, limit.running, live, limit.allowed, failing))
         return item_rooms(workers, self.options)
 
     def barred(self, configuration: Configuration, pool: str, worker: str) -> str:
--- a/postpass/gateway/relay.py
+++ b/postpass/gateway/relay.py
@@ -43,6 +43,7 @@
 REASK_SHARE = 1 / 4  # of a route's target: until then other workers are asked, and then the client comes again
 LEAST_RETRY_AFTER = 0.05  # seconds
 READY_SOON, READY_LATE = 0.4, 1.4  # times `detect` since its start by which a process is ready: mostly, and at worst
+FAILED_STATUSES = (500, 502)  # answers by which a worker says that it failed; 504 is for a deadline
 REPEATED_STATUSES = (500, 502, 504)  # answers after which a repeatable request is sent to another worker
 REJECTION_LINES_S = 1.0  # seconds between two log lines on rejected requests
 
@@ -268,7 +269,7 @@
                 expect=(self.names.request_id, request.request_id or b""), patience=self._patience(request),
             )  # fmt: skip
             if await self._is_answer(request, exchange, name, health):
-                health.answered(now() - sent)
+                self._note_answer(request, exchange, name, health, now() - sent)
                 await self.deliver(request, exchange, health)
         except FaultError as stop:
             self._note_fault(request, stop.fault, name, health)
@@ -319,6 +320,15 @@
             health.is_full(now())
         return False
 
+    def _note_answer(
+        self, request: RelayedRequest, exchange: Exchange, name: str, health: WorkerHealth, lag: float
+    ) -> None:
+        """The head of a worker's own answer came. One that fails at once would seem the least busy of all."""
+        if exchange.status in FAILED_STATUSES and now() < request.until:
+            self._avoid(name, health, f"it answered {exchange.status}")
+        else:
+            health.answered(now(), lag)
+
     def _note_fault(self, request: RelayedRequest, fault: Fault, name: str, health: WorkerHealth) -> None:
         if fault.unsent:
             request.attempt_log = request.attempt_log.mark(AttemptState.UNSENT, fault.why)
--- a/postpass/gateway/worker_health.py
+++ b/postpass/gateway/worker_health.py
@@ -20,19 +20,21 @@
     unread: int = 0  # prompt tokens of those among them that were not answered yet
     failures: int = 0  # since its last answer
     silent: bool = False  # at the last failure nothing came
+    tried_at: float = -1e9  # when it last answered or failed
     avoid_until: float = -1.0
     full_until: float = -1.0
     lag: float = 0.0  # seconds until the head of an answer, smoothed
     bucket: Bucket = Bucket(0.0, 0.0)  # of requests that may go there while it is cold
 
-    def answered(self, lag: float) -> None:
+    def answered(self, now: float, lag: float) -> None:
         """A proper answer's head came after so many seconds."""
-        self.failures, self.silent = 0, False
+        self.failures, self.silent, self.tried_at = 0, False, now
         self.lag = (1 - LAG_WEIGHT) * self.lag + LAG_WEIGHT * lag
 
     def failed(self, now: float, silent: bool) -> bool:
         """Leaves the worker alone for a moment that doubles: a longer one if it was silent, which costs each that
         tries a wait. Does this failure count? Where all that was sent to it is given up, only the first does."""
+        self.tried_at = now
         if now < self.avoid_until and not (silent and not self.silent):
             return False
         first, most = (SILENT_FIRST, SILENT_MOST) if silent else (AVOID_FIRST, AVOID_MOST)
@@ -40,6 +42,13 @@
         self.failures += 1
         return True
 
+    def outcome(self, now: float, window: float) -> tuple[int, int]:
+        """How it ended when this edge last tried the worker, if that was in the last `window` seconds: (1, 0) for a failure,
+        (0, 1) for an answer, (0, 0) for neither."""
+        if now - self.tried_at > window:
+            return 0, 0
+        return (1, 0) if self.failures else (0, 1)
+
     def is_full(self, now: float) -> None:
         """It turned a request away."""
         self.full_until = now + FULL_FOR
--- a/postpass/gateway/worker_selection.py
+++ b/postpass/gateway/worker_selection.py
@@ -24,6 +24,7 @@
 from postpass.runtime.environment import Environment, now
 
 UNLIMITED_RATE = 1e9  # requests a second
+OUTCOME_INTERVALS = 10  # of the load exchange, for which others are told how a worker was found
 PROMPT_WEIGHT = 1 / 64  # of the newest prompt in the tokens that one usually has
 
 
@@ -79,12 +80,13 @@
         return cold_share(rate, len(users)) if self.settings.name in users else None
 
     def own_use(self) -> LoadReport:
-        """What this edge has at each worker."""
-        return {
-            name: WorkerUse(live=health.in_flight, unread=health.unread)
+        """What this edge has at each worker, and how it found those that it tried lately."""
+        at, window = now(), self.settings.bounds.exchange * OUTCOME_INTERVALS
+        used = {
+            name: WorkerUse(health.in_flight, 0, health.unread, *health.outcome(at, window))
             for name, health in self.health_by_worker.items()
-            if health.in_flight
         }
+        return {name: use for name, use in used.items() if use != IDLE}
 
     def candidates(
         self, configuration: Configuration, pool: Pool, tried: set[str], others: LoadReport
--- a/postpass/routing/item_choice.py
+++ b/postpass/routing/item_choice.py
@@ -6,8 +6,9 @@
 import heapq
 import math
 from collections.abc import Mapping, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
+from postpass.routing.load_picture import believed
 from postpass.routing.options import DEFAULT_OPTIONS, RoutingOptions
 
 ITEM_SHARE = 0.75  # of a worker's slots that items may take while nothing is known of live requests there
@@ -21,6 +22,7 @@
     :ivar items: items that run there.
     :ivar live: live requests there, as last heard from the edges; None if nothing was heard.
     :ivar limit: how many items it takes, by what it said to those before.
+    :ivar failing: it failed most of the edges that tried it lately.
     """
 
     name: str
@@ -28,6 +30,7 @@
     items: int
     live: int | None = None
     limit: float = math.inf
+    failing: bool = False
 
 
 def item_rooms(workers: Sequence[ItemWorker], options: RoutingOptions = DEFAULT_OPTIONS) -> dict[str, int]:
@@ -39,6 +42,9 @@
     """
     if not options.shared_load or any(worker.live is None for worker in workers):
         return {w.name: max(0, math.floor(min(w.limit, max(1.0, w.slots * ITEM_SHARE))) - w.items) for w in workers}
+    if options.shared_health and believed(sum(w.failing for w in workers), len(workers)):
+        # One that fails has nothing to do, and would be the emptiest of all.
+        workers = [replace(w, limit=0.0) if w.failing else w for w in workers]
     free = {w.name: max(0, w.slots - (w.live or 0) - w.items) for w in workers}
     reserve = sum(w.slots for w in workers) * options.live_reserve
     spare = math.ceil(sum(free.values()) - reserve)
--- a/postpass/routing/live_choice.py
+++ b/postpass/routing/live_choice.py
@@ -10,7 +10,7 @@
 from enum import StrEnum
 
 from postpass.configuration.configuration import Split
-from postpass.routing.load_picture import IDLE, WorkerUse
+from postpass.routing.load_picture import IDLE, WorkerUse, believed
 from postpass.routing.options import DEFAULT_OPTIONS, RoutingOptions
 from postpass.routing.prefixes import NO_PREFIX, Prefix, rendezvous
 
@@ -132,9 +132,18 @@
     if not options.health:
         return list(candidates)
     good = [c for c in candidates if not c.avoided and not c.full]
+    if options.shared_health and options.shared_load:
+        good = _without_reported(good, candidates)
     return good or [c for c in candidates if not c.avoided] or list(candidates)
 
 
+def _without_reported(good: list[WorkerCandidate], candidates: Sequence[WorkerCandidate]) -> list[WorkerCandidate]:
+    """Those of the good candidates that don't fail the others; all of them if none is left."""
+    if not believed(sum(c.others.fails_most for c in candidates), len(candidates)):
+        return good
+    return [c for c in good if not c.others.fails_most] or good
+
+
 def _has_room(candidate: WorkerCandidate, view: EdgeView, options: RoutingOptions) -> bool:
     """Is a slot free there, as far as is known?"""
     if options.shared_load:
--- a/postpass/routing/load_picture.py
+++ b/postpass/routing/load_picture.py
@@ -20,29 +20,36 @@
 
 
 class WorkerUse(NamedTuple):
-    """What there is at one worker: live requests, items of jobs, and prompt tokens that were not answered yet."""
+    """What there is at one worker: live requests, items of jobs, and prompt tokens that were not answered yet; and how many
+    edges it failed or answered when they last tried it, of those that did lately."""
 
     live: int = 0
     items: int = 0
     unread: int = 0
+    failed: int = 0
+    answered: int = 0
 
     def plus(self, other: WorkerUse) -> WorkerUse:
         """Both together."""
-        return WorkerUse(self.live + other.live, self.items + other.items, self.unread + other.unread)
+        return WorkerUse(*(mine + theirs for mine, theirs in zip(self, other, strict=True)))
 
     def minus(self, other: WorkerUse) -> WorkerUse:
         """Without what the other one has; never below none."""
-        return WorkerUse(
-            max(0, self.live - other.live), max(0, self.items - other.items), max(0, self.unread - other.unread)
-        )
+        return WorkerUse(*(max(0, mine - theirs) for mine, theirs in zip(self, other, strict=True)))
 
     @property
     def requests(self) -> int:
         """Live requests and items."""
         return self.live + self.items
 
+    @property
+    def fails_most(self) -> bool:
+        """Did it fail more edges than it answered? One that single edges can't reach serves the others still."""
+        return self.failed > self.answered
+
 
 IDLE = WorkerUse()
+MOST_REPORTED = 0.5  # of all workers that may be left alone because of what others tell
 LoadReport = Mapping[str, WorkerUse]  # by worker; one that is not named has nothing
 
 
@@ -54,6 +61,12 @@
     use: LoadReport
 
 
+def believed(reported: int, workers: int) -> bool:
+    """Are so many workers that fail the others to be left alone? More than a part of all hardly fail at once: whoever is cut
+    off from them reports each one."""
+    return 0 < reported <= workers * MOST_REPORTED
+
+
 def summed(reports: Iterable[LoadReport]) -> dict[str, WorkerUse]:
     """All reports together."""
     total: dict[str, WorkerUse] = {}
--- a/postpass/routing/options.py
+++ b/postpass/routing/options.py
@@ -18,6 +18,7 @@
     :ivar crowded: the part of its slots up to which a worker's free slots are no reason to prefer another one.
     :ivar sampled: how many workers at random are compared.
     :ivar health: workers that failed or were full lately are left alone.
+    :ivar shared_health: workers that failed most of the others that tried them lately are left alone.
     :ivar lag: among equals, the worker that answered faster lately is taken.
     :ivar spread_items: items go to the workers with the most room, instead of filling one after the other.
     :ivar live_reserve: the part of all slots that items leave free.
@@ -31,6 +32,7 @@
     crowded: float = 0.8
     sampled: int = 2
     health: bool = True
+    shared_health: bool = True
     lag: bool = True
     spread_items: bool = True
     live_reserve: float = 1 / 10
--- a/sim/serving/__main__.py
+++ b/sim/serving/__main__.py
@@ -25,6 +25,7 @@
     "crowded": replace(DEFAULT_OPTIONS, crowded=0.0),
     "sampled": replace(DEFAULT_OPTIONS, sampled=1),
     "health": replace(DEFAULT_OPTIONS, health=False),
+    "shared_health": replace(DEFAULT_OPTIONS, shared_health=False),
     "spread_items": replace(DEFAULT_OPTIONS, spread_items=False),
     "live_reserve": replace(DEFAULT_OPTIONS, live_reserve=0.0),
 }
--- a/sim/serving/compare.py
+++ b/sim/serving/compare.py
@@ -108,6 +108,7 @@
         spread = statistics.stdev(differences) if len(runs) > 1 else 0.0
         kinds = "  ".join(
             f"{kind} {mean(r.kinds[kind].in_time for r in runs if kind in r.kinds):.3f} "
+            f"lost {mean(r.kinds[kind].lost for r in runs if kind in r.kinds):.4f} "
             f"p50 {mean(r.kinds[kind].median for r in runs if kind in r.kinds):.0f} "
             f"p95 {mean(r.kinds[kind].p95 for r in runs if kind in r.kinds):.0f} "
             f"p99 {mean(r.kinds[kind].p99 for r in runs if kind in r.kinds):.0f}"
--- a/sim/serving/engine.py
+++ b/sim/serving/engine.py
@@ -7,12 +7,21 @@
 
 from collections import OrderedDict, deque
 from dataclasses import dataclass, field
+from enum import StrEnum
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
     from sim.serving.workload import Request
 
 
+class Failure(StrEnum):
+    """What a worker that is down does with what it is sent."""
+
+    REFUSES = "refuses"  # no connection comes about
+    SILENT = "silent"  # nothing comes back
+    RESETS = "resets"  # it takes the request, and breaks off: a live request is lost, and its client comes again once
+
+
 @dataclass(frozen=True)
 class Engine:
     """How a model worker computes. Times in seconds, rates in tokens a second.
@@ -61,6 +70,7 @@
     kept_tokens: int = 0
     at: float = 0.0  # until when its state is computed
     down_until: float = 0.0
+    failure: Failure = Failure.REFUSES  # what it does while it is down
     segment_steps: int = 0  # of the segment under way; 0 if it is idle
     segment_step: float = 0.0  # seconds of one of them
     version: int = 0  # of the segment; events of an older one are void
--- a/sim/serving/fleet.py
+++ b/sim/serving/fleet.py
@@ -12,7 +12,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from postpass.gateway.worker_selection import PROMPT_WEIGHT
+from postpass.gateway.relay import PATIENCE
+from postpass.gateway.worker_selection import OUTCOME_INTERVALS, PROMPT_WEIGHT
 from postpass.routing.item_choice import ItemWorker, choose_item_worker, item_rooms
 from postpass.routing.live_choice import (
     EdgeView,
@@ -23,14 +24,15 @@
 from postpass.routing.load_picture import WorkerUse
 from postpass.routing.options import RoutingOptions
 from postpass.routing.prefixes import Prefix
-from sim.serving.engine import EmulatedWorker
-from sim.serving.workload import Request, Workload, draw_requests
+from sim.serving.engine import EmulatedWorker, Failure
+from sim.serving.workload import Crash, Request, Workload, draw_requests
 
 HOP = 0.0015  # seconds from a client by an edge to a worker
 REFUSED_WAIT = 0.05  # seconds after which a client or an item comes again
 AVOID = 0.5  # seconds that a worker which broke off is left alone
 FULL_FOR = 0.05  # seconds that a worker which turned a request away is tried last
 ITEM_GROWTH = 0.5  # by which a worker's limit of items grows with each that ran
+CLIENT_RETRIES = 1  # times that a client sends a request again that was lost
 TRIES = 6  # workers that are asked for one request
 
 
@@ -59,6 +61,8 @@
     items: list[int]
     own: list[Counter[int]]
     own_unread: list[Counter[int]]
+    failed: list[int]
+    answered: list[int]
 
 
 @dataclass(eq=False)
@@ -87,6 +91,9 @@
         self.pictures: deque[Picture] = deque()
         self.full_until = [Counter[int]() for _ in range(workload.edges)]
         self.avoid_until = [Counter[int]() for _ in range(workload.edges)]
+        # When each edge last got an answer of a worker, and when it was last failed by one.
+        self.answered_at = [dict[int, float]() for _ in range(workload.edges)]
+        self.failed_at = [dict[int, float]() for _ in range(workload.edges)]
         self.usual_tokens = [0.0] * workload.edges
         self.turned_away = 0
         self.peak_spread: list[float] = []
@@ -104,7 +111,7 @@
         self.at(0.0, self.take_picture)
         self.at(0.0, self.schedule_round)
         for crash in self.workload.crashes:
-            self.at(crash.at, lambda crash=crash: self.crash(crash.share, crash.seconds))  # type: ignore[misc]
+            self.at(crash.at, lambda crash=crash: self.crash(crash))  # type: ignore[misc]
         end = self.workload.seconds + 12.0
         while self.events and self.events[0][0] < end:
             self.now, _, action = heapq.heappop(self.events)
@@ -133,16 +140,34 @@
             self.release(request)
         self.restart(number)
 
-    def crash(self, share: float, seconds: float) -> None:
+    def crash(self, crash: Crash) -> None:
         """Workers are lost with all that runs there."""
-        for number in self.chance.sample(range(len(self.workers)), round(share * len(self.workers))):
-            for request in self.workers[number].lose_all(self.now, self.now + seconds):
+        for number in self.chance.sample(range(len(self.workers)), round(crash.share * len(self.workers))):
+            self.workers[number].failure = crash.failure
+            for request in self.workers[number].lose_all(self.now, self.now + crash.seconds):
                 self.release(request)
-                self.avoid_until[request.edge][number] = self.now + AVOID  # type: ignore[assignment]
+                self.note_failure(request, number)
                 request.first, request.excluded = -1.0, {number}
                 again = self.arrive_item if request.kind.items else self.arrive_live
                 self.at(self.now + HOP, lambda request=request, again=again: again(request))  # type: ignore[misc]
 
+    def note_failure(self, request: Request, number: int) -> None:
+        """A worker broke off or didn't answer: its edge leaves it alone for a while."""
+        self.avoid_until[request.edge][number] = self.now + AVOID  # type: ignore[assignment]
+        if request.kind.items is None:
+            self.failed_at[request.edge][number] = self.now
+
+    def outcomes(self) -> tuple[list[int], list[int]]:
+        """How many edges each worker failed, and how many it answered, of those that tried it lately."""
+        failed, answered = [0] * len(self.workers), [0] * len(self.workers)
+        for failures, answers in zip(self.failed_at, self.answered_at, strict=True):
+            for number in failures.keys() | answers.keys():
+                failure, answer = failures.get(number, -1e9), answers.get(number, -1e9)
+                if max(failure, answer) > self.now - OUTCOME_INTERVALS * self.policy.every:
+                    failed[number] += failure > answer
+                    answered[number] += answer >= failure
+        return failed, answered
+
     # --- what is known of the load
     def take_picture(self) -> None:
         """Notes what is where, for all to know it a moment later."""
@@ -157,7 +182,7 @@
         self.pictures.append(
             Picture(
                 self.now, live, unread, list(self.items), [Counter(c) for c in self.live],
-                [Counter(c) for c in self.unread],
+                [Counter(c) for c in self.unread], *self.outcomes(),
             )
         )  # fmt: skip
         while len(self.pictures) > 1 and self.pictures[1].at + self.policy.delay <= self.now:
@@ -188,7 +213,7 @@
                 continue
             others = WorkerUse(
                 max(0, picture.live[i] - picture.own[edge][i]), picture.items[i],
-                max(0, picture.unread[i] - picture.own_unread[edge][i]),
+                max(0, picture.unread[i] - picture.own_unread[edge][i]), picture.failed[i], picture.answered[i],
             )  # fmt: skip
             avoided, full = self.avoid_until[edge][i] > self.now, self.full_until[edge][i] > self.now
             found.append(WorkerCandidate(name, slots, own[i], avoided, full, 0.0, own_unread[i], others))
@@ -219,11 +244,13 @@
         """Sends a request to a worker; one that is full or down turns it away."""
         worker = self.workers[number]
         request.tries += 1
-        if worker.full or worker.down_until > self.now:
+        if worker.down_until > self.now:
+            self.fail(request, number, again)
+            return
+        if worker.full:
             self.turned_away += 1
             request.excluded.add(number)
-            table = self.full_until if worker.full else self.avoid_until
-            table[request.edge][number] = self.now + (FULL_FOR if worker.full else AVOID)  # type: ignore[assignment]
+            self.full_until[request.edge][number] = self.now + FULL_FOR  # type: ignore[assignment]
             if request.kind.items is not None:
                 self.item_limits[number] = max(1.0, self.item_limits[number] / 2)
             wait = HOP if request.kind.items is None else self.policy.poll / 4
@@ -234,6 +261,30 @@
         if worker.accept(request, self.now):
             self.restart(number)
 
+    def fail(self, request: Request, number: int, again: Callable[[Request], None]) -> None:
+        """A worker that is down refuses a request, or says nothing until its sender's patience ends."""
+        self.turned_away += 1
+        request.excluded.add(number)
+        wait, failure = HOP, self.workers[number].failure
+        if failure is Failure.RESETS and request.kind.items is None:
+            request.lost += 1
+            if request.lost > CLIENT_RETRIES:
+                request.refused = True
+                self.note_failure(request, number)
+                return
+            request.excluded.clear()
+            wait = REFUSED_WAIT
+        elif failure is Failure.SILENT:
+            wait = min(request.kind.target, request.kind.pause) * PATIENCE
+        elif request.kind.items is not None:
+            wait = self.policy.poll / 4
+
+        def give_up() -> None:
+            self.note_failure(request, number)
+            again(request)
+
+        self.at(self.now + wait, give_up)
+
     def count(self, request: Request, sign: int) -> None:
         """A request is at a worker, or no longer."""
         if request.kind.items is not None:
@@ -251,6 +302,8 @@
             self.items_unread[request.worker] -= request.tokens
         else:
             self.unread[request.edge][request.worker] -= request.tokens
+            if request.first >= 0:
+                self.answered_at[request.edge][request.worker] = self.now
 
     def release(self, request: Request) -> None:
         """A request has left its worker."""
@@ -282,9 +335,16 @@
         slots = self.workload.engine.slots
         rooms = item_rooms(
             [
-                ItemWorker(name, slots, self.items[i], picture.live[i], self.item_limits[i])
+                ItemWorker(
+                    name,
+                    slots,
+                    self.items[i],
+                    picture.live[i],
+                    self.item_limits[i],
+                    picture.failed[i] > picture.answered[i],
+                )
                 for i, name in enumerate(self.names)
-                if self.workers[i].down_until <= self.now
+                if self.workers[i].down_until <= self.now or self.workers[i].failure is not Failure.REFUSES
             ],
             self.policy.options,
         )
--- a/sim/serving/presets.py
+++ b/sim/serving/presets.py
@@ -5,7 +5,7 @@
 import random
 from dataclasses import replace
 
-from sim.serving.engine import Engine
+from sim.serving.engine import Engine, Failure
 from sim.serving.workload import Burst, Crash, Kind, Spread, Workload
 
 SHORT = Kind(
@@ -32,6 +32,8 @@
     bursts=(Burst("item", 8.0, 3.0, 3.0), Burst("long", 16.0, 4.0, 1.5)),
 )  # fmt: skip
 NARROW_CRASH = replace(NARROW, name="narrow-crash", crashes=(Crash(0.17, 8.0, 4.5),))
+NARROW_DARK = replace(NARROW, name="narrow-dark", crashes=(Crash(0.17, 8.0, 4.5, Failure.SILENT),))
+NARROW_RESETS = replace(NARROW, name="narrow-resets", crashes=(Crash(0.12, 8.0, 6.9, Failure.RESETS),))
 # 9 workers of 24 slots behind 8 edges: slots are plenty, a chunk holds streams up for long.
 WIDE_ENGINE = Engine(24, 72, 0.00185, 9.67e-6, 5.08e-9, 128e3, 0.183e-9, 4096, 379_754, 16)
 WIDE = Workload(
@@ -51,7 +53,9 @@
     ),
 )  # fmt: skip
 
-PRESETS = {w.name: w for w in (NARROW, NARROW_QUIET, NARROW_BUSY, NARROW_CRASH, WIDE, MANY_EDGES)}
+PRESETS = {
+    w.name: w for w in (NARROW, NARROW_QUIET, NARROW_BUSY, NARROW_CRASH, NARROW_DARK, NARROW_RESETS, WIDE, MANY_EDGES)
+}
 
 
 def drawn(seed: int) -> Workload:
--- a/sim/serving/workload.py
+++ b/sim/serving/workload.py
@@ -6,7 +6,7 @@
 import random
 from dataclasses import dataclass, field
 
-from sim.serving.engine import Engine
+from sim.serving.engine import Engine, Failure
 
 
 @dataclass(frozen=True)
@@ -72,6 +72,7 @@
     share: float
     at: float
     seconds: float
+    failure: Failure = Failure.REFUSES
 
 
 @dataclass(frozen=True)
@@ -107,6 +108,7 @@
     done: float = -1.0
     longest_pause: float = 0.0
     refused: bool = False
+    lost: int = 0  # times that a worker took it and broke off
     read: int = 0  # prompt tokens that workers read for it
     tries: int = 0
     worker: int = -1
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -18,6 +18,8 @@
 from postpass.feed.configuration_view import ConfigurationView
 from postpass.gateway.http_server import HeadLimits, limited_protocol, serve_ready
 from postpass.gateway.relay import Relay
+from postpass.gateway.worker_selection import OUTCOME_INTERVALS
+from postpass.routing.load_picture import WorkerUse
 from postpass.runtime import log_events
 from postpass.runtime.environment import Environment, serve_http
 from sim.loop import Host, SimLoop, run_sim
@@ -482,6 +484,22 @@
     play({"w1": refusing("500 Oops"), "w2": refusing("500 Oops")}, main)
 
 
+def test_a_worker_that_answers_with_failures_is_avoided_and_told_to_others() -> None:
+    async def main(s: Scene) -> None:
+        while not s.workers[0].seen:
+            await s.ask("/o/x")
+        failed = s.ran[0]
+        for _ in range(4):
+            assert (await s.ask("/o/x"))[0] == 200
+        assert s.ran[0] == failed
+        told = s.relay.workers.own_use()
+        assert told["w1"] == WorkerUse(failed=1) and told["w2"] == WorkerUse(answered=1)
+        await asyncio.sleep(s.relay.settings.bounds.exchange * OUTCOME_INTERVALS * 2)
+        assert s.relay.workers.own_use() == {}
+
+    play({"w1": refusing("500 Oops"), "w2": well}, main)
+
+
 def test_an_answer_to_another_request_is_not_passed_on() -> None:
     async def late(_w: Worker, n: int, head: bytes, writer: asyncio.StreamWriter) -> None:
         writer.write(reply(head.replace(b"c1", b"c0") if n == 1 else head))
--- a/tests/routing/test_item_choice.py
+++ b/tests/routing/test_item_choice.py
@@ -40,3 +40,13 @@
     busy = [ItemWorker("a", 10, 0, 9), ItemWorker("b", 10, 0, 10)]
     assert item_rooms(busy, RoutingOptions(live_reserve=0.2)) == {"a": 1, "b": 0}
     assert item_rooms([ItemWorker("a", 10, 1, 8)], RoutingOptions(live_reserve=0.2)) == {"a": 0}
+
+
+def test_a_worker_that_fails_the_edges_gets_no_items_though_it_is_the_emptiest() -> None:
+    workers = [ItemWorker("a", 12, 0, 0, failing=True), ItemWorker("b", 12, 0, 6), ItemWorker("c", 12, 0, 6)]
+    rooms = item_rooms(workers, RoutingOptions(live_reserve=0.0))
+    assert rooms == {"a": 0, "b": 6, "c": 6}
+    assert item_rooms(workers, RoutingOptions(live_reserve=0.0, shared_health=False))["a"] == 12
+    # Where all are said to fail, whoever says so is cut off itself.
+    cut_off = [ItemWorker(name, 12, 0, 6, failing=True) for name in "abc"]
+    assert sum(item_rooms(cut_off, RoutingOptions(live_reserve=0.0)).values()) == 18
--- a/tests/routing/test_live_choice.py
+++ b/tests/routing/test_live_choice.py
@@ -4,6 +4,7 @@
 
 import random
 from collections import Counter
+from dataclasses import replace
 
 from postpass.configuration.configuration import Split
 from postpass.routing import live_choice
@@ -162,3 +163,19 @@
     full = [WorkerCandidate("a", 12, 2, others=WorkerUse(10, 4))]
     assert (choice := live_choice.choose_worker(full, SHORT, MANY_EDGES, chance)) and choice.reason is Reason.NONE_FREE
     assert (choice := live_choice.choose_worker(busy, long(1), MANY_EDGES, chance)) and choice.reason is Reason.HOME
+
+
+def test_a_worker_that_fails_most_of_the_others_is_left_alone_unless_it_would_be_most_of_all() -> None:
+    chance = random.Random(9)
+    idle_but_failing = WorkerUse(failed=3, answered=1)
+    busy = WorkerUse(6, 2, 4000, answered=5)
+    some = [WorkerCandidate(f"w{i}", 12, 0, others=idle_but_failing if i < 2 else busy) for i in range(4)]
+    assert {choose_worker(some, SHORT, MANY_EDGES, chance) for _ in range(60)} == {"w2", "w3"}
+    # Without the reports, workers with nothing to do are taken first.
+    unheard = RoutingOptions(shared_health=False)
+    assert {choose_worker(some, SHORT, MANY_EDGES, chance, unheard) for _ in range(60)} >= {"w0", "w1"}
+    most = [WorkerCandidate(f"w{i}", 12, 0, others=idle_but_failing if i < 3 else busy) for i in range(4)]
+    assert {choose_worker(most, SHORT, MANY_EDGES, chance) for _ in range(60)} >= {"w0", "w1", "w2"}
+    # What an edge found itself counts too: where it avoids all the rest, a reported one is still better than none.
+    rest = [replace(c, avoided=not c.others.fails_most) for c in some]
+    assert {choose_worker(rest, SHORT, MANY_EDGES, chance) for _ in range(60)} == {"w0", "w1"}
--- a/tests/routing/test_load_picture.py
+++ b/tests/routing/test_load_picture.py
@@ -12,6 +12,7 @@
     IDLE,
     MEMBERS_PER_HUB,
     WorkerUse,
+    believed,
     exchange_interval,
     hub_order,
     hubs,
@@ -67,8 +68,15 @@
 
 def test_reports_go_over_the_wire_without_what_is_idle() -> None:
     report = {"a": WorkerUse(1, 2, 300), "b": IDLE}
-    assert report_as_json(report) == {"a": [1, 2, 300]}
+    assert report_as_json(report) == {"a": [1, 2, 300, 0, 0]}
     assert report_from_json(report_as_json(report)) == {"a": WorkerUse(1, 2, 300)}
-    for foreign in ({"a": 1}, {"a": ["x", 1, 2]}, {"a": [1, 2, 3, 4]}):
+    for foreign in ({"a": 1}, {"a": ["x", 1, 2]}, {"a": [1, 2, 3, 4, 5, 6]}):
         with pytest.raises((TypeError, ValueError)):
             report_from_json(foreign)
+
+
+def test_reports_of_failures_are_believed_against_those_of_answers_and_against_most_workers_never() -> None:
+    assert WorkerUse(failed=2, answered=1).fails_most and not WorkerUse(failed=2, answered=2).fails_most
+    assert summed([{"a": WorkerUse(failed=1)}, {"a": WorkerUse(answered=1)}])["a"] == WorkerUse(0, 0, 0, 1, 1)
+    assert believed(1, 2) and believed(18, 36)
+    assert not believed(0, 36) and not believed(19, 36) and not believed(1, 1)
--- a/tests/sim/test_serving.py
+++ b/tests/sim/test_serving.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 from dataclasses import replace
+from typing import Any
 
 from postpass.routing.options import DEFAULT_OPTIONS
 from sim.serving.compare import play
-from sim.serving.engine import EmulatedWorker, Engine
+from sim.serving.engine import EmulatedWorker, Engine, Failure
 from sim.serving.fleet import EmulatedFleet, Policy
-from sim.serving.presets import NARROW, NARROW_CRASH, WIDE, drawn
-from sim.serving.workload import Kind, Request, Spread, Workload, draw_requests
+from sim.serving.presets import NARROW, NARROW_CRASH, NARROW_RESETS, WIDE, drawn
+from sim.serving.workload import Crash, Kind, Request, Spread, Workload, draw_requests
 
 PLAIN = Engine(2, 1, step=0.001, step_per_slot=0.0, context_per_token=0.0, read_rate=100e3, pair=0.0, stride=10)
 KIND = Kind("k", 1.0, Spread(1000), 1, Spread(1000), Spread(3), 0.5, 0.5, 4.0, 1.0, 0.5)
@@ -98,8 +99,8 @@
         assert all(kind.lost < 0.1 for kind in figures.kinds.values()), (workload, figures)
 
 
-def _policy() -> Policy:
-    return Policy("product", DEFAULT_OPTIONS)
+def _policy(**options: Any) -> Policy:
+    return Policy("product", replace(DEFAULT_OPTIONS, **options))
 
 
 def _part(share: float) -> tuple[Kind, ...]:
@@ -112,3 +113,13 @@
     scale = min(1.0, 20 / workload.workers)
     kinds = tuple(replace(k, rate=k.rate * scale, subjects=max(2, int(k.subjects * scale))) for k in workload.kinds)
     return replace(workload, workers=max(4, int(workload.workers * scale)), kinds=kinds, seconds=5.0)
+
+
+def test_fewer_requests_are_lost_where_edges_tell_each_other_of_workers_that_fail() -> None:
+    crashes = (Crash(0.25, 3.0, 6.0, Failure.RESETS),)
+    resets = replace(NARROW_RESETS, seconds=10.0, workers=16, edges=30, kinds=_part(0.3), crashes=crashes)
+    lost = {
+        shared: sum(play(resets, _policy(shared_health=shared), seed).kinds["short"].lost for seed in range(2))
+        for shared in (True, False)
+    }
+    assert 0 <= lost[True] < lost[False] / 2
