--- a/postpass/gateway/relay.py
+++ b/postpass/gateway/relay.py
@@ -13,20 +13,19 @@
 from postpass.configuration.header_names import Dialect
 from postpass.configuration.settings import Settings
 from postpass.feed.configuration_view import ConfigurationView
+from postpass.gateway.answer_delivery import AnswerDelivery
 from postpass.gateway.attempts import Action, AttemptState, Decision, next_relayed_attempt
 from postpass.gateway.body_reader import BodyRefusal, read_body
 from postpass.gateway.connection_pool import ConnectionPool
 from postpass.gateway.http_headers import (
-    RESPONSE_CONNECTION_HEADERS,
     HeaderNames,
     Headers,
-    end_to_end,
     header,
     parse_number,
 )
 from postpass.gateway.relayed_request import RelayedRequest, build_request
 from postpass.gateway.response_check import Proof, check_response
-from postpass.gateway.upstream_connection import BODILESS, GARBLED, Exchange
+from postpass.gateway.upstream_connection import GARBLED, Exchange
 from postpass.gateway.worker_health import FULL_FOR, WorkerHealth
 from postpass.gateway.worker_selection import WorkerSelection
 from postpass.runtime import log_events
@@ -36,7 +35,7 @@
 
 JobHandler = Callable[[str, Route, Scope, Receive, Send], Awaitable[None]]
 
-READ_AHEAD = 64 << 10  # bytes of a repeatable answer that are read before any is passed on
+REFUSAL_BYTES = 64 << 10  # of a refusal that are read, so that its connection can be kept
 DEADLINE_SLACK = 0.2  # seconds beyond the deadline in which a worker's own answer to it may come
 PATIENCE = 1 / 3  # of the aim, or of the longest pause: silence from which a worker is probed
 CONNECTION_SHARE = 0.9  # of a worker's connections that all senders together use
@@ -44,7 +43,6 @@
 LEAST_RETRY_AFTER = 0.05  # seconds
 READY_SOON, READY_LATE = 0.4, 1.4  # times `detect` since its start by which a process is ready: mostly, and at worst
 FAILED_STATUSES = (500, 502)  # answers by which a worker says that it failed; 504 is for a deadline
-REPEATED_STATUSES = (500, 502, 504)  # answers after which a repeatable request is sent to another worker
 REJECTION_LINES_S = 1.0  # seconds between two log lines on rejected requests
 
 
@@ -76,9 +74,10 @@
         self.requests = Counter(
             "postpass_relayed", "Relayed requests by route and end", ["route", "end"], registry=registry
         )
-        self.first_byte_seconds = Histogram(
+        first_byte_seconds = Histogram(
             "postpass_relayed_first_seconds", "Time to the first byte of an answer", ["route"], registry=registry
         )
+        self.answers = AnswerDelivery(first_byte_seconds, lambda: self.leaving)
         self.choices = Counter(
             "postpass_worker_choices", "Workers chosen for relayed requests, by reason", ["reason"], registry=registry
         )
@@ -270,7 +269,7 @@
             )  # fmt: skip
             if await self._is_answer(request, exchange, name, health):
                 self._note_answer(request, exchange, name, health, now() - sent)
-                await self.deliver(request, exchange, health)
+                await self.answers.deliver(request, exchange, lambda: self._note_unread(request, health, 0))
         except FaultError as stop:
             self._note_fault(request, stop.fault, name, health)
         finally:
@@ -348,77 +347,13 @@
         raises FaultError if the rest shows that the bytes were no answer at all, since then the head proves nothing."""
         try:
             async with asyncio.timeout(FULL_FOR):
-                await exchange.read(READ_AHEAD)
+                await exchange.read(REFUSAL_BYTES)
         except TimeoutError:
             pass
         except FaultError as stop:
             if stop.fault.hint == GARBLED:
                 raise
 
-    # --- the answer
-    async def deliver(self, request: RelayedRequest, exchange: Exchange, health: WorkerHealth) -> None:
-        """Passes the answer on. Raises FaultError if it is cut, or if it is better asked for elsewhere."""
-        self._check_status(request, exchange)
-        events = request.events if exchange.status == 200 else None
-        if events is not None:
-            events.resume()
-        read_ahead = READ_AHEAD if request.route["kind"] == "idem" else 0
-        buffered: list[bytes] = []
-        size = 0
-        while True:
-            data = await exchange.next_chunk()
-            if request.unread:
-                self._note_unread(request, health, 0)
-            end = exchange.complete and not exchange.has_unread
-            if data and events is not None:
-                try:
-                    data = events.feed(data)
-                except ValueError as error:
-                    raise FaultError(Fault("join", exchange.addr, str(error))) from error
-            if end and events is not None and events.incomplete:
-                data, events.incomplete = data + events.incomplete, b""
-            if not end and size < read_ahead:
-                buffered.append(data)
-                size += len(data)
-                continue
-            if buffered:
-                data = b"".join([*buffered, data])
-                buffered.clear()
-                read_ahead = 0
-            if not request.begun and (data or end or events is None):
-                await self.begin(request, exchange, events is not None)
-            if end:
-                request.attempt_log = request.attempt_log.mark(AttemptState.DONE)
-                request.note_piece(now())
-                await request.send({"type": "http.response.body", "body": data})
-                return
-            if data:
-                request.note_piece(now())
-                await request.send({"type": "http.response.body", "body": data, "more_body": True})
-
-    def _check_status(self, request: RelayedRequest, exchange: Exchange) -> None:
-        """Raises FaultError if the request is better sent to another worker, by the answer's status alone."""
-        status, route = exchange.status, request.route
-        may_repeat = request.repeatable and status in REPEATED_STATUSES and now() < request.until
-        states = [a.state for a in request.attempt_log.attempts]
-        # The open attempt counts as well, though it isn't marked as sent.
-        ran = sum(s not in (AttemptState.UNSENT, AttemptState.REJECTED) for s in states)
-        if may_repeat and ran < route["tries"]:
-            raise FaultError(Fault("repeat", exchange.addr, f"it answered {status}"))
-        if request.begun and status != 200:
-            raise FaultError(Fault("repeat", exchange.addr, f"it answered {status} in place of the rest"))
-
-    async def begin(self, request: RelayedRequest, exchange: Exchange, joined: bool) -> None:
-        """Sends the head of the answer. `joined`: its body may come from several runs, so its length isn't known."""
-        unsized = joined or exchange.status in BODILESS
-        drop = RESPONSE_CONNECTION_HEADERS | {b"content-length"} if unsized else RESPONSE_CONNECTION_HEADERS
-        headers = end_to_end(exchange.headers, drop)
-        if self.leaving:
-            headers.append((b"connection", b"close"))
-        request.begun = True
-        self.first_byte_seconds.labels(request.route_name).observe(now() - request.began)
-        await request.send({"type": "http.response.start", "status": exchange.status, "headers": headers})
-
     def close(self) -> None:
         """Ends all exchanges and connections; the process is about to end."""
         self.connections.close()
--- a/tests/gateway/test_answers_broken.py
+++ b/tests/gateway/test_answers_broken.py
@@ -13,7 +13,8 @@
 from postpass.batch.item_request import Events
 from postpass.batch.item_run import ItemRunner
 from postpass.configuration.header_names import Dialect
-from postpass.gateway import attempts, relay, upstream_connection
+from postpass.gateway import answer_delivery, attempts, relay, upstream_connection
+from postpass.gateway.answer_delivery import AnswerDelivery
 from postpass.gateway.event_stream import EventStream
 from postpass.gateway.http_headers import RESPONSE_CONNECTION_HEADERS, HeaderNames
 from postpass.gateway.http_server import limited_protocol, refusal
@@ -55,7 +56,7 @@
 
     mp.setattr(UpstreamConnection, "fail", fail)
     # A length would show the cut.
-    mp.setattr(relay, "RESPONSE_CONNECTION_HEADERS", RESPONSE_CONNECTION_HEADERS | {b"content-length"})
+    mp.setattr(answer_delivery, "RESPONSE_CONNECTION_HEADERS", RESPONSE_CONNECTION_HEADERS | {b"content-length"})
 
 
 def takes_any_refusal_for_a_proof(mp: pytest.MonkeyPatch) -> None:
@@ -83,13 +84,13 @@
 
 
 def hides_failures(mp: pytest.MonkeyPatch) -> None:
-    plain = Relay.begin
+    plain = AnswerDelivery.begin
 
-    async def begin(self: Relay, request: Any, exchange: Exchange, joined: bool) -> None:
+    async def begin(self: AnswerDelivery, request: Any, exchange: Exchange, joined: bool) -> None:
         exchange.status = 200 if exchange.status == 422 else exchange.status
         await plain(self, request, exchange, joined)
 
-    mp.setattr(Relay, "begin", begin)
+    mp.setattr(AnswerDelivery, "begin", begin)
 
 
 def names_no_time(mp: pytest.MonkeyPatch) -> None:
--- a/tests/sim/test_broken_variants.py
+++ b/tests/sim/test_broken_variants.py
@@ -22,6 +22,7 @@
 from postpass.daemon.gossip import Gossip
 from postpass.daemon.process import Daemon
 from postpass.gateway import attempts, relay, worker_selection
+from postpass.gateway.answer_delivery import AnswerDelivery
 from postpass.gateway.connection_pool import ConnectionPool
 from postpass.gateway.event_stream import EventStream
 from postpass.gateway.relay import Relay
@@ -38,18 +39,19 @@
 from sim.scenario import parse
 
 Patch = Callable[[pytest.MonkeyPatch], None]
+SEAL = module("words").WORDS.seal.encode()
 LEAD = 8.0
 
 
 # --- requests and answers
 def loses_the_seal(mp: pytest.MonkeyPatch) -> None:
-    plain = Relay.begin
+    plain = AnswerDelivery.deliver
 
-    async def begin(self: Relay, request: Any, exchange: Any, joined: bool) -> None:
-        exchange.headers = [h for h in exchange.headers if h[0] != self.names.answers.seal]
-        await plain(self, request, exchange, joined)
+    async def deliver(self: AnswerDelivery, request: Any, exchange: Any, answer_begins: Any) -> None:
+        exchange.headers = [h for h in exchange.headers if h[0] != SEAL]
+        await plain(self, request, exchange, answer_begins)
 
-    mp.setattr(Relay, "begin", begin)
+    mp.setattr(AnswerDelivery, "deliver", deliver)
 
 
 def takes_any_answer(mp: pytest.MonkeyPatch) -> None:
--- a/tests/test_readable_code.py
+++ b/tests/test_readable_code.py
@@ -35,7 +35,7 @@
         "admission_queue", "worker_load", "admission_control", "owner_client", "edge_state", "job_routes",
         "live_requests", "proxied_routes", "gateway", "upstream_connection", "connection_pool", "http_server",
         "load_exchange", "body_reader", "route_table", "event_stream", "worker_health", "relayed_request",
-        "worker_selection", "relay",
+        "worker_selection", "answer_delivery", "relay",
     ),
     "routing": ("options", "prefixes", "cold_workers", "load_picture", "live_choice", "item_choice"),
     "worker_api": ("openai", "plugins"),
