--- a/postpass/runtime/log_events.py
+++ b/postpass/runtime/log_events.py
@@ -123,7 +123,9 @@
     Event.REQUEST_CLAIMED: "A request that may not be repeated was claimed, or refused because it had been.",
     Event.PROXY_BROKEN: "A proxied request may have run and got no complete answer; route, worker and cause follow.",
     Event.WORKER_AVOIDED: "A worker refused or broke a connection, or is another one; it is avoided for a moment.",
-    Event.PROXY_LATE: "A proxied request was answered after its target, or with a longer pause than its route's gap.",
+    Event.PROXY_LATE: "A proxied request was answered after its target, or with a longer pause than its route's gap. "
+    "`chosen` tells why its worker was taken (home, least loaded, none free), `used` and `unread` the requests and the "
+    "prompt tokens that were known there, `shared_load` whether the others' were known.",
     Event.PROXY_REJECTED: (
         "Proxied requests were rejected, none of which ran; their number by cause since the last such line."
     ),
