Exchange load a third as often while nobody has anything to tell

Cause: edges of a fleet at rest told each other nothing ten times a second. Change: three intervals are left out while neither this daemon, its members nor the last picture has anything; the first request ends it within an interval.

--- a/postpass/gateway/load_exchange.py
+++ b/postpass/gateway/load_exchange.py
@@ -36,6 +36,7 @@
 
 STALE_INTERVALS = 5  # after so many intervals a report counts no more
 RETRY_INTERVALS = 20  # for so many a hub that didn't answer is passed over
+REST_INTERVALS = 3  # for so many nothing is exchanged while nobody has anything to tell
 LIMIT_INTERVALS = 3  # for so many a hub's answer is waited for
 MESSAGE = "floor"  # the message between peers
 
@@ -88,13 +89,20 @@
             # Each has a moment of its own, so that not all messages come at once.
             await asyncio.sleep(self.interval * (0.9 + 0.2 * phase))
             self._forget_stale()
-            if not self.order or not self.wanted():
+            if not self.order or not self.wanted() or self._is_at_rest():
                 continue
             if self.members or self.order[0] == self.settings.name:
                 self._exchange_as_hub()
             else:
                 self._exchange_as_member()
 
+    def _is_at_rest(self) -> bool:
+        """Has nobody anything to tell, as far as was heard lately? Then a fleet without requests costs little. The first
+        request ends it at its own edge, within an interval, and elsewhere with the next picture."""
+        if self.age >= self.interval * REST_INTERVALS or self.others or self.own_use():
+            return False
+        return not any(report.use for table in (self.members, self.hub_sums) for report in table.values())
+
     def _learn(self) -> None:
         """Who the hubs are, by the configuration in force."""
         configuration = self.configuration_view.manifest
