--- a/postpass/batch/capacity.py
+++ b/postpass/batch/capacity.py
@@ -17,6 +17,7 @@
 from postpass.configuration.settings import Settings
 from postpass.gateway.worker_load import WorkerLoad, share_of
 from postpass.routing.item_choice import ItemWorker, item_rooms
+from postpass.routing.item_order import usual_seconds
 from postpass.routing.load_picture import IDLE, LoadReport
 from postpass.routing.options import DEFAULT_OPTIONS, RoutingOptions
 from postpass.runtime import log_events
@@ -143,6 +144,11 @@
     limits: dict[tuple[str, str], WorkerLimit] = field(default_factory=dict)  # (pool, worker) -> limit
     live_load: Callable[[], LoadReport | None] = lambda: None
     options: RoutingOptions = DEFAULT_OPTIONS
+    usual_seconds: float = 0.0  # that a run takes, smoothed; 0 before the first
+
+    def note_run(self, seconds: float) -> None:
+        """An item was done, after so many seconds at its worker."""
+        self.usual_seconds = usual_seconds(self.usual_seconds, seconds)
 
     def free(self, configuration: Configuration, pool: str) -> dict[str, int]:
         """How many more items each worker of a pool that may be sent to gets now."""
--- a/postpass/batch/item_run.py
+++ b/postpass/batch/item_run.py
@@ -88,9 +88,11 @@
         """
         slots = configuration["pools"][item.pool]["servers"][item.worker]["slots"]
         limit = self.capacity.limits[(item.pool, item.worker)]
+        began = now()
         try:
             end = await self.send_request(configuration, route, item)
             limit.completed(slots)
+            self.capacity.note_run(now() - began)
         except FaultError as stop:
             poll = self.settings.bounds.poll
             if not_run(stop.fault):
--- a/postpass/batch/leases.py
+++ b/postpass/batch/leases.py
@@ -15,6 +15,7 @@
 from postpass.replication.owner import PartitionOwner
 from postpass.replication.partition import Partition
 from postpass.replication.partition_table import PartitionTable
+from postpass.routing.item_order import serving_order, usual_seconds
 from postpass.rpc.codec import Body, PeerResponse
 from postpass.runtime.environment import now
 from postpass.runtime.errors import BAD, CLASH, SLOW, Fault, FaultError
@@ -31,10 +32,12 @@
     Attributes:
         scheduler: Name of the scheduler that runs the item.
         until: Monotonic time in seconds at which the item may be handed out again, unless it is renewed.
+        since: Monotonic time in seconds at which it was handed out, as far as this owner knows.
     """
 
     scheduler: str
     until: float
+    since: float
 
 
 @dataclass(eq=False)
@@ -48,6 +51,7 @@
         tries: How often an item has failed under this ownership.
         term: Highest term of a scheduler that has asked.
         scheduler: Name of the scheduler of that term.
+        usual_seconds: How long it takes from a lease to the item's result, smoothed; 0 before the first.
         done_at: When this owner first saw a job ended, or a rejection, claim or loss, in monotonic seconds; for retention.
     """
 
@@ -56,11 +60,19 @@
     term: int = 0
     scheduler: str = ""
     done_at: dict[str, float] = field(default_factory=dict)
+    usual_seconds: float = 0.0
 
     def renew(self, request: TakeRequest, until: float) -> None:
         """Leases what a scheduler says that it holds."""
         for key in request.leased:
-            self.leases[key] = Lease(request.scheduler, until)
+            known = self.leases.get(key)
+            self.leases[key] = Lease(request.scheduler, until, known.since if known else now())
+
+    def end_lease(self, key: ItemKey, status: str) -> None:
+        """The item's result came; learns how long one that was done took."""
+        lease = self.leases.pop(key, None)
+        if lease is not None and status == ItemStatus.DONE:
+            self.usual_seconds = usual_seconds(self.usual_seconds, now() - lease.since)
 
     def release_expired(self, view: JobView, request: TakeRequest, moment: float) -> None:
         """Forgets leases of jobs that are gone, and those not renewed that expired or were another scheduler's."""
@@ -112,7 +124,7 @@
     owner_states: defaultdict[int, OwnerState] = field(default_factory=lambda: defaultdict(OwnerState))
 
     async def on_take(self, body: Body) -> PeerResponse:
-        """Hands out items of covered, open jobs, nearest due time first, to the one scheduler of the highest term.
+        """Hands out items of covered, open jobs, in their serving order, to the one scheduler of the highest term.
 
         A lower one is refused: CLASH, with the highest term as hint.
         """
@@ -145,13 +157,15 @@
         wanted, waiting = dict(request.wanted), dict.fromkeys(request.wanted, 0)
         leased = Counter(key.job for key in state.leases if key.item not in view.jobs[key.job].results)
         grants = []
-        for job in sorted(jobs, key=lambda job: (job.body["due"], job.seq)):
+        by_due = sorted(jobs, key=lambda job: (job.body["due"], job.seq))
+        earliest = self.table.environment.wall() + state.usual_seconds
+        for job in serving_order(by_due, lambda job: float(job.body["due"]), earliest):
             item_class = item_class_of(job.body)
             # Counted, not listed: what a poll costs must not grow with all items that wait.
             waiting[item_class] = waiting.get(item_class, 0) + job.size - len(job.results) - leased[job.id]
             free = (i for i in range(job.size) if i not in job.results and (job.id, i) not in state.leases)
             for position in list(islice(free, max(wanted.get(item_class, 0), 0))):
-                state.leases[ItemKey(job.id, position)] = Lease(request.scheduler, until)
+                state.leases[ItemKey(job.id, position)] = Lease(request.scheduler, until, now())
                 grants.append(item_grant(job, position))
                 wanted[item_class] -= 1
         return TakeResponse(grants, ended_jobs(view, request.leased), waiting)
@@ -167,7 +181,7 @@
         partition, key = got.unwrap(), ItemKey(body["id"], body["item"])
         state = self.owner_states[partition.id]
         job = partition.view.jobs.get(key.job)
-        state.leases.pop(key, None)
+        state.end_lease(key, body["status"])
         if job is None or job.state != JobState.OPEN or key.item in job.results:
             return Ok({"taken": False})
         result = ItemResult.from_json(body)
--- a/postpass/batch/placement.py
+++ b/postpass/batch/placement.py
@@ -16,7 +16,8 @@
 from postpass.configuration.settings import Settings
 from postpass.feed.configuration_view import ConfigurationView
 from postpass.routing.item_choice import choose_item_worker
-from postpass.runtime.environment import now
+from postpass.routing.item_order import serving_order
+from postpass.runtime.environment import Environment, now
 from postpass.worker_api.plugins import Candidate, PlacementRequest, affinity_key, affinity_worker, place
 
 Slots = dict[str, int]  # by worker
@@ -54,6 +55,7 @@
     """Places waiting items on workers that have a free slot; an item that finds none goes on waiting."""
 
     settings: Settings
+    environment: Environment
     configuration_view: ConfigurationView
     items: LeasedItems
     capacity: RouteCapacity
@@ -87,12 +89,13 @@
         return place(self.settings.name, terms.get("place", ""), ask, candidates) if candidates else None
 
     def place_requests(self, configuration: Configuration) -> None:
-        """Starts items of routes, nearest due first."""
+        """Starts items of routes, nearest due first, those that can't be done in time behind."""
         waiting = [i for i in self.items.waiting() if i.request is not None and i.not_before <= now()]
         if not waiting or self.runner.workers is None:
             return
         free: dict[str, Slots] = {}
-        for item in sorted(waiting, key=nearest_due):
+        by_due = sorted(waiting, key=nearest_due)
+        for item in serving_order(by_due, lambda item: item.due, self.earliest_due, self.capacity.options):
             route = configuration.get("routes", {}).get(item.route)
             if route is None or self.configuration_view.revision < item.since:
                 continue
@@ -107,6 +110,11 @@
             self.capacity.limits[(item.pool, worker)].running += 1
             item.task = asyncio.create_task(self.runner.run_request(configuration, route, item))
 
+    @property
+    def earliest_due(self) -> float:
+        """The first due time that an item of a route can meet which starts now, in seconds of the wall clock."""
+        return self.environment.wall() + self.capacity.usual_seconds
+
     def choose_pool(self, configuration: Configuration, route: Route, item: LeasedItem) -> bool:
         """Places an item in a pool of its route, where it stays as long as the route goes there; False if there is none."""
         split = [
--- a/postpass/batch/scheduler.py
+++ b/postpass/batch/scheduler.py
@@ -61,7 +61,9 @@
             self.settings, self.configuration_view, self.worker_load, self.session, self.election, self.owners,
             self.items, self.route_capacity, ended_items, self.wake, self.dialect,
         )  # fmt: skip
-        self.placement = Placement(self.settings, self.configuration_view, self.items, self.route_capacity, self.runner)
+        self.placement = Placement(
+            self.settings, self.environment, self.configuration_view, self.items, self.route_capacity, self.runner
+        )
         self.dispatcher = Dispatcher(
             self.settings, self.environment, self.configuration_view, self.election, self.owners, self.items,
             self.class_capacity, self.route_capacity, self.placement, ended_items, self.wake,
--- a/postpass/routing/options.py
+++ b/postpass/routing/options.py
@@ -21,6 +21,7 @@
     :ivar shared_health: workers that failed most of the others that tried them lately are left alone.
     :ivar lag: among equals, the worker that answered faster lately is taken.
     :ivar spread_items: items go to the workers with the most room, instead of filling one after the other.
+    :ivar overdue_last: items that can't be done in time any more wait behind those that can.
     :ivar live_reserve: the part of all slots that items leave free.
     """
 
@@ -35,6 +36,7 @@
     shared_health: bool = True
     lag: bool = True
     spread_items: bool = True
+    overdue_last: bool = True
     live_reserve: float = 1 / 10
 
 
--- a/sim/serving/__main__.py
+++ b/sim/serving/__main__.py
@@ -27,6 +27,7 @@
     "health": replace(DEFAULT_OPTIONS, health=False),
     "shared_health": replace(DEFAULT_OPTIONS, shared_health=False),
     "spread_items": replace(DEFAULT_OPTIONS, spread_items=False),
+    "overdue_last": replace(DEFAULT_OPTIONS, overdue_last=False),
     "live_reserve": replace(DEFAULT_OPTIONS, live_reserve=0.0),
 }
 
--- a/sim/serving/fleet.py
+++ b/sim/serving/fleet.py
@@ -15,6 +15,7 @@
 from postpass.gateway.relay import PATIENCE
 from postpass.gateway.worker_selection import OUTCOME_INTERVALS, PROMPT_WEIGHT
 from postpass.routing.item_choice import ItemWorker, choose_item_worker, item_rooms
+from postpass.routing.item_order import serving_order, usual_seconds
 from postpass.routing.live_choice import (
     EdgeView,
     Prompt,
@@ -88,6 +89,7 @@
         self.items = [0] * workload.workers
         self.items_unread = [0] * workload.workers
         self.waiting_items: list[tuple[float, int, Request]] = []
+        self.usual_item_seconds = 0.0
         self.pictures: deque[Picture] = deque()
         self.full_until = [Counter[int]() for _ in range(workload.edges)]
         self.avoid_until = [Counter[int]() for _ in range(workload.edges)]
@@ -312,6 +314,7 @@
         self.count(request, -1)
         if request.kind.items is not None and request.done >= 0:
             number = request.worker
+            self.usual_item_seconds = usual_seconds(self.usual_item_seconds, request.done - request.started)
             self.item_limits[number] = min(float(self.workload.engine.slots), self.item_limits[number] + ITEM_GROWTH)
         if request.kind.items is not None and self.waiting_items:
             self.at(self.now + HOP / 2, self.place_items)
@@ -320,7 +323,7 @@
     def arrive_item(self, request: Request) -> None:
         """An item is covered, and leased by the scheduler at its next round."""
         due = request.arrived + request.kind.target
-        heapq.heappush(self.waiting_items, (due, request.number, request))
+        self.waiting_items.append((due, request.number, request))
 
     def schedule_round(self) -> None:
         """The scheduler's round."""
@@ -348,11 +351,16 @@
             ],
             self.policy.options,
         )
-        while self.waiting_items:
-            request = self.waiting_items[0][2]
+        earliest = self.now + self.usual_item_seconds
+        self.waiting_items.sort()
+        served = serving_order(self.waiting_items, lambda row: row[0], earliest, self.policy.options)
+        placed = set()
+        for _, number, request in served:
             name = choose_item_worker(rooms, request.key, self.policy.options)
             if name is None:
-                return
-            heapq.heappop(self.waiting_items)
+                break
             rooms[name] -= 1
+            placed.add(number)
+            request.started = self.now
             self.send(request, self.index[name], self.arrive_item)
+        self.waiting_items = [row for row in self.waiting_items if row[1] not in placed]
--- a/sim/serving/workload.py
+++ b/sim/serving/workload.py
@@ -108,6 +108,7 @@
     done: float = -1.0
     longest_pause: float = 0.0
     refused: bool = False
+    started: float = -1.0  # an item: when it was last sent to a worker
     lost: int = 0  # times that a worker took it and broke off
     read: int = 0  # prompt tokens that workers read for it
     tries: int = 0
--- a/tests/batch/test_leased_items.py
+++ b/tests/batch/test_leased_items.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import asyncio
+
 from postpass.batch.job import Job, JobView
 from postpass.batch.leased_items import LeasedItem, LeasedItems
 from postpass.batch.leases import Lease, OwnerState
 from postpass.batch.messages import ItemKey, ItemResult, ItemStatus, TakeRequest
 from postpass.worker_api.openai import Prompt
+from sim.loop import SimLoop, run_sim
 
 OF_CLASS = Job("x", 1, {"class": "lot", "items": ["a", "b"]}, "")
 OF_ROUTE = Job("y", 2, {"route": "r", "items": [{}, {}]}, "")
@@ -44,11 +47,28 @@
     view = JobView(jobs={"x": OF_CLASS})
     state = OwnerState(
         {
-            ItemKey("x", 0): Lease("e1", 1.0), ItemKey("x", 1): Lease("e1", 9.0), ItemKey("x", 2): Lease("e2", 9.0),
-            ItemKey("gone", 0): Lease("e1", 9.0), ItemKey("x", 3): Lease("e1", 1.0),
+            ItemKey("x", 0): Lease("e1", 1.0, 0.0), ItemKey("x", 1): Lease("e1", 9.0, 0.0), ItemKey("x", 2): Lease("e2", 9.0, 0.0),
+            ItemKey("gone", 0): Lease("e1", 9.0, 0.0), ItemKey("x", 3): Lease("e1", 1.0, 0.0),
         }
     )  # fmt: skip
     request = TakeRequest("e1", 1, {}, [ItemKey("x", 0)])
     state.renew(request, 7.0)
     state.release_expired(view, request, 5.0)
     assert {key: lease.until for key, lease in state.leases.items()} == {("x", 0): 7.0, ("x", 1): 9.0}
+
+
+def test_an_owner_learns_how_long_items_take_from_the_lease_to_the_result() -> None:
+    async def main(_loop: SimLoop) -> None:
+        state = OwnerState()
+        request = TakeRequest("e1", 1, {}, [KEY, ItemKey("x", 1)])
+        state.renew(request, 9.0)
+        await asyncio.sleep(2.0)
+        # A lease that is renewed began when the item was handed out.
+        state.renew(request, 11.0)
+        state.end_lease(ItemKey("x", 1), ItemStatus.FAILED)
+        assert state.usual_seconds == 0.0
+        state.end_lease(KEY, ItemStatus.DONE)
+        state.end_lease(KEY, ItemStatus.DONE)
+        assert state.usual_seconds == 2.0 and not state.leases
+
+    run_sim(main, 1)
