--- a/postpass/gateway/load_exchange.py
+++ b/postpass/gateway/load_exchange.py
@@ -20,6 +20,7 @@
 from postpass.routing.load_picture import (
     IDLE,
     LoadReport,
+    ReportTable,
     TimedReport,
     WorkerUse,
     exchange_interval,
@@ -36,7 +37,6 @@
 
 STALE_INTERVALS = 5  # after so many intervals a report counts no more
 RETRY_INTERVALS = 20  # for so many a hub that didn't answer is passed over
-REST_INTERVALS = 3  # for so many nothing is exchanged while nobody has anything to tell
 LIMIT_INTERVALS = 3  # for so many a hub's answer is waited for
 MESSAGE = "floor"  # the message between peers
 
@@ -58,8 +58,8 @@
     others: dict[str, WorkerUse] = field(default_factory=dict)
     heard_at: float = -1e9  # when `others` was told, in seconds of the loop's clock
     interval: float = 1.0
-    members: dict[str, TimedReport] = field(default_factory=dict)  # reports by their sender
-    hub_sums: dict[str, TimedReport] = field(default_factory=dict)  # what other hubs' members have
+    members: ReportTable = field(default_factory=ReportTable)
+    hub_sums: ReportTable = field(default_factory=ReportTable)  # what other hubs' members have
     passed_over: dict[str, float] = field(default_factory=dict)  # hubs that didn't answer, until when
     asking: dict[str, asyncio.Task[None]] = field(default_factory=dict)  # by peer
     revision: int = -1
@@ -89,20 +89,13 @@
             # Each has a moment of its own, so that not all messages come at once.
             await asyncio.sleep(self.interval * (0.9 + 0.2 * phase))
             self._forget_stale()
-            if not self.order or not self.wanted() or self._is_at_rest():
+            if not self.order or not self.wanted():
                 continue
-            if self.members or self.order[0] == self.settings.name:
+            if self.members.reports or self.order[0] == self.settings.name:
                 self._exchange_as_hub()
             else:
                 self._exchange_as_member()
 
-    def _is_at_rest(self) -> bool:
-        """Has nobody anything to tell, as far as was heard lately? Then a fleet without requests costs little. The first
-        request ends it at its own edge, within an interval, and elsewhere with the next picture."""
-        if self.age >= self.interval * REST_INTERVALS or self.others or self.own_use():
-            return False
-        return not any(report.use for table in (self.members, self.hub_sums) for report in table.values())
-
     def _learn(self) -> None:
         """Who the hubs are, by the configuration in force."""
         configuration = self.configuration_view.manifest
@@ -120,8 +113,7 @@
     def _forget_stale(self) -> None:
         oldest = now() - self.interval * STALE_INTERVALS
         for table in (self.members, self.hub_sums):
-            for name in [n for n, report in table.items() if report.at < oldest]:
-                del table[name]
+            table.forget_before(oldest)
 
     def _exchange_as_member(self) -> None:
         """Tells the first hub that answers; one that is still being asked is not asked twice."""
@@ -138,9 +130,9 @@
     def _exchange_as_hub(self) -> None:
         """Sees its members' reports itself, and asks the other hubs that have not asked lately."""
         at = now()
-        self._show(summed(report.use for report in (*self.members.values(), *self.hub_sums.values())))
+        self._show(summed([self.members.total, self.hub_sums.total]))
         for name in self.all_hubs:
-            heard = self.hub_sums.get(name)
+            heard = self.hub_sums.reports.get(name)
             lately = heard is not None and at - heard.at < self.interval
             if name == self.settings.name or name in self.asking or self.passed_over.get(name, 0.0) > at:
                 continue
@@ -175,11 +167,11 @@
         own = report_as_json(self._members_sum())
         answer = await self._ask(name, {"by": self.settings.name, "hub": True, "use": own})
         if answer is not None:
-            self.hub_sums[name] = TimedReport(now(), report_from_json(answer["use"]))
+            self.hub_sums.replace(name, TimedReport(now(), report_from_json(answer["use"])))
 
     def _members_sum(self) -> dict[str, WorkerUse]:
         """What this process and its members have."""
-        return summed([self.own_use(), *(report.use for report in self.members.values())])
+        return summed([self.own_use(), self.members.total])
 
     def _show(self, others: dict[str, WorkerUse]) -> None:
         self.others, self.heard_at = others, now()
@@ -190,11 +182,10 @@
         """A daemon tells what it has, or another hub what its members have; the answer is the sum of all, or what the
         members here have."""
         table = self.hub_sums if body.get("hub") else self.members
-        table[body["by"]] = TimedReport(now(), report_from_json(body["use"]))
+        table.replace(body["by"], TimedReport(now(), report_from_json(body["use"])))
         if body.get("hub"):
             return Ok({"use": report_as_json(self._members_sum())})
-        total = summed([self._members_sum(), *(report.use for report in self.hub_sums.values())])
-        return Ok({"use": report_as_json(total)})
+        return Ok({"use": report_as_json(summed([self._members_sum(), self.hub_sums.total]))})
 
     def close(self) -> None:
         """Ends what is under way; the process is about to end."""
--- a/postpass/gateway/worker_selection.py
+++ b/postpass/gateway/worker_selection.py
@@ -82,11 +82,11 @@
     def own_use(self) -> LoadReport:
         """What this edge has at each worker, and how it found those that it tried lately."""
         at, window = now(), self.settings.bounds.exchange * OUTCOME_INTERVALS
-        used = {
+        return {
             name: WorkerUse(health.in_flight, 0, health.unread, *health.outcome(at, window))
             for name, health in self.health_by_worker.items()
+            if health.in_flight or at - health.tried_at <= window
         }
-        return {name: use for name, use in used.items() if use != IDLE}
 
     def candidates(
         self, configuration: Configuration, pool: Pool, tried: set[str], others: LoadReport
--- a/postpass/routing/load_picture.py
+++ b/postpass/routing/load_picture.py
@@ -8,7 +8,7 @@
 
 import math
 from collections.abc import Iterable, Mapping, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any, NamedTuple
 
 from postpass.routing.prefixes import rendezvous
@@ -31,7 +31,11 @@
 
     def plus(self, other: WorkerUse) -> WorkerUse:
         """Both together."""
-        return WorkerUse(*(mine + theirs for mine, theirs in zip(self, other, strict=True)))
+        # Written out: a hub adds up hundreds of these with each report.
+        return WorkerUse(
+            self.live + other.live, self.items + other.items, self.unread + other.unread, self.failed + other.failed,
+            self.answered + other.answered,
+        )  # fmt: skip
 
     def minus(self, other: WorkerUse) -> WorkerUse:
         """Without what the other one has; never below none."""
@@ -61,6 +65,39 @@
     use: LoadReport
 
 
+@dataclass(eq=False)
+class ReportTable:
+    """The newest report of each sender. Invariant: `total` is their sum, without workers that have nothing.
+
+    It is kept as reports come, since a hub gets more than a hundred a second and tells the sum with each.
+    """
+
+    reports: dict[str, TimedReport] = field(default_factory=dict)
+    total: dict[str, WorkerUse] = field(default_factory=dict)
+
+    def replace(self, sender: str, report: TimedReport) -> None:
+        """Takes a sender's report in place of its last one."""
+        self._take_off(sender)
+        report = TimedReport(report.at, {worker: use for worker, use in report.use.items() if use != IDLE})
+        self.reports[sender] = report
+        for worker, use in report.use.items():
+            self.total[worker] = self.total.get(worker, IDLE).plus(use)
+
+    def forget_before(self, oldest: float) -> None:
+        """Forgets the reports that came before this loop time."""
+        for sender in [name for name, report in self.reports.items() if report.at < oldest]:
+            self._take_off(sender)
+
+    def _take_off(self, sender: str) -> None:
+        known = self.reports.pop(sender, None)
+        for worker, use in known.use.items() if known else ():
+            left = self.total[worker].minus(use)
+            if left == IDLE:
+                del self.total[worker]
+            else:
+                self.total[worker] = left
+
+
 def believed(reported: int, workers: int) -> bool:
     """Are so many workers that fail the others to be left alone? More than a part of all hardly fail at once: whoever is cut
     off from them reports each one."""
--- a/tests/routing/test_load_picture.py
+++ b/tests/routing/test_load_picture.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from collections import Counter
 
 import pytest
@@ -11,6 +12,8 @@
     HUB_MESSAGES,
     IDLE,
     MEMBERS_PER_HUB,
+    ReportTable,
+    TimedReport,
     WorkerUse,
     believed,
     exchange_interval,
@@ -80,3 +83,17 @@
     assert summed([{"a": WorkerUse(failed=1)}, {"a": WorkerUse(answered=1)}])["a"] == WorkerUse(0, 0, 0, 1, 1)
     assert believed(1, 2) and believed(18, 36)
     assert not believed(0, 36) and not believed(19, 36) and not believed(1, 1)
+
+
+def test_the_sum_of_a_table_is_that_of_its_newest_reports() -> None:
+    chance = random.Random(3)
+    table = ReportTable()
+    for moment in range(200):
+        use = {f"w{chance.randint(0, 4)}": WorkerUse(*(chance.randint(0, 3) for _ in range(5))) for _ in range(3)}
+        table.replace(f"e{chance.randint(0, 5)}", TimedReport(float(moment), use))
+        if moment % 20 == 19:
+            table.forget_before(moment - 10.0)
+        expected = summed(report.use for report in table.reports.values())
+        assert table.total == {worker: use for worker, use in expected.items() if use != IDLE}
+    table.forget_before(1e9)
+    assert table.total == {} and table.reports == {}
