--- a/postpass/gateway/answer_delivery.py
+++ b/postpass/gateway/answer_delivery.py
@@ -43,7 +43,8 @@
         size = 0
         while True:
             data = await exchange.next_chunk()
-            answer_begins()
+            if request.unread:
+                answer_begins()
             end = exchange.complete and not exchange.has_unread
             if data and events is not None:
                 try:
--- a/sim/serving/fleet.py
+++ b/sim/serving/fleet.py
@@ -344,7 +344,7 @@
                     self.items[i],
                     picture.live[i],
                     self.item_limits[i],
-                    picture.failed[i] > picture.answered[i],
+                    WorkerUse(failed=picture.failed[i], answered=picture.answered[i]).fails_most,
                 )
                 for i, name in enumerate(self.names)
                 if self.workers[i].down_until <= self.now or self.workers[i].failure is not Failure.REFUSES
