Hand a partition over only to a member that says it is there

Ruled out: a shorter bound on what was heard, which only narrows the moment. Change: the owner first asks (Hello.handover_offer) whether the member follows this epoch and would run at once, on the disk that counts; it steps down only after that answer. If the member then does not take the word, the owner runs itself under the epoch that it handed over.

--- a/postpass/replication/messages.py
+++ b/postpass/replication/messages.py
@@ -104,7 +104,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Hello:
-    """What an owner says to a member under its epoch (verb `hello`). At most one of the last three is set.
+    """What an owner says to a member under its epoch (verb `hello`). At most one of the last four is set.
 
     Attributes:
         partition: Number of the partition.
@@ -113,6 +113,7 @@
         failed_disk: Identity of a disk that lost records which it had acknowledged.
         confirm: Ask only whether a later epoch is known.
         handover: The sender has stepped down, so that the receiver may run for owner at once.
+        handover_offer: Ask only whether the receiver would run for owner at once if the sender stepped down.
     """
 
     partition: int
@@ -121,6 +122,7 @@
     failed_disk: str = ""
     confirm: bool = False
     handover: bool = False
+    handover_offer: bool = False
 
     def encode(self) -> Body:
         """The body on the wire."""
@@ -131,6 +133,8 @@
             body["confirm"] = 1
         if self.handover:
             body["hand"] = 1
+        if self.handover_offer:
+            body["offer"] = 1
         return body
 
     @classmethod
@@ -143,6 +147,7 @@
             body.get("spoiled", ""),
             bool(body.get("confirm")),
             bool(body.get("hand")),
+            bool(body.get("offer")),
         )
 
 
--- a/postpass/replication/mirror.py
+++ b/postpass/replication/mirror.py
@@ -41,9 +41,10 @@
         hello = Hello.decode(body)
         partition, epoch, disk = self.table.partition(hello.partition), hello.epoch, self.table.disk_id
         promised = partition.promised
+        if hello.handover_offer:
+            return Ok(HelloAnswer(disk, promised, self.would_take_over(partition, epoch)).encode())
         if hello.handover:
-            self.take_over(partition, epoch)
-            return Ok(HelloAnswer(disk, promised, True).encode())
+            return Ok(HelloAnswer(disk, promised, self.take_over(partition, epoch)).encode())
         if hello.failed_disk:
             self.check_disk(partition, hello)
             return Ok(HelloAnswer(disk, promised, False).encode())
@@ -69,11 +70,17 @@
         record_log = partition.record_log
         return Ok(HelloAnswer(disk, epoch, True, record_log.last, record_log.marks()).encode())
 
-    def take_over(self, partition: Partition, epoch: int) -> None:
-        """The owner of an epoch has stepped down in favour of this store."""
+    def would_take_over(self, partition: Partition, epoch: int) -> bool:
+        """Would this store run for owner at once, if the owner of that epoch stepped down for it?"""
         free = partition.aligned == epoch and not partition.in_election and not partition.owning
-        if free and not self.table.leaving:
-            self.election.run_soon(partition, epoch)
+        return free and not self.table.leaving
+
+    def take_over(self, partition: Partition, epoch: int) -> bool:
+        """The owner of an epoch has stepped down in favour of this store. Returns whether it runs."""
+        if not self.would_take_over(partition, epoch):
+            return False
+        self.election.run_soon(partition, epoch)
+        return True
 
     def check_disk(self, partition: Partition, hello: Hello) -> None:
         """An owner holds acknowledgements of records that this disk does not have: it may not speak any more."""
--- a/postpass/replication/owner_duties.py
+++ b/postpass/replication/owner_duties.py
@@ -61,7 +61,7 @@
                     and moment - mirror.since > bounds.detect
                     and self.handover.can_take_over(partition, name)
                 ):
-                    self.handover.hand_over(partition, name)
+                    self.handover.begin(partition, name)
                     return
 
     def cannot_cover(self, partition: Partition) -> bool:
--- a/postpass/replication/store.py
+++ b/postpass/replication/store.py
@@ -68,7 +68,7 @@
         self.election = Election(self.table, self.owner, self.catch_up)
         self.acknowledger = Acknowledger(self.table, self.election)
         self.mirror = Mirror(self.table, self.election, self.acknowledger)
-        self.handover = Handover(self.table)
+        self.handover = Handover(self.table, self.election.run_soon)
         self.reconfiguration = Reconfiguration(self.table, self.owner)
         self.jobs = JobRecords(self.table, self.owner, self.leadership)
         self.leases = Leases(self.table, self.owner, self.leadership)
--- a/tests/replication/test_messages.py
+++ b/tests/replication/test_messages.py
@@ -35,6 +35,7 @@
     (Hello(3, 7, "s1", failed_disk="d2"), '{"part": 3, "epoch": 7, "who": "s1", "spoiled": "d2"}'),
     (Hello(3, 7, "s1", confirm=True), '{"part": 3, "epoch": 7, "who": "s1", "confirm": 1}'),
     (Hello(3, 7, "s1", handover=True), '{"part": 3, "epoch": 7, "who": "s1", "hand": 1}'),
+    (Hello(3, 7, "s1", handover_offer=True), '{"part": 3, "epoch": 7, "who": "s1", "offer": 1}'),
     (HelloAnswer("d1", 7, False), '{"disk": "d1", "promised": 7, "ok": false}'),
     (
         HelloAnswer("d1", 7, True, 0, [(0, 0)]),
