Look for a partition's owner among all its members, whatever is guessed

Cause: a store that asks the holder of a route's budget went by whom its own copy of that partition follows. A store that had left the members follows nobody any more; once the owner it remembered was retired and gone it asked that one for ever ("gone or unknown"), and refused every job of the partitions that it owns (two of eight: one lot in four). Only another answer, cached before, hid it, until that machine was lost.

--- a/postpass/gateway/owner_client.py
+++ b/postpass/gateway/owner_client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Iterable
 from dataclasses import dataclass, field, replace
 
 from result import Err, Ok, Result
@@ -10,6 +11,7 @@
 from postpass.configuration.configuration import partition_of
 from postpass.configuration.settings import Settings
 from postpass.feed.configuration_view import ConfigurationView
+from postpass.replication.owner_lookup import OwnerLookup
 from postpass.rpc.codec import Body
 from postpass.rpc.peer_links import PeerLinks
 from postpass.runtime import log_events
@@ -38,16 +40,16 @@
         """
         body = body | {"part": partition}
         unsure = False
-        tried: list[str] = []
+        lookup = self._lookup(partition)
         last = Fault(verb, self.settings.name, "no owner known", SLOW)
         bounds = self.settings.bounds
         while now() < until:
-            name = self._next_member(partition, tried)
+            name = lookup.next_name()
             if not name:
-                tried = []
                 await asyncio.sleep(bounds.beat / 2 * (0.75 + 0.5 * self.environment.chance.random()))
+                lookup = self._lookup(partition)
                 continue
-            tried.append(name)
+            lookup.asked(name)
             addr = self.configuration_view.addr(name)
             if not addr:
                 continue
@@ -58,33 +60,33 @@
                 self.known_owners[partition] = name
                 return answer
             last = answer.unwrap_err()
-            if last.code == MOVED:
-                await self._follow(partition, name, last.hint, tried)
-            elif last.code in (BROKE, SLOW):
-                self.known_owners.pop(partition, None)
-                unsure = unsure or not last.unsent
-                if not last.unsent:
-                    tried = [name] if last.code == BROKE else []
-                    await asyncio.sleep(bounds.beat / 8)
-            else:
+            if last.code not in (MOVED, BROKE, SLOW):
                 return Err(replace(last, unsure=unsure))
+            if self.known_owners.get(partition) == name:
+                del self.known_owners[partition]
+            if last.code == MOVED:
+                await self._follow(partition, lookup, name, last.hint)
+                continue
+            unsure = unsure or not last.unsent
+            if not last.unsent:
+                lookup = self._lookup(partition, [name] if last.code == BROKE else [])
+                await asyncio.sleep(bounds.beat / 8)
         return Err(Fault(verb, last.peer, last.why, SLOW, unsent=not unsure, unsure=unsure))
 
-    def _next_member(self, partition: int, tried: list[str]) -> str:
-        """The known owner, or else the next member in the agreed order; empty if all were tried."""
-        order = self.configuration_view.order(partition)
-        names = dict.fromkeys([self.known_owners.get(partition, ""), *order])
-        return next((n for n in names if n and n not in tried), "")
+    def _lookup(self, partition: int, tried: Iterable[str] = ()) -> OwnerLookup:
+        """A round over the known owner and all members in the agreed order, but for those in `tried`."""
+        known = self.known_owners.get(partition, "")
+        return OwnerLookup.over([known], self.configuration_view.order(partition), tried=tried)
 
-    async def _follow(self, partition: int, name: str, owner: str, tried: list[str]) -> None:
+    async def _follow(self, partition: int, lookup: OwnerLookup, name: str, owner: str) -> None:
         """The member `name` says that it isn't the owner, but `owner` is; empty if it knows none."""
-        self.known_owners.pop(partition, None)
-        if owner and owner not in tried and owner != name:
-            self.known_owners[partition] = owner
-        elif owner == name:
+        if owner == name:
             # It is about to become the owner.
             await asyncio.sleep(self.settings.bounds.beat / 8)
-            tried.remove(name)
+            lookup.ask_again(name)
+        elif owner and owner not in lookup.tried:
+            self.known_owners[partition] = owner
+            lookup.follow(owner)
 
     async def claim(self, key: str, until: float) -> Result[bool, Fault]:
         """Takes a live request's key for this edge; False if it was taken before."""
