Hear an owner's count before others are asked, when a budget has a new holder

Cause: a new holder of a route's budget asks all owners what waits there. An owner that asked for tokens itself at that moment had told its count with a lower number than in its answer, was taken for late and refused ("a later word came before this one"), all owners at once: after each takeover of that partition. Change: the holder takes in the count of who asks before it asks the others; where a later word comes first all the same the owner tells its count anew instead of refusing the job. Conclusion: a takeover of the budget's partition refuses no job by itself.

--- a/postpass/batch/quota_service.py
+++ b/postpass/batch/quota_service.py
@@ -8,7 +8,7 @@
 
 import asyncio
 from collections import Counter
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from result import Err, Ok
 
@@ -21,7 +21,8 @@
 from postpass.configuration.configuration import Configuration, Route, partition_of
 from postpass.replication.partition import Partition
 from postpass.rpc.codec import Body, PeerResponse
-from postpass.runtime.errors import CROWD, FULL, SLOW, Fault
+from postpass.runtime.environment import now
+from postpass.runtime.errors import CLASH, CROWD, FULL, SLOW, Fault
 
 
 @dataclass(eq=False)
@@ -85,17 +86,24 @@
     ) -> Fault | None:
         """Asks for the tokens of a job, which stand in `pending` already; None once they are granted.
 
-        CROWD if the quota is reached, FULL if the holder gave no answer within `limit` seconds: either way nothing was
-        sequenced.
+        CROWD if the quota is reached, FULL if the holder gave no answer that counts within `limit` seconds: either way
+        nothing was sequenced.
         """
         if not self.quota(name):
             return None
+        until = now() + limit
         async with self.turns.setdefault((partition.id, name), asyncio.Lock()):
-            # What this job asks for is not in the count yet, but is asked for.
-            pending[name] -= tokens
-            count = self.count(partition, name)
-            pending[name] += tokens
-            return await self.ask_holder(partition, name, count, tokens, limit)
+            while True:
+                # What this job asks for is not in the count yet, but is asked for.
+                pending[name] -= tokens
+                count = self.count(partition, name)
+                pending[name] += tokens
+                fault = await self.ask_holder(partition, name, count, tokens, until - now())
+                # The holder asked for the count itself meanwhile, and heard that answer first: the count is told anew.
+                if fault is None or fault.code != CLASH:
+                    return fault
+                if now() >= until:
+                    return replace(fault, code=FULL)
 
     async def ask_holder(self, partition: Partition, name: str, count: int, wanted: int, limit: float) -> Fault | None:
         """Tells the holder of a budget what waits here, and asks for more; None if that is granted."""
@@ -107,7 +115,8 @@
             fault = answer.unwrap_err()
             # Whatever went wrong there, nothing was sequenced here: the answer may be a refusal, and is no certainty
             # of the quota.
-            return fault if fault.code == CROWD else Fault("reserve", f"partition {holder}", fault.why, FULL)
+            kept = fault.code in (CROWD, CLASH)
+            return fault if kept else Fault("reserve", f"partition {holder}", fault.why, FULL)
         self.last_told[(partition.id, name)] = (partition.epoch, count + wanted)
         return None
 
@@ -158,16 +167,17 @@
         partition, request = got.unwrap(), ReserveRequest.from_json(body)
         epoch = partition.epoch
         budget = self.budgets.setdefault((partition.id, epoch, request.route), Budget())
+        # Before anyone is asked for a count: what an owner answers then would make this word of it a late one.
+        is_news = budget.report(request.owner, request.epoch, request.number, request.tokens)
         if not request.wanted:
-            budget.report(request.owner, request.epoch, request.number, request.tokens)
             return Ok({})
+        if not is_news:
+            return self.failed("reserve", "a later word came before this one", CLASH)
         if not await self.learn_all(budget, request):
             return self.failed("reserve", "not all partitions have told their counts", SLOW)
         # Under the epoch: a holder that comes later asks every owner, which counts what it asked for here.
         if not await self.store.confirm(partition) or partition.epoch != epoch:
             return self.failed("reserve", "could not be confirmed", SLOW)
-        if not budget.report(request.owner, request.epoch, request.number, request.tokens):
-            return self.failed("reserve", "a later word came before this one", FULL)
         most = self.quota(request.route)
         if most and not budget.take(request.owner, request.wanted, most):
             return self.failed("reserve", f"{budget.tokens} of {most} tokens wait on the route", CROWD)
--- /dev/null
+++ b/tests/batch/test_quota_owner_changes.py
@@ -0,0 +1,116 @@
+"""Jobs under a route's quota while the partition that holds its budget changes members and owners."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import json
+from typing import Any
+
+import pytest
+
+from postpass.batch.job_api import JobApi
+from postpass.configuration.configuration import partition_of
+from postpass.daemon.data_plane import DataPlane
+from postpass.replication.store import Store
+from sim.loop import SimLoop, run_sim
+from tests.platform.test_configuration import document
+from tests.support.announced import Fleet
+
+PARTITIONS = 8
+RECOVER = 12.0  # `bounds.recover` of the fleet
+
+
+def store_of(fleet: Fleet, name: str) -> Store | None:
+    """The store of a machine that is up."""
+    daemon = fleet.nodes[name].daemon
+    return daemon.store if isinstance(daemon, DataPlane) else None
+
+
+def owners(fleet: Fleet) -> dict[int, str]:
+    """Which store owns each partition and is ready."""
+    return {
+        partition.id: name
+        for name in fleet.nodes
+        if (store := store_of(fleet, name)) is not None
+        for partition in store.partitions.values()
+        if partition.ready
+    }
+
+
+def route_of_budget(number: int) -> str:
+    """The name of a route whose budget a partition holds."""
+    return next(name for n in range(1000) if partition_of(f"route:{(name := f'lots{n}')}", PARTITIONS) == number)
+
+
+def configured(route: str) -> dict[str, Any]:
+    """A configuration whose one route for jobs has this name."""
+    wanted = document(1)
+    wanted["routes"][2]["name"] = route
+    return wanted
+
+
+def job(number: int, turn: int) -> tuple[str, bytes]:
+    """A job that falls to a partition, by its id, and what a client sends."""
+    name = next(n for k in range(1000) if partition_of(n := f"job{turn}-{k}", PARTITIONS) == number)
+    item = {"id": f"{name}-0", "path": "/lots/x", "headers": {}, "body": base64.b64encode(b"t").decode(), "tokens": 9}
+    return name, json.dumps({"items": [item]}).encode()
+
+
+async def statuses(fleet: Fleet, route: str, turn: int) -> dict[int, int]:
+    """The answer to a job of each partition, handed in at an edge."""
+    daemon = fleet.nodes["e1"].daemon
+    assert isinstance(daemon, DataPlane) and daemon.edge is not None
+    api, terms = JobApi(daemon.edge), daemon.edge.configuration["routes"][route]
+
+    async def hand_in(number: int) -> int:
+        name, data = job(number, turn)
+        answer = await fleet.ask("e1", lambda _: api.accept(route, terms, name, data))
+        if answer.status != 202:
+            print("not kept", number, answer)
+        return int(answer.status)
+
+    told = await asyncio.gather(*(hand_in(number) for number in range(PARTITIONS)))
+    return dict(enumerate(told))
+
+
+async def retire(fleet: Fleet, name: str) -> None:
+    """Empties a store and takes it away for good."""
+    assert (await fleet.ask("c1", lambda c: c.retire(name))).is_ok()
+    while not (await fleet.ask("c1", lambda c: c.retired(name))).unwrap()["done"]:
+        await asyncio.sleep(0.1)
+    fleet.kill(name, silent=True)
+
+
+@pytest.mark.parametrize("budget", range(PARTITIONS))
+def test_jobs_of_all_partitions_are_kept_after_the_budgets_owner_was_retired(budget: int) -> None:
+    """Stores are added, the owner of the budget's partition is emptied and taken away, and the next one loses power.
+
+    A store that was a member before remembers an owner that is gone; it must find the present one all the same."""
+
+    async def main(loop: SimLoop) -> tuple[dict[int, int], list[str]]:
+        fleet = Fleet(loop, stores=4, edges=1)
+        fleet.start()
+        assert await fleet.until(lambda: fleet.joined() and len(owners(fleet)) == PARTITIONS, 20.0) >= 0
+        fleet.first = False
+        route = route_of_budget(budget)
+        assert (await fleet.ask("c1", lambda c: c.apply_source(configured(route), 0))).is_ok()
+        await asyncio.sleep(2.0)
+        assert set((await statuses(fleet, route, 0)).values()) == {202}
+        retired = owners(fleet)[budget]
+        for number, zone in enumerate(("a", "b"), 5):
+            fleet.add(f"s{number}", "store", zone, f"10.1.{number}.1")
+        await asyncio.sleep(4.0)
+        await retire(fleet, retired)
+        await asyncio.sleep(2.0)
+        lost = owners(fleet)[budget]
+        fleet.kill(lost, silent=True)
+        await statuses(fleet, route, 1)  # nobody promises anything for these
+        fleet.boot(lost)
+        assert await fleet.until(lambda: len(owners(fleet)) == PARTITIONS, RECOVER) >= 0
+        await asyncio.sleep(2.0)
+        told = [f"{n} is owned by {name}" for n, name in sorted(owners(fleet).items())]
+        return await statuses(fleet, route, 2), [f"{retired} retired, {lost} lost", *told]
+
+    answers, notes = run_sim(main, 1)
+    assert set(answers.values()) == {202}, (answers, notes)
