--- a/postpass/replication/handover.py
+++ b/postpass/replication/handover.py
@@ -28,7 +28,7 @@
 class Handover:
     """Steps down in favour of a member that is up to date and says that it is there.
 
-    Owns `under_way`, the partitions that are being handed on: at most one handover of each at a time.
+    Owns `in_progress`, the partitions that are being handed on: at most one handover of each at a time.
 
     Attributes:
         table: The partitions of this store.
@@ -37,7 +37,7 @@
 
     table: PartitionTable
     run_election: Callable[[Partition, int], None]
-    under_way: set[int] = field(default_factory=set)
+    in_progress: set[int] = field(default_factory=set)
 
     async def leave(self) -> None:
         """Hands each partition that is owned here to the first in its order that has all of it and answers."""
@@ -56,18 +56,18 @@
 
     def begin(self, partition: Partition, name: str) -> None:
         """Hands a partition over in the background, unless that is under way already."""
-        if partition.id in self.under_way:
+        if partition.id in self.in_progress:
             return
         task = asyncio.create_task(self._hand_over_once(partition, name))
         self.table.background_tasks.add(task)
         task.add_done_callback(self.table.background_tasks.discard)
 
     async def _hand_over_once(self, partition: Partition, name: str) -> None:
-        self.under_way.add(partition.id)
+        self.in_progress.add(partition.id)
         try:
             await self.hand_over(partition, name)
         finally:
-            self.under_way.discard(partition.id)
+            self.in_progress.discard(partition.id)
 
     def can_take_over(self, partition: Partition, name: str) -> bool:
         """Could this member own the partition now, as far as its acknowledgements tell?"""
--- a/tests/test_readable_code.py
+++ b/tests/test_readable_code.py
@@ -21,7 +21,8 @@
         "in_force", "feed", "registry", "leadership", "orders", "health", "api", "daemon",
     ),
     "replication": (
-        "record_log", "log_entries", "acknowledgements", "stability", "messages", "election_decision", "partition", "partition_table",
+        "record_log", "log_entries", "owner_lookup", "acknowledgements", "stability", "messages", "election_decision", "partition",
+        "partition_table",
         "streaming", "owner", "leadership_check", "catch_up", "election", "acknowledger", "mirror", "handover",
         "reconfiguration", "owner_duties", "store",
     ),
