Tell of jobs that are not kept and of partitions that cover nothing more; rules of liveness

Change: E174 and postpass_lots_not_kept at an edge (partition, who was asked last, cause); E127 and postpass_cover_stalled_seconds at an owner whose frontier stands still for the detection time, with the members awaited; doctor D15 and D16; the answer of an owner that could not cover names them too. Each has broken variants that it catches.

--- a/postpass/batch/job_api.py
+++ b/postpass/batch/job_api.py
@@ -122,7 +122,7 @@
         partition = partition_of(job_id, edge.configuration["parts"])
         answer = await edge.owners.ask(partition, "accept", {"lot": job}, now() + self.patience())
         if isinstance(answer, Err):
-            return self.not_accepted(answer.unwrap_err())
+            return self.not_accepted(job_id, answer.unwrap_err())
         edge.jobs_total.labels("kept").inc()
         edge.remember_job(job_id)
         return JobAnswer(202, {"id": job_id})
@@ -140,15 +140,19 @@
             "since": self.edge.configuration_view.revision,
         }
 
-    def not_accepted(self, fault: Fault) -> JobAnswer:
+    def not_accepted(self, job_id: str, fault: Fault) -> JobAnswer:
         """The answer for a job that an owner did not accept, as far as is known."""
         counter = self.edge.jobs_total
         if fault.code == CLASH:
             return JobAnswer(409, {"error": fault.why})
         if (fault.code in (CROWD, REJECTED, FULL) and not fault.unsure) or fault.unsent:
             counter.labels("shed").inc()
-            return JobAnswer(429 if fault.code == CROWD else 503, {"error": fault.why})
+            if fault.code == CROWD:
+                return JobAnswer(429, {"error": fault.why})
+            self.edge.note_unkept(job_id, fault, 503)
+            return JobAnswer(503, {"error": fault.why})
         counter.labels("unknown").inc()
+        self.edge.note_unkept(job_id, fault, 504)
         return JobAnswer(504, {"error": fault.why})
 
     async def ask(self, job_id: str, verb: str, body: Body, wait: float) -> Result[Body, int]:
--- a/postpass/batch/job_service.py
+++ b/postpass/batch/job_service.py
@@ -87,7 +87,8 @@
         if await partition.wait(kept.seq, "", limit):
             self.wake(partition)
             return Ok({"id": job["id"], "state": "kept"})
-        return self.failed("accept", "not covered yet", SLOW)
+        awaited = ", ".join(self.store.members_awaited(partition))
+        return self.failed("accept", f"not covered yet, without the word of {awaited or 'nobody'}", SLOW)
 
     async def take_once(self, partition: Partition, job: Body, payload: bytes, limit: float) -> Fault | None:
         """Takes a job, or waits for the task that does so already, for `limit` seconds at the longest."""
--- a/postpass/batch/partition_access.py
+++ b/postpass/batch/partition_access.py
@@ -51,6 +51,9 @@
     def append(self, partition: Partition, kind: str, body: Body, vital: bool = True, raw: Payload = b"") -> Record:
         """Sequences one record; raises FaultError, with nothing sequenced, if the disk won't take it."""
 
+    def members_awaited(self, partition: Partition) -> list[str]:
+        """As owner: whose acknowledgements the first uncovered record lacks."""
+
     def rejection(self, partition: Partition) -> Fault | None:
         """Why no further job is taken now; None if one is."""
 
--- a/postpass/batch/quota_service.py
+++ b/postpass/batch/quota_service.py
@@ -116,7 +116,7 @@
             # Whatever went wrong there, nothing was sequenced here: the answer may be a refusal, and is no certainty
             # of the quota.
             kept = fault.code in (CROWD, CLASH)
-            return fault if kept else Fault("reserve", f"partition {holder}", fault.why, FULL)
+            return fault if kept else Fault("reserve", f"partition {holder} at {fault.peer}", fault.why, FULL)
         self.last_told[(partition.id, name)] = (partition.epoch, count + wanted)
         return None
 
--- a/postpass/cli/doctor.py
+++ b/postpass/cli/doctor.py
@@ -1,6 +1,6 @@
 """What `postpassctl doctor` finds: a pure function of two looks at the fleet, one after the other.
 
-The codes D02 to D14 are told in `docs/operators.md`; D01, that the configuration can't be read, is the command's own.
+The codes D02 to D16 are told in `docs/operators.md`; D01, that the configuration can't be read, is the command's own.
 """
 
 from __future__ import annotations
@@ -38,6 +38,7 @@
     for name, machine in second.machines.items():
         findings += _machine_findings(name, machine, first, second)
     findings += [*_partition_findings(second), *_control_findings(second), *_release_findings(second)]
+    findings += [*_standstill_findings(first, second), *_unkept_findings(first, second)]
     # Several edges see the same worker: of findings about it the first is told.
     once: dict[tuple[str, str, str], Finding] = {}
     for finding in findings:
@@ -139,6 +140,35 @@
             yield Finding("D08", where, "a member has a new disk and is not refilled yet", "wait; look again")
 
 
+def _standstill_findings(first: FleetStatus, second: FleetStatus) -> Iterator[Finding]:
+    """Partitions whose owner covers nothing more, though it has records to cover."""
+    before = {(row.owner, row.partition.number): row.partition for row in first.owned_partitions()}
+    for row in second.owned_partitions():
+        partition, earlier = row.partition, before.get((row.owner, row.partition.number))
+        if earlier is None or earlier.epoch != partition.epoch:
+            continue
+        if earlier.last > earlier.covered == partition.covered:
+            awaited = ", ".join(partition.awaited) or "nobody that is known"
+            yield Finding("D15", f"partition {partition.number}",
+                          f"covers nothing beyond {partition.covered} of {partition.last} at {row.owner}; waits for {awaited}",
+                          "look at these stores, their disks and their links; jobs of this partition are not kept")  # fmt: skip
+
+
+def _unkept_findings(first: FleetStatus, second: FleetStatus) -> Iterator[Finding]:
+    """Partitions whose jobs got no acknowledgement between the two looks."""
+    new: Counter[int] = Counter()
+    for name, machine in second.machines.items():
+        earlier = first.machines.get(name)
+        for number, count in machine.unkept_jobs.items():
+            # A process that began anew between the looks counts from nothing.
+            known = earlier.unkept_jobs.get(number, 0) if earlier is not None else count
+            new[number] += max(0, count - known)
+    for number, count in sorted(new.items()):
+        if count:
+            yield Finding("D16", f"partition {number}", f"{count} jobs were handed in and not kept just now",
+                          "event E174 in the logs of the edges names who was asked, and why it failed")  # fmt: skip
+
+
 def _control_findings(fleet: FleetStatus) -> Iterator[Finding]:
     """What is wrong with the control members, as each primary sees it."""
     members = fleet.control_members()
--- a/postpass/cli/status_page.py
+++ b/postpass/cli/status_page.py
@@ -41,6 +41,7 @@
     members: dict[str, str]
     replicas: dict[str, ReplicaStatus]
     fully_synced: bool = True
+    awaited: tuple[str, ...] = ()  # whose acknowledgements the first uncovered record lacks
 
     @classmethod
     def from_json(cls, raw: Mapping[str, Any]) -> Self:
@@ -51,7 +52,7 @@
         }
         return cls(
             raw["part"], raw["owning"], raw["epoch"], raw["last"], raw["covered"], raw["lots"], raw["open"],
-            raw["losses"], raw["crew"], replicas, raw.get("complete", True),
+            raw["losses"], raw["crew"], replicas, raw.get("complete", True), tuple(raw.get("awaited", ())),
         )  # fmt: skip
 
 
@@ -100,6 +101,9 @@
     store: StoreStatus | None = None
     control: Mapping[str, Any] | None = None
     workers: dict[str, WorkerStatus] = field(default_factory=dict)
+    unkept_jobs: dict[int, int] = field(
+        default_factory=dict
+    )  # without an acknowledgement since the start, by partition
     running_jobs: int | None = None  # at the machine that schedules, else None
 
     @classmethod
@@ -119,6 +123,7 @@
             store=StoreStatus.from_json(raw["store"]) if raw.get("store") else None,
             control=raw.get("control"),
             workers={key: WorkerStatus(w["barred"], w["mine"]) for key, w in raw.get("servers", {}).items()},
+            unkept_jobs={int(number): count for number, count in raw.get("unkept", {}).items()},
             running_jobs=scheduler["running"] if scheduler.get("active") else None,
         )
 
--- a/postpass/daemon/data_plane_status.py
+++ b/postpass/daemon/data_plane_status.py
@@ -50,6 +50,9 @@
     gauge("parts_owned", "Partitions owned here", lambda: len(owned_partitions(store)))
     gauge("records_not_covered", "Records of owned partitions beyond the frontier", lambda: unconfirmed_records(store))
     gauge("mirror_lag_records", "How far the furthest mirror is behind", lambda: replica_lag(store))
+    gauge(
+        "cover_stalled_seconds", "For how long the frontier that stands still longest does", store.cover_watch.longest
+    )
     gauge("lots_open", "Lots that are not finished", lambda: open_jobs(store))
     gauge(
         "losses",
@@ -73,6 +76,7 @@
         out["store"] = (await store.on_parts({})).unwrap()
     if edge is not None:
         out["servers"] = worker_status(edge)
+        out["unkept"] = {str(number): count for number, count in sorted(edge.unkept_jobs.items())}
     if scheduler is not None:
         out["sched"] = scheduler.status()
     return out
--- a/postpass/gateway/edge_state.py
+++ b/postpass/gateway/edge_state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter as Counts
 from collections import deque
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, NamedTuple
@@ -19,13 +20,16 @@
 from postpass.gateway.owner_client import OwnerClient
 from postpass.gateway.worker_load import WorkerLoad
 from postpass.rpc.peer_links import PeerLinks
+from postpass.runtime import log_events
 from postpass.runtime.environment import Environment, now
 from postpass.runtime.errors import Fault
+from postpass.runtime.log_events import Event
 
 if TYPE_CHECKING:
     import aiohttp
 
 REMEMBERED_JOBS = 4000
+UNKNOWN = 504  # the status of an answer that promises nothing
 
 
 class AcceptedJob(NamedTuple):
@@ -49,6 +53,8 @@
     retry_budget: RetryBudget = field(default_factory=RetryBudget)
     # Should more stores be lost than is tolerated, the names of the newest jobs are not lost with them.
     accepted_jobs: deque[AcceptedJob] = field(default_factory=lambda: deque(maxlen=REMEMBERED_JOBS))
+    # Jobs that got no acknowledgement since the start, though no bound of the client's was reached; by partition.
+    unkept_jobs: Counts[int] = field(default_factory=Counts)
 
     def __post_init__(self) -> None:
         self.admission = AdmissionControl(self.settings, self.configuration_view, self.worker_load)
@@ -59,6 +65,10 @@
             "postpass_first_piece_seconds", "Time to the first piece", ["kind"], registry=registry
         )
         self.jobs_total = Counter("postpass_lots", "Lots handed in, by answer", ["end"], registry=registry)
+        self.unkept_total = Counter(
+            "postpass_lots_not_kept", "Lots without an acknowledgement, by partition and cause", ["partition", "cause"],
+            registry=registry,
+        )  # fmt: skip
         Gauge("postpass_backlog", "Calls waiting for a seat", registry=registry).set_function(
             lambda: sum(queue.size for queue in admission.queues.values())
         )
@@ -101,6 +111,17 @@
         """The client was just told that its job is kept."""
         self.accepted_jobs.append(AcceptedJob(job_id, now()))
 
+    def note_unkept(self, job_id: str, fault: Fault, status: int) -> None:
+        """A client was just told that its job is not kept, or that this is not known, for a fault of the fleet's."""
+        number = self.to_partition(job_id)
+        cause = "unknown" if status == UNKNOWN else "refused"
+        self.unkept_total.labels(str(number), cause).inc()
+        self.unkept_jobs[number] += 1
+        log_events.emit(
+            Event.JOB_NOT_KEPT, self.settings.name, id=job_id, part=number, status=status, step=fault.step, asked=fault.peer,
+            why=fault.why,
+        )  # fmt: skip
+
     def remembered_jobs(self, partition: int) -> list[str]:
         """Jobs of a partition that were accepted so lately that none of them can have left by the retention."""
         oldest = now() - self.configuration.get("retention", 3600.0)
--- a/postpass/gateway/job_routes.py
+++ b/postpass/gateway/job_routes.py
@@ -103,8 +103,11 @@
         # With an id of the client's an earlier try may stand, so that nothing sent now proves nothing.
         if fault.code in REJECTIONS or (fault.unsent and not named):
             jobs_total.labels("shed").inc()
+            if fault.code != CROWD:
+                self.edge.note_unkept(job_id, fault, fault.code if fault.code in REJECTIONS else 503)
             return fault_response(fault, fault.code if fault.code in REJECTIONS else 503, id=job_id, state="shed")
         jobs_total.labels("unknown").inc()
+        self.edge.note_unkept(job_id, fault, 504)
         return fault_response(fault, 504, id=job_id, state="unknown", ask=f"/v1/lots/{job_id}")
 
     async def show_or_end(self, request: Request) -> Response:
--- a/postpass/replication/owner_duties.py
+++ b/postpass/replication/owner_duties.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from postpass.batch.retention import Retention
+from postpass.replication.cover_watch import CoverWatch
 from postpass.replication.handover import Handover
 from postpass.replication.partition import Partition
 from postpass.replication.partition_table import PartitionTable
@@ -23,6 +24,7 @@
     reconfiguration: Reconfiguration
     handover: Handover
     retention: Retention
+    cover_watch: CoverWatch
 
     def run(self, partition: Partition) -> None:
         """One heartbeat of an owner. Steps down if no quorum was heard for 1.5 times the detection time, or if what is left
@@ -37,6 +39,7 @@
         else:
             partition.heard = moment
         self.streams.wake_all(partition)
+        self.cover_watch.observe(partition)
         if self.cannot_cover(partition):
             partition.uncoverable_since = partition.uncoverable_since or moment
             if moment - partition.uncoverable_since > bounds.detect:
--- a/postpass/replication/store.py
+++ b/postpass/replication/store.py
@@ -27,6 +27,7 @@
 from postpass.feed.configuration_view import ConfigurationView
 from postpass.replication.acknowledger import Acknowledger
 from postpass.replication.catch_up import CatchUp
+from postpass.replication.cover_watch import CoverWatch, members_awaited
 from postpass.replication.election import Election
 from postpass.replication.handover import Handover
 from postpass.replication.leadership_check import LeadershipCheck
@@ -74,7 +75,10 @@
         self.leases = Leases(self.table, self.owner, self.leadership)
         self.job_service = JobService(self)
         self.retention = Retention(self.table, self.owner, self.leases, self.job_service)
-        self.duties = OwnerDuties(self.table, self.streams, self.reconfiguration, self.handover, self.retention)
+        self.cover_watch = CoverWatch(self.table)
+        self.duties = OwnerDuties(
+            self.table, self.streams, self.reconfiguration, self.handover, self.retention, self.cover_watch
+        )
 
     def ownership_began(self, number: int) -> None:
         """An ownership begins: what was kept in memory for the one before counts no more."""
@@ -144,6 +148,10 @@
         """A covered job of the client that asks, after ownership was confirmed."""
         return await self.jobs.read(body, step)
 
+    def members_awaited(self, partition: Partition) -> list[str]:
+        """As owner: whose acknowledgements the first uncovered record lacks."""
+        return members_awaited(partition)
+
     def complete(self, partition: Partition) -> bool:
         """As owner: have all members synced the last change of members, with the proof of it?"""
         return self.reconfiguration.complete(partition)
@@ -216,6 +224,7 @@
                 "part": p.id, "owner": p.owner, "epoch": max(p.epoch, p.aligned), "last": p.record_log.last, "covered": p.covered,
                 "persisted": p.persisted, "owning": p.owning, "ready": p.ready, "bytes": p.record_log.size,
                 "crew": p.members, "complete": self.reconfiguration.complete(p), "losses": p.view.losses,
+                "awaited": members_awaited(p) if p.owning else [],
                 "mirrors": {
                     n: {"persisted": p.acknowledgements.get(n, f.disk, "persisted"), "silent": f.silent, "full": f.full, "disk": f.disk}
                     for n, f in sorted(p.mirrors.items())
--- a/postpass/runtime/log_events.py
+++ b/postpass/runtime/log_events.py
@@ -43,6 +43,7 @@
     MEMBERS_CHANGED = 124
     PARTITION_DATA_LOSS = 125
     OWNERSHIP_HANDED_OVER = 126
+    COVER_STALLED = 127
     PRIMARY_ELECTED = 130
     PRIMARY_STEPPED_DOWN = 131
     BACKUP_CHANGED = 132
@@ -69,6 +70,7 @@
     WORKER_AVOIDED = 171
     PROXY_LATE = 172
     PROXY_REJECTED = 173
+    JOB_NOT_KEPT = 174
 
 
 DESCRIPTIONS: dict[Event, str] = {
@@ -93,6 +95,9 @@
     Event.MEMBERS_CHANGED: "A partition's members changed; the record that says so is covered under both.",
     Event.PARTITION_DATA_LOSS: "More was lost than is tolerated: the partition resumes with the best log there is.",
     Event.OWNERSHIP_HANDED_OVER: "An owner handed its partition to the one that stands before it in the agreed order.",
+    Event.COVER_STALLED: (
+        "Records of a partition are not covered for the detection time; whose acknowledgements are missing follows."
+    ),
     Event.PRIMARY_ELECTED: "This control machine is the primary of a new epoch.",
     Event.PRIMARY_STEPPED_DOWN: "This control machine is no longer the primary: a higher epoch was seen.",
     Event.BACKUP_CHANGED: "The primary took another backup, under a new epoch.",
@@ -129,6 +134,9 @@
     Event.PROXY_REJECTED: (
         "Proxied requests were rejected, none of which ran; their number by cause since the last such line."
     ),
+    Event.JOB_NOT_KEPT: (
+        "A job that was handed in got no acknowledgement; its partition, who was asked last and the cause follow."
+    ),
 }
 
 # Names up to release 0.2.0, for those who search older logs.
--- a/sim/announced.py
+++ b/sim/announced.py
@@ -16,6 +16,7 @@
 
 from postpass.configuration.settings import Settings
 from postpass.control.daemon import ControlPlane
+from postpass.daemon.data_plane import DataPlane
 from postpass.runtime.environment import Environment
 from sim.clients import Clients, Entry, Kind
 from sim.disk import SimDisk
@@ -172,6 +173,24 @@
             word = {"changed": f"changed.{status}", "lot_told": f"lot.{status}"}.get(event["ev"]) or str(event["ev"])
             self.points.hit(word, str(event.get("via") or event.get("from") or ""))
 
+    def log_replicas(self) -> None:
+        """Records the partitions that have a ready owner, with what it holds and covers, and its members. Nothing is
+        recorded where a stand-in system runs."""
+        daemons = [box.daemon for box in self.boxes.values() if box.up and isinstance(box.daemon, DataPlane)]
+        rows = [
+            {
+                "partition": p.id, "owner": daemon.settings.name, "last": p.record_log.last, "covered": p.covered,
+                "members": sorted(p.view.members), "wanted": sorted(daemon.configuration_view.order(p.id)),
+            }
+            for daemon in daemons
+            if daemon.store is not None
+            for p in daemon.store.partitions.values()
+            if p.ready
+        ]  # fmt: skip
+        known = [c for d in daemons if (c := d.configuration_view.manifest) is not None]
+        if known:
+            self.log({"ev": "replicas", "rows": rows, "partitions": known[0]["parts"]})
+
     # --- machines
     def add_machine(self, kind: str, zone: str) -> Machine:
         spot = self.zones.index(zone)
--- a/sim/days.py
+++ b/sim/days.py
@@ -55,11 +55,19 @@
     probes.cancel()
     fleet.log({"ev": "traffic_over"})
     await fleet.out(together(fleet.operator.read_back(), fleet.clients.audit(settle)))
+    await look_at_replicas(fleet)
     core, stores = (frozenset(machine.name for machine in fleet.of(kind, gone=True)) for kind in ("core", "store"))
     day = Day(fleet.events, fleet.limits, core, stores, fleet.closing or EVER)
     return fleet, breaches(day)
 
 
+async def look_at_replicas(fleet: AnnouncedFleet) -> None:
+    """Records who owns which partition, with what, twice at a second's distance."""
+    for pause in (1.0, 0.0):
+        fleet.log_replicas()
+        await asyncio.sleep(pause)
+
+
 async def together(*coros: Coroutine[Any, Any, None]) -> None:
     """Waits for several at once."""
     await asyncio.gather(*coros)
--- a/sim/rules/checks.py
+++ b/sim/rules/checks.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 
-from sim.rules import acknowledgements, answers, configuration_changes, jobs, overload, planned_work, routing
+from sim.rules import acknowledgements, answers, configuration_changes, jobs, liveness, overload, planned_work, routing
 from sim.rules.day import Day
 
 Check = Callable[[Day], list[str]]
@@ -33,6 +33,8 @@
     "EVAC": planned_work.evacuation,
     "LOT_MIXED": jobs.wrong_results,
     "QUOTA": jobs.quota,
+    "LOT_KEPT": liveness.unkept_jobs,
+    "REPLICAS": liveness.standing_replicas,
     "RECOVER": overload.recovery,
     "FAULT": overload.faults,
 }
--- /dev/null
+++ b/sim/rules/liveness.py
@@ -0,0 +1,72 @@
+"""Rules of liveness: within the tolerance and some time after the last trouble, each partition takes jobs, covers what it
+has, and has all the members that the configuration wants.
+
+The other rules say what must never happen; these say what must happen in the end, so that a partition that stands still
+is no silent loss.
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict
+
+from sim.rules.day import Day
+from sim.rules.history import Event
+
+LEAST_TRIES = 2  # of a job, before it counts as one that is not kept
+# Answers that say why a job is not kept, and that it needn't be: the route's quota, or what is wrong with the job.
+REASONED = frozenset({400, 409, 413, 422, 429})
+
+
+def calm_before(day: Day, time: float, seconds: float) -> bool:
+    """Was there no trouble of control or stores in so many seconds before?"""
+    return not any(time - seconds <= moment <= time for moment in day.contact.disturbances)
+
+
+def unkept_jobs(day: Day) -> list[str]:
+    """LOT_KEPT: a job that comes again and again in a calm time is acknowledged, or refused with a reason.
+
+    Calm is twice `contactMs` without trouble of control or stores before its first try, and none until its last.
+    """
+    tries: dict[str, list[Event]] = defaultdict(list)
+    sent: dict[str, Event] = {}
+    for event in day.of("lot_sent", "lot_told"):
+        if event["ev"] == "lot_sent":
+            sent.setdefault(event["lot"], event)
+        else:
+            tries[event["lot"]].append(event)
+    wait = 2 * day.seconds("contactMs")
+    breaches = []
+    for job, told in tries.items():
+        statuses = [event["status"] for event in told]
+        first, last = sent[job]["t"], told[-1]["t"]
+        if len(told) < LEAST_TRIES or 202 in statuses or REASONED & set(statuses):
+            continue
+        calm = calm_before(day, last, wait + last - first)
+        if calm and all(day.contact.in_contact(event["via"], event["t"], first) for event in told):
+            breaches.append(f"lot {job}, sent at {first:.2f}, is not kept in a calm time: {statuses}")
+    return breaches
+
+
+def standing_replicas(day: Day) -> list[str]:
+    """REPLICAS: when the day ends in calm, each partition has one ready owner, all members that the configuration wants, and
+    covers what it held a second before."""
+    looks = day.of("replicas")
+    if not looks or not calm_before(day, looks[0]["t"], day.seconds("syncS") + day.seconds("contactMs")):
+        return []
+    first, last = ({row["partition"]: row for row in look["rows"]} for look in (looks[0], looks[-1]))
+    breaches = []
+    for number in range(looks[-1]["partitions"]):
+        row = last.get(number)
+        if row is None:
+            breaches.append(f"partition {number} has no ready owner")
+            continue
+        held = first[number]["last"] if number in first else 0
+        if row["covered"] < held:
+            breaches.append(
+                f"partition {number} of {row['owner']} covers {row['covered']}, it held {held} a second before"
+            )
+        if set(row["members"]) != set(row["wanted"]):
+            breaches.append(
+                f"partition {number} of {row['owner']} has the members {row['members']}, not {row['wanted']}"
+            )
+    return breaches
--- a/tests/cli/test_doctor.py
+++ b/tests/cli/test_doctor.py
@@ -49,3 +49,9 @@
     assert found(machine("e1", servers=barred)) == {"D12"}
     assert found(part(losses=1)) == {"D13"}
     assert found(machine("e1", release="0.2")) == {"D14"}
+    behind = part(last=9, covered=5, awaited=["s3"])
+    assert found(behind, behind) == {"D15"}
+    assert found(behind) == set() and found(part(last=9, covered=6), behind) == set()
+    assert found(part(last=9, covered=5, epoch=99), behind) == set()
+    unkept = machine("e1", unkept={"3": 2})
+    assert found(unkept) == {"D16"} and found(unkept, unkept) == set()
--- a/tests/sim/test_broken_variants.py
+++ b/tests/sim/test_broken_variants.py
@@ -17,6 +17,7 @@
 from postpass.batch.job_api import JobApi
 from postpass.batch.job_service import JobService
 from postpass.batch.quota import Budget
+from postpass.batch.quota_service import QuotaService
 from postpass.control.daemon import ControlPlane
 from postpass.daemon.data_plane import DataPlane
 from postpass.daemon.gossip import Gossip
@@ -29,6 +30,8 @@
 from postpass.gateway.upstream_connection import UpstreamConnection
 from postpass.gateway.worker_selection import WorkerSelection
 from postpass.membership import registry
+from postpass.replication.partition import Partition
+from postpass.replication.reconfiguration import Reconfiguration
 from postpass.routing import live_choice
 from postpass.runtime.environment import now
 from postpass.runtime.errors import LACK, SLOW, Fault
@@ -342,6 +345,25 @@
     mp.setattr(JobApi, "accept", accept)
 
 
+# --- liveness
+def budget_never_answers(mp: pytest.MonkeyPatch) -> None:
+    async def reserve(self: QuotaService, body: dict[str, Any]) -> Any:
+        return Err(Fault("reserve", self.store.settings.name, "not now", SLOW))
+
+    mp.setattr(QuotaService, "on_reserve", reserve)
+
+
+def lets_nobody_in(mp: pytest.MonkeyPatch) -> None:
+    """An owner that never changes the members of its partitions."""
+    mp.setattr(Reconfiguration, "change_next", lambda self, partition: None)
+
+
+def covers_nothing_more(mp: pytest.MonkeyPatch) -> None:
+    """An owner that counts no acknowledgement any more, some seconds into the day."""
+    plain = Partition.advance
+    mp.setattr(Partition, "advance", lambda self: now() < LEAD + 4 and plain(self))
+
+
 # --- after a loss, and faults
 def stays_down(mp: pytest.MonkeyPatch) -> None:
     """After the closing fault it never finds back."""
@@ -405,6 +427,9 @@
     ("LOT_MIXED", texts_fall_short, LOAD),
     ("LOT_MIXED", gives_up_at_once, "clients view 1 lots 2x20\nat 1 fault worker:llm:0 grey 0.2 for 9\n"),
     ("QUOTA", no_quota, "clients view 1 lots 3x30\n"),
+    ("LOT_KEPT", budget_never_answers, "clients view 1 lots 2x4\n"),
+    ("REPLICAS", lets_nobody_in, "clients view 1 lots 1x4\nrun 14\nat 1 add store 0\n"),
+    ("REPLICAS", covers_nothing_more, "clients view 1 lots 2x4\n"),
     ("RECOVER", stays_down, "clients view 8\nrun 26\nat 3 closing kill_all for 1\n"),
     ("FAULT", ends_itself, "clients view 4\n"),
 ]  # fmt: skip
--- a/tests/sim/test_rules.py
+++ b/tests/sim/test_rules.py
@@ -140,7 +140,32 @@
     }
 ]
 
+
 # Histories of one breach each, by the rule that must catch it, and that rule alone.
+def handed_in(*statuses: int, t: float = 10.0) -> list[Event]:
+    """A lot with the answers to its tries, a second apart."""
+    sent = lot(t=t)[0]
+    tries: list[Event] = []
+    for i, status in enumerate(statuses):
+        tries += [sent | {"t": t + i, "try": i},
+                  {"ev": "lot_told", "t": t + i + 0.5, "lot": sent["lot"], "via": "edge", "status": status, "why": ""}]  # fmt: skip
+    return tries
+
+
+def replicas(covered: int = 5, owner: str = "s1", members: Any = ("s1", "s2", "s3"), t: float = 30.0) -> list[Event]:
+    """Two looks at the one partition."""
+    row = {
+        "partition": 0,
+        "owner": owner,
+        "last": 5,
+        "covered": covered,
+        "members": list(members),
+        "wanted": ["s1", "s2", "s3"],
+    }
+    rows = [row] if owner else []
+    return [{"ev": "replicas", "t": t + i, "rows": rows, "partitions": 1} for i in (0.0, 1.0)]
+
+
 BAD: dict[str, list[list[Event]]] = {
     "MIXED": [
         [*FIRST, request(), *reach(), answer(seal="")],
@@ -230,6 +255,12 @@
         [*FIRST, {"ev": "drains", "t": 5.0, "worker": "w1"}, {"ev": "traffic_over", "t": 10.0}],
     ],
     "QUOTA": [[*FIRST, *lot(tokens=2_000_000)]],
+    "LOT_KEPT": [[*FIRST, *handed_in(503, 504, 503)], [*FIRST, *handed_in(0, 0)]],
+    "REPLICAS": [
+        [*FIRST, *replicas(covered=4)],
+        [*FIRST, *replicas(members=["s1", "s2"])],
+        [*FIRST, *replicas(owner="")],
+    ],
     "RECOVER": [[*FIRST, *SERVED * 4, {"ev": "trouble", "t": 20.0, "machine": "edge", "what": "down", "on": None},
                  {"ev": "trouble", "t": 21.0, "machine": "edge", "what": "start", "on": None},
                  *(SERVED[0] | {"t": 40.0, "began": 36.0, "good": False} for _ in range(5))]],
@@ -274,6 +305,19 @@
     assert breaches(day([*FIRST, beat("draining", 5.0), cut, request(), *reach(), answer()])) == {}
 
 
+def test_jobs_and_replicas_wait_while_stores_are_in_trouble() -> None:
+    for t in (5.0, 10.4):
+        shock = {"ev": "trouble", "t": t, "machine": "core", "what": "start", "on": None}
+        assert breaches(day([*FIRST, shock, *handed_in(503, 504)])) == {}
+    late = {"ev": "trouble", "t": 25.0, "machine": "core", "what": "start", "on": None}
+    assert breaches(day([*FIRST, late, *replicas(owner="")])) == {}
+
+
+def test_a_job_that_is_refused_for_a_reason_need_not_be_kept() -> None:
+    for statuses in ((503, 429), (503, 202), (400,), (503,)):
+        assert "LOT_KEPT" not in breaches(day([*FIRST, *handed_in(*statuses)]))
+
+
 def test_orders_wait_while_the_core_is_unsettled() -> None:
     sent = [*FIRST, changed(2, config(5), 3, 5.0)[0], {"ev": "traffic_over", "t": 10.0}]
     shocks = [{"ev": "trouble", "t": t, "machine": "core", "what": "start", "on": None} for t in (6.0, 8.5)]
