Let a holder's later state count when control looks for what is left of its state

Cause: a state counted only if it was exactly of the newest granted epoch. Ruled out: leaving it to the candidate's pre-vote (may_run) alone: it is asked before the promises, and what it saw may have changed by then. Change: Campaign.able takes a holder's later state as well, and decide() lets such a holder resume; nothing is acknowledged under an epoch that was not granted, and a proposal goes on from a state that may lead. The former rule is a mutant that is found.

--- a/postpass/control/election_rules.py
+++ b/postpass/control/election_rules.py
@@ -155,12 +155,16 @@
 
     @property
     def able(self) -> list[str]:
-        """The holders of the newest replica set that answered with that epoch's state, on the disk that it names."""
+        """The holders of the newest replica set that answered with that epoch's state or a later one, on the disk that it
+        names.
+
+        A later state was proposed and not granted: it went on from this epoch's, since whoever proposed it was a holder
+        that could lead, and nothing was acknowledged under it."""
         newest = newest_replica_set(self.promises)
         return [
             name
             for name, answer in self.promises.items()
-            if answer.state_epoch == newest.epoch and name in newest and newest.voters.get(name) == answer.disk
+            if answer.state_epoch >= newest.epoch and name in newest and newest.voters.get(name) == answer.disk
         ]
 
     @property
@@ -229,8 +233,8 @@
     # Case: another one can lead with that state, and goes first.
     if able[0] != me:
         return Refused(flaw)
-    # Case: this one told that it holds that state, and has taken another one since.
-    if own.epoch != newest_replica_set(campaign.promises).epoch:
+    # Case: this one told that it holds that state, and has an older one.
+    if own.epoch < newest_replica_set(campaign.promises).epoch:
         return Refused(flaw)
     # Case: too many voters lost their disks for a majority, but all members are here and this one has the state.
     return Resume(unanimous=True)
--- a/tests/model/test_control.py
+++ b/tests/model/test_control.py
@@ -64,8 +64,9 @@
         (VOTER_WIPED_AFTER_ITS_GRANT, SMALL._replace(wipes=1, epochs=3, bases=())),
         (VOTER_WIPED_AFTER_ITS_GRANT, SMALL._replace(wipes=1, epochs=4)),
         (ORDER_ACKNOWLEDGED_BEFORE_THE_WIPE, SMALL._replace(wipes=1, epochs=4)),
+        (VOTER_WIPED_AFTER_ITS_GRANT, SMALL._replace(wipes=1, epochs=5, bases=())),
     ],
-    ids=["led twice", "led twice, with an order", "order before the wipe"],
+    ids=["led twice", "led twice, with an order", "order before the wipe", "no loss is told"],
 )
 def test_the_product_bears_voters_of_an_epoch_that_nobody_granted(after: tuple[str, ...], size: Size) -> None:
     model = ControlModel(size, REPAIRED)
--- a/tests/support/model_mutants.py
+++ b/tests/support/model_mutants.py
@@ -252,6 +252,16 @@
     "c2 proposes epoch 2 with the backups c3",
 )
 
+
+def gives_up_a_later_state(heard: transcribed.Heard) -> tuple[str, bool]:
+    """A state later than the newest granted epoch counts as none, as up to release 0.3."""
+    newest = max(heard.granted.values(), key=lambda replica_set: replica_set.epoch)
+    able = [n for n, epoch in heard.state_epochs.items() if epoch == newest.epoch and n in newest.holders]
+    if heard.all_answered and not able:
+        return "", True
+    return transcribed.without_majority(heard)
+
+
 # The rules of release 0.2.0: faults A and C and hazard 8 of the review, and two that the model found.
 RELEASED = [
     Mutant(
@@ -287,6 +297,13 @@
         SMALL._replace(wipes=1),
         frozenset({Invariant.KEPT}),
     ),
+    Mutant(
+        "a state later than the newest granted epoch counts as none",
+        replace(REPAIRED, without_majority=gives_up_a_later_state),
+        Invariant.NO_FALSE_LOSS,
+        SMALL._replace(wipes=1, epochs=5, bases=()),
+        after=VOTER_WIPED_AFTER_ITS_GRANT,
+    ),
     Mutant(
         "the voters of an epoch that nobody granted elect a primary",
         NEW_VOTERS_ALONE,
