--- a/postpass/control/election_rules.py
+++ b/postpass/control/election_rules.py
@@ -29,6 +29,7 @@
 FOUNDED_BY_ALL = "a fleet is founded only when all its control machines answer"
 NO_MAJORITY = "too few voters answered that they hear no other primary"
 NOTHING_TO_BEGIN_FROM = "nothing to begin from"
+PREVOTE_TOO_OLD = "the pre-vote was too long ago"
 
 
 class Cause(Enum):
@@ -65,6 +66,22 @@
 
 
 # --- the pre-vote
+@dataclass(frozen=True)
+class PreVotes:
+    """The answers to one pre-vote, and when it was asked, in seconds of the candidate's own monotonic clock.
+
+    They say who heard a primary at that time, and are good for a short while only: a candidate that was frozen since would
+    ask for promises that it was once entitled to, and could depose a primary that most voters hear again.
+    """
+
+    answers: Mapping[str, VoteAnswer]
+    asked_at: float
+
+    def is_fresh(self, moment: float, limit: float) -> bool:
+        """May promises still be asked for on the strength of these answers? They are good for `limit` seconds."""
+        return moment - self.asked_at <= limit
+
+
 def prevote_won(members: set[str], answers: Mapping[str, VoteAnswer]) -> bool:
     """The rule of the pre-vote, by the voters of the newest epoch that an answer tells."""
     prevotes = [answer.prevote(name) for name, answer in answers.items()]
@@ -138,12 +155,16 @@
 
     @property
     def able(self) -> list[str]:
-        """The holders of the newest replica set that answered with that epoch's state, on the disk that it names."""
+        """The holders of the newest replica set that answered with that epoch's state or a later one, on the disk that it
+        names.
+
+        A later state was proposed and not granted: it went on from this epoch's, since whoever proposed it was a holder
+        that could lead, and nothing was acknowledged under it."""
         newest = newest_replica_set(self.promises)
         return [
             name
             for name, answer in self.promises.items()
-            if answer.state_epoch == newest.epoch and name in newest and newest.voters.get(name) == answer.disk
+            if answer.state_epoch >= newest.epoch and name in newest and newest.voters.get(name) == answer.disk
         ]
 
     @property
@@ -212,8 +233,8 @@
     # Case: another one can lead with that state, and goes first.
     if able[0] != me:
         return Refused(flaw)
-    # Case: this one told that it holds that state, and has taken another one since.
-    if own.epoch != newest_replica_set(campaign.promises).epoch:
+    # Case: this one told that it holds that state, and has an older one.
+    if own.epoch < newest_replica_set(campaign.promises).epoch:
         return Refused(flaw)
     # Case: too many voters lost their disks for a majority, but all members are here and this one has the state.
     return Resume(unanimous=True)
