--- a/sim/replay.py
+++ b/sim/replay.py
@@ -7,18 +7,21 @@
 python -m sim.replay --runs 40                          # each programme of sim.crash, under each disturbance
 python -m sim.replay --runs 40 --programmes takeover --disturbances clock
 python -m sim.replay --runs 4 --scenarios calm,owner-power
+python -m sim.replay --scenarios calm --record_to FILE  # what a run passes, as text, to compare runs of two folders
 """
 
 from __future__ import annotations
 
 import contextlib
 import gc
+import json
 import random
 import sys
 import time
 from collections.abc import Callable, Iterator, Sequence
 from contextlib import AbstractContextManager, contextmanager
 from dataclasses import dataclass
+from pathlib import Path
 from typing import Any
 from unittest import mock
 
@@ -62,6 +65,13 @@
     return Recording(tuple(points), tuple(report.events), report.fleet.loop.ran)
 
 
+def written(recording: Recording) -> str:
+    """A recording as text: a line for each point and each event, and at last the number of callbacks."""
+    points = [json.dumps([at, str(point)]) for at, point in recording.points]
+    events = [json.dumps(event, default=str) for event in recording.events]
+    return "\n".join([*points, *events, f"{recording.callbacks} callbacks", ""])
+
+
 def compare(recorded: Recording, replayed: Recording) -> Divergence | None:
     """The first difference of two recordings, if there is one."""
     for kind, was, now in (
@@ -153,6 +163,7 @@
     scenarios: str | Sequence[str] = "",
     disturbances: str | Sequence[str] = tuple(DISTURBANCES),
     seed: int = 1,
+    record_to: str = "",
 ) -> int:
     """Prints how many replays of each programme or scenario diverged; exit 1 if any did.
 
@@ -162,10 +173,14 @@
       scenarios: names of files in sim/scenarios, without .txt.
       disturbances: which of them, with commas between them.
       seed: the seed of the recorded runs.
+      record_to: a file to write the recordings to, instead of replaying them; to compare runs of other folders.
     """
     names = listed(programmes) or ([] if scenarios else list(PROGRAMMES))
     chosen = [parse(PROGRAMMES[name].text, name) for name in names]
     chosen += [parse((FOLDER / f"{name}.txt").read_text(), name) for name in listed(scenarios)]
+    if record_to:
+        Path(record_to).write_text("".join(written(record(scenario, seed)) for scenario in chosen))
+        return 0
     bad = 0
     for scenario in chosen:
         for disturbance in listed(disturbances):
--- a/tests/sim/test_replay.py
+++ b/tests/sim/test_replay.py
@@ -3,7 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import os
+import shutil
+import subprocess
+import sys
 import time
+from pathlib import Path
 
 import aiohttp
 import pytest
@@ -17,6 +22,7 @@
 from sim.scenario import FOLDER, parse
 
 IDLE_LIMIT = 2.0
+ROOT = Path(__file__).parents[2]
 
 
 @pytest.mark.parametrize("disturbance", DISTURBANCES)
@@ -31,6 +37,27 @@
     assert [str(found) for found in replay.replay(scenario, 1, "addresses", runs=2)] == []
 
 
+FOLDERS = ("a", "another folder, whose name is longer/and which stands deeper")
+SOURCES = ("postpass", "sim", "bench", "platform")
+
+
+def recorded_in(folder: Path, scenario: str) -> bytes:
+    """What a run of a scenario passes that is played by a copy of the sources in a folder, in a process of its own."""
+    for name in SOURCES:
+        shutil.copytree(ROOT / name, folder / name, ignore=shutil.ignore_patterns("__pycache__"))
+    target = folder / "recording"
+    command = [sys.executable, "-m", "sim.replay", "--scenarios", scenario, "--record_to", str(target)]
+    subprocess.run(command, cwd=folder, env=os.environ | {"PYTHONPATH": str(folder)}, check=True, capture_output=True)
+    return target.read_bytes()
+
+
+def test_copies_of_the_sources_in_two_folders_play_the_same_run(tmp_path: Path) -> None:
+    """Folders of other names, lengths and depths; the compiled files are made anew in each."""
+    one, two = (recorded_in(tmp_path / folder, "announced/retire-then-wipe") for folder in FOLDERS)
+    assert one.count(b"\n") > 1000
+    assert one == two
+
+
 def test_an_ordered_set_is_walked_as_its_elements_came() -> None:
     ordered = OrderedSet([3, 1, 2])
     ordered.discard(3)
