Let a primary of control step down while its disk is full

Cause: a primary whose disk took no more refused every order until someone made room or stopped it, while other members had room; that was written down as the operator's work, and nothing had brought it about.

--- a/postpass/control/leadership.py
+++ b/postpass/control/leadership.py
@@ -132,6 +132,9 @@
             key=lambda name: (name not in self.replicated_state.replica_set, self.members(configuration).index(name)),
         )
         rank = ranked_members.index(self.settings.name)
+        if self.disk_was_full:
+            # Behind all others: it could not take what it would be sent as the primary.
+            rank += len(ranked_members)
         if (
             now() - self.leader_silent_since <= bounds.detect + rank * bounds.stagger
             or now() < self.candidate_until + rank * bounds.stagger
--- a/postpass/control/member.py
+++ b/postpass/control/member.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 from collections.abc import Coroutine
 from dataclasses import dataclass, field
 from typing import Any
@@ -66,6 +67,7 @@
     lock: asyncio.Lock = field(default_factory=asyncio.Lock)
     disk_lock: asyncio.Lock = field(default_factory=asyncio.Lock)
     disk_failure: str = ""
+    disk_full_at: float = -INFINITY  # when a write last failed for want of room, in monotonic seconds
     configuration_on_disk: Configuration | None = None
 
     def __init__(
@@ -102,6 +104,7 @@
         self.next_confirmation: asyncio.Task[int] | None = None
         self.confirmation_lock = asyncio.Lock()
         self.lock, self.disk_lock, self.disk_failure = asyncio.Lock(), asyncio.Lock(), ""
+        self.disk_full_at = -INFINITY
         self.fetches: set[asyncio.Task[Any]] = set()
 
         for name, text, read in (
@@ -187,6 +190,11 @@
         """Is a write under way? Where it lasts, the disk stalls."""
         return self.disk_lock.locked() or self.journal.lock.locked()
 
+    @property
+    def disk_was_full(self) -> bool:
+        """Did a write fail lately for want of room? Such a member is the last choice for a primary."""
+        return now() - self.disk_full_at <= self.settings.bounds.recover
+
     def stored(self) -> ReplicatedState:
         """The state that was synced here last."""
         image = self.journal.image
@@ -201,7 +209,9 @@
         try:
             return await write
         except FaultError as stop:
-            if stop.fault.code != FULL:
+            if stop.fault.code == FULL:
+                self.disk_full_at = now()
+            else:
                 self.fail_disk(stop.fault.why)
             raise
 
@@ -225,7 +235,8 @@
             async with self.disk_lock:
                 await self.disk.write(name, data)
         except OSError as bad:
-            if bad.errno == 28:
+            if bad.errno == errno.ENOSPC:
+                self.disk_full_at = now()
                 raise FaultError(Fault("sync", self.settings.name, f"{name}: {bad.strerror}")) from bad
             raise FaultError(self.fail_disk(f"{name}: {bad.strerror}")) from bad
 
--- a/postpass/control/replica.py
+++ b/postpass/control/replica.py
@@ -16,7 +16,7 @@
 from postpass.rpc.codec import Body, PeerResponse
 from postpass.runtime import log_events
 from postpass.runtime.environment import gather_until, now
-from postpass.runtime.errors import Fault, FaultError
+from postpass.runtime.errors import FULL, Fault, FaultError
 from postpass.runtime.log_events import Event
 
 
@@ -178,6 +178,11 @@
                 return False
             if not replica_set.confirmed_by(answers):
                 answers += await others
+        except FaultError as bad:
+            if bad.fault.code == FULL:
+                # Nothing was written, and nothing will be while there is no room; another may lead meanwhile.
+                self.step_down("the disk is full")
+            raise
         except TimeoutError:
             # While its disk stalls this member takes no change; another may lead meanwhile.
             self.step_down(epoch)
