Say nothing against a worker that has other weights than a client wants

Cause: the 421 of a worker whose weights have another version than a client's header asks for was taken for another worker at that address, and the worker was avoided for a moment. Change: where the request names a version, a 421 sends it elsewhere and marks nothing. The dialect knows that header.

--- a/postpass/configuration/header_names.py
+++ b/postpass/configuration/header_names.py
@@ -14,6 +14,7 @@
     :ivar request_id: names one attempt of a client; it comes back on the response.
     :ivar deadline_ms: milliseconds that the client waits, from now.
     :ivar want_worker: the incarnation of a worker that alone may run the request.
+    :ivar want_version: the version of a worker's weights that alone may run the request, where the client sets it.
     :ivar not_run: on a response, that the worker did not run the request.
     :ivar seal: on a response, the worker's stamp.
     :ivar urgency: 0 to 9, 0 first.
@@ -29,6 +30,7 @@
     request_id: str = "x-call-id"
     deadline_ms: str = "x-deadline-ms"
     want_worker: str = "x-want-worker"
+    want_version: str = "x-want-version"
     not_run: str = "x-not-run"
     seal: str = "x-seal"
     urgency: str = "x-urgency"
--- a/postpass/gateway/http_headers.py
+++ b/postpass/gateway/http_headers.py
@@ -46,6 +46,7 @@
         self.request_id = dialect.request_id.encode()
         self.deadline_ms = dialect.deadline_ms.encode()
         self.want_worker = dialect.want_worker.encode()
+        self.want_version = dialect.want_version.encode()
         self.answers = ResponseHeaderNames.of(dialect)
         self.urgency = dialect.urgency.encode()
         self.prompt = dialect.prompt.encode()
--- a/postpass/gateway/relay.py
+++ b/postpass/gateway/relay.py
@@ -314,7 +314,9 @@
         await self.read_refusal(exchange)
         request.attempt_log = request.attempt_log.mark(AttemptState.REJECTED, f"{exchange.status}")
         if checked.proof is Proof.OTHER_WORKER:
-            self._avoid(name, health, "another worker answers there")
+            # Where the client wants a version of the weights, the same status says that this worker has another one.
+            if not any(header == self.names.want_version for header, _ in request.headers):
+                self._avoid(name, health, "another worker answers there")
         else:
             health.is_full(now())
         return False
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -261,6 +261,20 @@
         play({"w1": refusing(status, *more), "w2": refusing(status, *more), "w3": well}, main)
 
 
+@pytest.mark.parametrize("wanted", [True, False])
+def test_a_worker_with_other_weights_than_a_client_wants_is_not_avoided(wanted: bool) -> None:
+    """A 421 says that another worker has the address, and the worker is avoided, unless the client asked for a version."""
+    headers = {"x_want_version": "7"} if wanted else {}
+
+    async def main(s: Scene) -> None:
+        assert (await s.ask("/i/x", **headers))[0] == 503
+        health = s.relay.workers.health_by_worker
+        assert [health[w].failures for w in ("w1", "w2")] == ([0, 0] if wanted else [1, 1])
+        assert all((b"x-want-version: 7" in w.seen[0].lower()) is wanted for w in s.workers)
+
+    play({"w1": refusing("421 Other"), "w2": refusing("421 Other")}, main)
+
+
 def test_dead_ports_are_a_proof_and_are_avoided() -> None:
     async def main(s: Scene) -> None:
         s.loop.kill(s.hosts[0])
