--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -264,7 +264,7 @@
 @pytest.mark.parametrize("wanted", [True, False])
 def test_a_worker_with_other_weights_than_a_client_wants_is_not_avoided(wanted: bool) -> None:
     """A 421 says that another worker has the address, and the worker is avoided, unless the client asked for a version."""
-    headers = {"x_want_version": "7"} if wanted else {}
+    headers: dict[str, Any] = {"x_want_version": "7"} if wanted else {}
 
     async def main(s: Scene) -> None:
         assert (await s.ask("/i/x", **headers))[0] == 503
