Count the failures of an item under every owner of its partition

Figures: tests/batch/test_job_service.py, tries 4, owner lost after two failures: abandoned after 4 runs in all; the count of before began anew by its construction and was not played. tests/batch/test_leased_items.py asks the function that was a method, with the count in the job; as strict. Conclusion: the row of docs/platform.md holds, but for a failure whose word does not reach the owner.

--- a/postpass/batch/job.py
+++ b/postpass/batch/job.py
@@ -107,6 +107,15 @@
         start = sum(item["size"] for item in self.body["items"][:position])
         return bytes(self.payload[start : start + self.body["items"][position]["size"]])
 
+    def failures(self, position: int) -> int:
+        """How often an item has failed, under all owners."""
+        return int(self.body.get("failed", {}).get(str(position), 0))
+
+    def count_failure(self, position: int) -> None:
+        """An item failed once more. Counted in a body of its own: the one before may be shared with other views."""
+        counts = {**self.body.get("failed", {}), str(position): self.failures(position) + 1}
+        self.body = self.body | {"failed": counts}
+
     @property
     def size(self) -> int:
         """The number of its items."""
@@ -194,7 +203,10 @@
             self.jobs[body["id"]].payload = payload
 
     def fold_mark(self, seq: int, body: Body) -> None:
-        """A mark may prove that everything up to `settled` was covered: what held before a change holds no more."""
+        """A mark may prove that everything up to `settled` was covered: what held before a change holds no more. One may
+        also count a failure of an item: releases that don't know of that pass over it."""
+        if "failed" in body:
+            self._count_failure(*body["failed"])
         upto = body.get("settled", 0)
         if 0 < self.unsettled() <= upto:
             self.settled_seq = seq
@@ -203,6 +215,11 @@
         if self.predicate_seq <= upto:
             self.old_predicate = self.predicate
 
+    def _count_failure(self, job_id: str, position: int) -> None:
+        job = self.jobs.get(job_id)
+        if job is not None and job.state == JobState.OPEN and position not in job.results:
+            job.count_failure(position)
+
     def fold_job(self, seq: int, body: Body) -> None:
         """A job was taken; the first of an id stays, and a rejection before it wins."""
         job_id = body["id"]
--- a/postpass/batch/leases.py
+++ b/postpass/batch/leases.py
@@ -48,7 +48,6 @@
 
     Attributes:
         leases: The items that schedulers run.
-        tries: How often an item has failed under this ownership.
         term: Highest term of a scheduler that has asked.
         scheduler: Name of the scheduler of that term.
         usual_seconds: How long it takes from a lease to the item's result, smoothed; 0 before the first.
@@ -56,7 +55,6 @@
     """
 
     leases: dict[ItemKey, Lease] = field(default_factory=dict)
-    tries: Counter[ItemKey] = field(default_factory=Counter)
     term: int = 0
     scheduler: str = ""
     done_at: dict[str, float] = field(default_factory=dict)
@@ -82,16 +80,16 @@
             if key.job not in view.jobs or (key not in renewed and lost):
                 del self.leases[key]
 
-    def outcome(self, job: Job, key: ItemKey, result: ItemResult) -> ItemResult | None:
-        """What is recorded of an item's result; None if the item is tried again."""
-        of_route = "route" in job.body
-        # A worker said of an abandoned item of a route that it can never be done.
-        if result.status == ItemStatus.DONE or (result.status == ItemStatus.ABANDONED and of_route):
-            return result
-        self.tries[key] += 1
-        if self.tries[key] < (DEFAULT_TRIES if result.tries is None else result.tries):
-            return None
-        return ItemResult(ItemStatus.ABANDONED, "") if of_route else ItemResult(ItemStatus.FAILED, result.output)
+
+def outcome(job: Job, position: int, result: ItemResult) -> ItemResult | None:
+    """What is recorded of an item's result; None if the item is tried again, and the failure is to be counted."""
+    of_route = "route" in job.body
+    # A worker said of an abandoned item of a route that it can never be done.
+    if result.status == ItemStatus.DONE or (result.status == ItemStatus.ABANDONED and of_route):
+        return result
+    if job.failures(position) + 1 < (DEFAULT_TRIES if result.tries is None else result.tries):
+        return None
+    return ItemResult(ItemStatus.ABANDONED, "") if of_route else ItemResult(ItemStatus.FAILED, result.output)
 
 
 def item_grant(job: Job, position: int) -> ItemGrant:
@@ -187,12 +185,12 @@
         result = ItemResult.from_json(body)
         if result.status == ItemStatus.DONE and not result.intact:
             return Err(Fault("done", self.table.settings.name, "the output doesn't match its sum", BAD))
-        recorded = state.outcome(job, key, result)
-        if recorded is None:
-            return Ok({"taken": False})
+        recorded = outcome(job, key.item, result)
         try:
+            if recorded is None:
+                self.owner.append(partition, "mark", {"failed": [key.job, key.item]})
+                return Ok({"taken": False})
             self.owner.append(partition, "result", ItemResult(recorded.status, recorded.output).as_json(key))
         except FaultError as stop:
             return Err(stop.fault)
-        state.tries.pop(key, None)
         return Ok({"taken": True})
--- a/tests/batch/test_job.py
+++ b/tests/batch/test_job.py
@@ -111,3 +111,18 @@
         view.fold(rec)
     assert view.dump() == DUMP_OF_0_2_0
     assert JobView.load(DUMP_OF_0_2_0).dump() == DUMP_OF_0_2_0
+
+
+def test_failures_of_items_are_counted_by_the_records_and_kept_in_a_dump() -> None:
+    view = JobView()
+    body = {"id": "j", "route": "r", "sum": "s", "items": [{"id": "a", "size": 0}, {"id": "b", "size": 0}]}
+    view.fold(Record(1, 1, "lot", encode_record(body, b"")))
+    before = view.copy()
+    for seq, item in ((2, 1), (3, 1), (4, 0)):
+        view.fold(Record(seq, 1, "mark", encode_record({"failed": ["j", item]}, b"")))
+    view.fold(Record(5, 1, "mark", encode_record({"failed": ["gone", 0]}, b"")))
+    again = JobView.load(view.dump())
+    for shown in (view, again):
+        assert [shown.jobs["j"].failures(item) for item in (0, 1)] == [1, 2]
+        assert shown.jobs["j"].digest == before.jobs["j"].digest
+    assert before.jobs["j"].failures(1) == 0
--- a/tests/batch/test_job_service.py
+++ b/tests/batch/test_job_service.py
@@ -173,6 +173,29 @@
 
         with_lots(check)
 
+    def test_counts_the_failures_of_an_item_beyond_a_takeover(self) -> None:
+        async def check(fleet: SimFleet, apis: list[JobApi], workers: Pretend) -> None:
+            stubborn: Route = ROUTE | {"tries": 4}  # type: ignore[assignment]
+            assert (await apis[0].accept("r", stubborn, "l1", lot("fails")))[0] == 202
+            while len(workers.runs) < 2:
+                await asyncio.sleep(0.01)
+            workers.full = True
+            await asyncio.sleep(0.5)
+            number = partition_of("l1", fleet.configuration["parts"])
+            owner = next(
+                n
+                for n, box in fleet.boxes.items()
+                if isinstance(box.daemon, DataPlane) and box.daemon.store and box.daemon.store.partitions[number].ready
+            )
+            fleet.kill(owner, silent=True)
+            await asyncio.sleep(6.0)
+            await apis[1].results("l1", 0, 0.0)  # the first question may go to the owner that is gone
+            workers.full = False
+            assert [r["state"] for r in await all_of(apis[1], "l1")] == ["abandoned"]
+            assert len(workers.runs) == 4
+
+        with_lots(check)
+
     def test_is_refused_past_the_quota_and_taken_once_there_is_room(self) -> None:
         async def check(fleet: SimFleet, apis: list[JobApi], workers: Pretend) -> None:
             workers.full = True  # nothing leaves the count by being done
--- a/tests/batch/test_leased_items.py
+++ b/tests/batch/test_leased_items.py
@@ -6,7 +6,7 @@
 
 from postpass.batch.job import Job, JobView
 from postpass.batch.leased_items import LeasedItem, LeasedItems
-from postpass.batch.leases import Lease, OwnerState
+from postpass.batch.leases import Lease, OwnerState, outcome
 from postpass.batch.messages import ItemKey, ItemResult, ItemStatus, TakeRequest
 from postpass.worker_api.openai import Prompt
 from sim.loop import SimLoop, run_sim
@@ -30,17 +30,21 @@
 
 
 def test_an_item_of_a_class_fails_after_its_tries_with_the_reason() -> None:
-    state = OwnerState()
-    results = [state.outcome(OF_CLASS, KEY, ItemResult(ItemStatus.FAILED, "why")) for _ in range(5)]
+    job, results = OF_CLASS.copy(), []
+    for _ in range(5):
+        results.append(outcome(job, KEY.item, ItemResult(ItemStatus.FAILED, "why")))
+        job.count_failure(KEY.item)
     assert results == [None] * 4 + [ItemResult(ItemStatus.FAILED, "why")]
+    assert OF_CLASS.failures(KEY.item) == 0 and job.failures(KEY.item + 1) == 0
 
 
 def test_an_item_of_a_route_is_abandoned_after_its_own_tries_or_when_a_worker_says_never() -> None:
-    state = OwnerState()
+    job = OF_ROUTE.copy()
     failed, never = ItemResult(ItemStatus.FAILED, "why", 2), ItemResult(ItemStatus.ABANDONED, "", 2)
-    assert state.outcome(OF_ROUTE, KEY, failed) is None
-    abandoned = state.outcome(OF_ROUTE, KEY, failed)
-    assert abandoned == ItemResult(ItemStatus.ABANDONED, "") and state.outcome(OF_ROUTE, KEY, never) == never
+    assert outcome(job, KEY.item, failed) is None
+    job.count_failure(KEY.item)
+    abandoned = outcome(job, KEY.item, failed)
+    assert abandoned == ItemResult(ItemStatus.ABANDONED, "") and outcome(job, KEY.item, never) == never
 
 
 def test_leases_stay_while_they_are_renewed_or_last_and_their_scheduler_is_the_same() -> None:
