--- a/sim/serving/compare.py
+++ b/sim/serving/compare.py
@@ -8,7 +8,8 @@
 from dataclasses import dataclass
 
 from sim.serving.fleet import EmulatedFleet, Policy
-from sim.serving.workload import Request, Workload
+from sim.serving.request import Request
+from sim.serving.workload import Workload
 
 
 @dataclass(frozen=True)
--- a/sim/serving/engine.py
+++ b/sim/serving/engine.py
@@ -8,10 +8,8 @@
 from collections import OrderedDict, deque
 from dataclasses import dataclass, field
 from enum import StrEnum
-from typing import TYPE_CHECKING
 
-if TYPE_CHECKING:
-    from sim.serving.workload import Request
+from sim.serving.request import Request
 
 
 class Failure(StrEnum):
--- a/sim/serving/fleet.py
+++ b/sim/serving/fleet.py
@@ -26,7 +26,8 @@
 from postpass.routing.options import RoutingOptions
 from postpass.routing.prefixes import Prefix
 from sim.serving.engine import EmulatedWorker, Failure
-from sim.serving.workload import Crash, Request, Workload, draw_requests
+from sim.serving.request import Request
+from sim.serving.workload import Crash, Workload, draw_requests
 
 HOP = 0.0015  # seconds from a client by an edge to a worker
 REFUSED_WAIT = 0.05  # seconds after which a client or an item comes again
--- a/sim/serving/presets.py
+++ b/sim/serving/presets.py
@@ -6,7 +6,8 @@
 from dataclasses import replace
 
 from sim.serving.engine import Engine, Failure
-from sim.serving.workload import Burst, Crash, Kind, Spread, Workload
+from sim.serving.request import Kind, Spread
+from sim.serving.workload import Burst, Crash, Workload
 
 SHORT = Kind(
     "short", 245.0, Spread(172, 0.4, 460), 80, Spread(543, 0.89, 2310), Spread(9.99, 0.7, 34), 0.2, 0.3, 4.0, 2.0, 0.6
--- a/tests/batch/test_quota_owner_changes.py
+++ b/tests/batch/test_quota_owner_changes.py
@@ -12,7 +12,6 @@
 from postpass.batch.job_api import JobApi
 from postpass.configuration.configuration import partition_of
 from postpass.daemon.data_plane import DataPlane
-from postpass.replication.store import Store
 from sim.loop import SimLoop, run_sim
 from tests.platform.test_configuration import document
 from tests.support.announced import Fleet
@@ -21,23 +20,6 @@
 RECOVER = 12.0  # `bounds.recover` of the fleet
 
 
-def store_of(fleet: Fleet, name: str) -> Store | None:
-    """The store of a machine that is up."""
-    daemon = fleet.nodes[name].daemon
-    return daemon.store if isinstance(daemon, DataPlane) else None
-
-
-def owners(fleet: Fleet) -> dict[int, str]:
-    """Which store owns each partition and is ready."""
-    return {
-        partition.id: name
-        for name in fleet.nodes
-        if (store := store_of(fleet, name)) is not None
-        for partition in store.partitions.values()
-        if partition.ready
-    }
-
-
 def route_of_budget(number: int) -> str:
     """The name of a route whose budget a partition holds."""
     return next(name for n in range(1000) if partition_of(f"route:{(name := f'lots{n}')}", PARTITIONS) == number)
@@ -91,25 +73,25 @@
     async def main(loop: SimLoop) -> tuple[dict[int, int], list[str]]:
         fleet = Fleet(loop, stores=4, edges=1)
         fleet.start()
-        assert await fleet.until(lambda: fleet.joined() and len(owners(fleet)) == PARTITIONS, 20.0) >= 0
+        assert await fleet.until(lambda: fleet.joined() and len(fleet.owners()) == PARTITIONS, 20.0) >= 0
         fleet.first = False
         route = route_of_budget(budget)
         assert (await fleet.ask("c1", lambda c: c.apply_source(configured(route), 0))).is_ok()
         await asyncio.sleep(2.0)
         assert set((await statuses(fleet, route, 0)).values()) == {202}
-        retired = owners(fleet)[budget]
+        retired = fleet.owners()[budget]
         for number, zone in enumerate(("a", "b"), 5):
             fleet.add(f"s{number}", "store", zone, f"10.1.{number}.1")
         await asyncio.sleep(4.0)
         await retire(fleet, retired)
         await asyncio.sleep(2.0)
-        lost = owners(fleet)[budget]
+        lost = fleet.owners()[budget]
         fleet.kill(lost, silent=True)
         await statuses(fleet, route, 1)  # nobody promises anything for these
         fleet.boot(lost)
-        assert await fleet.until(lambda: len(owners(fleet)) == PARTITIONS, RECOVER) >= 0
+        assert await fleet.until(lambda: len(fleet.owners()) == PARTITIONS, RECOVER) >= 0
         await asyncio.sleep(2.0)
-        told = [f"{n} is owned by {name}" for n, name in sorted(owners(fleet).items())]
+        told = [f"{n} is owned by {name}" for n, name in sorted(fleet.owners().items())]
         return await statuses(fleet, route, 2), [f"{retired} retired, {lost} lost", *told]
 
     answers, notes = run_sim(main, 1)
--- a/tests/replication/test_cover_watch.py
+++ b/tests/replication/test_cover_watch.py
@@ -4,7 +4,6 @@
 
 from typing import Any
 
-from postpass.daemon.data_plane import DataPlane
 from postpass.replication.partition import Partition
 from postpass.replication.store import Store
 from postpass.runtime import log_events
@@ -16,9 +15,9 @@
 
 
 def store_of(fleet: Fleet, name: str) -> Store:
-    daemon = fleet.nodes[name].daemon
-    assert isinstance(daemon, DataPlane) and daemon.store is not None
-    return daemon.store
+    store = fleet.store(name)
+    assert store is not None
+    return store
 
 
 def stop_acknowledging(store: Store, number: int) -> None:
--- a/tests/replication/test_handover.py
+++ b/tests/replication/test_handover.py
@@ -4,9 +4,7 @@
 
 import pytest
 
-from postpass.daemon.data_plane import DataPlane
 from postpass.replication.partition import Partition
-from postpass.replication.store import Store
 from sim.loop import SimLoop, run_sim
 from tests.support.announced import Fleet
 
@@ -14,28 +12,11 @@
 DETECT = 12.0 / 8  # `bounds.detect` of the fleet
 
 
-def store_of(fleet: Fleet, name: str) -> Store | None:
-    """The store of a machine that is up."""
-    daemon = fleet.nodes[name].daemon
-    return daemon.store if isinstance(daemon, DataPlane) else None
-
-
-def owners(fleet: Fleet) -> dict[int, str]:
-    """Which store owns each partition and is ready."""
-    return {
-        partition.id: name
-        for name in fleet.nodes
-        if (store := store_of(fleet, name)) is not None
-        for partition in store.partitions.values()
-        if partition.ready
-    }
-
-
 async def settled_fleet(loop: SimLoop) -> Fleet:
     """A fleet of four stores, each of which owns two partitions and has followed the others for a while."""
     fleet = Fleet(loop)
     fleet.start()
-    assert await fleet.until(lambda: fleet.joined() and len(owners(fleet)) == PARTITIONS, 20.0) >= 0
+    assert await fleet.until(lambda: fleet.joined() and len(fleet.owners()) == PARTITIONS, 20.0) >= 0
     await fleet.until(lambda: False, 3.0)
     fleet.first = False
     return fleet
@@ -43,7 +24,7 @@
 
 def partition_of(fleet: Fleet, name: str) -> Partition:
     """A partition that a store owns."""
-    store = store_of(fleet, name)
+    store = fleet.store(name)
     assert store is not None
     return next(p for p in store.partitions.values() if p.ready)
 
@@ -54,7 +35,7 @@
 
     def look() -> bool:
         nonlocal longest, since
-        if number in owners(fleet):
+        if number in fleet.owners():
             since = fleet.loop.clock
         longest = max(longest, fleet.loop.clock - since)
         return fleet.loop.clock - clock >= seconds
@@ -81,7 +62,7 @@
 
 def order_without(fleet: Fleet, number: int, name: str) -> list[str]:
     """The agreed order of a partition's members, but for one."""
-    store = store_of(fleet, name)
+    store = fleet.store(name)
     assert store is not None
     return [n for n in store.configuration_view.order(number) if n != name]
 
@@ -94,12 +75,12 @@
         fleet = await settled_fleet(loop)
         partition = partition_of(fleet, "s1")
         heir = order_without(fleet, partition.id, "s1")[0]
-        store = store_of(fleet, heir)
+        store = fleet.store(heir)
         assert store is not None
         store.mirror.take_over = lambda partition, epoch: False  # type: ignore[method-assign]
         handed = await fleet.ask("s1", lambda d: d.store.handover.hand_over(partition, heir))
-        took = await fleet.until(lambda: partition.id in owners(fleet), DETECT)
-        return handed, took, owners(fleet).get(partition.id, "")
+        took = await fleet.until(lambda: partition.id in fleet.owners(), DETECT)
+        return handed, took, fleet.owners().get(partition.id, "")
 
     handed, took, owner = run_sim(main, seed)
     assert handed and owner == "s1"
@@ -111,7 +92,7 @@
         fleet = await settled_fleet(loop)
         partition = partition_of(fleet, "s1")
         heir = order_without(fleet, partition.id, "s1")[0]
-        store = store_of(fleet, heir)
+        store = fleet.store(heir)
         assert store is not None
         copy = store.partitions[partition.id]
         aligned, copy.aligned = copy.aligned, 0
--- a/tests/sim/test_serving.py
+++ b/tests/sim/test_serving.py
@@ -10,7 +10,8 @@
 from sim.serving.engine import EmulatedWorker, Engine, Failure
 from sim.serving.fleet import EmulatedFleet, Policy
 from sim.serving.presets import NARROW, NARROW_CRASH, NARROW_RESETS, WIDE, drawn
-from sim.serving.workload import Crash, Kind, Request, Spread, Workload, draw_requests
+from sim.serving.request import Kind, Request, Spread
+from sim.serving.workload import Crash, Workload, draw_requests
 
 PLAIN = Engine(2, 1, step=0.001, step_per_slot=0.0, context_per_token=0.0, read_rate=100e3, pair=0.0, stride=10)
 KIND = Kind("k", 1.0, Spread(1000), 1, Spread(1000), Spread(3), 0.5, 0.5, 4.0, 1.0, 0.5)
--- a/tests/support/announced.py
+++ b/tests/support/announced.py
@@ -13,6 +13,7 @@
 from postpass.daemon.data_plane import DataPlane
 from postpass.daemon.process import Daemon
 from postpass.membership.registry import Translator
+from postpass.replication.store import Store
 from postpass.runtime.environment import Environment
 from sim.disk import SimDisk
 from sim.fleet import EPOCH, SimConnector
@@ -119,6 +120,16 @@
             await asyncio.sleep(0.01)
         return -1.0
 
+    def store(self, name: str) -> Store | None:
+        """The store of a machine that is up; None if it is down or no store."""
+        daemon = self.nodes[name].daemon
+        return daemon.store if isinstance(daemon, DataPlane) else None
+
+    def owners(self) -> dict[int, str]:
+        """Which store owns each partition and is ready."""
+        stores = {name: store for name in self.nodes if (store := self.store(name)) is not None}
+        return {p.id: name for name, store in stores.items() for p in store.partitions.values() if p.ready}
+
     def joined(self) -> bool:
         """Does everyone that is up know everyone that is up, and nobody else?"""
         up = set(self.up())
