Pause between two counts that are told to a budget's holder, and stop once deposed

Cause: read in the new loop: an owner that was deposed without knowing it would be told for two seconds, as fast as the network goes, that a later word came first. Change: an eighth of a heartbeat between two tries, none once the partition isn't owned here.

--- a/postpass/batch/quota_service.py
+++ b/postpass/batch/quota_service.py
@@ -24,6 +24,8 @@
 from postpass.runtime.environment import now
 from postpass.runtime.errors import CLASH, CROWD, FULL, SLOW, Fault
 
+RECOUNTS_PER_HEARTBEAT = 8  # how often a count is told anew at the most, where a later one came first
+
 
 @dataclass(eq=False)
 class QuotaService:
@@ -102,8 +104,10 @@
                 # The holder asked for the count itself meanwhile, and heard that answer first: the count is told anew.
                 if fault is None or fault.code != CLASH:
                     return fault
-                if now() >= until:
+                # A later owner's word also comes first: then there is nothing more to ask for here.
+                if now() >= until or not partition.owning:
                     return replace(fault, code=FULL)
+                await asyncio.sleep(self.store.settings.bounds.beat / RECOUNTS_PER_HEARTBEAT)
 
     async def ask_holder(self, partition: Partition, name: str, count: int, wanted: int, limit: float) -> Fault | None:
         """Tells the holder of a budget what waits here, and asks for more; None if that is granted."""
