Let a primary of control step down only where its disk stays full

Cause: the whole suite beside load failed in one of 2,028 tests: test_that_is_full_as_primary_says_so wants a primary that met a full disk once to take the next order when there is room again. The step-down at the first failed write broke that: it cost two seconds without a primary for a moment without room. Change: a primary steps down at a failed write if every write of the state has failed since the detection time; the test stays as it is.

--- a/postpass/control/member.py
+++ b/postpass/control/member.py
@@ -68,6 +68,7 @@
     disk_lock: asyncio.Lock = field(default_factory=asyncio.Lock)
     disk_failure: str = ""
     disk_full_at: float = -INFINITY  # when a write last failed for want of room, in monotonic seconds
+    disk_full_since: float = INFINITY  # since when none of the state succeeded; INFINITY after one that did
     configuration_on_disk: Configuration | None = None
 
     def __init__(
@@ -104,7 +105,7 @@
         self.next_confirmation: asyncio.Task[int] | None = None
         self.confirmation_lock = asyncio.Lock()
         self.lock, self.disk_lock, self.disk_failure = asyncio.Lock(), asyncio.Lock(), ""
-        self.disk_full_at = -INFINITY
+        self.disk_full_at, self.disk_full_since = -INFINITY, INFINITY
         self.fetches: set[asyncio.Task[Any]] = set()
 
         for name, text, read in (
@@ -190,6 +191,11 @@
         """Is a write under way? Where it lasts, the disk stalls."""
         return self.disk_lock.locked() or self.journal.lock.locked()
 
+    @property
+    def disk_stays_full(self) -> bool:
+        """Has every write of the state failed for want of room, for longer than the detection time?"""
+        return now() - self.disk_full_since > self.settings.bounds.detect
+
     @property
     def disk_was_full(self) -> bool:
         """Did a write fail lately for want of room? Such a member is the last choice for a primary."""
@@ -207,10 +213,12 @@
             write.close()
             raise FaultError(Fault("sync", self.settings.name, self.disk_failure))
         try:
-            return await write
+            written = await write
+            self.disk_full_since = INFINITY
+            return written
         except FaultError as stop:
             if stop.fault.code == FULL:
-                self.disk_full_at = now()
+                self.disk_full_at, self.disk_full_since = now(), min(self.disk_full_since, now())
             else:
                 self.fail_disk(stop.fault.why)
             raise
--- a/postpass/control/replica.py
+++ b/postpass/control/replica.py
@@ -179,7 +179,7 @@
             if not replica_set.confirmed_by(answers):
                 answers += await others
         except FaultError as bad:
-            if bad.fault.code == FULL:
+            if bad.fault.code == FULL and self.disk_stays_full:
                 # Nothing was written, and nothing will be while there is no room; another may lead meanwhile.
                 self.step_down("the disk is full")
             raise
