--- a/postpass/configuration/configuration.py
+++ b/postpass/configuration/configuration.py
@@ -96,6 +96,22 @@
     quota: int  # tokens that may wait in jobs; 0: no bound
     due: float  # after a job was accepted
     expire: float
+    public: NotRequired[bool]  # requests need no key, though there are tenants
+
+
+class Tenant(TypedDict):
+    """A client organisation: the keys that its clients show, and how much they may ask together.
+
+    :ivar keys: digests of its keys (`tenant_keys.key_digest`); the keys themselves never leave the operator's document.
+    :ivar rate: requests a second over all edges together; 0: no limit.
+    :ivar burst: requests beyond that at once.
+    :ivar rank: takes the place of the routes' rank; left out: theirs stands.
+    """
+
+    keys: list[str]
+    rate: float
+    burst: float
+    rank: NotRequired[int]
 
 
 class Class(TypedDict):
@@ -160,6 +176,7 @@
     :ivar announced: the machines announce themselves instead of being listed.
     :ivar version: in an announced fleet, the operator's own number.
     :ivar routes: in an announced fleet, the relayed routes by name.
+    :ivar tenants: by name; where there are any, requests on routes that aren't public need a key of one.
     """
 
     name: str
@@ -178,6 +195,7 @@
     announced: NotRequired[bool]
     version: NotRequired[int]
     routes: NotRequired[dict[str, Route]]
+    tenants: NotRequired[dict[str, Tenant]]
 
 
 LIMITS: dict[str, int] = {
--- a/postpass/configuration/header_names.py
+++ b/postpass/configuration/header_names.py
@@ -21,6 +21,7 @@
     :ivar model: the model that the request is for.
     :ivar tokens: "PROMPT,MOST", the tokens of the prompt and the most of the response.
     :ivar prompt: "ID:TOKENS,ID:TOKENS", the shared parts of the prompt first.
+    :ivar tenant: on a request to a worker, the tenant whose key the client showed.
     :ivar last_event: the last event that the client of a stream has.
     :ivar worker: on the response of a health check, the incarnation of the worker.
     :ivar warm_ms: on the response of a health check, milliseconds for which the worker stays cold.
@@ -37,6 +38,7 @@
     model: str = "x-model"
     tokens: str = "x-tokens"
     prompt: str = "x-prompt-prefix"
+    tenant: str = "x-tenant"
     last_event: str = "last-event-id"
     worker: str = "x-worker"
     warm_ms: str = "x-warm-ms"
