Let requests in by the keys of tenants, at the relay and for jobs

What callers saw: with tenants in the configuration every request ran, whatever key it showed or none; its key went to the worker in Authorization, no tenant's name did, or the one that the client had written itself. Jobs were read by anyone who knew their id.

Cause: keys were not known to the edges at all.

Change: gateway/client_identity.py tells whose key a client shows. The relay asks it behind route and readiness: 401 with WWW-Authenticate for an unknown, missing or unclear key, never while it isn't ready, 404 where no route fits. It asks again before each attempt and right before the bytes go out: a request whose key was withdrawn meanwhile gets 401, one that would be another client's now 503; neither has run. An answer that has begun comes to its end, at other workers too. Workers get the tenant's name and neither the client's header of that name, nor its Authorization where there are tenants, on public routes too. Jobs are their tenant's: handing in, reading, and ending need one of its keys, and another tenant's job reads as 404. `Relay.rate_limit` is asked behind the key, for requests that aren't of jobs.

Jobs of configurations without tenants are the same bytes as before.

--- a/postpass/batch/job_api.py
+++ b/postpass/batch/job_api.py
@@ -101,8 +101,8 @@
         """Seconds that an owner is waited for."""
         return min(MIN_PATIENCE_S, self.edge.settings.bounds.recover / 4)
 
-    async def accept(self, name: str, route: Route, job_id: str, data: bytes) -> JobAnswer:
-        """Hands a job in to its owner, under the route of that name; `data` is what the client sent.
+    async def accept(self, name: str, route: Route, job_id: str, data: bytes, tenant: str = "") -> JobAnswer:
+        """Hands a job of a tenant in to its owner, under the route of that name; `data` is what the client sent.
 
         Statuses: 202, 400, 409, 413, 429, 503, or 504, which promises nothing.
         """
@@ -118,7 +118,7 @@
         flaw = job_flaw(body)
         if flaw:
             return JobAnswer(400, {"error": flaw})
-        job = self.job_body(name, route, job_id, body["items"])
+        job = self.job_body(name, route, job_id, body["items"], tenant)
         partition = partition_of(job_id, edge.configuration["parts"])
         patience = min(self.patience(), route["timeout"])
         answer = await edge.owners.ask(partition, "accept", {"lot": job}, now() + patience)
@@ -128,10 +128,11 @@
         edge.remember_job(job_id)
         return JobAnswer(202, {"id": job_id})
 
-    def job_body(self, name: str, route: Route, job_id: str, items: list[Item]) -> Body:
+    def job_body(self, name: str, route: Route, job_id: str, items: list[Item], tenant: str) -> Body:
         """A job by its keys on disk, but for the bodies of items, which an owner keeps beside it."""
         came = self.edge.environment.wall()
-        return {
+        client = {"caller": tenant} if tenant else {}
+        return client | {
             "id": job_id,
             "route": name,
             "items": [known_keys(item) for item in items],
@@ -156,27 +157,28 @@
         self.edge.note_unkept(job_id, fault, 504)
         return JobAnswer(504, {"error": fault.why})
 
-    async def ask(self, job_id: str, verb: str, body: Body, wait: float) -> Result[Body, int]:
-        """The owner's answer within `wait` seconds; else the status 404 if there surely is no such job, or 503."""
+    async def ask(self, job_id: str, verb: str, body: Body, wait: float, tenant: str) -> Result[Body, int]:
+        """The owner's answer within `wait` seconds; else the status 404 if the tenant surely has no such job, or 503."""
         edge = self.edge
         if edge.unready() is not None:
             return Err(503)
         if not IDENTIFIER.fullmatch(job_id):
             return Err(404)
         partition = partition_of(job_id, edge.configuration["parts"])
-        answer = await edge.owners.ask(partition, verb, body | {"id": job_id}, now() + wait)
+        answer = await edge.owners.ask(partition, verb, body | {"id": job_id, "caller": tenant}, now() + wait)
         return answer.map_err(lambda fault: 404 if fault.code == LACK else 503)
 
-    async def results(self, job_id: str, start: int, hold: float) -> Result[Body, int]:
+    async def results(self, job_id: str, start: int, hold: float, tenant: str = "") -> Result[Body, int]:
         """A page of results from a position on, held for `hold` seconds at the longest until there is one."""
         hold = min(hold, self.edge.settings.bounds.detect)  # well within what one question to an owner may take
-        return await self.ask(job_id, "results", ResultsRequest(start, hold).as_json(), hold + self.patience() / 2)
+        question = ResultsRequest(start, hold).as_json()
+        return await self.ask(job_id, "results", question, hold + self.patience() / 2, tenant)
 
-    async def item(self, job_id: str, item: str) -> Result[bytes, int]:
+    async def item(self, job_id: str, item: str, tenant: str = "") -> Result[bytes, int]:
         """The body of an item that has no result yet."""
-        answer = await self.ask(job_id, "item", {"item": item}, self.patience())
+        answer = await self.ask(job_id, "item", {"item": item}, self.patience(), tenant)
         return answer.map(lambda body: base64.b64decode(body["body"]))
 
-    async def finish(self, job_id: str) -> Result[Body, int]:
+    async def finish(self, job_id: str, tenant: str = "") -> Result[Body, int]:
         """Ends a job: what has no result then is not run any more."""
-        return await self.ask(job_id, "finish", {}, self.patience())
+        return await self.ask(job_id, "finish", {}, self.patience(), tenant)
--- a/postpass/gateway/attempts.py
+++ b/postpass/gateway/attempts.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, replace
-from enum import StrEnum
+from enum import Enum, StrEnum, auto
 
 MAX_ASKED = 6  # workers that are asked for one relayed request, those that took nothing included
 CUT = "cut"  # how the reason of an attempt begins that broke after part of the answer had gone to the client
@@ -32,6 +32,15 @@
     DONE = "done"
     ERROR = "error"  # it ends without a whole answer, and may have run
     REJECT = "shed"  # it ends, and is proved never to have run
+    REFUSE_KEY = "401"  # the same, since its client's key was withdrawn
+
+
+class KeyStanding(Enum):
+    """What became of a client's key since its request came."""
+
+    HELD = auto()  # it is still its tenant's
+    WITHDRAWN = auto()  # no tenant has it any more
+    CHANGED = auto()  # the request would be another client's now, or would need a key that was not asked for
 
 
 NOT_TAKEN = frozenset((AttemptState.PLANNED, AttemptState.UNSENT, AttemptState.REJECTED))
@@ -151,15 +160,18 @@
     ask_until: float,
     until: float,
     max_runs: int,
+    standing: KeyStanding = KeyStanding.HELD,
 ) -> Decision:
     """The next action of a relayed request.
 
     Parameters: `repeatable`: it may run more than once; `resumable`: another worker can go on where the last one
     ended; `begun`: something of an answer went to the client; `ask_until`: until when other workers are asked while
     none has taken it; `until`: its deadline (all three times in seconds of the loop's clock); `max_runs`: how many
-    workers may have begun it.
+    workers may have begun it; `standing`: what became of its client's key.
     """
     last = attempt_log.last
+    if standing is not KeyStanding.HELD and (last is None or last.state is not AttemptState.DONE):
+        return _without_key(attempt_log, standing)
     if last is None:
         return _first_attempt(now, until)
     if last.state is AttemptState.DONE:
@@ -176,6 +188,15 @@
     return Decision(Action.SEND)
 
 
+def _without_key(attempt_log: AttemptLog, standing: KeyStanding) -> Decision:
+    """The end of a request that must not be sent any more. One that another client's key stands for now may come again,
+    to be judged anew."""
+    if not attempt_log.never_ran:
+        return Decision(Action.ERROR, "its client's key has changed")
+    action = Action.REFUSE_KEY if standing is KeyStanding.WITHDRAWN else Action.REJECT
+    return Decision(action, "its client's key has changed")
+
+
 def _first_attempt(now: float, until: float) -> Decision:
     if now < until:
         return Decision(Action.SEND)
--- a/postpass/gateway/http_headers.py
+++ b/postpass/gateway/http_headers.py
@@ -15,6 +15,7 @@
     b"proxy-authenticate", b"proxy-authorization", b"expect", b"content-length",
 }  # fmt: skip
 RESPONSE_CONNECTION_HEADERS = CONNECTION_HEADERS - {b"expect", b"content-length"}
+AUTHORIZATION = b"authorization"
 NUMBER_DIGITS = 15  # a longer number is taken for none
 
 
@@ -52,5 +53,18 @@
         self.prompt = dialect.prompt.encode()
         self.last_event = dialect.last_event.encode()
         self.tokens = dialect.tokens.encode()
-        self.drop = frozenset(CONNECTION_HEADERS | {self.deadline_ms, self.want_worker})
-        self.drop_urgency = frozenset(self.drop | {self.urgency})  # where this edge sets the urgency itself
+        self.tenant = dialect.tenant.encode()
+        own = CONNECTION_HEADERS | {self.deadline_ms, self.want_worker, self.tenant}
+        self._dropped = {
+            (False, False): frozenset(own),
+            (False, True): frozenset(own | {AUTHORIZATION}),
+            (True, False): frozenset(own | {self.urgency}),
+            (True, True): frozenset(own | {self.urgency, AUTHORIZATION}),
+        }
+
+    def dropped(self, sets_urgency: bool, hides_key: bool) -> frozenset[bytes]:
+        """Headers of a client that a worker doesn't see.
+
+        `sets_urgency`: this edge tells the urgency itself; `hides_key`: keys of tenants stand in `Authorization`.
+        """
+        return self._dropped[sets_urgency, hides_key]
--- a/postpass/gateway/relay.py
+++ b/postpass/gateway/relay.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import json
 from collections.abc import Awaitable, Callable
-from typing import Any
+from typing import Any, Protocol
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+from result import Err, Result
 from starlette.types import ASGIApp, Receive, Scope, Send
 
 from postpass.configuration.configuration import Route, limit
@@ -14,8 +16,9 @@
 from postpass.configuration.settings import Settings
 from postpass.feed.configuration_view import ConfigurationView
 from postpass.gateway.answer_delivery import AnswerDelivery
-from postpass.gateway.attempts import Action, AttemptState, Decision, next_relayed_attempt
+from postpass.gateway.attempts import Action, AttemptState, Decision, KeyStanding, next_relayed_attempt
 from postpass.gateway.body_reader import BodyRefusal, read_body
+from postpass.gateway.client_identity import CHALLENGE, ClientIdentity, ClientKeys, KeyRefusal
 from postpass.gateway.connection_pool import ConnectionPool
 from postpass.gateway.http_headers import (
     HeaderNames,
@@ -23,7 +26,7 @@
     header,
     parse_number,
 )
-from postpass.gateway.relayed_request import RelayedRequest, build_request
+from postpass.gateway.relayed_request import RelayedRequest, attempt_headers, build_request
 from postpass.gateway.response_check import Proof, check_response
 from postpass.gateway.upstream_connection import GARBLED, Exchange
 from postpass.gateway.worker_health import FULL_FOR, WorkerHealth
@@ -33,11 +36,10 @@
 from postpass.runtime.errors import CROWD, SLOW, Fault, FaultError
 from postpass.runtime.log_events import Event
 
-JobHandler = Callable[[str, Route, Scope, Receive, Send], Awaitable[None]]
+JobHandler = Callable[[str, Route, str, Scope, Receive, Send], Awaitable[None]]  # with the name of its tenant
 
 REFUSAL_BYTES = 64 << 10  # of a refusal that are read, so that its connection can be kept
 DEADLINE_SLACK = 0.2  # seconds beyond the deadline in which a worker's own answer to it may come
-PATIENCE = 1 / 3  # of the aim, or of the longest pause: silence from which a worker is probed
 CONNECTION_SHARE = 0.9  # of a worker's connections that all senders together use
 REASK_SHARE = 1 / 4  # of a route's target: until then other workers are asked, and then the client comes again
 LEAST_RETRY_AFTER = 0.05  # seconds
@@ -46,6 +48,14 @@
 REJECTION_LINES_S = 1.0  # seconds between two log lines on rejected requests
 
 
+class RateLimit(Protocol):
+    """What tenants may ask of all edges together."""
+
+    async def admit(self, tenant: str) -> float:
+        """0 if a request of this tenant may run, which counts it; else the seconds after which to come again."""
+        ...
+
+
 class Relay:
     """The ASGI app of an announced fleet's edge. Owner: the data plane's process.
 
@@ -67,6 +77,8 @@
         self.leaving = False
         self.unready: Callable[[], str] = lambda: ""  # what is lacking to answer clients; empty if nothing is
         self.job_handler: JobHandler | None = None
+        self.clients = ClientKeys(configuration_view)
+        self.rate_limit: RateLimit | None = None
         self.workers = WorkerSelection(settings, environment, configuration_view)
         self.started = now()
         self.rejected: dict[str, int] = {}  # by cause, since the last log line on it
@@ -106,12 +118,35 @@
         lack = self.unready()
         if lack:
             await self.reject(send, self.ready_in(), lack)
+            return
+        identity = self.clients.authenticate(route, scope["headers"])
+        if isinstance(identity, Err):
+            self.requests.labels(name, "401").inc()
+            await self.refuse_key(send, identity.unwrap_err())
         elif route["kind"] != "lot":
-            await self.relay(name, route, scope, receive, send)
+            await self._relay_within_rate(name, route, identity.unwrap(), scope, receive, send)
         elif self.job_handler is None:
             await self.reject(send, 1.0, "no lots are taken here")
         else:
-            await self.job_handler(name, route, scope, receive, send)
+            await self.job_handler(name, route, identity.unwrap().tenant, scope, receive, send)
+
+    async def _relay_within_rate(
+        self, name: str, route: Route, client: ClientIdentity, scope: Scope, receive: Receive, send: Send
+    ) -> None:
+        """Relays a request if its tenant's rate allows it; its body isn't waited for before that is known."""
+        wait = await self.rate_limit.admit(client.tenant) if client.tenant and self.rate_limit is not None else 0.0
+        if wait > 0:
+            self.requests.labels(name, "429").inc()
+            await self.answer(send, 429, self.retry_after(wait))
+        else:
+            await self.relay(name, route, client, scope, receive, send)
+
+    def job_client(self, scope: Scope) -> Result[ClientIdentity, KeyRefusal]:
+        """Whose call about a job this is: it names its route by the host alone."""
+        self.workers.refresh()
+        headers: Headers = scope["headers"]
+        routes = self.workers.table.routes_of(header(headers, b"host") or b"")
+        return self.clients.authenticate_for_job(routes, headers)
 
     async def not_found(self, scope: Scope, receive: Receive, send: Send) -> None:
         """For what neither a route nor a page of ours fits."""
@@ -121,13 +156,17 @@
         else:
             await self.answer(send, 404)
 
-    async def answer(self, send: Send, status: int, *more: tuple[bytes, bytes]) -> None:
-        """An answer of ours without a body. `more`: further headers."""
+    async def answer(self, send: Send, status: int, *more: tuple[bytes, bytes], body: bytes = b"") -> None:
+        """An answer of ours. `more`: further headers."""
         close = [(b"connection", b"close")] if self.leaving else []
-        await send(
-            {"type": "http.response.start", "status": status, "headers": [(b"content-length", b"0"), *more, *close]}
-        )
-        await send({"type": "http.response.body", "body": b""})
+        headers = [(b"content-length", b"%d" % len(body)), *more, *close]
+        await send({"type": "http.response.start", "status": status, "headers": headers})
+        await send({"type": "http.response.body", "body": body})
+
+    async def refuse_key(self, send: Send, refusal: KeyRefusal) -> None:
+        """The answer to a client whose key isn't known: it has not run."""
+        body = json.dumps({"error": refusal}).encode()
+        await self.answer(send, 401, CHALLENGE, (b"content-type", b"application/json"), body=body)
 
     def ready_in(self) -> float:
         """Seconds until an edge that isn't ready should be: after a common restart the control plane is there at once,
@@ -150,7 +189,9 @@
         return b"retry-after", b"%.3f" % (wait * (0.75 + 0.5 * self.environment.chance.random()))
 
     # --- one request
-    async def relay(self, name: str, route: Route, scope: Scope, receive: Receive, send: Send) -> None:
+    async def relay(
+        self, name: str, route: Route, client: ClientIdentity, scope: Scope, receive: Receive, send: Send
+    ) -> None:
         """Reads a request of a route and serves it to its last answer, or until the client goes."""
         began = now()
         headers: Headers = scope["headers"]
@@ -163,7 +204,7 @@
         if isinstance(body, BodyRefusal):
             await self._refuse_body(name, route, send, body)
             return
-        request = build_request(self.names, name, route, scope, body, began, until, send)
+        request = build_request(self.names, name, route, client, scope, body, began, until, send)
         task = asyncio.current_task()
         assert task is not None
         watch = asyncio.create_task(self._watch_client(request, receive, task))
@@ -206,6 +247,9 @@
             wait = max(LEAST_RETRY_AFTER, request.route["target"] * REASK_SHARE)
             await self.reject(request.send, wait, decision.why)
             return
+        if decision.action is Action.REFUSE_KEY:
+            await self.refuse_key(request.send, KeyRefusal.UNKNOWN)
+            return
         log_events.emit(
             Event.PROXY_BROKEN, self.settings.name, route=request.route_name, worker=worker, why=decision.why
         )
@@ -228,9 +272,10 @@
         route = request.route
         ask_until = request.began + route["target"] * REASK_SHARE
         while True:
+            standing = KeyStanding.HELD if request.begun else self.clients.standing(route, request.client)
             decision = next_relayed_attempt(
                 request.attempt_log, repeatable=request.repeatable, resumable=request.can_resume, begun=request.begun,
-                now=now(), ask_until=ask_until, until=request.until, max_runs=max(1, route["tries"]),
+                now=now(), ask_until=ask_until, until=request.until, max_runs=max(1, route["tries"]), standing=standing,
             )  # fmt: skip
             if decision.action is not Action.SEND:
                 return decision
@@ -255,7 +300,7 @@
         health = self.workers.health(name)
         request.attempt_log = request.attempt_log.plan(name)
         seconds_left = request.until - now()
-        headers = self._attempt_headers(request, name, seconds_left)
+        headers = attempt_headers(self.names, request, name, seconds_left)
         health.in_flight += 1
         self._note_unread(request, health, request.prompt_tokens)
         exchange: Exchange | None = None
@@ -263,9 +308,9 @@
         try:
             exchange = await self.connections.request(
                 addr, request.method, request.target, headers, request.body,
-                admission_check=lambda: self.workers.check_admission(request, pool, name, addr),
+                admission_check=lambda: self._check_admission(request, pool, name, addr),
                 limit=seconds_left + DEADLINE_SLACK, max_connections=max_connections,
-                expect=(self.names.request_id, request.request_id or b""), patience=self._patience(request),
+                expect=(self.names.request_id, request.request_id or b""), patience=request.patience,
             )  # fmt: skip
             if await self._is_answer(request, exchange, name, health):
                 self._note_answer(request, exchange, name, health, now() - sent)
@@ -278,31 +323,17 @@
             if exchange is not None:
                 exchange.close()
 
+    def _check_admission(self, request: RelayedRequest, pool: str, name: str, addr: str) -> str:
+        """Asked right before the first byte leaves: what speaks against it now; empty if nothing does."""
+        if not request.begun and self.clients.standing(request.route, request.client) is not KeyStanding.HELD:
+            return "its client's key has changed"
+        return self.workers.check_admission(request, pool, name, addr)
+
     def _note_unread(self, request: RelayedRequest, health: WorkerHealth, tokens: int) -> None:
         """So many tokens of the request's prompt may still have to be read at its worker."""
         health.unread += tokens - request.unread
         request.unread = tokens
 
-    def _attempt_headers(self, request: RelayedRequest, name: str, seconds_left: float) -> Headers:
-        """The request's headers with those that are of one attempt."""
-        names = self.names
-        headers = [
-            *request.headers, (names.want_worker, name.encode()),
-            (names.deadline_ms, b"%d" % max(1, int(seconds_left * 1000))),
-        ]  # fmt: skip
-        if request.begun and request.events is not None and request.events.last_id is not None:
-            headers = [h for h in headers if h[0] != names.last_event]
-            headers.append((names.last_event, b"%d" % request.events.last_id))
-        return headers
-
-    def _patience(self, request: RelayedRequest) -> float:
-        """Seconds for which nothing may come for a request that may be done elsewhere, so that this is still in time;
-        0 for others."""
-        if not request.repeatable:
-            return 0.0
-        route = request.route
-        return min(route["target"], route["gap"] or route["target"]) * PATIENCE
-
     async def _is_answer(self, request: RelayedRequest, exchange: Exchange, name: str, health: WorkerHealth) -> bool:
         """Is the head the worker's own answer? If it proves that nothing ran, that is marked. Raises FaultError for a
         head that proves nothing."""
--- a/postpass/gateway/route_table.py
+++ b/postpass/gateway/route_table.py
@@ -22,9 +22,16 @@
 
     hosts: dict[bytes, tuple[RouteEntry, ...]]
 
+    def routes_of(self, host: bytes) -> tuple[Route, ...]:
+        """All routes of a host."""
+        return tuple(entry.route for entry in self._entries(host))
+
+    def _entries(self, host: bytes) -> tuple[RouteEntry, ...]:
+        return self.hosts.get(host.partition(b":")[0].lower(), ())
+
     def match(self, host: bytes, path: bytes) -> tuple[str, Route] | None:
         """Name and route of the longest prefix of a raw path; None if no route fits."""
-        for prefix, name, route in self.hosts.get(host.partition(b":")[0].lower(), ()):
+        for prefix, name, route in self._entries(host):
             if path.startswith(prefix):
                 return name, route
         return None
--- a/tests/test_readable_code.py
+++ b/tests/test_readable_code.py
@@ -35,7 +35,7 @@
         "response_check", "http_headers", "http_errors", "request_bodies", "client_connection", "attempts",
         "admission_queue", "worker_load", "admission_control", "owner_client", "edge_state", "job_routes",
         "live_requests", "proxied_routes", "gateway", "upstream_connection", "connection_pool", "http_server",
-        "load_exchange", "body_reader", "route_table", "event_stream", "worker_health", "relayed_request",
+        "load_exchange", "body_reader", "route_table", "event_stream", "client_identity", "worker_health", "relayed_request",
         "worker_selection", "answer_delivery", "relay",
     ),
     "routing": ("options", "prefixes", "cold_workers", "load_picture", "live_choice", "item_choice", "item_order"),
@@ -50,7 +50,7 @@
     "cli": ("fleet_client", "status_page", "status", "doctor", "main", "renamed_commands"),
     "storage": ("segmented_log", "data_directory"),
     "configuration": (
-        "header_names", "json_delta", "schema", "settings", "accepted_orders", "nginx_import", "configuration",
+        "header_names", "tenant_keys", "json_delta", "schema", "settings", "accepted_orders", "nginx_import", "configuration",
         "configuration_check",
     ),
     "runtime": ("deferred_import", "errors", "log_events", "ordered_set", "disk", "environment"),
