Name the tenant on items at workers, and leave out the key that a client wrote there

What workers saw: items of jobs came without the tenant's name, or with one that the client had written into the item's own headers, in any case of letters; Authorization in them was passed on.

Change: `request_headers` takes the client whose job it is. Its tenant's name is the only one of that header; Authorization is left out where the configuration has tenants, and stays as it was where it has none.

Existing tests changed: two calls and the stand-in of the broken variant "a text joined wrongly" name the client as well; what they demand is the same.

Evidence: tests/batch/test_item_request.py, the tenant is the one whose job it is.

--- a/postpass/batch/item_request.py
+++ b/postpass/batch/item_request.py
@@ -10,6 +10,8 @@
 
 from postpass.batch.messages import Item
 from postpass.configuration.header_names import Dialect
+from postpass.gateway.client_identity import ClientIdentity
+from postpass.gateway.http_headers import AUTHORIZATION
 from postpass.gateway.response_check import Proof, ResponseHeaderNames, check_response
 from postpass.runtime.errors import BROKE, REJECTED, Fault, FaultError
 
@@ -135,16 +137,18 @@
 
 
 def request_headers(
-    dialect: Dialect, item: Item, host: str, worker: str, wait_ms: int, last_event: int
+    dialect: Dialect, item: Item, client: ClientIdentity, host: str, worker: str, wait_ms: int, last_event: int
 ) -> list[tuple[bytes, bytes]]:
     """The headers of an item's request: this side's own, and then the client's, but for those that this side sets.
 
-    `wait_ms` is the time that is left, in milliseconds; `last_event` the last event of a run before, -1 if there is
+    `client` is the one whose job it is; `wait_ms` is the time that is left, in milliseconds; `last_event` the last event of a run before, -1 if there is
     none.
     """
     own_names = OWN_HEADERS | {
-        dialect.request_id, dialect.deadline_ms, dialect.want_worker, dialect.urgency, dialect.last_event,
+        dialect.request_id, dialect.deadline_ms, dialect.want_worker, dialect.urgency, dialect.last_event, dialect.tenant,
     }  # fmt: skip
+    if client.hides_key:
+        own_names |= {AUTHORIZATION.decode()}
     headers = [
         ("host", host),
         (dialect.request_id, item["id"]),
@@ -153,6 +157,8 @@
         ("content-length", str(len(base64.b64decode(item["body"])))),
     ]
     headers += [(name, value) for name, value in item["headers"].items() if name.lower() not in own_names]
+    if client.tenant:
+        headers.append((dialect.tenant, client.tenant))
     if last_event >= 0:
         headers.append((dialect.last_event, str(last_event)))
     encoded = [(name.encode("latin-1"), value.encode("latin-1")) for name, value in headers]
@@ -169,17 +175,17 @@
 
 
 async def run_item(
-    workers: Workers, dialect: Dialect, url: str, worker: str, host: str, item: Item, text: Text,
+    workers: Workers, dialect: Dialect, url: str, worker: str, host: str, item: Item, client: ClientIdentity, text: Text,
     gate: Callable[[], str], limit: float,
 ) -> RunEnd:  # fmt: skip
-    """Runs an item at a worker, on from what there is of its text, for `limit` seconds at the longest.
+    """Runs an item of a client's job at a worker, on from what there is of its text, for `limit` seconds at the longest.
 
     Returns how it ended: done, failed or never. Raises FaultError otherwise: with `unsent`, or the hint that it was
     rejected, if the worker did not run it; what came of the text stays in any case.
     """
     exchange = await workers.request(
         url.removeprefix("http://"), "POST", item["path"].encode("latin-1"),
-        request_headers(dialect, item, host, worker, int(limit * 1000), text.last), base64.b64decode(item["body"]),
+        request_headers(dialect, item, client, host, worker, int(limit * 1000), text.last), base64.b64decode(item["body"]),
         admission_check=gate, limit=limit, expect=(dialect.request_id.encode(), item["id"].encode()),
     )  # fmt: skip
     try:
--- a/postpass/batch/item_run.py
+++ b/postpass/batch/item_run.py
@@ -19,6 +19,7 @@
 from postpass.configuration.header_names import Dialect
 from postpass.configuration.settings import Settings
 from postpass.feed.configuration_view import ConfigurationView
+from postpass.gateway.client_identity import ClientIdentity
 from postpass.gateway.worker_load import WorkerLoad
 from postpass.runtime.environment import now
 from postpass.runtime.errors import MOVED, Fault, FaultError
@@ -122,7 +123,8 @@
         pool, worker = item.pool, item.worker
         url = configuration["pools"][pool]["servers"][worker]["url"]
         return await run_item(
-            self.workers, self.dialect, url, worker, route["host"], item.request, item.text,
+            self.workers, self.dialect, url, worker, route["host"], item.request,
+            ClientIdentity(item.client, hides_key="tenants" in configuration), item.text,
             lambda: self.route_gate(item, pool, worker), self.settings.bounds.recover * ROUTE_TIMEOUT,
         )  # fmt: skip
 
--- a/tests/batch/test_item_request.py
+++ b/tests/batch/test_item_request.py
@@ -10,6 +10,7 @@
 from postpass.batch.item_request import Events, Text, request_headers, run_item
 from postpass.batch.messages import Item
 from postpass.configuration.header_names import Dialect
+from postpass.gateway.client_identity import PUBLIC, WITHOUT_TENANTS, ClientIdentity
 from postpass.gateway.connection_pool import ConnectionPool
 from postpass.runtime.errors import FaultError
 from tests.gateway.test_upstream_connection import run
@@ -56,13 +57,28 @@
             "body": "q83v",
             "headers": {"X-Model": "m", "X-Urgency": "0", "Host": "other", "X-Call-Id": "j"},
         }
-        heads = request_headers(Dialect(), request, "h.example", "w1", 5000, 12)
+        heads = request_headers(Dialect(), request, WITHOUT_TENANTS, "h.example", "w1", 5000, 12)
         names = [k for k, _ in heads]
         assert len(names) == len(set(names)) and dict(heads) == {
             b"host": b"h.example", b"x-call-id": b"i1", b"x-deadline-ms": b"5000", b"x-want-worker": b"w1",
             b"content-length": b"3", b"X-Model": b"m", b"last-event-id": b"12", b"x-urgency": b"9",
         }  # fmt: skip
 
+    @pytest.mark.parametrize("client", [ClientIdentity("t1"), PUBLIC, WITHOUT_TENANTS])
+    def test_the_tenant_is_the_one_whose_job_it_is_and_keys_stay_here(self, client: ClientIdentity) -> None:
+        request: Item = {
+            "id": "i1",
+            "path": "/x",
+            "tokens": 3,
+            "body": "q83v",
+            "headers": {"X-Tenant": "t2", "x-tenant": "t3", "AUTHORIZATION": "Bearer k1", "authorization": "Bearer k2"},
+        }
+        heads = request_headers(Dialect(), request, client, "h.example", "w1", 5000, 12)
+        named = [(name.lower(), value) for name, value in heads]
+        assert [value for name, value in named if name == b"x-tenant"] == ([b"t1"] if client.tenant else [])
+        keys = [value for name, value in named if name == b"authorization"]
+        assert keys == ([b"Bearer k1", b"Bearer k2"] if client is WITHOUT_TENANTS else [])
+
 
 ITEM: Item = {"id": "i1", "path": "/x", "headers": {}, "body": "q83v", "tokens": 3}
 SEALED = b"X-Call-Id: i1\r\nX-Seal: s\r\n"
@@ -87,7 +103,7 @@
             text = Text()
             try:
                 end: str = await run_item(
-                    links, Dialect(), "http://w:1", "w1", "h", ITEM, text, lambda: "", 1.0
+                    links, Dialect(), "http://w:1", "w1", "h", ITEM, WITHOUT_TENANTS, text, lambda: "", 1.0
                 )  # fmt: skip
             except FaultError as bad:
                 end = bad.fault.hint or "broken"
--- a/tests/gateway/test_answers_broken.py
+++ b/tests/gateway/test_answers_broken.py
@@ -182,7 +182,7 @@
     mp.setattr(
         item_request,
         "request_headers",
-        lambda d, call, host, worker, wait, _last: plain(d, call, host, worker, wait, -1),
+        lambda d, call, client, host, worker, wait, _last: plain(d, call, client, host, worker, wait, -1),
     )
 
 
