Show and end no job of a tenant on pages that know no keys

What callers saw: `GET /v1/lots/ID/results` and `DELETE /v1/lots/ID` go by the name that a client gives itself in `x-caller`. With a tenant's name there, anyone who knew a job's id read its results and ended it, without a key.

Cause: owners tell clients apart by the same name, and these pages stand at each edge.

Ruled out: asking for keys there. The names of these pages are the clients' own, and no class takes jobs in a fleet that announces itself.

Change: where the configuration has tenants these pages answer 404, once the edge is ready; without tenants they serve as before.

--- a/postpass/gateway/job_routes.py
+++ b/postpass/gateway/job_routes.py
@@ -30,11 +30,24 @@
 
     edge: EdgeState
 
-    async def submit(self, request: Request) -> Response:
-        """POST /v1/lots: 201 if the job is kept; 409, 429, 503 or 507 if it surely isn't; 504 if that is unknown."""
+    def _not_served(self) -> Response | None:
+        """The answer where these pages serve nobody, or not yet; None if they do.
+
+        Here clients name themselves. Where the configuration has tenants, jobs are theirs by their keys, which only
+        the pages of routes ask for.
+        """
         edge = self.edge
         if (lack := edge.unready()) is not None:
             return lack
+        if "tenants" in edge.configuration:
+            return fault_response(Fault("find page", edge.settings.name, "no such page; jobs go by routes here"), 404)
+        return None
+
+    async def submit(self, request: Request) -> Response:
+        """POST /v1/lots: 201 if the job is kept; 409, 429, 503 or 507 if it surely isn't; 504 if that is unknown."""
+        edge = self.edge
+        if (refusal := self._not_served()) is not None:
+            return refusal
         read = await read_json(request, JobRequestBody, edge.configuration_view.limit("body_bytes"), edge.settings.name)
         if isinstance(read, Err):
             return read.unwrap_err()
@@ -127,8 +140,8 @@
 
     async def _ask_owner(self, request: Request, verb: str, body: Body) -> Response:
         edge = self.edge
-        if (lack := edge.unready()) is not None:
-            return lack
+        if (refusal := self._not_served()) is not None:
+            return refusal
         job_id = request.path_params["lot"]
         if not IDENTIFIER.fullmatch(job_id):
             return fault_response(Fault("read path", edge.settings.name, f"id: {IDENTIFIER_WANTED}"), 400)
--- a/tests/platform/test_job_keys.py
+++ b/tests/platform/test_job_keys.py
@@ -178,6 +178,32 @@
         play(check)
 
 
+class Test_the_pages_that_know_no_keys:
+    def test_show_and_end_no_job_of_a_tenant(self) -> None:
+        """They go by a name that clients give themselves."""
+
+        async def check(one: Edge, two: Edge, workers: Pretend) -> None:
+            workers.full = True
+            assert await one.status("POST", "/lot/x", "k1", lot("a")) == 202
+            for method, target in (("GET", "/results"), ("GET", ""), ("DELETE", "")):
+                status, body, _ = await two.ask(method, "/v1/lots/l1" + target, named="t1")
+                assert status == 404 and "items" not in body and "results" not in body
+            submitted = json.dumps({"class": "summary", "items": ["x"], "within": 60}).encode()
+            assert await two.status("POST", "/v1/lots", body=submitted) == 404
+            workers.full = False
+            assert await two.states("k1") == ["done"]
+
+        play(check)
+
+    def test_serve_as_before_without_tenants(self) -> None:
+        async def check(one: Edge, two: Edge, workers: Pretend) -> None:
+            assert await one.status("POST", "/lot/x", "", lot("a")) == 202
+            assert await two.states("") == ["done"]
+            assert await two.status("GET", "/v1/lots/l1/results") == 200
+
+        play(check, tenants=None)
+
+
 class Test_an_item:
     def test_goes_with_the_name_of_its_jobs_tenant_and_without_keys(self) -> None:
         async def check(one: Edge, two: Edge, workers: Pretend) -> None:
