Settings: only the fields that are read are checked, at every depth

A figure of the bounds may be a whole number, a fraction, true or false, and fields that aren't known are to be skipped.

Cause: `bounds` was declared as an open table of numbers, so each entry was checked, also those that nothing reads. `zones` was the same, for values that nothing reads; and null or 1.0 in a field that is read were refused too.

Ruled out: another key of that file. The message named this one, and the file without it was read.

Null counts as not set, and 5.0 as 5 where a whole number is wanted. The figures of the rate limit (quota_window, quota_excess, quota_extra) are settings now; the last two may be 0.

`tenant_keys` has its place among the layers that test_readable_code knows; the test failed for want of it before this change.

Evidence: the files of each class of machines with tenants, with an unknown field of each JSON type in each of their tables, fail before and pass after.

--- a/postpass/configuration/settings.py
+++ b/postpass/configuration/settings.py
@@ -19,11 +19,13 @@
 from postpass.configuration.schema import validation_errors
 from postpass.membership.safe_change import Tolerance
 
+# Figures of `Bounds` that may be 0; all others are above it.
+MAY_BE_ZERO = ("sync", "grace", "keep", "quota_excess", "quota_extra")
 MINIMUM_BYTES = (("buffer_bytes", 65536), ("segment_bytes", 4096), ("disk_bytes", 0))
 
 
 class BoundsFile(TypedDict, total=False):
-    """Promises in seconds, all above 0; what is left out has the default of `Bounds`, which says what each bounds."""
+    """Promises, in seconds but for the excess and the extra; what is left out has the default of `Bounds`."""
 
     end: float
     leave: float
@@ -35,6 +37,9 @@
     grace: float
     keep: float
     acknowledge: float
+    quota_window: float
+    quota_excess: float
+    quota_extra: float
 
 
 class ToleranceFile(TypedDict, total=False):
@@ -73,7 +78,7 @@
 
 @dataclass(frozen=True)
 class Bounds:
-    """The promises, each in seconds. Every timer is a ratio of one of them.
+    """The promises, in seconds where nothing else is said. Every timer is a ratio of one of them.
 
     :ivar end: from the end of a job to the last start of one of its items.
     :ivar leave: from when a worker is told to leave to the last request that it is given.
@@ -85,6 +90,9 @@
     :ivar sync: until a machine that is back counts again; 0 where no platform sets it.
     :ivar grace: from SIGTERM to the end of the process; 0 where no platform sets it.
     :ivar keep: for which a job's results are read, from when it was sent; 0 where no platform sets it.
+    :ivar quota_window: over any time of this length, a tenant's requests are counted against its limit.
+    :ivar quota_excess: by which share of its limit a tenant's requests may go over it; 0 or more.
+    :ivar quota_extra: by how many requests they may, beside that; 0 or more.
 
     Invariants, checked in `tests/configuration/test_settings.py`:
     - beat * 3 <= detect: three heartbeats are missed before a live owner is suspected.
@@ -108,6 +116,9 @@
     sync: float = 0.0
     grace: float = 0.0
     keep: float = 0.0
+    quota_window: float = 5.0
+    quota_excess: float = 0.1
+    quota_extra: float = 20.0
 
     @property
     def beat(self) -> float:
@@ -259,6 +270,19 @@
     return [] if 1 <= count <= 3 else [f"seeds: want one to three addresses, got {count}"]
 
 
+def _bounds_errors(bounds: dict[str, float]) -> list[str]:
+    errors = [
+        f"bounds.{key}: want a number above 0, got {value}"
+        for key, value in bounds.items()
+        if key not in MAY_BE_ZERO and not value > 0
+    ]
+    return errors + [
+        f"bounds.{key}: want 0 or more, got {value}"
+        for key, value in bounds.items()
+        if key in MAY_BE_ZERO and not value >= 0
+    ]
+
+
 def _value_errors(file: SettingsFile, want_data: bool) -> list[str]:
     """What is wrong with the values of a file of the right shape."""
     errors = [
@@ -272,8 +296,7 @@
         errors.append("name: want a name, got an empty string")
     if (want_data or "store" in file.get("duties", [])) and not file.get("data"):
         errors.append("data: missing, want a folder (the store duty and control processes keep files)")
-    bounds = cast(dict[str, float], file.get("bounds", {}))
-    errors += [f"bounds.{key}: want a number above 0, got {value}" for key, value in bounds.items() if not value > 0]
+    errors += _bounds_errors(cast(dict[str, float], file.get("bounds", {})))
     values = cast(dict[str, Any], file)
     return errors + [
         f"{key}: want at least {minimum}, got {values[key]}"
--- a/tests/configuration/test_settings.py
+++ b/tests/configuration/test_settings.py
@@ -31,3 +31,16 @@
     assert [s.split(":")[0] for s in seen] == ["peer", "seeds", "data", "bounds.end"]
     assert parse(GOOD | {"odd": 1}).unwrap_err()[0].startswith("odd: unknown key")
     assert load("/no/such", {}).unwrap_err() == ["/no/such: cannot be read: No such file or directory"]
+
+
+def test_the_figures_of_the_rate_limit_have_defaults_and_may_be_zero_but_for_the_window() -> None:
+    bounds = Bounds()
+    assert (bounds.quota_window, bounds.quota_excess, bounds.quota_extra) == (5.0, 0.1, 20.0)
+    given = parse(GOOD | {"bounds": {"quota_window": 2.5, "quota_excess": 0, "quota_extra": 0}}).unwrap().bounds
+    assert (given.quota_window, given.quota_excess, given.quota_extra) == (2.5, 0, 0)
+    bad = parse(GOOD | {"bounds": {"quota_window": 0, "quota_excess": -0.1, "quota_extra": -1}}).unwrap_err()
+    assert bad == [
+        "bounds.quota_window: want a number above 0, got 0",
+        "bounds.quota_excess: want 0 or more, got -0.1",
+        "bounds.quota_extra: want 0 or more, got -1",
+    ]
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
+import copy
 import importlib.util
 import sys
+from collections.abc import Iterator
 from pathlib import Path
 from types import ModuleType
 from typing import Any
 
+import pytest
+
 FOLDER = Path(__file__).parents[2] / "platform"
 
 
@@ -82,3 +86,89 @@
     assert adapter("settings").load("edge", "/no/such").unwrap_err() == [
         "/no/such: cannot be read: No such file or directory"
     ]
+
+
+# The bounds of a deployment with tenants; `revoked` tells of a rule, and is no number.
+BOUNDS_WITH_TENANTS: dict[str, Any] = {
+    "seedLagS": 3, "reuseS": 2, "contactMs": 4000, "ackMs": 5000, "syncS": 6, "drainMs": 2500, "graceS": 8,
+    "lossSlackMs": 200, "applyMs": 2500, "revertMs": 250, "skewMs": 6000, "revoked": False, "revokeMs": 5000,
+    "quotaWindowS": 5, "quotaExcess": 0.1, "quotaExtra": 20, "warmExcess": 1.5, "warmExtra": 5, "evacMs": 5000,
+    "recoverS": 15, "sweepMs": 200, "finishS": 10, "pollS": 120, "cancelMs": 3000, "settleMs": 1000,
+}  # fmt: skip
+ANY_JSON: list[Any] = [None, False, True, 0, -3, 2.5, "", "text", [], [1, "a", None], {}, {"deep": [{"er": False}]}]
+
+
+def shared_settings_file(role: str) -> dict[str, Any]:
+    """The file of each class of machines in a deployment with tenants."""
+    listens = {
+        "edge": {"front": "10.1.0.10:8628", "ready": "10.1.0.10:8624"},
+        "store": {},
+        "core": {"ctl": "10.1.0.16:8629"},
+    }
+    return settings_file() | {
+        "role": f"my-{role}", "class": role, "serves": [{"edge": "edge", "store": "store", "core": "ctl"}[role]],
+        "zones": {"sal-nord": "midtjylland", "sal-syd": "midtjylland", "sal-oest": "midtjylland"}, "zone": "sal-nord",
+        "listen": listens[role], "quorum": role != "edge", "dataDir": None if role == "edge" else "/data/postpass",
+        "limits": {"cpuShare": 0.172, "ncpu": 1, "ramMb": 200, "maxFds": 4100, "netMbps": 15.0, "diskMb": 110},
+        "discovery": "join", "entry": "vip", "tolerate": {"servers": 2, "zones": 1, "regions": 0},
+        "contracts": ["base", "drain", "config", "tenants", "quota", "batch"], "bounds": BOUNDS_WITH_TENANTS,
+    }  # fmt: skip
+
+
+def tables(value: Any) -> Iterator[dict[str, Any]]:
+    """Every object of a JSON value, at any depth."""
+    if isinstance(value, dict):
+        yield value
+        for part in value.values():
+            yield from tables(part)
+    if isinstance(value, list):
+        for part in value:
+            yield from tables(part)
+
+
+@pytest.mark.parametrize("role", ["edge", "store", "core"])
+def test_the_files_of_a_deployment_with_tenants_are_read(role: str) -> None:
+    settings = adapter("settings").settings_of(role, shared_settings_file(role)).unwrap()
+    bounds = settings.bounds
+    assert (bounds.quota_window, bounds.quota_excess, bounds.quota_extra) == (5, 0.1, 20)
+    assert (bounds.recover, bounds.manifest, bounds.acknowledge, bounds.keep) == (15, 2.5, 5, 120)
+
+
+@pytest.mark.parametrize("role", ["edge", "store", "core"])
+@pytest.mark.parametrize("value", ANY_JSON, ids=repr)
+def test_a_field_that_is_not_read_is_skipped_at_every_depth_whatever_its_type(role: str, value: Any) -> None:
+    of = adapter("settings").settings_of
+    raw = shared_settings_file(role)
+    expected = of(role, raw).unwrap()
+    for i in range(len(list(tables(raw)))):
+        file = copy.deepcopy(raw)
+        table = list(tables(file))[i]
+        if table != file["zones"]:  # its keys are names of zones
+            table["laterField"] = copy.deepcopy(value)
+            assert of(role, file).unwrap() == expected
+    # What stands in the file of this release but isn't read may change its type as well.
+    unread = ("role", "class", "serves", "region", "quorum", "discovery", "entry", "contracts")
+    assert of(role, raw | dict.fromkeys(unread, value)).unwrap() == expected
+    for key in ("revoked", "seedLagS", "warmExcess"):
+        assert of(role, raw | {"bounds": raw["bounds"] | {key: value}}).unwrap() == expected
+
+
+def test_null_counts_as_not_set_and_a_whole_number_may_have_a_point() -> None:
+    of = adapter("settings").settings_of
+    raw = settings_file()
+    nulls = raw | {"limits": None, "tolerate": {"servers": None, "zones": 1.0}, "portRange": [7660.0, 7675.0]}
+    settings = of("edge", nulls | {"bounds": raw["bounds"] | {"graceS": None}}).unwrap()
+    assert (settings.disks_lost, settings.zones_lost, settings.peer) == (1, 1, "10.1.0.35:7660")
+
+
+def test_a_field_that_is_read_is_still_checked_with_its_own_type() -> None:
+    of = adapter("settings").settings_of
+    bad = settings_file() | {"bounds": {"recoverS": False, "quotaExcess": "0.1"}, "dataDir": 4}
+    assert of("edge", bad).unwrap_err() == [
+        "dataDir: want a string, got 4",
+        "bounds.recoverS: want a number, got False",
+        "bounds.quotaExcess: want a number, got '0.1'",
+    ]
+    missing = settings_file()
+    del missing["bounds"]
+    assert of("edge", missing).unwrap_err() == ["bounds: missing, want an object"]
--- a/tests/test_readable_code.py
+++ b/tests/test_readable_code.py
@@ -50,7 +50,7 @@
     "cli": ("fleet_client", "status_page", "status", "doctor", "main", "renamed_commands"),
     "storage": ("segmented_log", "data_directory"),
     "configuration": (
-        "header_names", "json_delta", "schema", "settings", "accepted_orders", "nginx_import", "configuration",
+        "header_names", "json_delta", "tenant_keys", "schema", "settings", "accepted_orders", "nginx_import", "configuration",
         "configuration_check",
     ),
     "runtime": ("deferred_import", "errors", "log_events", "ordered_set", "disk", "environment"),
