Heartbeats of workers: numbers with a point, null and wrong types

Seen (tests of a control member's page): a heartbeat with "slots": 24.7 or 24.0 was refused with 400, so the worker would not have been known; one with "warmLeftMs": "300" ended in a TypeError, a 500 that the worker takes to the next member, for ever; "slots": true counted as 1; "seqno": 9.0 as no number, so that late heartbeats could not be told.

Cause: the fields were checked one by one with isinstance, others not at all.

The types of a typed dictionary's fields are looked up once.

--- a/postpass/configuration/schema.py
+++ b/postpass/configuration/schema.py
@@ -1,13 +1,45 @@
-"""A small checker: does a JSON value have the shape of a typed dictionary? Lists every flaw with its path."""
+"""A small checker: does a JSON value have the shape of a typed dictionary? Lists every flaw with its path.
+
+Fields may be added to a document from outside at any time, with values of any JSON type. Whoever reads one takes
+`known_fields` of what came first, and validates only that.
+"""
 
 from __future__ import annotations
 
 import types
+from functools import cache
 from typing import Any, Literal, NotRequired, Required, Union, get_args, get_origin, get_type_hints
 
 from typing_extensions import is_typeddict
 
 
+@cache
+def _types_of_fields(kind: Any) -> dict[str, Any]:
+    return get_type_hints(kind, include_extras=True)
+
+
+def known_fields(kind: Any, raw: Any) -> Any:
+    """What a value has of the type `kind`, in which typed dictionaries, lists and tables may be nested.
+
+    Fields that the type doesn't name are left out, and so are those set to null, which count as not set. A number
+    without a fraction stands for a whole number where one is wanted (5.0 for 5). What has another shape than the type
+    is returned as it is, for validation to refuse.
+    """
+    root = get_origin(kind)
+    if root in (NotRequired, Required):
+        return known_fields(get_args(kind)[0], raw)
+    if root is list and isinstance(raw, list):
+        return [known_fields(get_args(kind)[0], value) for value in raw]
+    if root is dict and isinstance(raw, dict):
+        return {key: known_fields(get_args(kind)[1], value) for key, value in raw.items()}
+    if is_typeddict(kind) and isinstance(raw, dict):
+        types_of = _types_of_fields(kind)
+        return {k: known_fields(types_of[k], value) for k, value in raw.items() if k in types_of and value is not None}
+    if kind is int and isinstance(raw, float) and raw.is_integer():
+        return int(raw)
+    return raw
+
+
 def type_description(kind: Any) -> str:
     """What an error says is wanted of a type."""
     names = {str: "a string", int: "a whole number", float: "a number", bool: "true or false"}
@@ -56,7 +88,7 @@
 def _object_errors(kind: Any, value: Any, path: str) -> list[str]:
     if not isinstance(value, dict):
         return [f"{path or '(top)'}: want an object, got {value!r:.40}"]
-    hints = get_type_hints(kind, include_extras=True)
+    hints = _types_of_fields(kind)
     join = (lambda k: f"{path}.{k}") if path else str
     # Annotations are strings here, so the class itself can't tell which keys may be left out.
     must = [k for k, h in hints.items() if kind.__total__ and get_origin(h) is not NotRequired]
--- /dev/null
+++ b/tests/platform/test_operators.py
@@ -0,0 +1,116 @@
+"""The pages of operators and workers: what is read of a heartbeat, and what is skipped or refused."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from typing import Any
+
+import pytest
+from result import Ok
+from starlette.applications import Starlette
+
+from tests.platform.test_settings import ANY_JSON, adapter
+
+WORKER = "i-7f3a91c2"
+HEARTBEAT: dict[str, Any] = {
+    "service": "llm", "addr": "10.128.0.9:8080", "zone": "a", "version": "v1", "slots": 24, "state": "up", "warmLeftMs": 0,
+    "phase": "mixed", "models": [{"name": "m", "version": 1, "loras": []}], "seqno": 4,
+}  # fmt: skip
+
+
+class RecordedControl:
+    """Stands in for a control member: takes everything, and keeps it."""
+
+    def __init__(self) -> None:
+        self.calls: list[tuple[Any, ...]] = []
+
+    def __getattr__(self, name: str) -> Any:
+        async def call(*arguments: Any) -> Any:
+            self.calls.append((name, *arguments))
+            return Ok({})
+
+        return call
+
+
+def ask(method: str, path: str, body: bytes, headers: dict[str, str] | None = None) -> tuple[int, Any, RecordedControl]:
+    """Status and body that a control member answers, and what it handed on."""
+    control = RecordedControl()
+    app = Starlette(routes=adapter("operators").ControlRoutes(control).routes())
+    sent: list[Any] = []
+
+    async def receive() -> Any:
+        return {"type": "http.request", "body": body, "more_body": False}
+
+    async def send(message: Any) -> None:
+        sent.append(message)
+
+    lines = [(name.lower().encode(), value.encode()) for name, value in (headers or {}).items()]
+    scope = {
+        "type": "http", "method": method, "path": path, "headers": lines, "query_string": b"", "http_version": "1.1",
+        "scheme": "http", "root_path": "", "server": ("c1", 80), "client": ("w", 1),
+    }  # fmt: skip
+    asyncio.run(app(scope, receive, send))
+    text = b"".join(m.get("body", b"") for m in sent)
+    return sent[0]["status"], json.loads(text) if text else None, control
+
+
+def heartbeat(**other: Any) -> tuple[int, Any, RecordedControl]:
+    return ask("PUT", f"/-/workers/{WORKER}", json.dumps(HEARTBEAT | other).encode())
+
+
+def announced(**other: Any) -> dict[str, Any]:
+    expected = {"pool": "llm", "url": "http://10.128.0.9:8080", "area": "a", "slots": 24, "leave": False, "cold": False}
+    return expected | other
+
+
+@pytest.mark.parametrize("value", ANY_JSON, ids=repr)
+def test_a_field_of_a_heartbeat_that_is_not_read_is_skipped_whatever_its_type(value: Any) -> None:
+    unread = ("later", "phase", "models", "version")
+    status, _, control = heartbeat(**dict.fromkeys(unread, value))
+    assert status == 200
+    assert control.calls == [("record_worker_heartbeat", WORKER, announced(), 4)]
+
+
+def test_numbers_of_a_heartbeat_may_have_a_point_and_null_counts_as_not_set() -> None:
+    for other, expected, seqno in (
+        ({"slots": 24.0, "seqno": 9.0}, announced(), 9),
+        ({"slots": 24.7}, announced(), 4),
+        ({"slots": 0}, announced(slots=1), 4),
+        ({"warmLeftMs": 0.5}, announced(cold=True), 4),
+        ({"warmLeftMs": None, "seqno": None}, announced(), 0),
+        ({"state": "draining"}, announced(leave=True), 4),
+    ):
+        status, _, control = heartbeat(**other)
+        assert (status, control.calls) == (200, [("record_worker_heartbeat", WORKER, expected, seqno)]), other
+
+
+@pytest.mark.parametrize(
+    ("key", "value", "flaw"),
+    [
+        ("service", 4, "service: want a string, got 4"),
+        ("addr", None, "addr: missing, want a string"),
+        ("slots", True, "slots: want a number, got True"),
+        ("slots", "24", "slots: want a number, got '24'"),
+        ("warmLeftMs", "300", "warmLeftMs: want a number, got '300'"),
+        ("seqno", "4", "seqno: want a whole number, got '4'"),
+    ],
+)
+def test_a_heartbeat_with_a_wrong_type_in_a_field_that_is_read_is_refused_by_name(
+    key: str, value: Any, flaw: str
+) -> None:
+    status, body, control = heartbeat(**{key: value})
+    assert (status, body["error"], control.calls) == (400, flaw, [])
+
+
+def test_what_is_no_object_is_refused() -> None:
+    for body in (b"[]", b"3", b"null", b'"x"', b"{"):
+        assert ask("PUT", f"/-/workers/{WORKER}", body)[0] == 400
+
+
+@pytest.mark.parametrize("body", [b"", b"{}", b'{"overS":10,"later":[1]}', b"[null]", b"not json"])
+def test_an_order_without_a_body_of_its_own_takes_any(body: bytes) -> None:
+    status, _, control = ask("POST", "/-/retire/store-a-1", body)
+    assert (status, control.calls) == (200, [("retire", "store-a-1")])
+    status, _, control = ask("POST", "/-/evac/a", body)
+    assert (status, control.calls) == (200, [("evacuate", "a", True)])
