Jobs and announcements: fields that aren't read are skipped

Seen (tests): a job whose items have one more field than this release knows was answered 400 "unknown key", which a client doesn't send again; a number of tokens written 940.0 as well; a machine of a later release that says one thing more of itself could not join.

Cause: both were held against the full list of keys, so an additional one was a flaw.

Ruled out: the keys that a job has on disk, which are picked by name as before and in the same order; its headers, whose names are no fields and stay.

Change: `known_body` is what of a job's body is read; an announcement must have its keys, and may have more.

Evidence: the new cases of test_job_service.py and test_registry.py, 7 in all, fail before.

--- a/postpass/batch/job_api.py
+++ b/postpass/batch/job_api.py
@@ -13,7 +13,7 @@
 
 from postpass.batch.messages import Item, ResultsRequest
 from postpass.configuration.configuration import Route, partition_of
-from postpass.configuration.schema import validation_errors
+from postpass.configuration.schema import known_fields, validation_errors
 from postpass.gateway.gateway import Gateway
 from postpass.gateway.request_bodies import IDENTIFIER
 from postpass.rpc.codec import Body
@@ -33,6 +33,11 @@
     items: list[Item]
 
 
+def known_body(raw: Any) -> Any:
+    """A job's body as a client sent it, without what this release doesn't read, at any depth."""
+    return known_fields(Items, raw)
+
+
 class JobAnswer(NamedTuple):
     """The HTTP status and the body of an answer to a client."""
 
@@ -41,7 +46,7 @@
 
 
 def job_flaw(body: Any, most: int = MAX_ITEMS) -> str:
-    """The first flaw of a job's body, with its path; empty if there is none. A job has `most` items at the most."""
+    """The first flaw of a job's `known_body`, with its path; empty if there is none. It has `most` items at the most."""
     found = validation_errors(Items, body)
     if found:
         return found[0]
@@ -57,8 +62,8 @@
     return ""
 
 
-def known_keys(item: Item) -> Item:
-    """An item without keys that this release doesn't know."""
+def ordered_keys(item: Item) -> Item:
+    """An item with its keys in the order in which jobs are kept on disk."""
     return {
         "id": item["id"],
         "path": item["path"],
@@ -112,7 +117,7 @@
         if not IDENTIFIER.fullmatch(job_id):
             return JobAnswer(400, {"error": "id: want 1 to 80 of A-Z a-z 0-9 . _ -"})
         try:
-            body = json.loads(data)
+            body = known_body(json.loads(data))
         except (ValueError, RecursionError) as bad:
             return JobAnswer(400, {"error": f"(top): not JSON: {bad}"})
         flaw = job_flaw(body)
@@ -134,7 +139,7 @@
         return {
             "id": job_id,
             "route": name,
-            "items": [known_keys(item) for item in items],
+            "items": [ordered_keys(item) for item in items],
             "due": round(came + route["due"], 3),
             "expire": route["expire"],
             "tries": route["tries"],
--- a/postpass/membership/machine_registry.py
+++ b/postpass/membership/machine_registry.py
@@ -22,9 +22,12 @@
 
 
 def announcement_flaws(announcement: Any, zones: Iterable[str]) -> list[str]:
-    """What is wrong with a machine's announcement as it came from the peer, each flaw as one line."""
+    """What is wrong with a machine's announcement as it came from the peer, each flaw as one line.
+
+    Keys that a later release has added are no flaw.
+    """
     fields = MachineAnnouncement.__annotations__
-    if not isinstance(announcement, dict) or set(announcement) != set(fields):
+    if not isinstance(announcement, dict) or not set(announcement) >= set(fields):
         return [f"entry: want {', '.join(fields)}, got {announcement!r:.80}"]
     out = address_errors("peer", str(announcement["peer"])) + address_errors("http", str(announcement["http"]))
     if not announcement["name"] or not isinstance(announcement["name"], str):
--- a/tests/batch/test_job_api.py
+++ b/tests/batch/test_job_api.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from postpass.batch.job_api import job_flaw
+from postpass.batch.job_api import job_flaw, known_body
+from tests.platform.test_settings import ANY_JSON
 
 
 def item(**other: Any) -> dict[str, Any]:
@@ -32,3 +33,23 @@
     )  # fmt: skip
     def test_a_flaw_is_told_with_its_path(self, raw: Any, path: str) -> None:
         assert job_flaw(raw).split(":")[0] == path
+
+
+class Test_known_body:
+    @pytest.mark.parametrize("value", ANY_JSON, ids=repr)
+    def test_a_field_that_is_not_read_is_skipped_at_every_depth_whatever_its_type(self, value: Any) -> None:
+        body = known_body({"later": value, "items": [item(later=value), item(id="i2") | {"more": {"later": value}}]})
+        assert body == {"items": [item(), item(id="i2")]} and job_flaw(body) == ""
+
+    def test_names_of_headers_are_no_fields(self) -> None:
+        headers = {"x-model": "m", "x-later": "7"}
+        assert known_body({"items": [item(headers=headers)]})["items"][0]["headers"] == headers
+        assert job_flaw(known_body({"items": [item(headers={"later": 4})]})).startswith("items[0].headers.later: ")
+
+    def test_a_number_of_tokens_may_have_a_point(self) -> None:
+        body = known_body({"items": [item(tokens=940.0)]})
+        assert job_flaw(body) == "" and type(body["items"][0]["tokens"]) is int
+
+    def test_what_has_another_shape_keeps_its_flaw(self) -> None:
+        for raw, path in (([], "(top)"), ({"items": {}}, "items"), ({"items": [4]}, "items[0]")):
+            assert job_flaw(known_body(raw)).split(":")[0] == path
--- a/tests/batch/test_job_service.py
+++ b/tests/batch/test_job_service.py
@@ -150,6 +150,16 @@
 
         with_lots(check)
 
+    def test_is_taken_without_the_fields_that_are_not_read(self) -> None:
+        async def check(fleet: SimFleet, apis: list[JobApi], workers: Pretend) -> None:
+            plain = json.loads(lot("a"))
+            more = {"later": [1], "items": [item | {"later": {"deep": [None]}} for item in plain["items"]]}
+            assert (await apis[0].accept("r", ROUTE, "l1", json.dumps(more).encode()))[0] == 202
+            assert (await apis[1].accept("r", ROUTE, "l1", lot("a")))[0] == 202  # the very same one
+            assert [row["state"] for row in await all_of(apis[1], "l1")] == ["done"]
+
+        with_lots(check)
+
     def test_is_the_same_one_when_it_comes_again_under_another_name_of_its_route(self) -> None:
         async def check(fleet: SimFleet, apis: list[JobApi], workers: Pretend) -> None:
             workers.full = True
--- a/tests/membership/test_registry.py
+++ b/tests/membership/test_registry.py
@@ -4,8 +4,15 @@
 
 from typing import Any
 
+import pytest
+
 from postpass.control.state import state_body, state_of
-from postpass.membership.machine_registry import initial_configuration, with_adjusted_copies
+from postpass.membership.machine_registry import (
+    announcement_flaws,
+    initial_configuration,
+    machine_of,
+    with_adjusted_copies,
+)
 from postpass.membership.registry import MachineAnnouncement, State, with_parts
 from postpass.membership.safe_change import Tolerance
 
@@ -38,3 +45,14 @@
     assert list(state_body(State())) == keys
     body: dict[str, Any] = dict(zip(keys, (3, None, 1, "text", ["o"], {"p": {}}, ["w"], {"s": "d"}), strict=True))
     assert state_body(state_of(body)) == body
+
+
+@pytest.mark.parametrize("value", [None, False, 2.5, "text", [1], {"deep": []}], ids=repr)
+def test_an_announcement_of_a_later_release_is_taken_without_what_it_adds(value: Any) -> None:
+    entry: Any = {
+        "name": "s1", "area": "a", "peer": "10.0.0.1:1", "http": "10.0.0.1:2", "duties": ["store"], "born": 1, "disk": "d",
+    }  # fmt: skip
+    assert announcement_flaws(entry | {"later": value}, ["a"]) == []
+    assert machine_of(entry | {"later": value}) == machine_of(entry)
+    lacking = {key: part for key, part in entry.items() if key != "born"}
+    assert announcement_flaws(lacking | {"later": value}, ["a"])[0].startswith("entry: want name, ")
