--- a/sim/serving/fleet.py
+++ b/sim/serving/fleet.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from postpass.gateway.relay import PATIENCE
+from postpass.gateway.relayed_request import PATIENCE
 from postpass.gateway.worker_selection import OUTCOME_INTERVALS, PROMPT_WEIGHT
 from postpass.routing.item_choice import ItemWorker, choose_item_worker, item_rooms
 from postpass.routing.item_order import serving_order, usual_seconds
--- a/tests/sim/test_broken_variants.py
+++ b/tests/sim/test_broken_variants.py
@@ -110,11 +110,11 @@
 def forbids(mp: pytest.MonkeyPatch) -> None:
     plain = Relay.relay
 
-    async def own(self: Relay, name: str, route: Any, scope: Any, receive: Any, send: Any) -> None:
+    async def own(self: Relay, name: str, route: Any, client: Any, scope: Any, receive: Any, send: Any) -> None:
         if self.environment.chance.random() < 0.1:
             await self.answer(send, 403)
         else:
-            await plain(self, name, route, scope, receive, send)
+            await plain(self, name, route, client, scope, receive, send)
 
     mp.setattr(Relay, "relay", own)
 
@@ -240,11 +240,11 @@
 def late_routes_wait(mp: pytest.MonkeyPatch) -> None:
     plain = Relay.relay
 
-    async def own(self: Relay, name: str, route: Any, scope: Any, receive: Any, send: Any) -> None:
+    async def own(self: Relay, name: str, route: Any, client: Any, scope: Any, receive: Any, send: Any) -> None:
         if name.startswith("r-late"):
             await self.reject(send, 0.2, "late")
         else:
-            await plain(self, name, route, scope, receive, send)
+            await plain(self, name, route, client, scope, receive, send)
 
     mp.setattr(Relay, "relay", own)
 
