Limit the requests a second of a tenant over all edges, by shares leased from its home

Ruled out: fixed shares of each edge (clients land on few edges), a question for each request (nothing is served while a home changes), counters that edges tell each other (cut off edges run too much).

Change: postpass/tenants. The owner of a partition that the tenant's name chooses leases rates and bursts to edges, under its epoch; edges spend by themselves, ask ahead, and give back what they don't use. A new owner asks the edges what they hold. `Relay.rate_limit` is where the relay will ask; nothing does yet.

Evidence: tests/tenants plays the edges and homes over links that delay and lose, with frozen, cut and restarted machines and new homes: no window sees more than the promise, and each of seven broken variants is found.

--- a/postpass/daemon/data_plane.py
+++ b/postpass/daemon/data_plane.py
@@ -27,6 +27,8 @@
 from postpass.rpc.codec import RELEASE, Body, PeerResponse
 from postpass.rpc.peer_links import PeerLinks
 from postpass.runtime.environment import Environment
+from postpass.tenants.edge_shares import EdgeShares
+from postpass.tenants.messages import HOLDINGS
 
 if TYPE_CHECKING:
     import aiohttp
@@ -50,6 +52,7 @@
     relay: Relay | None = None
     connection_pool: ConnectionPool | None = None
     load_exchange: LoadExchange | None = None
+    tenant_shares: EdgeShares | None = None
 
     def __init__(
         self, settings: Settings, environment: Environment, release: str = "", dialect: Dialect | None = None
@@ -57,7 +60,7 @@
         super().__init__(settings, environment, release or RELEASE)
         self.dialect = dialect or Dialect()
         self.edge = self.scheduler = self.store = self.session = self.relay = self.connection_pool = None
-        self.load_exchange = None
+        self.load_exchange = self.tenant_shares = None
         if "store" in settings.duties:
             self.store = Store(settings, environment, self.configuration_view, self.peer_links)
             self.store.owner.announce_epochs = self.gossip.raise_epochs
@@ -103,6 +106,10 @@
         if self.settings.announce:
             self.relay = Relay(self.settings, self.environment, self.configuration_view, self.dialect, self.registry)
             self.edge.fallback = self.relay.not_found
+            self.tenant_shares = EdgeShares(
+                self.settings, self.configuration_view, self.peer_links, self.registry, str(self.incarnation)
+            )
+            self.relay.rate_limit = self.tenant_shares
 
     def _open_scheduler(self, session: aiohttp.ClientSession) -> None:
         """Makes the scheduler, which sees the load of the workers by itself: what the edge of the same machine places is
@@ -157,6 +164,8 @@
         mine: dict[str, Any] = {"floor": self.on_floor} if "edge" in self.settings.duties else {}
         if self.scheduler is not None:
             mine |= {"wake": self.scheduler.on_wake}
+        if self.tenant_shares is not None:
+            mine |= {HOLDINGS: self.tenant_shares.on_holdings}
         return mine | (self.store.handlers() if self.store is not None else {})
 
     async def on_floor(self, body: Body) -> PeerResponse:
@@ -249,6 +258,8 @@
             out += [serve_ready(self.settings.ready, lambda: not self.ready())] if self.settings.ready else []
         if self.load_exchange is not None:
             out.append(self.load_exchange.run())
+        if self.tenant_shares is not None:
+            out.append(self.tenant_shares.run())
         if self.scheduler is not None:
             out += self.scheduler.tasks() + ([] if self.settings.announce else [self.watch_batch()])
         return out
@@ -273,6 +284,8 @@
                 self.connection_pool.close()
             if self.load_exchange is not None:
                 self.load_exchange.close()
+            if self.tenant_shares is not None:
+                self.tenant_shares.close()
 
     async def more_status(self) -> Body:
         """What the duties add to the status page."""
--- a/postpass/gateway/relay.py
+++ b/postpass/gateway/relay.py
@@ -32,6 +32,7 @@
 from postpass.runtime.environment import Environment, now
 from postpass.runtime.errors import CROWD, SLOW, Fault, FaultError
 from postpass.runtime.log_events import Event
+from postpass.tenants.rate_limit import RateLimit
 
 JobHandler = Callable[[str, Route, Scope, Receive, Send], Awaitable[None]]
 
@@ -67,6 +68,7 @@
         self.leaving = False
         self.unready: Callable[[], str] = lambda: ""  # what is lacking to answer clients; empty if nothing is
         self.job_handler: JobHandler | None = None
+        self.rate_limit: RateLimit | None = None  # of tenants
         self.workers = WorkerSelection(settings, environment, configuration_view)
         self.started = now()
         self.rejected: dict[str, int] = {}  # by cause, since the last log line on it
--- a/postpass/replication/store.py
+++ b/postpass/replication/store.py
@@ -45,6 +45,7 @@
 from postpass.runtime.errors import Fault
 from postpass.storage.data_directory import revoke_identity
 from postpass.storage.segmented_log import SegmentedLog
+from postpass.tenants.share_service import ShareService
 
 
 @dataclass(eq=False)
@@ -74,6 +75,7 @@
         self.jobs = JobRecords(self.table, self.owner, self.leadership)
         self.leases = Leases(self.table, self.owner, self.leadership)
         self.job_service = JobService(self)
+        self.shares = ShareService(self)
         self.retention = Retention(self.table, self.owner, self.leases, self.job_service)
         self.cover_watch = CoverWatch(self.table)
         self.duties = OwnerDuties(
@@ -84,6 +86,7 @@
         """An ownership begins: what was kept in memory for the one before counts no more."""
         self.leases.owner_states[number] = OwnerState()
         self.job_service.forget(number)
+        self.shares.forget(number)
 
     # --- asked for by the daemon and the job service (`PartitionAccess`)
     @property
@@ -166,6 +169,7 @@
             "carry": self.mirror.on_carry, "ack": self.owner.on_ack, "promise": self.election.on_promise, "hello": self.mirror.on_hello, "fetch": self.catch_up.on_fetch,
             "submit": self.jobs.on_submit, "show": self.jobs.on_show, "page": self.jobs.on_page, "finish": self.jobs.on_finish, "take": self.leases.on_take,
             "done": self.leases.on_done, "claim": self.jobs.on_claim, "parts": self.on_parts, **self.job_service.handlers(),
+            **self.shares.handlers(),
         }  # fmt: skip
 
     async def watch_sync(self) -> None:
@@ -212,6 +216,7 @@
                     self.election.run_if_silent(partition)
                 partition.trim(self.table.settings.buffer_bytes // max(len(self.table.partitions), 1))
             self.job_service.report()
+            self.shares.watch()
             if self.table.log.is_compaction_due():
                 await self.table.log.compact(self.table.snapshot())
                 self.synced()
--- a/postpass/rpc/idl/peer.thrift
+++ b/postpass/rpc/idl/peer.thrift
@@ -75,5 +75,9 @@
   string item(1: string body) throws (1: Fault fault),
   string reserve(1: string body) throws (1: Fault fault),
   string waiting(1: string body) throws (1: Fault fault),
-  string wake(1: string body) throws (1: Fault fault)
+  string wake(1: string body) throws (1: Fault fault),
+
+  // limits of tenants
+  string share(1: string body) throws (1: Fault fault),
+  string holdings(1: string body) throws (1: Fault fault)
 }
--- a/postpass/runtime/log_events.py
+++ b/postpass/runtime/log_events.py
@@ -44,6 +44,7 @@
     PARTITION_DATA_LOSS = 125
     OWNERSHIP_HANDED_OVER = 126
     COVER_STALLED = 127
+    TENANT_HOME_READY = 128
     PRIMARY_ELECTED = 130
     PRIMARY_STEPPED_DOWN = 131
     BACKUP_CHANGED = 132
@@ -119,6 +120,9 @@
     Event.CHANGE_MISMATCH: (
         "A change of the control state did not fit the state replicated here; the complete state is asked for."
     ),
+    Event.TENANT_HOME_READY: (
+        "The new owner of a partition has heard from every edge what it holds of the limits of the partition's tenants."
+    ),
     Event.SCHEDULER_STARTED: "This daemon schedules jobs from now on.",
     Event.SCHEDULER_STOPPED: ("This daemon schedules no longer: one before it in the order is back, or it is fenced."),
     Event.CAPACITY_RECLAIMED: "Batch items were cancelled at a worker to hand capacity back to live requests.",
--- /dev/null
+++ b/postpass/tenants/edge_share.py
@@ -0,0 +1,143 @@
+"""What an edge knows of its share of one tenant's limit.
+
+Pure: the caller gives the time, in seconds of its monotonic clock. A share is good from when the edge asked for it, and
+its end is looked up each time that a token is taken, so that nothing is spent after a freeze.
+"""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+
+from postpass.tenants.limits import RateBurst
+from postpass.tenants.messages import ShareGrant, ShareRequest
+from postpass.tenants.share_allocation import wanted_rate
+
+LEAST_DEMAND = 0.1  # requests a second; less counts as none
+RARE = 0.5  # requests between two questions below which it is asked less often
+RARE_RENEWALS = 2  # times the usual interval
+GIVE_BACK = 0.6  # of its rate that an edge wants at the most when it gives the rest back at once
+FETCH_AHEAD = 0.5  # of the time between two questions for which tokens should be there
+TOKEN = 1.0 - 1e-9  # one token, but for rounding
+
+
+@dataclass(eq=False)
+class EdgeShare:
+    """The share of one tenant at one edge.
+
+    Invariants: `tokens` <= `burst`; nothing is taken at or after `until`; a grant counts only if it answers the last
+    question.
+
+    Attributes:
+        rate: tokens a second.
+        burst: tokens that may be there at once.
+        until: when the share runs out.
+        tokens: that were there at `counted_at`.
+        number: of the last question.
+        asked_at: when that was asked.
+        answered: whether it was answered.
+        short_until: before this no question is asked for a request, since the last answer gave too little.
+        arrivals: smoothed number of requests a second, at `arrived_at`.
+    """
+
+    smoothing: float
+    rate: float = 0.0
+    burst: float = 0.0
+    until: float = -math.inf
+    tokens: float = 0.0
+    counted_at: float = -math.inf
+    number: int = 0
+    asked_at: float = -math.inf
+    answered: bool = True
+    short_until: float = -math.inf
+    arrivals: float = 0.0
+    arrived_at: float = -math.inf
+
+    def note_arrival(self, now: float) -> None:
+        """A request has come."""
+        self.arrivals = self.demand(now) + 1 / self.smoothing
+        self.arrived_at = now
+
+    def demand(self, now: float) -> float:
+        """Requests a second that arrive, refused ones included."""
+        return self.arrivals * math.exp(-max(0.0, now - self.arrived_at) / self.smoothing) if self.arrivals else 0.0
+
+    def count(self, limit: RateBurst, now: float) -> None:
+        """Counts the tokens that came since the last time; the limit in force here holds beside the share."""
+        if now >= self.until:
+            self.rate = self.burst = self.tokens = 0.0
+        else:
+            came = min(self.rate, limit.rate) * max(0.0, now - self.counted_at)
+            self.tokens = min(self.tokens + came, self.burst, limit.burst)
+        self.counted_at = now
+
+    def take(self, limit: RateBurst, now: float) -> bool:
+        """Takes the token of one request, if there is one."""
+        self.count(limit, now)
+        if self.tokens < TOKEN:
+            return False
+        self.tokens = max(0.0, self.tokens - 1.0)
+        return True
+
+    def wait_for(self, tokens: float, limit: RateBurst, now: float) -> float:
+        """Seconds until so many tokens should be there; infinite if the share doesn't give as many."""
+        self.count(limit, now)
+        rate = min(self.rate, limit.rate)
+        if rate <= 0 or tokens > min(self.burst, limit.burst):
+            return 0.0 if self.tokens >= tokens else math.inf
+        return max(0.0, tokens - self.tokens) / rate
+
+    def is_due(self, limit: RateBurst, renew: float, now: float) -> bool:
+        """Should the home be asked now, though no request waits? To go on after what is used, or to give back."""
+        if not self.answered:
+            return False
+        self.count(limit, now)
+        if self._want(limit, now) < self.rate * GIVE_BACK:
+            return True
+        demand = self.demand(now)
+        rare = demand * renew < RARE
+        return demand > LEAST_DEMAND and now >= self.asked_at + renew * (RARE_RENEWALS if rare else 1)
+
+    def ask(self, tenant: str, number: int, waiting: int, renew: float, limit: RateBurst, now: float) -> ShareRequest:
+        """The next question. What it tells of the share holds from now on: what is not wanted any more is given back.
+
+        Parameters: `number`, greater than that of any question before; `waiting`, requests that wait for a token; `renew`, the seconds between two questions.
+        """
+        self.count(limit, now)
+        demand = self.demand(now)
+        want = self._want(limit, now)
+        if self.rate > want:
+            self.burst = max(self.burst * want / self.rate, min(self.tokens, self.burst))
+            self.rate = want
+        ahead = demand * renew * FETCH_AHEAD + waiting
+        wanted = max(0.0, ahead - self.tokens) if demand > LEAST_DEMAND or waiting else 0.0
+        self.number = number
+        self.asked_at, self.answered = now, False
+        remaining = max(0.0, self.until - now)
+        return ShareRequest(tenant, self.number, demand, self.rate, self.burst, remaining, self.tokens, wanted)
+
+    def holding(self, tenant: str, limit: RateBurst, now: float) -> ShareRequest:
+        """What is held, for a new home."""
+        self.count(limit, now)
+        remaining = max(0.0, self.until - now)
+        return ShareRequest(tenant, self.number, self.demand(now), self.rate, self.burst, remaining, self.tokens)
+
+    def apply(self, grant: ShareGrant, limit: RateBurst, now: float) -> bool:
+        """Puts a grant in place of the share so far; False if it answers another question than the last one, which is
+        then to be ignored."""
+        if grant.number != self.number or self.answered:
+            return False
+        self.count(limit, now)
+        self.answered = True
+        self.rate, self.burst, self.until = grant.rate, grant.burst, self.asked_at + grant.seconds
+        self.tokens = min(self.tokens + grant.tokens, self.burst)
+        self.count(limit, now)
+        return True
+
+    def give_up(self) -> None:
+        """No answer to the last question will be taken any more."""
+        self.answered = True
+
+    def _want(self, limit: RateBurst, now: float) -> float:
+        demand = self.demand(now)
+        return wanted_rate(demand, limit.rate) if demand > LEAST_DEMAND else 0.0
--- a/tests/test_readable_code.py
+++ b/tests/test_readable_code.py
@@ -48,6 +48,10 @@
         "gossip", "announcer", "health_endpoints", "process", "data_plane_status", "data_plane", "commands",
     ),
     "cli": ("fleet_client", "status_page", "status", "doctor", "main", "renamed_commands"),
+    "tenants": (
+        "rate_limit", "limits", "share_allocation", "messages", "share_ledger", "edge_share", "home_client",
+        "edge_shares", "share_service",
+    ),
     "storage": ("segmented_log", "data_directory"),
     "configuration": (
         "header_names", "json_delta", "schema", "settings", "accepted_orders", "nginx_import", "configuration",
