--- a/postpass/gateway/relay.py
+++ b/postpass/gateway/relay.py
@@ -5,7 +5,7 @@
 import asyncio
 import json
 from collections.abc import Awaitable, Callable
-from typing import Any, Protocol
+from typing import Any
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 from result import Err, Result
@@ -35,6 +35,7 @@
 from postpass.runtime.environment import Environment, now
 from postpass.runtime.errors import CROWD, SLOW, Fault, FaultError
 from postpass.runtime.log_events import Event
+from postpass.tenants.rate_limit import RateLimit
 
 JobHandler = Callable[[str, Route, str, Scope, Receive, Send], Awaitable[None]]  # with the name of its tenant
 
@@ -48,14 +49,6 @@
 REJECTION_LINES_S = 1.0  # seconds between two log lines on rejected requests
 
 
-class RateLimit(Protocol):
-    """What tenants may ask of all edges together."""
-
-    async def admit(self, tenant: str) -> float:
-        """0 if a request of this tenant may run, which counts it; else the seconds after which to come again."""
-        ...
-
-
 class Relay:
     """The ASGI app of an announced fleet's edge. Owner: the data plane's process.
 
@@ -78,7 +71,7 @@
         self.unready: Callable[[], str] = lambda: ""  # what is lacking to answer clients; empty if nothing is
         self.job_handler: JobHandler | None = None
         self.clients = ClientKeys(configuration_view)
-        self.rate_limit: RateLimit | None = None
+        self.rate_limit: RateLimit | None = None  # of tenants
         self.workers = WorkerSelection(settings, environment, configuration_view)
         self.started = now()
         self.rejected: dict[str, int] = {}  # by cause, since the last log line on it
