Let no wake-up put off the scheduler's round, which renews the leases of all partitions

Cause: the dispatch loop holds a round when its time comes before anything wakes it. A wake-up that came while the last run was under way was served first, even when the round was due, and so was the next one. A run between rounds asks only the owners that woke it. Under a crowd, where jobs and free slots come faster than a run ends, no round was held at all: the leases of all other partitions passed, so that nothing of theirs was started any more, and their owners took the items back.

Ruled out: the time limit on the wait itself, which works as long as no wake-up is pending.

Change: once a round is due it goes first.

Evidence: the new test, with an owner that wakes the scheduler five times within the time that a question takes, fails before: the leases of the other partitions were not renewed within its 4 s, with a lease of 1 s.

--- a/postpass/batch/dispatch.py
+++ b/postpass/batch/dispatch.py
@@ -74,7 +74,12 @@
                 await self.run_round(configuration)
 
     async def woken_before(self, until: float) -> bool:
-        """Waits to be woken, at the longest until that loop time; False if nothing came."""
+        """Waits to be woken, at the longest until that loop time; False if nothing came before it.
+
+        Once that time has come a wake-up counts no more: a round, which renews all leases, is not put off by one.
+        """
+        if now() >= until:
+            return False
         try:
             async with asyncio.timeout(max(0.0, until - now())):
                 await self.wake.wait()
--- /dev/null
+++ b/tests/batch/test_dispatch.py
@@ -0,0 +1,94 @@
+"""Rounds and runs between them: how often, and that neither keeps the other out."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import defaultdict
+from dataclasses import dataclass, field
+from types import SimpleNamespace
+from typing import Any
+
+from result import Ok
+
+from postpass.batch.dispatch import Dispatcher
+from postpass.batch.leased_items import LeasedItems
+from postpass.batch.messages import TakeResponse
+from postpass.configuration.settings import Bounds
+from postpass.rpc.codec import Body, PeerResponse
+from postpass.runtime.environment import Environment, now
+from sim.loop import SimLoop, run_sim
+
+PARTITIONS = 3
+ROUND_TRIP = 0.005  # seconds that an owner takes to answer
+SECONDS = 4.0
+BOUNDS = Bounds()
+
+
+@dataclass(eq=False)
+class WokenScheduler:
+    """A dispatcher whose owners hold nothing; notes when each owner was asked, and when items were placed."""
+
+    asked: defaultdict[int, list[float]] = field(default_factory=lambda: defaultdict(list))
+    placed: list[float] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        configuration = {
+            "parts": PARTITIONS, "classes": {}, "pools": {"pool": {"servers": {"w": {"slots": 4}}}},
+            "routes": {"jobs": {"kind": "lot", "split": [{"pool": "pool", "weight": 1}]}},
+        }  # fmt: skip
+        view: Any = SimpleNamespace(manifest=configuration, fresh=True)
+        settings: Any = SimpleNamespace(name="s1", bounds=BOUNDS)
+        election: Any = SimpleNamespace(active=True, leaving=False, term=1)
+        capacity: Any = SimpleNamespace(forget_removed=lambda _: None, free=lambda *_: {"w": 4})
+        placement: Any = SimpleNamespace(
+            runner=SimpleNamespace(workers=object()), earliest_due=0.0, place_prompts=lambda *_: None,
+            place_requests=lambda _: self.placed.append(now()),
+        )  # fmt: skip
+        owners: Any = SimpleNamespace(ask=self.ask)
+        unused: Any = None
+        self.dispatcher = Dispatcher(
+            settings, Environment(), view, election, owners, LeasedItems(), unused, capacity, placement, unused,
+            asyncio.Event(),
+        )  # fmt: skip
+
+    async def ask(self, partition: int, verb: str, body: Body, wait: float) -> PeerResponse:
+        self.asked[partition].append(now())
+        await asyncio.sleep(ROUND_TRIP)
+        return Ok(TakeResponse([], [], {}).as_json())
+
+    async def run(self, wake_interval: float, woken: set[int]) -> None:
+        """Runs for some seconds, woken at each interval by the owners of these partitions."""
+        task = asyncio.create_task(self.dispatcher.run())
+        until = now() + SECONDS
+        while now() < until:
+            self.dispatcher.woken |= woken
+            self.dispatcher.wake.set()
+            await asyncio.sleep(wake_interval)
+        task.cancel()
+
+
+def test_owners_that_wake_the_scheduler_all_the_time_keep_it_from_no_other_owners_lease() -> None:
+    async def main(loop: SimLoop) -> None:
+        scheduler = WokenScheduler()
+        await scheduler.run(ROUND_TRIP / 5, {0})
+        for partition in range(PARTITIONS):
+            times = [0.0, *scheduler.asked[partition], SECONDS]
+            longest = max(later - earlier for earlier, later in zip(times, times[1:], strict=False))
+            assert longest < BOUNDS.lease / 2, f"the lease of partition {partition} was not renewed for {longest} s"
+
+    run_sim(main, 1)
+
+
+def test_a_wake_up_after_a_quiet_time_is_served_at_once() -> None:
+    async def main(loop: SimLoop) -> None:
+        scheduler = WokenScheduler()
+        task = asyncio.create_task(scheduler.dispatcher.run())
+        await asyncio.sleep(BOUNDS.poll * 1.5)
+        before = now()
+        scheduler.placed.clear()
+        scheduler.dispatcher.wake.set()
+        await asyncio.sleep(0.001)
+        assert scheduler.placed and scheduler.placed[0] - before < 0.001
+        task.cancel()
+
+    run_sim(main, 1)
