Bound how often the scheduler places items between rounds, and stop once no slot is free

Each item that ended, each new job and each news of the load began a run, which counted the free slots twice, sorted all waiting items and walked over them, also where no slot was free. With some hundred runs a second and a crowd that waits, that is a good part of the scheduler's processor.

Change: runs between rounds keep a pause, a ratio to the longest pause between two rounds (16 ms with the bounds of the large deployment); what wakes the scheduler meanwhile is served by the same run. Slots to lease for are counted only if an owner has something. A run that finds no free slot, or no more of them, ends there.

--- a/postpass/batch/dispatch.py
+++ b/postpass/batch/dispatch.py
@@ -25,6 +25,7 @@
 POLLS_PER_HAND_BACK = 4
 DEFAULT_HAND_BACK = 1.0  # seconds within which a class hands back slots
 AHEAD = 4  # one in so many slots of a route's pools is leased ahead, to go on with
+RUNS_PER_POLL = 16  # at most so many runs between rounds in the longest pause between two rounds
 
 
 @dataclass(eq=False)
@@ -32,7 +33,8 @@
     """Works in rounds, and between them whenever a worker has a free slot or an owner has new items.
 
     A round recalls items where live requests came back, asks all owners, and starts what came. `woken` holds the
-    partitions whose owners have said since the last question that they have something; `wake` is set with it.
+    partitions whose owners have said since the last question that they have something; `wake` is set with it. Runs
+    between rounds keep a pause, so that what they cost does not grow with how often a worker or an owner wakes this.
     """
 
     settings: Settings
@@ -58,12 +60,16 @@
 
     async def run(self) -> None:
         """Runs rounds until it is cancelled."""
-        last_round = 0.0
+        last_round = last_run = 0.0
         while True:
             pause = self.poll_interval * (0.9 + 0.2 * self.environment.chance.random())
             woken = await self.woken_before(last_round + pause)
-            if not woken:
+            if woken:
+                # Whatever wakes this during the pause is served by the same run.
+                await asyncio.sleep(last_run + self.settings.bounds.poll / RUNS_PER_POLL - now())
+            else:
                 last_round = now()
+            last_run = now()
             self.wake.clear()
             configuration = self.configuration_view.manifest
             if configuration is None or not self.election.active:
@@ -107,9 +113,10 @@
     async def run_between_rounds(self, configuration: Configuration) -> None:
         """Asks only the owners that have said they have something, and fills free slots with items of routes."""
         partitions, self.woken = self.woken, set()
-        wanted = self.wanted_of_routes(configuration)
-        if partitions and any(wanted.values()) and self.configuration_view.fresh:
-            await self.lease_all(partitions, wanted)
+        if partitions and self.configuration_view.fresh:
+            wanted = self.wanted_of_routes(configuration)
+            if any(wanted.values()):
+                await self.lease_all(partitions, wanted)
         if self.election.active:
             self.placement.place_requests(configuration)
 
--- a/postpass/batch/free_slots.py
+++ b/postpass/batch/free_slots.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
 Slots = dict[str, int]  # by worker
@@ -27,9 +27,9 @@
             self.by_pool[pool] = {worker: free for worker, free in self.count_pool(pool).items() if free > 0}
         return self.by_pool[pool]
 
-    def total(self, pool: str) -> int:
-        """How many slots of a pool are free."""
-        return sum(self.of(pool).values())
+    def any_in(self, pools: Iterable[str]) -> bool:
+        """Is a slot free in one of these pools?"""
+        return any(self.of(pool) for pool in pools)
 
     def take(self, pool: str, worker: str) -> None:
         """An item takes a slot of a worker that has a free one."""
--- a/postpass/batch/placement.py
+++ b/postpass/batch/placement.py
@@ -33,6 +33,15 @@
     return split[0][0]
 
 
+def pools_of_jobs(configuration: Configuration) -> list[str]:
+    """The pools that routes of jobs go to, each once."""
+    parts = [
+        part for route in configuration.get("routes", {}).values() if route["kind"] == "lot" for part in route["split"]
+    ]
+    pools = dict.fromkeys(part["pool"] for part in parts if part["weight"] > 0)
+    return [pool for pool in pools if pool in configuration["pools"]]
+
+
 def prompt_prefix(headers: dict[str, str], dialect: Dialect) -> str:
     """The first shared part of an item's prompt; empty if its headers don't tell one."""
     parts = next((value for name, value in headers.items() if name.lower() == dialect.prompt), "")
@@ -93,8 +102,13 @@
         if not waiting or self.runner.workers is None:
             return
         free = FreeSlots(lambda pool: self.capacity.free(configuration, pool))
+        pools = pools_of_jobs(configuration)
+        if not free.any_in(pools):
+            return
         by_due = sorted(waiting, key=nearest_due)
         for item in serving_order(by_due, lambda item: item.due, self.earliest_due, self.capacity.options):
+            if not free.any_in(pools):
+                return
             route = configuration.get("routes", {}).get(item.route)
             if route is None or self.configuration_view.revision < item.since:
                 continue
--- a/tests/batch/test_dispatch.py
+++ b/tests/batch/test_dispatch.py
@@ -10,7 +10,7 @@
 
 from result import Ok
 
-from postpass.batch.dispatch import Dispatcher
+from postpass.batch.dispatch import RUNS_PER_POLL, Dispatcher
 from postpass.batch.leased_items import LeasedItems
 from postpass.batch.messages import TakeResponse
 from postpass.configuration.settings import Bounds
@@ -79,6 +79,17 @@
     run_sim(main, 1)
 
 
+def test_however_often_the_scheduler_is_woken_it_places_items_a_bounded_number_of_times() -> None:
+    async def main(loop: SimLoop) -> None:
+        scheduler = WokenScheduler()
+        await scheduler.run(0.001, set())
+        runs = SECONDS / BOUNDS.poll * (RUNS_PER_POLL + 2)
+        assert len(scheduler.placed) <= runs
+        assert len(scheduler.placed) >= runs / 2, "and it goes on placing them"
+
+    run_sim(main, 1)
+
+
 def test_a_wake_up_after_a_quiet_time_is_served_at_once() -> None:
     async def main(loop: SimLoop) -> None:
         scheduler = WokenScheduler()
