--- a/postpass/batch/placement.py
+++ b/postpass/batch/placement.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 
 from postpass.batch.capacity import RouteCapacity
+from postpass.batch.free_slots import FreeSlots, Slots
 from postpass.batch.item_run import ItemRunner
 from postpass.batch.leased_items import LeasedItem, LeasedItems, nearest_due
 from postpass.configuration.configuration import Configuration, Route
@@ -20,8 +21,6 @@
 from postpass.runtime.environment import Environment, now
 from postpass.worker_api.plugins import Candidate, PlacementRequest, affinity_key, affinity_worker, place
 
-Slots = dict[str, int]  # by worker
-
 
 def weighted_pool(key: str, split: list[tuple[str, int]]) -> str:
     """One of some pools by their weights, the same for the same key."""
@@ -34,6 +33,15 @@
     return split[0][0]
 
 
+def pools_of_jobs(configuration: Configuration) -> list[str]:
+    """The pools that routes of jobs go to, each once."""
+    parts = [
+        part for route in configuration.get("routes", {}).values() if route["kind"] == "lot" for part in route["split"]
+    ]
+    pools = dict.fromkeys(part["pool"] for part in parts if part["weight"] > 0)
+    return [pool for pool in pools if pool in configuration["pools"]]
+
+
 def prompt_prefix(headers: dict[str, str], dialect: Dialect) -> str:
     """The first shared part of an item's prompt; empty if its headers don't tell one."""
     parts = next((value for name, value in headers.items() if name.lower() == dialect.prompt), "")
@@ -93,20 +101,24 @@
         waiting = [i for i in self.items.waiting() if i.request is not None and i.not_before <= now()]
         if not waiting or self.runner.workers is None:
             return
-        free: dict[str, Slots] = {}
+        free = FreeSlots(lambda pool: self.capacity.free(configuration, pool))
+        pools = pools_of_jobs(configuration)
+        if not free.any_in(pools):
+            return
         by_due = sorted(waiting, key=nearest_due)
         for item in serving_order(by_due, lambda item: item.due, self.earliest_due, self.capacity.options):
+            if not free.any_in(pools):
+                return
             route = configuration.get("routes", {}).get(item.route)
             if route is None or self.configuration_view.revision < item.since:
                 continue
             if self.items.lease_expired(item.partition) or not self.choose_pool(configuration, route, item):
                 continue
-            slots = free.setdefault(item.pool, self.capacity.free(configuration, item.pool))
-            worker = self.request_worker(item, slots)
+            worker = self.request_worker(item, free.of(item.pool))
             if worker is None:
                 continue
             item.worker = worker
-            slots[worker] -= 1
+            free.take(item.pool, worker)
             self.capacity.limits[(item.pool, worker)].running += 1
             item.task = asyncio.create_task(self.runner.run_request(configuration, route, item))
 
