A view keeps the count of tokens that wait for each route and client

What callers saw: with many open jobs, accepting one got slow. An owner counted the waiting tokens of a route by a walk over all items of all its jobs, at each job that it took and for each route and partition at each heartbeat.

Change: the view of a partition keeps the sum by (route, client), folded with the records: jobs add, results, ends and drops take away. It is counted from the jobs when a view is loaded, so dumps keep their bytes.

Ruled out: a count beside the view, which would need to hear of elections, cuts and copies.

--- a/postpass/batch/job.py
+++ b/postpass/batch/job.py
@@ -13,6 +13,7 @@
 from enum import StrEnum
 from typing import Any, NamedTuple
 
+from postpass.batch.messages import BudgetKey
 from postpass.replication.record_log import Base, Record
 
 Body = dict[str, Any]
@@ -62,6 +63,16 @@
     return f"route:{body['route']}" if "route" in body else str(body["class"])
 
 
+def budget_key_of(body: Body) -> BudgetKey:
+    """Where the tokens of a job that came by a route count while they wait."""
+    return BudgetKey(body["route"], body.get("caller", ""))
+
+
+def item_tokens(item: Body) -> int:
+    """The tokens of an item of a route."""
+    return int(item.get("tokens", 0))
+
+
 class JobState(StrEnum):
     """Open, then ended; never back. A job with all its results stays open, since nothing of it is left to end."""
 
@@ -126,6 +137,14 @@
         """Has each item a result?"""
         return len(self.order) == self.size
 
+    @property
+    def waiting_tokens(self) -> int:
+        """The tokens of its items that wait for a result; none if it did not come by a route."""
+        if "route" not in self.body or self.state != JobState.OPEN or self.complete:
+            return 0
+        items = enumerate(self.body["items"])
+        return sum(item_tokens(item) for position, item in items if position not in self.results)
+
     def end(self, seq: int) -> None:
         """The record of that number ended it."""
         self.state, self.state_seq, self.payload = JobState.ENDED, seq, b""
@@ -153,9 +172,9 @@
         return cls(**dumped, state=state, results=results, payload=payload)
 
 
-# Jobs are dumped by themselves. Where a base holds the mark that settled a change does not matter, since a base holds
-# only what is covered; releases before this field could not load it.
-NOT_DUMPED = frozenset({"jobs", "settled_seq"})
+# Jobs are dumped by themselves, and their waiting tokens are counted from them. Where a base holds the mark that settled a
+# change does not matter, since a base holds only what is covered; releases before this field could not load it.
+NOT_DUMPED = frozenset({"jobs", "waiting_tokens", "settled_seq"})
 # Keys on disk that differ from the field's name: they are those of release 0.2.0.
 VIEW_KEYS = {
     "rejected": "shed", "members": "crew", "members_seq": "crew_seq", "old_members": "old_crew",
@@ -173,10 +192,12 @@
 class JobView(Base):
     """The jobs of a partition with the terms under which they are kept, folded record by record.
 
-    Invariant: the same records give the same view, on every store. Numbers that end in `_seq` are those of records.
+    Invariants: the same records give the same view, on every store. `waiting_tokens` is the sum of what waits in all jobs,
+    without those budgets for which nothing waits. Numbers that end in `_seq` are those of records.
     """
 
     jobs: dict[str, Job] = field(default_factory=dict)
+    waiting_tokens: dict[BudgetKey, int] = field(default_factory=dict)
     rejected: dict[str, int] = field(default_factory=dict)  # refused for good: id -> seq
     claims: dict[str, Body] = field(default_factory=dict)  # requests that may not be repeated
     members: dict[str, str] = field(default_factory=dict)  # that count: name -> disk
@@ -190,6 +211,19 @@
     losses: int = 0  # the partition's revision: how often more was lost than is tolerated
     lost: dict[str, int] = field(default_factory=dict)  # jobs known to be lost
 
+    def __post_init__(self) -> None:
+        for job in self.jobs.values():
+            self._count_waiting(job, job.waiting_tokens)
+
+    def _count_waiting(self, job: Job, tokens: int) -> None:
+        """So many more tokens of a job wait; less if negative."""
+        if not tokens:
+            return
+        key = budget_key_of(job.body)
+        waiting = self.waiting_tokens.pop(key, 0) + tokens
+        if waiting:
+            self.waiting_tokens[key] = waiting
+
     def unsettled(self) -> int:
         """The last change of members or predicate that this log does not prove to be covered; 0 if it proves all."""
         members = self.members_seq if self.old_members not in ({}, self.members) else 0
@@ -224,7 +258,8 @@
         """A job was taken; the first of an id stays, and a rejection before it wins."""
         job_id = body["id"]
         if job_id not in self.jobs and job_id not in self.rejected:
-            self.jobs[job_id] = Job(job_id, seq, body, job_digest(body))
+            job = self.jobs[job_id] = Job(job_id, seq, body, job_digest(body))
+            self._count_waiting(job, job.waiting_tokens)
             self.lost.pop(job_id, None)  # handed in anew
 
     def fold_rejection(self, seq: int, body: Body) -> None:
@@ -236,6 +271,8 @@
         """An item has a result; the first one stays."""
         job, item = self.jobs.get(body["id"]), body["item"]
         if job is not None and job.state == JobState.OPEN and item not in job.results:
+            if "route" in job.body:
+                self._count_waiting(job, -item_tokens(job.body["items"][item]))
             job.results[item] = JobResult(seq, body["status"], body["output"])
             job.order.append(item)
             if job.complete:
@@ -245,12 +282,15 @@
         """The client ended a job, or it was long overdue."""
         job = self.jobs.get(body["id"])
         if job is not None and job.state == JobState.OPEN:
+            self._count_waiting(job, -job.waiting_tokens)
             job.end(seq)
 
     def fold_drop(self, seq: int, body: Body) -> None:
         """The retention of some jobs, rejections and claims has passed."""
         for job_id in body["lots"]:
-            self.jobs.pop(job_id, None)
+            job = self.jobs.pop(job_id, None)
+            if job is not None:
+                self._count_waiting(job, -job.waiting_tokens)
             self.rejected.pop(job_id, None)
             self.lost.pop(job_id, None)
         for key in body.get("claims", []):
@@ -296,13 +336,14 @@
             return cls()
         body, payloads = decode_record(data)
         jobs = body.pop("lots")
-        view, start = cls(**{VIEW_FIELDS.get(key, key): value for key, value in body.items()}), 0
+        loaded: dict[str, Job] = {}
+        start = 0
         for dumped in jobs:
             end = start + dumped.get("raw", 0)
             # Bytes of its own: a job that goes frees them, though others of this dump stay.
-            view.jobs[dumped["id"]] = Job.loaded(dumped, bytes(payloads[start:end]))
+            loaded[dumped["id"]] = Job.loaded(dumped, bytes(payloads[start:end]))
             start = end
-        return view
+        return cls(jobs=loaded, **{VIEW_FIELDS.get(key, key): value for key, value in body.items()})
 
 
 class ResultsPage(NamedTuple):
--- a/postpass/batch/messages.py
+++ b/postpass/batch/messages.py
@@ -44,6 +44,16 @@
     return hashlib.sha256(output.encode()).hexdigest()[:CHECKSUM_DIGITS]
 
 
+class BudgetKey(NamedTuple):
+    """Whose waiting tokens are counted together: the jobs of a tenant on a route.
+
+    `tenant` is its name; empty where requests need no key.
+    """
+
+    route: str
+    tenant: str = ""
+
+
 class ItemKey(NamedTuple):
     """Names an item: its job, and its position there."""
 
--- a/postpass/batch/quota_service.py
+++ b/postpass/batch/quota_service.py
@@ -13,8 +13,7 @@
 from result import Err, Ok
 
 from postpass.batch.background import spawn
-from postpass.batch.job import JobState
-from postpass.batch.messages import ReserveRequest, WaitingResponse
+from postpass.batch.messages import BudgetKey, ReserveRequest, WaitingResponse
 from postpass.batch.partition_access import PartitionAccess
 from postpass.batch.partition_client import PartitionClient
 from postpass.batch.quota import Budget
@@ -70,14 +69,7 @@
     # --- as the owner of a partition
     def count(self, partition: Partition, name: str) -> int:
         """Tokens that wait here on a route: of kept jobs, and asked for."""
-        kept = sum(
-            int(item["tokens"])
-            for job in partition.view.jobs.values()
-            if job.state == JobState.OPEN and not job.complete and job.body.get("route") == name
-            for position, item in enumerate(job.body["items"])
-            if position not in job.results
-        )
-        return kept + self.pending.get(partition.id, Counter())[name]
+        return partition.view.waiting_tokens.get(BudgetKey(name), 0) + self.pending.get(partition.id, Counter())[name]
 
     def pending_of(self, partition: int) -> Counter[str]:
         """The tokens that jobs of a partition ask for, by route; whoever takes a job counts it in and out."""
