A quota is that of a tenant on a route, and costs the same with many tenants

What callers saw: on deployments with tenants, all of them shared one budget of a route; one that handed in many jobs had the others refused with 429. And where an answer of a budget's holder was lost, or a new holder's question met a job that was refused then, its tokens counted until the next job or result of that owner, so that jobs that fit were refused.

Cause: budgets had the route's name alone. An owner compared its count with the last one that it had sent under an answer, though the holder may have heard another one since.

Change: `BudgetKey` names route and tenant; the holder's partition comes from both, and messages name the tenant only if there is one. An owner tells each holder all counts of its tenants once under its epoch, then those that changed, in one message a holder and heartbeat (`TenantCounts`, by the verb `reserve`: the IDL stays as it was). A new holder asks each owner once for all its tenants, and tasks that need it share the question. `ToldCounts` notes what the holder counts, or that this isn't known, which the next heartbeat mends. The holder's side moved to `quota_holder.py`.

Ruled out: a message for each tenant and holder (87 tenants in 16 partitions: 1,392 after a takeover, instead of 16); zeros told to nobody, which left a lost owner's grants counting for ever.

Tests changed: test_messages.py names budgets by their key (the bytes expected are the same); test_readable_code.py lists the new modules.

--- a/postpass/batch/job_service.py
+++ b/postpass/batch/job_service.py
@@ -10,7 +10,7 @@
 from result import Err, Ok, Result
 
 from postpass.batch.background import spawn
-from postpass.batch.job import Job, JobState, job_digest, pack_items
+from postpass.batch.job import Job, JobState, budget_key_of, job_digest, pack_items
 from postpass.batch.messages import ItemStatus, ResultRow, ResultsRequest, ResultsResponse
 from postpass.batch.partition_access import PartitionAccess
 from postpass.batch.quota_service import QuotaService
@@ -31,7 +31,7 @@
 class JobService:
     """Takes and shows the jobs of routes in the partitions that are owned here.
 
-    Invariants: a job is sequenced only under a grant of the holder of its route's budget; one task at a time tries to
+    Invariants: a job is sequenced only under a grant of the holder of its budget; one task at a time tries to
     take a job, and all that send it share it.
     """
 
@@ -112,18 +112,18 @@
         flaw = self.store.rejection(partition)
         if flaw is not None:
             return flaw
-        tokens, route = sum(item["tokens"] for item in job["items"]), job["route"]
+        tokens, key = sum(item["tokens"] for item in job["items"]), budget_key_of(job)
         pending = self.quota.pending_of(partition.id)
-        pending[route] += tokens
+        pending[key] += tokens
         try:
-            refused = await self.quota.acquire(partition, route, pending, tokens, limit)
+            refused = await self.quota.acquire(partition, key, pending, tokens, limit)
             if refused is not None:
                 return refused
             if partition.epoch != epoch:
                 return Fault("accept", self.store.settings.name, "not the owner any more", MOVED)
             return self.sequence(partition, job, payload)
         finally:
-            pending[route] -= tokens
+            pending[key] -= tokens
 
     def sequence(self, partition: Partition, job: Body, payload: bytes) -> Fault | None:
         """Puts a job into the partition's records; FULL if the disk won't take it."""
--- a/postpass/batch/messages.py
+++ b/postpass/batch/messages.py
@@ -194,13 +194,13 @@
 
 @dataclass(frozen=True)
 class ReserveRequest:
-    """An owner tells the holder of a route's budget what waits there, and asks for more (verb `reserve`).
+    """An owner tells the holder of a budget what waits there, and asks for more (verb `reserve`).
 
     `owner` is the partition that asks, under its `epoch`; `number` grows with each count that it tells. `tokens` wait
     there already; with `wanted` 0 the owner only tells its count.
     """
 
-    route: str
+    key: BudgetKey
     owner: int
     epoch: int
     number: int
@@ -208,21 +208,23 @@
     wanted: int
 
     def as_json(self, holder: int) -> Body:
-        """The body of the request to the owner of partition `holder`."""
+        """The body of the request to the owner of partition `holder`; it names a tenant only if there is one."""
+        tenant = {"tenant": self.key.tenant} if self.key.tenant else {}
         return {
             "part": holder,
-            "route": self.route,
+            "route": self.key.route,
             "from": self.owner,
             "epoch": self.epoch,
             "number": self.number,
             "count": self.tokens,
             "want": self.wanted,
-        }
+        } | tenant
 
     @classmethod
     def from_json(cls, body: Body) -> ReserveRequest:
         """Reads the body of a request."""
-        return cls(body["route"], body["from"], body["epoch"], body["number"], body["count"], body["want"])
+        key = BudgetKey(body["route"], body.get("tenant", ""))
+        return cls(key, body["from"], body["epoch"], body["number"], body["count"], body["want"])
 
 
 @dataclass(frozen=True)
@@ -243,6 +245,38 @@
         return cls(body["epoch"], body["number"], body["count"])
 
 
+@dataclass(frozen=True)
+class TenantCounts:
+    """What waits at one owner for tenants whose budgets have the same holder: a report (verb `reserve`), or the answer to
+    the holder's question (verb `waiting`).
+
+    `owner` is the partition that tells it, under its `epoch`; `number` as in `ReserveRequest`. If `complete`, nothing waits
+    there for the holder's other tenants.
+    """
+
+    owner: int
+    epoch: int
+    number: int
+    complete: bool
+    counts: dict[BudgetKey, int]
+
+    def as_json(self) -> Body:
+        """The body of the message, without the holder's partition."""
+        return {
+            "from": self.owner,
+            "epoch": self.epoch,
+            "number": self.number,
+            "complete": self.complete,
+            "counts": [[key.route, key.tenant, tokens] for key, tokens in self.counts.items()],
+        }
+
+    @classmethod
+    def from_json(cls, body: Body) -> TenantCounts:
+        """Reads the body of a message."""
+        counts = {BudgetKey(route, tenant): tokens for route, tenant, tokens in body["counts"]}
+        return cls(body["from"], body["epoch"], body["number"], body["complete"], counts)
+
+
 class ResultRow(TypedDict):
     """The end of an item as clients of a route read it, by its JSON keys."""
 
--- a/postpass/batch/quota_service.py
+++ b/postpass/batch/quota_service.py
@@ -1,23 +1,25 @@
-"""Quotas of routes: how many tokens may wait in the jobs of all partitions together.
+"""Quotas of routes: how many tokens may wait in the jobs of all partitions together, for each tenant by itself.
 
-The owner of one partition, which the route's name chooses, holds the budget of the route. Every owner asks it before it
-takes a job, and tells it when tokens of its own don't wait any longer.
+The owner of one partition, which the names of route and tenant choose, holds a budget. Every owner asks it before it takes
+a job, and tells it when tokens of its own don't wait any longer.
 """
 
 from __future__ import annotations
 
 import asyncio
-from collections import Counter
+from collections import Counter, defaultdict
 from dataclasses import dataclass, field, replace
 
 from result import Err, Ok
 
 from postpass.batch.background import spawn
-from postpass.batch.messages import BudgetKey, ReserveRequest, WaitingResponse
+from postpass.batch.messages import BudgetKey, ReserveRequest, TenantCounts, WaitingResponse
 from postpass.batch.partition_access import PartitionAccess
 from postpass.batch.partition_client import PartitionClient
-from postpass.batch.quota import Budget
-from postpass.configuration.configuration import Configuration, Route, partition_of
+from postpass.batch.quota import holder_of
+from postpass.batch.quota_holder import QuotaHolder
+from postpass.batch.told_counts import ToldCounts
+from postpass.configuration.configuration import Configuration, Route, quota_of
 from postpass.replication.partition import Partition
 from postpass.rpc.codec import Body, PeerResponse
 from postpass.runtime.environment import now
@@ -28,27 +30,26 @@
 
 @dataclass(eq=False)
 class QuotaService:
-    """Both sides of a quota: an owner that asks for tokens, and the holder that grants them.
+    """An owner that asks for tokens and tells what waits; `holder` is the other side, which grants them.
 
     Invariant: what a job asks for is in `pending` from before the holder is asked until the job is in the view, so that
     no count that is told leaves it out.
     """
 
     store: PartitionAccess
-    pending: dict[int, Counter[str]] = field(default_factory=dict)  # partition -> route -> tokens asked for
-    numbers: Counter[int] = field(default_factory=Counter)  # partition -> number of the last count told
-    budgets: dict[tuple[int, int, str], Budget] = field(default_factory=dict)  # (holder's partition, epoch, route)
-    turns: dict[tuple[int, str], asyncio.Lock] = field(default_factory=dict)  # (partition, route): one at a time asks
-    last_told: dict[tuple[int, str], tuple[int, int]] = field(default_factory=dict)  # -> (epoch, tokens) last told
+    pending: dict[int, Counter[BudgetKey]] = field(default_factory=dict)  # by partition: tokens asked for
+    told: dict[int, ToldCounts] = field(default_factory=dict)  # by partition
+    turns: dict[tuple[int, BudgetKey], asyncio.Lock] = field(default_factory=dict)  # by partition: one at a time asks
 
     def __post_init__(self) -> None:
         self.client = PartitionClient(self.store)
+        self.holder = QuotaHolder(self.store, self.client)
 
     def forget(self, partition: int) -> None:
         """A new ownership begins: nothing of the one before counts."""
         self.pending.pop(partition, None)
-        for key in [key for key in self.budgets if key[0] == partition]:
-            del self.budgets[key]
+        self.told.pop(partition, None)
+        self.holder.forget(partition)
 
     def configuration(self) -> Configuration:
         """The configuration in force, which an owner always has."""
@@ -61,38 +62,50 @@
         configuration = self.store.configuration_view.manifest
         return configuration.get("routes", {}).get(name) if configuration else None
 
-    def quota(self, name: str) -> int:
-        """Tokens that may wait on a route; 0 if there is no bound."""
-        route = self.route(name)
-        return route.get("quota", 0) if route else 0
-
-    # --- as the owner of a partition
-    def count(self, partition: Partition, name: str) -> int:
-        """Tokens that wait here on a route: of kept jobs, and asked for."""
-        return partition.view.waiting_tokens.get(BudgetKey(name), 0) + self.pending.get(partition.id, Counter())[name]
-
-    def pending_of(self, partition: int) -> Counter[str]:
-        """The tokens that jobs of a partition ask for, by route; whoever takes a job counts it in and out."""
+    async def on_reserve(self, body: Body) -> PeerResponse:
+        """Verb `reserve`: the holder hears an owner's counts, and grants what it wants if it fits."""
+        return await self.holder.on_reserve(body)
+
+    def told_of(self, partition: Partition) -> ToldCounts:
+        """What was told of a partition under its epoch."""
+        told = self.told.get(partition.id)
+        if told is None or told.epoch != partition.epoch:
+            told = self.told[partition.id] = ToldCounts(partition.epoch)
+        return told
+
+    def turn(self, partition: Partition, key: BudgetKey) -> asyncio.Lock:
+        """Whoever holds it asks for tokens, or tells the count alone."""
+        return self.turns.setdefault((partition.id, key), asyncio.Lock())
+
+    def count(self, partition: Partition, key: BudgetKey) -> int:
+        """Tokens that wait here: of kept jobs, and asked for."""
+        return partition.view.waiting_tokens.get(key, 0) + self.pending_of(partition.id)[key]
+
+    def counts(self, partition: Partition) -> dict[BudgetKey, int]:
+        """All tokens that wait here, by budget; some of them may be 0."""
+        asked = {key: self.count(partition, key) for key, tokens in self.pending_of(partition.id).items() if tokens}
+        return partition.view.waiting_tokens | asked
+
+    def pending_of(self, partition: int) -> Counter[BudgetKey]:
+        """The tokens that jobs of a partition ask for; whoever takes a job counts it in and out."""
         return self.pending.setdefault(partition, Counter())
 
+    # --- asking
     async def acquire(
-        self, partition: Partition, name: str, pending: Counter[str], tokens: int, limit: float
+        self, partition: Partition, key: BudgetKey, pending: Counter[BudgetKey], tokens: int, limit: float
     ) -> Fault | None:
         """Asks for the tokens of a job, which stand in `pending` already; None once they are granted.
 
         CROWD if the quota is reached, FULL if the holder gave no answer that counts within `limit` seconds: either way
         nothing was sequenced.
         """
-        if not self.quota(name):
+        if not quota_of(self.store.configuration_view.manifest, key.route):
             return None
         until = now() + limit
-        async with self.turns.setdefault((partition.id, name), asyncio.Lock()):
+        async with self.turn(partition, key):
             while True:
                 # What this job asks for is not in the count yet, but is asked for.
-                pending[name] -= tokens
-                count = self.count(partition, name)
-                pending[name] += tokens
-                fault = await self.ask_holder(partition, name, count, tokens, until - now())
+                fault = await self.ask_holder(partition, key, pending[key] - tokens, tokens, until - now())
                 # The holder asked for the count itself meanwhile, and heard that answer first: the count is told anew.
                 if fault is None or fault.code != CLASH:
                     return fault
@@ -101,21 +114,29 @@
                     return replace(fault, code=FULL)
                 await asyncio.sleep(self.store.settings.bounds.beat / RECOUNTS_PER_HEARTBEAT)
 
-    async def ask_holder(self, partition: Partition, name: str, count: int, wanted: int, limit: float) -> Fault | None:
-        """Tells the holder of a budget what waits here, and asks for more; None if that is granted."""
-        holder = partition_of(f"route:{name}", self.configuration()["parts"])
-        self.numbers[partition.id] += 1
-        request = ReserveRequest(name, partition.id, partition.epoch, self.numbers[partition.id], count, wanted)
+    async def ask_holder(
+        self, partition: Partition, key: BudgetKey, asked: int, wanted: int, limit: float
+    ) -> Fault | None:
+        """Tells the holder of a budget what waits here, `asked` of it for other jobs, and asks for more; None if granted."""
+        holder = holder_of(key, self.configuration()["parts"])
+        count = partition.view.waiting_tokens.get(key, 0) + asked
+        told = self.told_of(partition)
+        number = told.next_number()
+        request = ReserveRequest(key, partition.id, partition.epoch, number, count, wanted)
+        told.note(key, number, None)
         answer = await self.client.ask(holder, "reserve", request.as_json(holder), limit)
-        if isinstance(answer, Err):
-            fault = answer.unwrap_err()
-            # Whatever went wrong there, nothing was sequenced here: the answer may be a refusal, and is no certainty
-            # of the quota.
-            kept = fault.code in (CROWD, CLASH)
-            return fault if kept else Fault("reserve", f"partition {holder} at {fault.peer}", fault.why, FULL)
-        self.last_told[(partition.id, name)] = (partition.epoch, count + wanted)
-        return None
-
+        if isinstance(answer, Ok):
+            told.note(key, number, count + wanted)
+            return None
+        fault = answer.unwrap_err()
+        if fault.code == CROWD:
+            told.note(key, number, count)
+        # Whatever else went wrong there, nothing was sequenced here: the answer may be a refusal, and is no certainty
+        # of the quota.
+        kept = fault.code in (CROWD, CLASH)
+        return fault if kept else Fault("reserve", f"partition {holder} at {fault.peer}", fault.why, FULL)
+
+    # --- telling
     def report(self) -> None:
         """Tells the holders what came to an end here; once a heartbeat."""
         configuration = self.store.configuration_view.manifest
@@ -127,74 +148,70 @@
             partition for partition in self.store.partitions.values() if partition.owning and partition.ready
         ]:
             for name in names:
-                spawn(self.store.background_tasks, self.report_count(partition, name))
+                spawn(self.store.background_tasks, self.report_route(partition, BudgetKey(name)))
+            if "tenants" in self.configuration():
+                self.report_tenants(partition, set(names))
 
-    async def report_count(self, partition: Partition, name: str) -> None:
+    async def report_route(self, partition: Partition, key: BudgetKey) -> None:
         """Tells a holder the count of a route, unless it knows it or is being asked for more right now."""
-        count = self.count(partition, name)
-        turn = self.turns.setdefault((partition.id, name), asyncio.Lock())
-        if self.last_told.get((partition.id, name), (0, 0)) == (partition.epoch, count) or turn.locked():
+        turn = self.turn(partition, key)
+        if turn.locked() or self.told_of(partition).is_known(key, self.count(partition, key)):
             return
         async with turn:
-            fault = await self.ask_holder(
-                partition, name, self.count(partition, name), 0, self.store.settings.bounds.beat
-            )
-        if fault is None:
-            self.last_told[(partition.id, name)] = (partition.epoch, count)
+            asked = self.pending_of(partition.id)[key]
+            await self.ask_holder(partition, key, asked, 0, self.store.settings.bounds.beat)
+
+    def report_tenants(self, partition: Partition, routes: set[str]) -> None:
+        """Tells each holder the counts of tenants that it doesn't know; all of them once under an epoch."""
+        partitions, told = self.configuration()["parts"], self.told_of(partition)
+        counts = {key: tokens for key, tokens in self.counts(partition).items() if key.route in routes}
+        messages: defaultdict[int, dict[BudgetKey, int]] = defaultdict(dict)
+        for holder in range(partitions):
+            if holder not in told.complete:
+                messages[holder] = self.counts_for(counts, holder)
+        for key, tokens in told.changed(counts).items():
+            # Who asks for more tells the count itself.
+            if not self.turn(partition, key).locked():
+                messages[holder_of(key, partitions)][key] = tokens
+        # Numbered here: a word that is numbered after more was asked for has to tell that as well.
+        for holder, some in messages.items():
+            message = self.numbered(partition, holder not in told.complete, some)
+            spawn(self.store.background_tasks, self.report_counts(told, holder, message))
+
+    def counts_for(self, counts: dict[BudgetKey, int], holder: int) -> dict[BudgetKey, int]:
+        """The counts of tenants whose budgets a partition holds."""
+        partitions = self.configuration()["parts"]
+        return {key: tokens for key, tokens in counts.items() if key.tenant and holder_of(key, partitions) == holder}
+
+    async def report_counts(self, told: ToldCounts, holder: int, message: TenantCounts) -> None:
+        """Tells a holder counts of tenants, and notes what it has heard."""
+        answer = await self.client.ask(holder, "reserve", message.as_json(), self.store.settings.bounds.beat)
+        if isinstance(answer, Err):
+            return
+        if message.complete:
+            told.complete.add(holder)
+        for key, tokens in message.counts.items():
+            told.note(key, message.number, tokens)
+
+    def numbered(self, partition: Partition, complete: bool, counts: dict[BudgetKey, int]) -> TenantCounts:
+        """A new word on these counts; until it is known to be heard, what the holder counts is not."""
+        told = self.told_of(partition)
+        message = TenantCounts(partition.id, partition.epoch, told.next_number(), complete, counts)
+        for key in counts:
+            told.note(key, message.number, None)
+        return message
 
     async def on_waiting(self, body: Body) -> PeerResponse:
-        """Verb `waiting`: a holder asks what waits on a route here."""
+        """Verb `waiting`: a holder asks what waits here on a route, or for all tenants whose budgets it holds."""
         got = self.store.owned_partition(body["part"], "waiting")
         if isinstance(got, Err):
             return got
         partition = got.unwrap()
         if not await self.store.confirm(partition):
-            return self.failed("waiting", "could not be confirmed", SLOW)
-        self.numbers[partition.id] += 1
-        count = self.count(partition, body["route"])
-        return Ok(WaitingResponse(partition.epoch, self.numbers[partition.id], count).as_json())
-
-    # --- as the holder of a budget
-    async def on_reserve(self, body: Body) -> PeerResponse:
-        """Verb `reserve`: hears an owner's count, and grants what it wants if it fits."""
-        got = self.store.owned_partition(body["part"], "reserve")
-        if isinstance(got, Err):
-            return got
-        partition, request = got.unwrap(), ReserveRequest.from_json(body)
-        epoch = partition.epoch
-        budget = self.budgets.setdefault((partition.id, epoch, request.route), Budget())
-        # Before anyone is asked for a count: what an owner answers then would make this word of it a late one.
-        is_news = budget.report(request.owner, request.epoch, request.number, request.tokens)
-        if not request.wanted:
-            return Ok({})
-        if not is_news:
-            return self.failed("reserve", "a later word came before this one", CLASH)
-        if not await self.learn_all(budget, request):
-            return self.failed("reserve", "not all partitions have told their counts", SLOW)
-        # Under the epoch: a holder that comes later asks every owner, which counts what it asked for here.
-        if not await self.store.confirm(partition) or partition.epoch != epoch:
-            return self.failed("reserve", "could not be confirmed", SLOW)
-        most = self.quota(request.route)
-        if most and not budget.take(request.owner, request.wanted, most):
-            return self.failed("reserve", f"{budget.tokens} of {most} tokens wait on the route", CROWD)
-        return Ok({})
-
-    async def learn_all(self, budget: Budget, request: ReserveRequest) -> bool:
-        """Asks the owners that have told no count yet, but for the one that asks here; False if one gave no answer."""
-        partitions = self.configuration()["parts"]
-        unreported = [partition for partition in budget.unreported(partitions) if partition != request.owner]
-        if not unreported:
-            return True
-        await asyncio.gather(*(self.learn(budget, partition, request.route) for partition in unreported))
-        return not [partition for partition in budget.unreported(partitions) if partition != request.owner]
-
-    async def learn(self, budget: Budget, partition: int, name: str) -> None:
-        """Asks one owner what waits there; it may not answer."""
-        answer = await self.client.ask(partition, "waiting", {"route": name}, self.store.settings.bounds.beat)
-        if isinstance(answer, Ok):
-            told = WaitingResponse.from_json(answer.unwrap())
-            budget.report(partition, told.epoch, told.number, told.tokens)
-
-    def failed(self, step: str, why: str, code: int) -> PeerResponse:
-        """A fault of this store."""
-        return Err(Fault(step, self.store.settings.name, why, code))
+            return Err(Fault("waiting", self.store.settings.name, "could not be confirmed", SLOW))
+        if "holder" in body:
+            return Ok(self.numbered(partition, True, self.counts_for(self.counts(partition), body["holder"])).as_json())
+        key, told = BudgetKey(body["route"]), self.told_of(partition)
+        number = told.next_number()
+        told.note(key, number, None)
+        return Ok(WaitingResponse(partition.epoch, number, self.count(partition, key)).as_json())
--- a/postpass/configuration/configuration.py
+++ b/postpass/configuration/configuration.py
@@ -242,6 +242,12 @@
     return int.from_bytes(hashlib.sha256(job_id.encode()).digest()[:8], "big") % parts
 
 
+def quota_of(configuration: Configuration | None, route: str) -> int:
+    """Tokens that may wait in the jobs of a route; 0 if there is no bound, or no such route."""
+    terms = configuration.get("routes", {}).get(route) if configuration else None
+    return terms.get("quota", 0) if terms else 0
+
+
 def installed_plugins(kind: str) -> set[str]:
     """Names of the plug-ins of a kind that are installed."""
     return {e.name for e in entry_points(group=f"postpass.{kind}")}
--- a/tests/batch/test_messages.py
+++ b/tests/batch/test_messages.py
@@ -5,6 +5,7 @@
 import json
 
 from postpass.batch.messages import (
+    BudgetKey,
     Item,
     ItemGrant,
     ItemKey,
@@ -15,6 +16,7 @@
     ResultsResponse,
     TakeRequest,
     TakeResponse,
+    TenantCounts,
     WaitingResponse,
     output_checksum,
 )  # fmt: skip
@@ -58,7 +60,7 @@
 
 
 def test_owners_and_holders_of_budgets_tell_counts() -> None:
-    request = ReserveRequest("r", 1, 5, 9, 30, 10)
+    request = ReserveRequest(BudgetKey("r"), 1, 5, 9, 30, 10)
     assert json.dumps(request.as_json(4)) == (
         '{"part": 4, "route": "r", "from": 1, "epoch": 5, "number": 9, "count": 30, "want": 10}'
     )
@@ -68,6 +70,19 @@
     assert WaitingResponse.from_json(told.as_json()) == told
 
 
+def test_counts_of_tenants_are_told_by_their_names() -> None:
+    request = ReserveRequest(BudgetKey("r", "firm"), 1, 5, 9, 30, 10)
+    assert json.dumps(request.as_json(4)) == (
+        '{"part": 4, "route": "r", "from": 1, "epoch": 5, "number": 9, "count": 30, "want": 10, "tenant": "firm"}'
+    )
+    assert ReserveRequest.from_json(request.as_json(4)) == request
+    told = TenantCounts(1, 5, 9, True, {BudgetKey("r", "firm"): 30, BudgetKey("s", "other"): 0})
+    assert json.dumps(told.as_json()) == (
+        '{"from": 1, "epoch": 5, "number": 9, "complete": true, "counts": [["r", "firm", 30], ["s", "other", 0]]}'
+    )
+    assert TenantCounts.from_json(told.as_json()) == told
+
+
 def test_clients_read_results() -> None:
     assert json.dumps(ResultsRequest(2, 1.5).as_json()) == '{"start": 2, "hold": 1.5}'
     assert ResultsRequest.from_json({"start": 2}) == ResultsRequest(2, 0.0)
--- a/tests/test_readable_code.py
+++ b/tests/test_readable_code.py
@@ -27,7 +27,8 @@
         "reconfiguration", "owner_duties", "store",
     ),
     "batch": (
-        "messages", "background", "quota", "job", "leases", "partition_access", "partition_client", "quota_service",
+        "messages", "background", "quota", "job", "leases", "partition_access", "partition_client", "told_counts", "quota_holder",
+        "quota_service",
         "job_records", "job_service", "retention", "job_api", "item_request", "leased_items", "scheduler_election",
         "owner_client", "capacity", "item_run", "placement", "dispatch", "scheduler",
     ),
