The scheduler asks for a pool's free slots once a round, not for each waiting item

What callers saw: with many items waiting, too few were run: the scheduler was busy placing them.

Cause: `place_requests` went over all waiting items with `free.setdefault(pool, capacity.free(pool))`, which works out the free slots of all workers of the pool for each item, to throw them away but for the first. A round runs whenever an item ends.

Change: they are worked out once a round, and an item for which no worker has room is passed over at once. The order and the workers chosen are the same.

Evidence: test_placement.py counts the questions (200 for 200 items before, 1 now).

--- a/postpass/batch/placement.py
+++ b/postpass/batch/placement.py
@@ -101,14 +101,25 @@
                 continue
             if self.items.lease_expired(item.partition) or not self.choose_pool(configuration, route, item):
                 continue
-            slots = free.setdefault(item.pool, self.capacity.free(configuration, item.pool))
-            worker = self.request_worker(item, slots)
-            if worker is None:
-                continue
-            item.worker = worker
-            slots[worker] -= 1
-            self.capacity.limits[(item.pool, worker)].running += 1
-            item.task = asyncio.create_task(self.runner.run_request(configuration, route, item))
+            if item.pool not in free:
+                free[item.pool] = self.free_slots(configuration, item.pool)
+            self.start_request(configuration, route, item, free[item.pool])
+
+    def free_slots(self, configuration: Configuration, pool: str) -> Slots:
+        """The workers of a pool that have room for items, with how many."""
+        return {name: room for name, room in self.capacity.free(configuration, pool).items() if room > 0}
+
+    def start_request(self, configuration: Configuration, route: Route, item: LeasedItem, slots: Slots) -> None:
+        """Starts an item of a route at a worker that has room in `slots`, which it takes; it goes on waiting if none has."""
+        worker = self.request_worker(item, slots) if slots else None
+        if worker is None:
+            return
+        item.worker = worker
+        slots[worker] -= 1
+        if slots[worker] <= 0:
+            del slots[worker]
+        self.capacity.limits[(item.pool, worker)].running += 1
+        item.task = asyncio.create_task(self.runner.run_request(configuration, route, item))
 
     @property
     def earliest_due(self) -> float:
--- a/tests/batch/test_placement.py
+++ b/tests/batch/test_placement.py
@@ -2,13 +2,19 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections import Counter
+from types import SimpleNamespace
+from typing import Any
 
-from postpass.batch.leased_items import LeasedItem
-from postpass.batch.placement import fair_order, prompt_prefix, weighted_pool
+from postpass.batch.capacity import RouteCapacity
+from postpass.batch.leased_items import LeasedItem, LeasedItems
+from postpass.batch.placement import Placement, fair_order, prompt_prefix, weighted_pool
 from postpass.configuration.header_names import Dialect
 from postpass.worker_api.openai import Prompt
 
+WALL = 999.0  # seconds of the wall clock
+
 
 def item(job: str, number: int, due: float, client: str) -> LeasedItem:
     return LeasedItem(0, job, number, "lot", due, Prompt((), ""), client)
@@ -31,3 +37,58 @@
     name = Dialect().prompt
     assert prompt_prefix({name.upper(): "p1:40,p2:9"}, Dialect()) == "p1"
     assert prompt_prefix({name: "p1:40"}, Dialect()) == "" == prompt_prefix({}, Dialect())
+
+
+class CountingCapacity(RouteCapacity):
+    """Counts how often it was asked for the free slots of a pool."""
+
+    asked = 0
+
+    def free(self, configuration: Any, pool: str) -> dict[str, int]:
+        self.asked += 1
+        return super().free(configuration, pool)
+
+
+def requests(*clients: str, due: float = WALL + 10) -> LeasedItems:
+    """One waiting item of a route for each client, each due a little later than the one before."""
+    items = LeasedItems(leases={0: 1e12})
+    for number, client in enumerate(clients):
+        item = LeasedItem(0, f"j{number}", 0, "route:r", due + number / 1000, Prompt((), ""), client)
+        item.request = {"id": f"i{number}", "path": "/x", "headers": {}, "body": "", "tokens": 100}
+        items.add(item)
+    return items
+
+
+def place(items: LeasedItems, workers: int, slots: int) -> tuple[list[str], CountingCapacity]:
+    """The jobs whose items a placing round starts, and what it asked of the capacity."""
+
+    class Runner:
+        workers = object()
+        dialect = Dialect()
+
+        async def run_request(self, *_: Any) -> None:
+            await asyncio.sleep(1.0)
+
+    async def run() -> tuple[list[str], CountingCapacity]:
+        servers = {f"w{number}": {"slots": slots, "area": "a"} for number in range(workers)}
+        split = [{"pool": "gpu", "weight": 1}]
+        configuration: Any = {"pools": {"gpu": {"servers": servers}}, "routes": {"r": {"kind": "lot", "split": split}}}
+        capacity = CountingCapacity(usual_seconds=0.5)
+        settings: Any = SimpleNamespace(name="e", zone="a")
+        clock: Any = SimpleNamespace(wall=lambda: WALL)
+        view: Any = SimpleNamespace(revision=1)
+        runner: Any = Runner()
+        Placement(settings, clock, view, items, capacity, runner).place_requests(configuration)
+        running = items.running()
+        for item in running:
+            assert item.task is not None
+            item.task.cancel()
+        return [item.job for item in running], capacity
+
+    return asyncio.run(run())
+
+
+def test_a_round_asks_for_the_free_slots_of_a_pool_once_however_many_items_wait() -> None:
+    started, capacity = place(requests(*[""] * 200), workers=4, slots=8)
+    assert started == [f"j{number}" for number in range(4 * 6)]  # three quarters of the slots, nearest due first
+    assert capacity.asked == 1 and {limit.running for limit in capacity.limits.values()} == {6}
