Tenants in the operator's configuration, whole and patched

Cause: neither the reader of the document nor that of patches named them, and a patch refused each list but two.

Change: the document's tenants become `Configuration["tenants"]`, by name, with digests in place of keys; the part is there if the document has the list, be it empty, and goes with it. Invalid: a name twice, a key of two tenants, an empty name or key, a name that no header can carry, a negative rate or burst. The product's own check holds the same for digests. Errors about tenants, and those about a whole document or patch, show no values: these may be keys. A patch replaces a tenant whole. Lists that aren't read are changed in the document by the same terms, so that what the operator reads back is right; where they have another shape they are passed over, unless the patch names nothing that is read. Documents are read with `known_fields`, so 2.0 is 2 tries. An order shares with the state before it what it leaves alone: routes, pools and tenants were all summed and compared anew with each order.

Ruled out: followers of the release before, which don't check the configuration of an announced fleet; in a listed one used_keys now names the keys of tenants and of routes, so that a daemon that doesn't know them is asked first.

--- a/postpass/configuration/configuration.py
+++ b/postpass/configuration/configuration.py
@@ -251,6 +251,7 @@
     """The keys that a configuration uses, and the plug-ins: what an older daemon may not know."""
     groups: list[tuple[str, Any]] = [
         ("", [configuration]), ("machines.", configuration["machines"].values()), ("pools.", configuration["pools"].values()), ("limits.", [configuration.get("limits", {})]),
+        ("routes.", configuration.get("routes", {}).values()), ("tenants.", configuration.get("tenants", {}).values()),
         ("servers.", [s for p in configuration["pools"].values() for s in p["servers"].values()]), ("classes.", configuration["classes"].values()),
     ]  # fmt: skip
     plugged = {f"{k}={c[k]}" for c in configuration["classes"].values() for k in ("place", "prefix") if k in c}  # type: ignore[literal-required]
--- a/postpass/configuration/configuration_check.py
+++ b/postpass/configuration/configuration_check.py
@@ -18,6 +18,7 @@
     Configuration,
     Pool,
     Route,
+    Tenant,
     installed_plugins,
     members,
     predicate_scope,
@@ -25,6 +26,7 @@
 )
 from postpass.configuration.schema import validation_errors
 from postpass.configuration.settings import address_errors
+from postpass.configuration.tenant_keys import DIGEST_DIGITS, is_digest
 from postpass.replication.stability import DEFAULT, PredicateScope, build, covers, loss_flaw
 
 SHARE_TOLERANCE = 1e-9  # shares are sums of fractions
@@ -65,6 +67,7 @@
             for e in _route_errors(f"routes.{name}", route, configuration)
         ),
         *_duplicate_routes(configuration),
+        *_tenant_errors(configuration.get("tenants", {})),
         *([] if configuration.get("announced") else _store_errors(configuration)),
     ]
 
@@ -224,6 +227,26 @@
     return errors
 
 
+def _tenant_errors(tenants: dict[str, Tenant]) -> list[str]:
+    """Errors of tenants; none shows what stands among the keys, which may be a key instead of its digest."""
+    errors: list[str] = []
+    holders: dict[str, str] = {}
+    for name, tenant in tenants.items():
+        path = f"tenants.{name}"
+        if not name:
+            errors.append("tenants: want a name, got an empty string")
+        for figure, value in (("rate", tenant["rate"]), ("burst", tenant["burst"])):
+            if value < 0:
+                errors.append(f"{path}.{figure}: want 0 or more, got {value}")
+        for i, digest in enumerate(tenant["keys"]):
+            if not is_digest(digest):
+                errors.append(f"{path}.keys[{i}]: want a digest of {DIGEST_DIGITS} hexadecimal digits")
+            holder = holders.setdefault(digest, name)
+            if holder != name:
+                errors.append(f"{path}.keys[{i}]: is also a key of {holder}")
+    return errors
+
+
 def _store_errors(configuration: Configuration) -> list[str]:
     """Errors of stores, copies and predicates: each predicate must survive the loss of one disk or one zone."""
     if not any(c["kind"] == "batch" or c.get("once") for c in configuration["classes"].values()):
--- a/postpass/configuration/json_delta.py
+++ b/postpass/configuration/json_delta.py
@@ -34,6 +34,16 @@
     return [[list(path), start, len(old) - start - same_end, new[start : len(new) - same_end]]]
 
 
+def reusing(old: Any, new: Any) -> Any:
+    """`new`, with the parts that are equal to those of `old` at the same place taken from `old`, for what compares by
+    identity first."""
+    if old == new:
+        return old
+    if isinstance(old, dict) and isinstance(new, dict):
+        return {key: reusing(old[key], value) if key in old else value for key, value in new.items()}
+    return new
+
+
 def patch(old: Any, changes: Delta) -> Any:
     """The value that the changes lead to from `old`, which stays as it is; the two share what did not change."""
     for change in changes:
--- a/postpass/membership/operator_changes.py
+++ b/postpass/membership/operator_changes.py
@@ -9,6 +9,7 @@
 from typing import Any, NamedTuple, cast
 
 from postpass.configuration.configuration import Configuration, Machine, Pool, Server, with_duty
+from postpass.configuration.json_delta import reusing
 from postpass.membership.machine_registry import without_machines
 from postpass.membership.registry import OperatorConfiguration, State, with_parts
 from postpass.membership.safe_change import Tolerance, copies_bear_loss, safe_copies
@@ -26,15 +27,16 @@
     """The state with the operator's part of the configuration, and the workers that are there.
 
     Workers of a pool that is gone become unassigned, and those that waited for a pool that is now there join it.
-    `source` is the document that `configured` was read from, `orders` the memory of accepted orders.
+    `source` is the document that `configured` was read from, `orders` the memory of accepted orders. What stays as it
+    was is shared with the present state, so that the rest of the change costs no more than its own size.
     """
     groups = {**{n: p["servers"] for n, p in state.configuration["pools"].items()}, **state.unassigned}
     pools = {n: cast(Pool, {**p, "servers": groups.get(n, {})}) for n, p in configured["pools"].items()}
     unassigned = {n: group for n, group in groups.items() if n not in pools and group}
-    new = with_parts(
-        state, version=configured["version"], routes=configured["routes"], pools=pools, limits=configured["limits"]
-    )
-    return replace(new, source=source, unassigned=unassigned, orders=orders)
+    parts = {**configured, "pools": pools}
+    kept = {key: part for key, part in state.configuration.items() if key != "tenants"}
+    changed = cast(Configuration, reusing(state.configuration, {**kept, **parts}))
+    return replace(state, manifest=changed, source=source, unassigned=unassigned, orders=orders)
 
 
 def with_zone_evacuated(state: State, zone: str) -> State:
--- a/postpass/membership/registry.py
+++ b/postpass/membership/registry.py
@@ -14,7 +14,7 @@
 from result import Result
 
 from postpass.configuration import accepted_orders
-from postpass.configuration.configuration import Configuration, Limits, Pool, Route, Server
+from postpass.configuration.configuration import Configuration, Limits, Pool, Route, Server, Tenant
 
 
 class MachineAnnouncement(TypedDict):
@@ -45,12 +45,16 @@
 
 
 class OperatorConfiguration(TypedDict):
-    """The operator's part of a configuration; its pools have no servers. The fields are keys of JSON."""
+    """The operator's part of a configuration; its pools have no servers. The fields are keys of JSON.
+
+    `tenants` is there if the operator's document has any, be it an empty list.
+    """
 
     version: int
     routes: dict[str, Route]
     pools: dict[str, Pool]
     limits: Limits
+    tenants: NotRequired[dict[str, Tenant]]
 
 
 @dataclass(frozen=True)
--- a/tests/control/test_configuration.py
+++ b/tests/control/test_configuration.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from postpass.configuration.accepted_orders import ConfigurationOrder
+from postpass.configuration.tenant_keys import key_digest
 from postpass.control.configuration import ConfigurationChange
 from postpass.control.state import ReplicatedState
 from postpass.membership.machine_registry import initial_configuration
@@ -89,3 +90,49 @@
     state = recovered(9, after(7).configuration, 1)
     assert code(state, document(7), 6) == 504 and code(state, document(8), 7) == 201
     assert code(state, document(8), 6) == 412
+
+
+def test_tenants_come_change_and_go_with_the_document() -> None:
+    with_keys = document(2) | {
+        "tenants": [{"name": "a", "keys": ["one", "two"], "rateS": 5}, {"name": "b", "keys": []}]
+    }
+    state = change(with_keys, 1)(after(1)).unwrap()
+    assert state.configuration["tenants"] == {
+        "a": {"keys": [key_digest(b"one"), key_digest(b"two")], "rate": 5.0, "burst": 0.0},
+        "b": {"keys": [], "rate": 0.0, "burst": 0.0},
+    }
+    assert state.source == with_keys
+    patch = {"version": 3, "upsert": {"tenants": [{"name": "b", "keys": ["two"]}, {"name": "a", "keys": ["one"]}]}}
+    moved = change(patch, 2, is_patch=True)(state).unwrap()
+    assert [tenant["keys"] for tenant in moved.configuration["tenants"].values()] == [
+        [key_digest(b"one")],
+        [key_digest(b"two")],
+    ]
+    assert code(moved, patch, 2, is_patch=True) == 200 and code(moved, patch | {"version": 4}, 2, is_patch=True) == 412
+    without = change(document(9), 3)(moved).unwrap()
+    assert "tenants" not in without.configuration and "tenants" not in without.source
+
+
+def test_an_invalid_tenant_is_refused_whole_or_patched_and_no_fault_shows_a_key() -> None:
+    key = "h5mgjy5rcpihhacrudde"
+    state = change(document(2) | {"tenants": [{"name": "a", "keys": [key]}]}, 1)(after(1)).unwrap()
+    for sent, base, is_patch in (
+        ({"version": 3, "upsert": {"tenants": [{"name": "b", "keys": [key]}]}}, 2, True),
+        ({"version": 3, "upsert": {"tenants": [{"name": "b", "keys": key}]}}, 2, True),
+        ({"version": 3, "upsert": {"tenants": {"b": [key]}}}, 2, True),
+        (document(3) | {"tenants": [{"name": "a", "keys": [key]}, {"name": "b", "keys": [key]}]}, 2, False),
+        (document(3) | {"tenants": [key]}, 2, False),
+        ([{"name": "a", "keys": [key]}], 2, False),
+    ):
+        fault = change(sent, base, is_patch)(state).unwrap_err()
+        assert fault.code == 400 and key not in str(fault.as_json()), fault
+
+
+def test_what_an_order_leaves_alone_is_shared_with_the_state_before() -> None:
+    tenants = [{"name": f"t{i}", "keys": [f"key{i}"]} for i in range(9)]
+    before = change(document(2) | {"tenants": tenants}, 1)(after(1)).unwrap().configuration
+    state = State(manifest=before, source=document(2) | {"tenants": tenants})
+    patch = {"version": 3, "upsert": {"tenants": [{"name": "t4", "keys": []}]}}
+    now = change(patch, 2, is_patch=True)(state).unwrap().configuration
+    assert [name for name in now["tenants"] if now["tenants"][name] is not before["tenants"][name]] == ["t4"]
+    assert all(now[part] is before[part] for part in ("routes", "pools", "machines", "limits"))  # type: ignore[literal-required]
