--- a/sim/day_actions.py
+++ b/sim/day_actions.py
@@ -231,7 +231,7 @@
 
 @verb("change")
 def change(fleet: AnnouncedFleet, args: list[str], span: float, later: Later) -> None:
-    """change timeout | route | move | weights | drop: one change of the configuration."""
+    """change timeout | route | move | weights | drop | keys: one change of the configuration."""
 
     async def run() -> None:
         op, kinds = fleet.operator, fleet.kinds
@@ -247,6 +247,8 @@
             fleet.clients.extra(name, fleet.rates[name])
         elif args[0] == "move":
             await op.move("r-view", "app" if args[1:] == ["back"] else "app2")
+        elif args[0] == "keys":
+            await op.rekey()
         elif args[0] == "weights":
             await op.split("r-view", {"app": 50, "app2": 50})
         elif args[0] == "drop":
--- a/sim/day_plan.py
+++ b/sim/day_plan.py
@@ -1,6 +1,6 @@
 """What the text files of announced fleets say besides faults and expectations.
 
-announced edges 4 stores 4 cores 4 zones 4 lost 1   the fleet; also zones_lost, models, plains, slots, cold (rate)
+announced edges 4 stores 4 cores 4 zones 4 lost 1   the fleet; also zones_lost, models, plains, slots, cold (rate), tenants
 clients view 12 order 4 ask 20 review 2 lots 0.5x10 requests a second by kind; lots a second, of so many items
 lead 12                                             seconds from the first start to the traffic
 bounds NAME VALUE                                   other bounds of the platform
@@ -15,7 +15,9 @@
 
 from sim.announced import Sizes
 
-SIZES = frozenset({"edges", "stores", "cores", "zones", "lost", "zones_lost", "models", "plains", "slots", "cold"})
+SIZES = frozenset(
+    {"edges", "stores", "cores", "zones", "lost", "zones_lost", "models", "plains", "slots", "cold", "tenants"}
+)
 KINDS = frozenset({"view", "order", "ask", "review", "lots"})
 
 
--- a/sim/rules/day.py
+++ b/sim/rules/day.py
@@ -38,7 +38,7 @@
         """The items of jobs by id, each with its job's id, host, route and first send."""
         items: dict[str, Event] = {}
         for event in self.of("lot_sent"):
-            of_job = {"lot": event["lot"], "host": event["host"], "route": event["route"], "t": event["t"]}
+            of_job = {name: event[name] for name in ("lot", "host", "route", "t", "key") if name in event}
             for item in event["items"]:
                 items.setdefault(item["id"], item | of_job)
         return items
--- a/sim/workers.py
+++ b/sim/workers.py
@@ -259,7 +259,8 @@
             return await reply(200 if well else 503, more)
         seen = {"worker": self.id, "service": self.service.name, "zone": self.zone, "id": name, "from": self.whose(stream.peer),
                 "method": method, "path": path, "body": digest(body), "host": head.headers.get("host", ""),
-                "last": int(head.headers.get("last-event-id", "0") or 0), "warm_left": self.warm_left()}  # fmt: skip
+                "last": int(head.headers.get("last-event-id", "0") or 0), "warm_left": self.warm_left(),
+                "tenant": head.headers.get("postpass-tenant", ""), "authorization": head.headers.get("authorization", "")}  # fmt: skip
 
         def reached(status: int) -> None:
             self.log({"ev": "reach", "status": status} | seen)
