One tenant's crowd of lots does not make those of the other tenants late

What callers saw: while one tenant hands in many times its usual, items of all tenants are late. Items went by due time alone, so that whoever came after the crowd waited behind it; and a scheduler that held many items of one tenant in time took none of others from the owners.

Change: `routing/fair_share.py` orders the jobs of an owner and the items of the scheduler. While all that waits can be done in time at the rate at which items start, the order is as before. Where it can't, items of the tenant with the most waiting tokens are put behind until the rest can; tenants that lose nothing go first, the others by turns of tokens. What is put behind does not count where the scheduler works out how many items to ask for. With one client, or none told apart, the order is that of `serving_order`. Switch: `RoutingOptions.fair_items`.

--- a/postpass/batch/dispatch.py
+++ b/postpass/batch/dispatch.py
@@ -129,8 +129,9 @@
         free = sum(sum(self.route_capacity.free(configuration, pool).values()) for pool in pools)
         slots = sum(server["slots"] for pool in pools for server in configuration["pools"][pool]["servers"].values())
         waiting = [item for item in self.items.waiting() if item.item_class == f"{ROUTE_CLASS}{name}"]
-        in_time = sum(item.due >= self.placement.earliest_due for item in waiting)
-        # Those that are late anyway must not keep out the others, however many they are; but what is held has a bound.
+        in_time = self.placement.kept_in_time(configuration, waiting)
+        # Those that are late anyway, or beyond their client's share, must not keep out the others, however many they are;
+        # but what is held has a bound.
         return max(0, min(free + slots // AHEAD - in_time, free + slots - len(waiting)))
 
     async def lease_all(self, partitions: Iterable[int], wanted: dict[str, int]) -> None:
--- a/postpass/batch/job.py
+++ b/postpass/batch/job.py
@@ -11,6 +11,7 @@
 import json
 from dataclasses import dataclass, field, replace
 from enum import StrEnum
+from functools import cached_property
 from typing import Any, NamedTuple
 
 from postpass.batch.messages import BudgetKey
@@ -145,6 +146,13 @@
         items = enumerate(self.body["items"])
         return sum(item_tokens(item) for position, item in items if position not in self.results)
 
+    @cached_property
+    def mean_tokens(self) -> float:
+        """The tokens of an item of a route on average; 0 if there are none."""
+        return (
+            sum(item_tokens(item) for item in self.body["items"]) / max(1, self.size) if "route" in self.body else 0.0
+        )
+
     def end(self, seq: int) -> None:
         """The record of that number ended it."""
         self.state, self.state_seq, self.payload = JobState.ENDED, seq, b""
--- a/postpass/batch/leases.py
+++ b/postpass/batch/leases.py
@@ -15,7 +15,8 @@
 from postpass.replication.owner import PartitionOwner
 from postpass.replication.partition import Partition
 from postpass.replication.partition_table import PartitionTable
-from postpass.routing.item_order import serving_order, usual_seconds
+from postpass.routing.fair_share import Demand, fair_serving_order
+from postpass.routing.item_order import usual_seconds
 from postpass.rpc.codec import Body, PeerResponse
 from postpass.runtime.environment import now
 from postpass.runtime.errors import BAD, CLASH, SLOW, Fault, FaultError
@@ -106,6 +107,13 @@
     )  # fmt: skip
 
 
+def job_demand(job: Job, leased: int) -> Demand:
+    """What the items of a job that wait, and are not leased, ask for. Those of classes are not told apart by client."""
+    waiting = max(0, job.size - len(job.results) - leased)
+    client = job.body.get("caller", "") if "route" in job.body else ""
+    return Demand(float(job.body["due"]), client, waiting, round(waiting * job.mean_tokens))
+
+
 def ended_jobs(view: JobView, leased: list[ItemKey]) -> list[str]:
     """The jobs of some leased items whose items need not run any more."""
     jobs = {name: view.jobs.get(name) for name in sorted({key.job for key in leased})}
@@ -157,7 +165,9 @@
         grants = []
         by_due = sorted(jobs, key=lambda job: (job.body["due"], job.seq))
         earliest = self.table.environment.wall() + state.usual_seconds
-        for job in serving_order(by_due, lambda job: float(job.body["due"]), earliest):
+        # As many are leased at a time as end in the usual time.
+        rate = leased.total() / state.usual_seconds if state.usual_seconds > 0 else 0.0
+        for job in fair_serving_order(by_due, lambda job: job_demand(job, leased[job.id]), earliest, rate):
             item_class = item_class_of(job.body)
             # Counted, not listed: what a poll costs must not grow with all items that wait.
             waiting[item_class] = waiting.get(item_class, 0) + job.size - len(job.results) - leased[job.id]
--- a/postpass/batch/placement.py
+++ b/postpass/batch/placement.py
@@ -15,8 +15,8 @@
 from postpass.configuration.header_names import Dialect
 from postpass.configuration.settings import Settings
 from postpass.feed.configuration_view import ConfigurationView
+from postpass.routing.fair_share import Demand, fair_serving_order, has_single_client, within_shares
 from postpass.routing.item_choice import choose_item_worker
-from postpass.routing.item_order import serving_order
 from postpass.runtime.environment import Environment, now
 from postpass.worker_api.plugins import Candidate, PlacementRequest, affinity_key, affinity_worker, place
 
@@ -40,6 +40,11 @@
     return parts.split(",")[0].split(":")[0] if "," in parts else ""
 
 
+def item_demand(item: LeasedItem) -> Demand:
+    """What an item of a route asks for in a queue."""
+    return Demand(item.due, item.client, 1, item.request["tokens"] if item.request is not None else 0)
+
+
 def fair_order(items: list[LeasedItem]) -> list[LeasedItem]:
     """Nearest due first, to the second; among equals, the clients take turns."""
     turn: Counter[str] = Counter()
@@ -93,21 +98,41 @@
         waiting = [i for i in self.items.waiting() if i.request is not None and i.not_before <= now()]
         if not waiting or self.runner.workers is None:
             return
-        free: dict[str, Slots] = {}
+        free = self.free_slots(configuration, waiting)
         by_due = sorted(waiting, key=nearest_due)
-        for item in serving_order(by_due, lambda item: item.due, self.earliest_due, self.capacity.options):
+        rate = self.starting_rate(free)
+        for item in fair_serving_order(by_due, item_demand, self.earliest_due, rate, self.capacity.options):
             route = configuration.get("routes", {}).get(item.route)
             if route is None or self.configuration_view.revision < item.since:
                 continue
-            if self.items.lease_expired(item.partition) or not self.choose_pool(configuration, route, item):
-                continue
-            if item.pool not in free:
-                free[item.pool] = self.free_slots(configuration, item.pool)
-            self.start_request(configuration, route, item, free[item.pool])
-
-    def free_slots(self, configuration: Configuration, pool: str) -> Slots:
-        """The workers of a pool that have room for items, with how many."""
-        return {name: room for name, room in self.capacity.free(configuration, pool).items() if room > 0}
+            if not self.items.lease_expired(item.partition) and self.choose_pool(configuration, route, item):
+                self.start_request(configuration, route, item, free[item.pool])
+
+    def free_slots(self, configuration: Configuration, items: list[LeasedItem]) -> dict[str, Slots]:
+        """The workers that have room for some items of routes, with how many, by pool."""
+        known = configuration.get("routes", {})
+        routes = [known[name] for name in {item.route: None for item in items} if name in known]
+        pools = {part["pool"] for route in routes for part in route["split"] if part["weight"] > 0}
+        return {
+            pool: {name: room for name, room in self.capacity.free(configuration, pool).items() if room > 0}
+            for pool in sorted(pools & set(configuration["pools"]))
+        }
+
+    def starting_rate(self, free: dict[str, Slots]) -> float:
+        """How many items of routes start in a second while there are enough; 0 before one was done."""
+        if self.capacity.usual_seconds <= 0:
+            return 0.0
+        running = sum(limit.running for limit in self.capacity.limits.values())
+        return (running + sum(sum(slots.values()) for slots in free.values())) / self.capacity.usual_seconds
+
+    def kept_in_time(self, configuration: Configuration, items: list[LeasedItem]) -> int:
+        """How many of some waiting items can be done in time, within the shares of their clients."""
+        earliest = self.earliest_due
+        demands = [item_demand(item) for item in sorted(items, key=nearest_due) if item.due >= earliest]
+        if not self.capacity.options.fair_items or has_single_client(demands):
+            return len(demands)
+        rate = self.starting_rate(self.free_slots(configuration, items))
+        return len(within_shares(demands, earliest, rate)[0])
 
     def start_request(self, configuration: Configuration, route: Route, item: LeasedItem, slots: Slots) -> None:
         """Starts an item of a route at a worker that has room in `slots`, which it takes; it goes on waiting if none has."""
--- a/postpass/routing/item_order.py
+++ b/postpass/routing/item_order.py
@@ -6,7 +6,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections import deque
+from collections.abc import Callable, Iterable, Sequence
 from typing import TypeVar
 
 from postpass.routing.options import DEFAULT_OPTIONS, RoutingOptions
@@ -33,10 +34,15 @@
     if not options.overdue_last:
         return ordered
     in_time = [item for item in ordered if due(item) >= earliest]
-    overdue = [item for item in ordered if due(item) < earliest]
+    return interleaved(in_time, [item for item in ordered if due(item) < earliest])
+
+
+def interleaved(in_time: Sequence[Entry], overdue: Sequence[Entry]) -> list[Entry]:
+    """Those that can be done in time, with one in `OVERDUE_EVERY` that can't while there are some, and the rest of these."""
     served: list[Entry] = []
+    late = deque(overdue)
     for item in in_time:
         served.append(item)
-        if overdue and len(served) % OVERDUE_EVERY == OVERDUE_EVERY - 1:
-            served.append(overdue.pop(0))
-    return served + overdue
+        if late and len(served) % OVERDUE_EVERY == OVERDUE_EVERY - 1:
+            served.append(late.popleft())
+    return served + list(late)
--- a/postpass/routing/options.py
+++ b/postpass/routing/options.py
@@ -22,6 +22,7 @@
     :ivar lag: among equals, the worker that answered faster lately is taken.
     :ivar spread_items: items go to the workers with the most room, instead of filling one after the other.
     :ivar overdue_last: items that can't be done in time any more wait behind those that can.
+    :ivar fair_items: where not all items can be done in time, those of the client that asks for the most wait.
     :ivar live_reserve: the part of all slots that items leave free.
     """
 
@@ -37,6 +38,7 @@
     lag: bool = True
     spread_items: bool = True
     overdue_last: bool = True
+    fair_items: bool = True
     live_reserve: float = 1 / 10
 
 
--- a/tests/batch/test_placement.py
+++ b/tests/batch/test_placement.py
@@ -92,3 +92,32 @@
     started, capacity = place(requests(*[""] * 200), workers=4, slots=8)
     assert started == [f"j{number}" for number in range(4 * 6)]  # three quarters of the slots, nearest due first
     assert capacity.asked == 1 and {limit.running for limit in capacity.limits.values()} == {6}
+
+
+def test_the_items_of_one_client_do_not_wait_behind_the_crowd_of_another() -> None:
+    clients = ["hot"] * 200 + ["small"] * 5
+    # 24 slots of items that take half a second: 205 take some 4 seconds.
+    assert place(requests(*clients), workers=4, slots=8)[0] == [f"j{number}" for number in range(24)]
+    started = place(requests(*clients, due=WALL + 2), workers=4, slots=8)[0]
+    assert set(started) == {f"j{number}" for number in [*range(19), *range(200, 205)]}
+
+
+def kept_in_time(items: LeasedItems) -> int:
+    """How many waiting items a scheduler with 24 slots counts as those that it goes on with."""
+    servers = {f"w{number}": {"slots": 8, "area": "a"} for number in range(4)}
+    split = [{"pool": "gpu", "weight": 1}]
+    configuration: Any = {"pools": {"gpu": {"servers": servers}}, "routes": {"r": {"kind": "lot", "split": split}}}
+    clock: Any = SimpleNamespace(wall=lambda: WALL)
+    none: Any = None
+    placement = Placement(none, clock, none, items, RouteCapacity(usual_seconds=0.5), none)
+
+    async def count() -> int:
+        return placement.kept_in_time(configuration, items.waiting())
+
+    return asyncio.run(count())
+
+
+def test_what_is_beyond_the_share_of_a_client_does_not_keep_out_the_items_of_others() -> None:
+    alone, together = requests(*["hot"] * 200, due=WALL + 2), requests(*["hot"] * 200, "small", due=WALL + 2)
+    assert kept_in_time(alone) == 200 and kept_in_time(together) < 100
+    assert kept_in_time(requests(*["hot"] * 50, "small", due=WALL + 2)) == 51
--- a/tests/test_readable_code.py
+++ b/tests/test_readable_code.py
@@ -39,7 +39,7 @@
         "load_exchange", "body_reader", "route_table", "event_stream", "worker_health", "relayed_request",
         "worker_selection", "answer_delivery", "relay",
     ),
-    "routing": ("options", "prefixes", "cold_workers", "load_picture", "live_choice", "item_choice", "item_order"),
+    "routing": ("options", "prefixes", "cold_workers", "load_picture", "live_choice", "item_choice", "item_order", "fair_share"),
     "worker_api": ("openai", "plugins"),
     "membership": (
         "partial_view", "safe_change", "registry", "machine_registry", "worker_registry", "operator_changes",
