--- a/postpass/batch/placement.py
+++ b/postpass/batch/placement.py
@@ -16,8 +16,8 @@
 from postpass.configuration.header_names import Dialect
 from postpass.configuration.settings import Settings
 from postpass.feed.configuration_view import ConfigurationView
+from postpass.routing.fair_share import Demand, fair_serving_order, has_single_client, within_shares
 from postpass.routing.item_choice import choose_item_worker
-from postpass.routing.item_order import serving_order
 from postpass.runtime.environment import Environment, now
 from postpass.worker_api.plugins import Candidate, PlacementRequest, affinity_key, affinity_worker, place
 
@@ -48,6 +48,11 @@
     return parts.split(",")[0].split(":")[0] if "," in parts else ""
 
 
+def item_demand(item: LeasedItem) -> Demand:
+    """What an item of a route asks for in a queue."""
+    return Demand(item.due, item.client, 1, item.request["tokens"] if item.request is not None else 0)
+
+
 def fair_order(items: list[LeasedItem]) -> list[LeasedItem]:
     """Nearest due first, to the second; among equals, the clients take turns."""
     turn: Counter[str] = Counter()
@@ -101,26 +106,49 @@
         waiting = [i for i in self.items.waiting() if i.request is not None and i.not_before <= now()]
         if not waiting or self.runner.workers is None:
             return
-        free = FreeSlots(lambda pool: self.capacity.free(configuration, pool))
-        pools = pools_of_jobs(configuration)
+        free, pools = self.free_slots(configuration), pools_of_jobs(configuration)
         if not free.any_in(pools):
             return
         by_due = sorted(waiting, key=nearest_due)
-        for item in serving_order(by_due, lambda item: item.due, self.earliest_due, self.capacity.options):
+        rate = self.starting_rate(free, pools)
+        for item in fair_serving_order(by_due, item_demand, self.earliest_due, rate, self.capacity.options):
             if not free.any_in(pools):
                 return
             route = configuration.get("routes", {}).get(item.route)
             if route is None or self.configuration_view.revision < item.since:
                 continue
-            if self.items.lease_expired(item.partition) or not self.choose_pool(configuration, route, item):
-                continue
-            worker = self.request_worker(item, free.of(item.pool))
-            if worker is None:
-                continue
-            item.worker = worker
-            free.take(item.pool, worker)
-            self.capacity.limits[(item.pool, worker)].running += 1
-            item.task = asyncio.create_task(self.runner.run_request(configuration, route, item))
+            if not self.items.lease_expired(item.partition) and self.choose_pool(configuration, route, item):
+                self.start_request(configuration, route, item, free)
+
+    def free_slots(self, configuration: Configuration) -> FreeSlots:
+        """The workers' free slots, for one placement run."""
+        return FreeSlots(lambda pool: self.capacity.free(configuration, pool))
+
+    def starting_rate(self, free: FreeSlots, pools: list[str]) -> float:
+        """How many items of routes start in a second while there are enough; 0 before one was done."""
+        if self.capacity.usual_seconds <= 0:
+            return 0.0
+        running = sum(limit.running for limit in self.capacity.limits.values())
+        return (running + sum(sum(free.of(pool).values()) for pool in pools)) / self.capacity.usual_seconds
+
+    def kept_in_time(self, configuration: Configuration, items: list[LeasedItem]) -> int:
+        """How many of some waiting items can be done in time, within the shares of their clients."""
+        earliest = self.earliest_due
+        demands = [item_demand(item) for item in sorted(items, key=nearest_due) if item.due >= earliest]
+        if not self.capacity.options.fair_items or has_single_client(demands):
+            return len(demands)
+        rate = self.starting_rate(self.free_slots(configuration), pools_of_jobs(configuration))
+        return len(within_shares(demands, earliest, rate)[0])
+
+    def start_request(self, configuration: Configuration, route: Route, item: LeasedItem, free: FreeSlots) -> None:
+        """Starts an item of a route at a worker that has a free slot, which it takes; it goes on waiting if none has."""
+        worker = self.request_worker(item, free.of(item.pool))
+        if worker is None:
+            return
+        item.worker = worker
+        free.take(item.pool, worker)
+        self.capacity.limits[(item.pool, worker)].running += 1
+        item.task = asyncio.create_task(self.runner.run_request(configuration, route, item))
 
     @property
     def earliest_due(self) -> float:
--- a/tests/batch/test_dispatch.py
+++ b/tests/batch/test_dispatch.py
@@ -42,7 +42,7 @@
         capacity: Any = SimpleNamespace(forget_removed=lambda _: None, free=lambda *_: {"w": 4})
         placement: Any = SimpleNamespace(
             runner=SimpleNamespace(workers=object()), earliest_due=0.0, place_prompts=lambda *_: None,
-            place_requests=lambda _: self.placed.append(now()),
+            place_requests=lambda _: self.placed.append(now()), kept_in_time=lambda _, items: len(items),
         )  # fmt: skip
         owners: Any = SimpleNamespace(ask=self.ask)
         unused: Any = None
