Write what is appended in the thread that syncs it, so that a stalled disk stops no event loop

Cause: `RealDisk.append` wrote in the event loop's thread, and a write waits for a stalled disk as a sync does. So the whole process stood still: as owner it acknowledged nothing, though a quorum of its mirrors could, and renewed nothing; a scheduler on the same machine started nothing. Others took over after the detection time only.

Ruled out: the wait for the owner's own sync; the predicate counts any three of five disks.

Change: where a capacity is configured, appended bytes stay in memory and the thread of the next sync writes them. Whether they fit is known from the capacity, so that a full disk is still told at once, with nothing appended. Without a capacity only the write itself tells, and it is made at once as before. The promise of `Disk` is the same: appended bytes last only once a sync has returned.

`BrittleDisk` now syncs by the base class, which has the bytes that it appends.

Evidence: the new test, whose writes and syncs wait until they are let go, fails before with "the event loop waits for the disk". Run: tests/runtime, tests/storage and tests/bench/test_brittle.py.

--- a/bench/brittle.py
+++ b/bench/brittle.py
@@ -6,8 +6,6 @@
 
 from __future__ import annotations
 
-import asyncio
-import os
 from dataclasses import dataclass
 
 from postpass.runtime.disk import RealDisk
@@ -57,7 +55,7 @@
     async def sync(self, name: str) -> None:
         """Writes what was appended to the file, and syncs that."""
         self._settle(name)
-        await asyncio.to_thread(os.fsync, self._descriptor(name))
+        await super().sync(name)
 
     def truncate(self, name: str, size: int) -> None:
         """Writes what was appended, and cuts the file."""
--- a/postpass/runtime/disk.py
+++ b/postpass/runtime/disk.py
@@ -1,7 +1,7 @@
 """Files of one data directory, which last only once they are synced.
 
-`Disk` is what daemons use; `RealDisk` is the file system, and the simulator has one that fails on purpose. Appends and
-reads block the event loop; syncs and replacements run in a thread.
+`Disk` is what daemons use; `RealDisk` is the file system, and the simulator has one that fails on purpose. Reads block the
+event loop; syncs and replacements run in a thread.
 """
 
 from __future__ import annotations
@@ -9,6 +9,8 @@
 import asyncio
 import errno
 import os
+import threading
+from collections import deque
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Protocol
@@ -57,11 +59,17 @@
 class RealDisk:
     """Plain files. Invariant: `root` exists; files are opened for append and stay open.
 
+    A write waits for the disk as a sync does, and a disk may stall for seconds. With a capacity, whether appended bytes
+    fit is known without the disk: they stay in memory until the next `sync`, whose thread writes them, and the event loop
+    never waits. Without one only the write itself tells that there is no space, so that it is made at once.
+
     Attributes:
         root: the directory; it is made if need be.
         capacity: the most bytes that the files may take together; 0 for what the file system has.
         descriptors: open files by name.
-        used: bytes that the files take now.
+        used: bytes that the files take, those in memory included.
+        pending: appended bytes that aren't written yet, by file, in their order.
+        writing: held by the one thread that writes and syncs.
     """
 
     root: Path
@@ -70,17 +78,22 @@
     def __post_init__(self) -> None:
         self.root.mkdir(parents=True, exist_ok=True)
         self.descriptors: dict[str, int] = {}
+        self.pending: dict[str, deque[bytes]] = {}
+        self.writing = threading.Lock()
         self.used = self._measure()
 
     def _measure(self) -> int:
-        return sum(f.stat().st_size for f in self.root.iterdir() if f.is_file())
+        written = sum(f.stat().st_size for f in self.root.iterdir() if f.is_file())
+        return written + sum(len(data) for parts in list(self.pending.values()) for data in list(parts))
 
     def names(self) -> list[str]:
         """The files, sorted; without those that are being written."""
-        return sorted(f.name for f in self.root.iterdir() if f.is_file() and not f.name.endswith(TEMPORARY_SUFFIX))
+        files = {f.name for f in self.root.iterdir() if f.is_file() and not f.name.endswith(TEMPORARY_SUFFIX)}
+        return sorted(files | {name for name, parts in self.pending.items() if parts})
 
     def read(self, name: str) -> bytes:
         """A whole file, durable or not."""
+        self._write_appended(name)
         return (self.root / name).read_bytes()
 
     def _descriptor(self, name: str) -> int:
@@ -103,6 +116,15 @@
         """Adds bytes to a file. What was written before an error is taken off again."""
         if self.capacity and self.used + len(data) > self.capacity:
             raise OSError(errno.ENOSPC, "No space left under the configured disk_bytes")
+        if self.capacity:
+            self.pending.setdefault(name, deque()).append(data)
+        else:
+            with self.writing:
+                self._write_out(name, data)
+        self.used += len(data)
+
+    def _write_out(self, name: str, data: bytes) -> None:
+        """Writes bytes to the end of a file: all of them, or none."""
         descriptor = self._descriptor(name)
         size = os.fstat(descriptor).st_size
         done = 0
@@ -112,11 +134,28 @@
         except OSError:
             os.ftruncate(descriptor, size)
             raise
-        self.used += len(data)
+
+    def _write_pending(self, name: str) -> None:
+        """Writes what was appended to a file; called by the holder of `writing`."""
+        parts = self.pending.get(name, deque())
+        taken = [parts.popleft() for _ in range(len(parts))]
+        if taken:
+            self._write_out(name, b"".join(taken))
+
+    def _write_appended(self, name: str) -> None:
+        """Writes what was appended to a file, for whoever needs the file itself; waits for the disk."""
+        if self.pending.get(name):
+            with self.writing:
+                self._write_pending(name)
 
     async def sync(self, name: str) -> None:
-        """Syncs a file, in a thread."""
-        await asyncio.to_thread(os.fsync, self._descriptor(name))
+        """Writes what was appended to a file and syncs it, in a thread."""
+        await asyncio.to_thread(self._write_and_sync, name)
+
+    def _write_and_sync(self, name: str) -> None:
+        with self.writing:
+            self._write_pending(name)
+            os.fsync(self._descriptor(name))
 
     async def write(self, name: str, data: bytes) -> None:
         """Replaces a file, in a thread: a temporary file is written, synced and renamed, then the directory is synced."""
@@ -145,17 +184,20 @@
 
     def truncate(self, name: str, size: int) -> None:
         """Shortens a file to `size` bytes."""
+        self._write_appended(name)
         self.used -= (self.root / name).stat().st_size - size
         os.truncate(self.root / name, size)
 
     def remove(self, name: str) -> None:
         """Deletes a file."""
+        self._write_appended(name)
         self._close(name)
         self.used -= (self.root / name).stat().st_size
         (self.root / name).unlink()
 
     def rename(self, name: str, new: str) -> None:
         """Renames a file and syncs the directory."""
+        self._write_appended(name)
         self._close(name)
         (self.root / name).rename(self.root / new)
         self._sync_directory()
--- a/tests/runtime/test_disk.py
+++ b/tests/runtime/test_disk.py
@@ -3,7 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import os
+import threading
 from pathlib import Path
+from types import SimpleNamespace
+
+import pytest
 
 from postpass.runtime.disk import RealDisk
 
@@ -27,3 +32,76 @@
     disk.rename("log", "bad-log")
     disk.remove("mark")
     assert RealDisk(tmp_path / "d").names() == ["bad-log"]
+
+
+def test_appended_bytes_are_read_renamed_and_removed_before_and_after_they_are_written(tmp_path: Path) -> None:
+    disk = RealDisk(tmp_path / "d", capacity=64)
+    disk.append("log", b"one")
+    assert (disk.names(), disk.space()) == (["log"], (61, 64))
+    assert disk.read("log") == b"one"
+    disk.append("log", b"two")
+    asyncio.run(disk.write("mark", b"m"))
+    assert disk.space() == (64 - 7, 64)
+    disk.rename("log", "old")
+    assert (disk.names(), disk.read("old")) == (["mark", "old"], b"onetwo")
+    disk.append("log", b"three")
+    disk.truncate("log", 2)
+    assert (disk.read("log"), disk.space()) == (b"th", (64 - 9, 64))
+    disk.append("log", b"x")
+    disk.remove("log")
+    assert (disk.names(), disk.space()) == (["mark", "old"], (64 - 7, 64))
+    asyncio.run(disk.sync("old"))
+    assert RealDisk(tmp_path / "d").read("old") == b"onetwo"
+
+
+def test_appends_keep_their_order_while_others_are_written(tmp_path: Path) -> None:
+    async def main() -> None:
+        disk = RealDisk(tmp_path / "d", capacity=1 << 20)
+        syncs = []
+        for number in range(200):
+            disk.append("log", b"%04d" % number)
+            if number % 7 == 0:
+                syncs.append(asyncio.create_task(disk.sync("log")))
+            await asyncio.sleep(0)
+        await asyncio.gather(*syncs)
+        await disk.sync("log")
+        assert (tmp_path / "d" / "log").read_bytes() == b"".join(b"%04d" % number for number in range(200))
+        assert disk.used == 800
+
+    asyncio.run(main())
+
+
+def test_a_disk_that_stalls_stops_no_event_loop(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """A stalled disk holds up a write as it does a sync: neither may be waited for by the event loop's thread."""
+    goes_on, loop_thread, write, fsync = threading.Event(), threading.get_ident(), os.write, os.fsync
+
+    def wait_for_the_disk() -> None:
+        assert threading.get_ident() != loop_thread, "the event loop waits for the disk"
+        assert goes_on.wait(10)
+
+    def stalled_write(descriptor: int, data: bytes) -> int:
+        wait_for_the_disk()
+        return write(descriptor, data)
+
+    def stalled_fsync(descriptor: int) -> None:
+        wait_for_the_disk()
+        fsync(descriptor)
+
+    async def main() -> None:
+        disk = RealDisk(tmp_path / "d", capacity=1 << 20)
+        # The event loop's own pipe is written to as well, but not by this name.
+        monkeypatch.setattr("postpass.runtime.disk.os", SimpleNamespace(**vars(os)))
+        monkeypatch.setattr("postpass.runtime.disk.os.write", stalled_write)
+        monkeypatch.setattr("postpass.runtime.disk.os.fsync", stalled_fsync)
+        disk.append("log", b"one")
+        synced = asyncio.create_task(disk.sync("log"))
+        await asyncio.sleep(0.01)
+        disk.append("log", b"two")
+        await asyncio.sleep(0.01)
+        assert not synced.done()
+        goes_on.set()
+        await synced
+        await disk.sync("log")
+        assert (tmp_path / "d" / "log").read_bytes() == b"onetwo"
+
+    asyncio.run(main())
