--- a/tests/sim/test_broken_variants.py
+++ b/tests/sim/test_broken_variants.py
@@ -22,10 +22,12 @@
 from postpass.daemon.data_plane import DataPlane
 from postpass.daemon.gossip import Gossip
 from postpass.daemon.process import Daemon
-from postpass.gateway import attempts, relay, worker_selection
+from postpass.gateway import attempts, relay, relayed_request, worker_selection
 from postpass.gateway.answer_delivery import AnswerDelivery
+from postpass.gateway.client_identity import PUBLIC, ClientIdentity, ClientKeys
 from postpass.gateway.connection_pool import ConnectionPool
 from postpass.gateway.event_stream import EventStream
+from postpass.gateway.http_headers import HeaderNames
 from postpass.gateway.relay import Relay
 from postpass.gateway.upstream_connection import UpstreamConnection
 from postpass.gateway.worker_selection import WorkerSelection
@@ -127,6 +129,45 @@
     mp.setattr(WorkerSelection, "check_admission", lambda *_: "")
 
 
+# --- keys of tenants
+def passes_keys_on(mp: pytest.MonkeyPatch) -> None:
+    plain = HeaderNames.dropped
+    mp.setattr(HeaderNames, "dropped", lambda self, sets_urgency, hides_key: plain(self, sets_urgency, False))
+
+
+def believes_clients(mp: pytest.MonkeyPatch) -> None:
+    """Passes on the tenant's name that a client wrote, if it wrote one."""
+    plain = relayed_request.build_request
+
+    def built(names: HeaderNames, route_name: str, route: Any, client: Any, scope: Any, *rest: Any) -> Any:
+        request = plain(names, route_name, route, client, scope, *rest)
+        if claims := [value for name, value in scope["headers"] if name == names.tenant]:
+            request.headers = [h for h in request.headers if h[0] != names.tenant] + [(names.tenant, claims[0])]
+        return request
+
+    mp.setattr(relay, "build_request", built)
+
+
+def names_no_tenant_on_items(mp: pytest.MonkeyPatch) -> None:
+    plain = item_request.request_headers
+    mp.setattr(item_request, "request_headers", lambda d, item, client, *rest: plain(d, item, PUBLIC, *rest))
+
+
+def lets_any_key_in(mp: pytest.MonkeyPatch) -> None:
+    plain = ClientKeys.authenticate
+
+    def authenticate(self: ClientKeys, route: Any, headers: Any) -> Any:
+        found = plain(self, route, headers)
+        return Ok(ClientIdentity("t0", next(iter(self.holders)))) if found.is_err() else found
+
+    mp.setattr(ClientKeys, "authenticate", authenticate)
+
+
+def keeps_the_first_keys(mp: pytest.MonkeyPatch) -> None:
+    plain = ClientKeys.refresh
+    mp.setattr(ClientKeys, "refresh", lambda self: None if self.tenants else plain(self))
+
+
 # --- leaving in order
 def bars_nobody(mp: pytest.MonkeyPatch) -> None:
     mp.setattr(WorkerSelection, "barred", lambda *_: False)
@@ -394,6 +435,7 @@
 LOAD = "clients view 12 order 8 ask 10 review 3 lots 0.8x8\n"
 ILL = "at 1 fault worker:app:0 cut 0.3 for 8\nat 1 fault worker:app:1 lost 0.3 for 8\n"
 CUTS = "at 1 fault worker:llm:0 cut 0.4 for 8\nat 1 fault worker:llm:1 cut 0.4 for 8\nat 1 fault worker:llm:2 cut 0.4 for 8\n"
+KEYS = "announced tenants 3\nclients view 12 order 4 ask 4 lots 0.8x8\n"
 LATE = "at 0.5 change route\nat 1 change route\nat 1.5 change route\nat 2 change route\n"
 
 # By rule: how the product is broken, and a day that shows it.
@@ -402,18 +444,23 @@
     ("MIXED", takes_any_answer, LOAD + "at 1 fault worker:app:0 extra 0.5 for 8\nat 1 fault worker:app:1 extra 0.5 for 8"),
     ("UNASKED", adds_to_the_path, LOAD),
     ("UNASKED", ending_is_forgotten, "announced slots 1 models 1\nclients view 1 lots 1x30\n"),
+    ("UNASKED", passes_keys_on, KEYS),
+    ("UNASKED", believes_clients, KEYS),
+    ("UNASKED", names_no_tenant_on_items, KEYS),
     ("TWICE", tries_anything_again, LOAD + ILL),
     ("TWICE", results_move, LOAD),
     ("REFUSED", promises_too_much, LOAD + ILL),
     ("REFUSED", refuses_what_it_took, LOAD),
     ("DENIED", forbids, LOAD),
     ("ROUTE", goes_elsewhere, LOAD),
+    ("ROUTE", lets_any_key_in, KEYS),
     ("DRAIN", bars_nobody, "clients view 20 ask 20\nat 1 release llm 1\nat 1 release app 1\n"),
     ("LOST", leaves_at_once, "clients ask 30 review 10\nat 2 term edge:0\nat 4 term edge:1\nat 6 term edge:2"),
     ("LOST", syncs_nothing, "clients view 2 lots 4x4\nrun 26\nat 3 closing power_off_all for 1\n"),
     ("LOST", forgets_lots, "clients view 1 lots 1x4\n"),
     ("LOST", forgets_evacuations, "clients view 12 ask 6\nrun 26\nat 1 evac 1\nat 3 closing kill_all for 1\n"),
     ("CONFIG", keeps_the_first_routes, "clients view 20\nat 1 change move\n"),
+    ("CONFIG", keeps_the_first_keys, KEYS + "at 1 change keys\nat 2 change keys\nat 3 change keys\nat 4 change keys\n"),
     ("CONFIG", both_win, "clients view 4\nat 1 race\nat 3 race\n"),
     ("CONFIG", takes_invalid, "clients view 4\nat 1 invalid no_weight\nat 2 invalid unknown_service\n"),
     ("CONFIG", reads_old, "clients view 4\nat 1 change timeout\n"),
