Jobs of tenants through a whole fleet, and no order is worked out for a question that wants nothing

A scheduler that has enough asks owners for no items, to renew its leases: the owner sorted all its jobs for that. It does only when items are wanted.

--- a/postpass/batch/leases.py
+++ b/postpass/batch/leases.py
@@ -163,11 +163,9 @@
         wanted, waiting = dict(request.wanted), dict.fromkeys(request.wanted, 0)
         leased = Counter(key.job for key in state.leases if key.item not in view.jobs[key.job].results)
         grants = []
-        by_due = sorted(jobs, key=lambda job: (job.body["due"], job.seq))
-        earliest = self.table.environment.wall() + state.usual_seconds
-        # As many are leased at a time as end in the usual time.
-        rate = leased.total() / state.usual_seconds if state.usual_seconds > 0 else 0.0
-        for job in fair_serving_order(by_due, lambda job: job_demand(job, leased[job.id]), earliest, rate):
+        if any(wanted.values()):
+            jobs = self.in_serving_order(jobs, state, leased)
+        for job in jobs:
             item_class = item_class_of(job.body)
             # Counted, not listed: what a poll costs must not grow with all items that wait.
             waiting[item_class] = waiting.get(item_class, 0) + job.size - len(job.results) - leased[job.id]
@@ -178,6 +176,14 @@
                 wanted[item_class] -= 1
         return TakeResponse(grants, ended_jobs(view, request.leased), waiting)
 
+    def in_serving_order(self, jobs: list[Job], state: OwnerState, leased: Counter[str]) -> list[Job]:
+        """Jobs in the order in which their items are handed out; `leased` counts the items of each that are leased."""
+        by_due = sorted(jobs, key=lambda job: (job.body["due"], job.seq))
+        earliest = self.table.environment.wall() + state.usual_seconds
+        # As many are leased at a time as end in the usual time.
+        rate = leased.total() / state.usual_seconds if state.usual_seconds > 0 else 0.0
+        return fair_serving_order(by_due, lambda job: job_demand(job, leased[job.id]), earliest, rate)
+
     async def on_done(self, body: Body) -> PeerResponse:
         """Records an item's result; only a whole output comes here as done. The first one wins.
 
--- /dev/null
+++ b/tests/batch/test_tenant_jobs.py
@@ -0,0 +1,91 @@
+"""Jobs of tenants through a whole fleet: each has the quota of the route by itself, also after owners are lost."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from typing import Any
+
+from postpass.batch.job_api import JobApi
+from postpass.batch.messages import BudgetKey, ResultsRequest
+from postpass.batch.quota import holder_of
+from postpass.configuration.configuration import partition_of
+from postpass.configuration.tenant_keys import key_digest
+from postpass.runtime.environment import now
+from sim.fleet import SimFleet
+from tests.batch.test_job_service import ROUTE, Pretend, lot, with_lots
+
+QUOTA = ROUTE["quota"]
+RECOVER_S = 15.0
+
+
+async def add_tenants(fleet: SimFleet, api: JobApi) -> None:
+    """A configuration with two tenants, in force everywhere."""
+    tenants = {name: {"keys": [key_digest(name.encode())], "rate": 0, "burst": 0} for name in ("firm", "other")}
+    revision = api.edge.configuration_view.revision
+    assert await fleet.apply({**fleet.configuration, "tenants": tenants}, revision) == revision + 1
+    await asyncio.sleep(2.0)
+
+
+async def hand_in(api: JobApi, tenant: str, job_id: str, tokens: int) -> int:
+    """The status of a job of one item that an edge hands in for a tenant."""
+    items = json.loads(lot("a", tokens=tokens))["items"]
+    job = api.job_body("r", ROUTE, job_id, items) | {"caller": tenant}
+    partition = partition_of(job_id, api.edge.configuration["parts"])
+    answer = await api.edge.owners.ask(partition, "accept", {"lot": job}, now() + api.patience())
+    return 202 if answer.is_ok() else api.not_accepted(job_id, answer.unwrap_err()).status
+
+
+async def ask(api: JobApi, tenant: str, job_id: str, verb: str, body: dict[str, Any]) -> dict[str, Any]:
+    """An owner's answer about a job of a tenant."""
+    partition = partition_of(job_id, api.edge.configuration["parts"])
+    wanted = body | {"id": job_id, "caller": tenant}
+    return (await api.edge.owners.ask(partition, verb, wanted, now() + api.patience())).unwrap()
+
+
+def job_of(fleet: SimFleet, partition: int, turn: int) -> str:
+    """The id of a job that falls to a partition."""
+    parts = fleet.configuration["parts"]
+    return next(name for n in range(1000) if partition_of(name := f"j{turn}-{n}", parts) == partition)
+
+
+def test_each_tenant_has_its_own_quota_also_after_its_holder_was_lost() -> None:
+    async def check(fleet: SimFleet, apis: list[JobApi], workers: Pretend) -> None:
+        workers.full = True  # nothing leaves the count by being done
+        await add_tenants(fleet, apis[0])
+        parts = fleet.configuration["parts"]
+        holder = holder_of(BudgetKey("r", "firm"), parts)
+        for turn, partition in enumerate(range(parts)):
+            status = await hand_in(apis[turn % 2], "firm", job_of(fleet, partition, turn), 300)
+            assert status == (202 if 300 * (turn + 1) <= QUOTA else 429)
+        assert await hand_in(apis[1], "other", "o1", QUOTA) == 202
+        assert await hand_in(apis[0], "other", "o2", 1) == 429
+        fleet.kill(fleet.owner(holder), silent=True)
+        until = now() + RECOVER_S
+        while (status := await hand_in(apis[0], "firm", "late", 100)) not in (202, 429):
+            assert now() < until, status
+            await asyncio.sleep(0.2)
+        assert status == (202 if 300 * min(parts, 3) + 100 <= QUOTA else 429)
+        await asyncio.sleep(2.0)
+        left = QUOTA - 300 * min(parts, 3) - 100
+        assert await hand_in(apis[0], "firm", "more", left + 1) == 429
+        assert await hand_in(apis[0], "other", "o3", 1) == 429
+
+    with_lots(check)
+
+
+def test_a_job_that_ends_makes_room_for_its_tenant() -> None:
+    async def check(fleet: SimFleet, apis: list[JobApi], workers: Pretend) -> None:
+        workers.full = True
+        await add_tenants(fleet, apis[0])
+        assert [await hand_in(apis[0], "firm", "a", 600), await hand_in(apis[1], "firm", "b", 600)] == [202, 429]
+        assert await ask(apis[0], "firm", "a", "finish", {}) is not None
+        await asyncio.sleep(1.0)
+        assert await hand_in(apis[1], "firm", "b", 600) == 202
+        workers.full = False
+        while not (rows := await ask(apis[0], "firm", "b", "results", ResultsRequest(0, 1.0).as_json()))["results"]:
+            assert rows["total"] == 1
+        await asyncio.sleep(1.0)
+        assert await hand_in(apis[1], "firm", "c", QUOTA) == 202
+
+    with_lots(check)
