--- a/postpass/batch/job_api.py
+++ b/postpass/batch/job_api.py
@@ -13,7 +13,7 @@
 
 from postpass.batch.messages import Item, ResultsRequest
 from postpass.configuration.configuration import Route, partition_of
-from postpass.configuration.schema import validation_errors
+from postpass.configuration.schema import known_fields, validation_errors
 from postpass.gateway.gateway import Gateway
 from postpass.gateway.request_bodies import IDENTIFIER
 from postpass.rpc.codec import Body
@@ -33,6 +33,11 @@
     items: list[Item]
 
 
+def known_body(raw: Any) -> Any:
+    """A job's body as a client sent it, without what this release doesn't read, at any depth."""
+    return known_fields(Items, raw)
+
+
 class JobAnswer(NamedTuple):
     """The HTTP status and the body of an answer to a client."""
 
@@ -41,7 +46,7 @@
 
 
 def job_flaw(body: Any, most: int = MAX_ITEMS) -> str:
-    """The first flaw of a job's body, with its path; empty if there is none. A job has `most` items at the most."""
+    """The first flaw of a job's `known_body`, with its path; empty if there is none. It has `most` items at the most."""
     found = validation_errors(Items, body)
     if found:
         return found[0]
@@ -57,8 +62,8 @@
     return ""
 
 
-def known_keys(item: Item) -> Item:
-    """An item without keys that this release doesn't know."""
+def ordered_keys(item: Item) -> Item:
+    """An item with its keys in the order in which jobs are kept on disk."""
     return {
         "id": item["id"],
         "path": item["path"],
@@ -101,8 +106,8 @@
         """Seconds that an owner is waited for."""
         return min(MIN_PATIENCE_S, self.edge.settings.bounds.recover / 4)
 
-    async def accept(self, name: str, route: Route, job_id: str, data: bytes) -> JobAnswer:
-        """Hands a job in to its owner, under the route of that name; `data` is what the client sent.
+    async def accept(self, name: str, route: Route, job_id: str, data: bytes, tenant: str = "") -> JobAnswer:
+        """Hands a job of a tenant in to its owner, under the route of that name; `data` is what the client sent.
 
         Statuses: 202, 400, 409, 413, 429, 503, or 504, which promises nothing.
         """
@@ -112,13 +117,13 @@
         if not IDENTIFIER.fullmatch(job_id):
             return JobAnswer(400, {"error": "id: want 1 to 80 of A-Z a-z 0-9 . _ -"})
         try:
-            body = json.loads(data)
+            body = known_body(json.loads(data))
         except (ValueError, RecursionError) as bad:
             return JobAnswer(400, {"error": f"(top): not JSON: {bad}"})
         flaw = job_flaw(body)
         if flaw:
             return JobAnswer(400, {"error": flaw})
-        job = self.job_body(name, route, job_id, body["items"])
+        job = self.job_body(name, route, job_id, body["items"], tenant)
         partition = partition_of(job_id, edge.configuration["parts"])
         patience = min(self.patience(), route["timeout"])
         answer = await edge.owners.ask(partition, "accept", {"lot": job}, now() + patience)
@@ -128,13 +133,14 @@
         edge.remember_job(job_id)
         return JobAnswer(202, {"id": job_id})
 
-    def job_body(self, name: str, route: Route, job_id: str, items: list[Item]) -> Body:
+    def job_body(self, name: str, route: Route, job_id: str, items: list[Item], tenant: str) -> Body:
         """A job by its keys on disk, but for the bodies of items, which an owner keeps beside it."""
         came = self.edge.environment.wall()
-        return {
+        client = {"caller": tenant} if tenant else {}
+        return client | {
             "id": job_id,
             "route": name,
-            "items": [known_keys(item) for item in items],
+            "items": [ordered_keys(item) for item in items],
             "due": round(came + route["due"], 3),
             "expire": route["expire"],
             "tries": route["tries"],
@@ -156,27 +162,28 @@
         self.edge.note_unkept(job_id, fault, 504)
         return JobAnswer(504, {"error": fault.why})
 
-    async def ask(self, job_id: str, verb: str, body: Body, wait: float) -> Result[Body, int]:
-        """The owner's answer within `wait` seconds; else the status 404 if there surely is no such job, or 503."""
+    async def ask(self, job_id: str, verb: str, body: Body, wait: float, tenant: str) -> Result[Body, int]:
+        """The owner's answer within `wait` seconds; else the status 404 if the tenant surely has no such job, or 503."""
         edge = self.edge
         if edge.unready() is not None:
             return Err(503)
         if not IDENTIFIER.fullmatch(job_id):
             return Err(404)
         partition = partition_of(job_id, edge.configuration["parts"])
-        answer = await edge.owners.ask(partition, verb, body | {"id": job_id}, now() + wait)
+        answer = await edge.owners.ask(partition, verb, body | {"id": job_id, "caller": tenant}, now() + wait)
         return answer.map_err(lambda fault: 404 if fault.code == LACK else 503)
 
-    async def results(self, job_id: str, start: int, hold: float) -> Result[Body, int]:
+    async def results(self, job_id: str, start: int, hold: float, tenant: str = "") -> Result[Body, int]:
         """A page of results from a position on, held for `hold` seconds at the longest until there is one."""
         hold = min(hold, self.edge.settings.bounds.detect)  # well within what one question to an owner may take
-        return await self.ask(job_id, "results", ResultsRequest(start, hold).as_json(), hold + self.patience() / 2)
+        question = ResultsRequest(start, hold).as_json()
+        return await self.ask(job_id, "results", question, hold + self.patience() / 2, tenant)
 
-    async def item(self, job_id: str, item: str) -> Result[bytes, int]:
+    async def item(self, job_id: str, item: str, tenant: str = "") -> Result[bytes, int]:
         """The body of an item that has no result yet."""
-        answer = await self.ask(job_id, "item", {"item": item}, self.patience())
+        answer = await self.ask(job_id, "item", {"item": item}, self.patience(), tenant)
         return answer.map(lambda body: base64.b64decode(body["body"]))
 
-    async def finish(self, job_id: str) -> Result[Body, int]:
+    async def finish(self, job_id: str, tenant: str = "") -> Result[Body, int]:
         """Ends a job: what has no result then is not run any more."""
-        return await self.ask(job_id, "finish", {}, self.patience())
+        return await self.ask(job_id, "finish", {}, self.patience(), tenant)
