Return tokens that a tenant's edge doesn't use, and ask on while the home has tokens

Cause: tokens in the former edge's bucket stayed there until its lease ran out; demand took a second to be seen as gone; and an answer counted as short of what was wanted by the rounding of messages, so no question was asked for a while. Ruled out: a home without tokens (it had 36).

Change: what is given back takes its tokens along, under the epoch that the edge knows; a silence that is long for the demand before ends it; 99 % of the wanted tokens are enough; nothing is given back after a question without an answer.

Evidence: tests/tenants/test_limit_in_fleet.py plays real daemons: a hot tenant, moves between edges, a home, an edge and both lost.

--- a/postpass/tenants/edge_share.py
+++ b/postpass/tenants/edge_share.py
@@ -16,7 +16,9 @@
 LEAST_DEMAND = 0.1  # requests a second; less counts as none
 RARE = 0.5  # requests between two questions below which it is asked less often
 RARE_RENEWALS = 2  # times the usual interval
+SILENCE = 8  # usual intervals between two requests, without one, after which demand has ended
 GIVE_BACK = 0.6  # of its rate that an edge wants at the most when it gives the rest back at once
+KEEP = 0.8  # of its rate that an edge wants at the most when it gives the rest back with a question that it has anyway
 FETCH_AHEAD = 0.5  # of the time between two questions for which tokens should be there
 TOKEN = 1.0 - 1e-9  # one token, but for rounding
 
@@ -35,7 +37,8 @@
         tokens: that were there at `counted_at`.
         number: of the last question.
         asked_at: when that was asked.
-        answered: whether it was answered.
+        answered: whether it was answered, or no answer is waited for any more.
+        heard: whether the last question that is over was answered; if not, nothing is given back to nobody.
         short_until: before this no question is asked for a request, since the last answer gave too little.
         arrivals: smoothed number of requests a second, at `arrived_at`.
     """
@@ -49,6 +52,7 @@
     number: int = 0
     asked_at: float = -math.inf
     answered: bool = True
+    heard: bool = True
     short_until: float = -math.inf
     arrivals: float = 0.0
     arrived_at: float = -math.inf
@@ -59,7 +63,10 @@
         self.arrived_at = now
 
     def demand(self, now: float) -> float:
-        """Requests a second that arrive, refused ones included."""
+        """Requests a second that arrive, refused ones included. None do if the last one is much longer ago than it would
+        be at such a rate."""
+        if (now - self.arrived_at) * self.arrivals > SILENCE:
+            return 0.0
         return self.arrivals * math.exp(-max(0.0, now - self.arrived_at) / self.smoothing) if self.arrivals else 0.0
 
     def count(self, limit: RateBurst, now: float) -> None:
@@ -92,7 +99,7 @@
         if not self.answered:
             return False
         self.count(limit, now)
-        if self._want(limit, now) < self.rate * GIVE_BACK:
+        if self.heard and self._want(limit, now) < self.rate * GIVE_BACK:
             return True
         demand = self.demand(now)
         rare = demand * renew < RARE
@@ -105,16 +112,19 @@
         """
         self.count(limit, now)
         demand = self.demand(now)
-        want = self._want(limit, now)
-        if self.rate > want:
-            self.burst = max(self.burst * want / self.rate, min(self.tokens, self.burst))
-            self.rate = want
+        want, returned = self._want(limit, now), 0.0
+        if self.heard and want < self.rate * KEEP:
+            self.burst, self.rate = self.burst * want / self.rate, want
+            returned = max(0.0, self.tokens - self.burst)
+            self.tokens -= returned
         ahead = demand * renew * FETCH_AHEAD + waiting
         wanted = max(0.0, ahead - self.tokens) if demand > LEAST_DEMAND or waiting else 0.0
         self.number = number
         self.asked_at, self.answered = now, False
         remaining = max(0.0, self.until - now)
-        return ShareRequest(tenant, self.number, demand, self.rate, self.burst, remaining, self.tokens, wanted)
+        return ShareRequest(
+            tenant, self.number, demand, self.rate, self.burst, remaining, self.tokens, wanted, returned
+        )
 
     def holding(self, tenant: str, limit: RateBurst, now: float) -> ShareRequest:
         """What is held, for a new home."""
@@ -128,7 +138,7 @@
         if grant.number != self.number or self.answered:
             return False
         self.count(limit, now)
-        self.answered = True
+        self.answered = self.heard = True
         self.rate, self.burst, self.until = grant.rate, grant.burst, self.asked_at + grant.seconds
         self.tokens = min(self.tokens + grant.tokens, self.burst)
         self.count(limit, now)
@@ -136,6 +146,7 @@
 
     def give_up(self) -> None:
         """No answer to the last question will be taken any more."""
+        self.heard = self.heard and self.answered
         self.answered = True
 
     def _want(self, limit: RateBurst, now: float) -> float:
--- a/postpass/tenants/edge_shares.py
+++ b/postpass/tenants/edge_shares.py
@@ -22,6 +22,7 @@
 from postpass.tenants.limits import NOTHING, RateBurst, ShareTimers, quota_slack, tenant_limit
 from postpass.tenants.messages import SHARE, HoldingsRequest, ShareRequest, SharesRequest, SharesResponse
 
+ENOUGH = 0.99  # of the wanted tokens; messages round
 UNUSED_LEASES = 12  # after so many lease times without a request a share is forgotten
 
 
@@ -158,7 +159,8 @@
         asked = now()
         requests = self._requests(tenants, asked)
         partition = home_partition(tenants[0], configuration["parts"])
-        body = SharesRequest(self.settings.name, self.incarnation, tuple(requests.values())).as_json()
+        epoch = self.epochs.get(partition, 0)
+        body = SharesRequest(self.settings.name, self.incarnation, epoch, tuple(requests.values())).as_json()
         answer = await self.homes.ask(partition, SHARE, body, asked + self.timers.renew)
         if isinstance(answer, Err):
             self.questions.labels("unanswered").inc()
@@ -190,7 +192,7 @@
             limit, share = self.limit(grant.tenant), self.shares.get(grant.tenant)
             if limit is None or share is None or grant.tenant not in requests:
                 continue
-            if share.apply(grant, limit, now()) and grant.tokens < requests[grant.tenant].wanted:
+            if share.apply(grant, limit, now()) and grant.tokens < requests[grant.tenant].wanted * ENOUGH:
                 share.short_until = now() + self.timers.pause
 
     async def run(self) -> None:
--- a/postpass/tenants/messages.py
+++ b/postpass/tenants/messages.py
@@ -21,6 +21,7 @@
     :ivar remaining: seconds for which it is good; 0 if there is none.
     :ivar tokens: that are there.
     :ivar wanted: further tokens that are wanted at once.
+    :ivar returned: tokens that were there and are the home's again.
     """
 
     tenant: str
@@ -31,10 +32,11 @@
     remaining: float = 0.0
     tokens: float = 0.0
     wanted: float = 0.0
+    returned: float = 0.0
 
     def as_json(self) -> list[str | float]:
         """A row of a message."""
-        figures = (self.demand, self.rate, self.burst, self.remaining, self.tokens, self.wanted)
+        figures = (self.demand, self.rate, self.burst, self.remaining, self.tokens, self.wanted, self.returned)
         return [self.tenant, self.number, *(round(figure, 6) for figure in figures)]
 
     @classmethod
@@ -72,10 +74,15 @@
 
 @dataclass(frozen=True)
 class SharesRequest:
-    """The questions of one edge to the home of several tenants (verb `share`). `incarnation` tells its processes apart."""
+    """The questions of one edge to the home of several tenants (verb `share`).
+
+    :ivar incarnation: tells the processes of the edge apart.
+    :ivar epoch: the latest of the partition that it knows of.
+    """
 
     edge: str
     incarnation: str
+    epoch: int
     questions: tuple[ShareRequest, ...]
 
     @property
@@ -88,13 +95,16 @@
         return {
             "edge": self.edge,
             "inc": self.incarnation,
+            "epoch": self.epoch,
             "shares": [question.as_json() for question in self.questions],
         }
 
     @classmethod
     def from_json(cls, body: Body) -> SharesRequest:
         """Reads the body of a request."""
-        return cls(body["edge"], body["inc"], tuple(ShareRequest.from_json(row) for row in body["shares"]))
+        return cls(
+            body["edge"], body["inc"], body["epoch"], tuple(ShareRequest.from_json(row) for row in body["shares"])
+        )
 
 
 @dataclass(frozen=True)
--- a/postpass/tenants/share_ledger.py
+++ b/postpass/tenants/share_ledger.py
@@ -91,6 +91,8 @@
         told = Holder(request.number, _told_shares(request, now), request.demand, now)
         self.holders[holder] = told
         others = self.others_in_use(holder, now)
+        if settled:
+            self.tokens += request.returned
         share = self._share_of(holder, others, now)
         given = min(request.wanted, self.tokens + self.starting_tokens)
         self._take(given)
--- a/postpass/tenants/share_service.py
+++ b/postpass/tenants/share_service.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any, Protocol
 
 from result import Err, Ok, Result
@@ -119,7 +119,10 @@
         # Under the epoch: whatever a later home hears of, this grant was asked for before that home began.
         if not await self.store.confirm(partition) or self.homes.get(partition.id) is not home:
             return Err(Fault(SHARE, self.store.settings.name, "could not be confirmed", SLOW))
-        grants = [self._grant(home, request.holder, question) for question in request.questions]
+        # A question that was composed under an earlier epoch may have been heard by that home, which has the tokens then.
+        outdated = request.epoch != home.epoch
+        questions = [replace(question, returned=0.0) if outdated else question for question in request.questions]
+        grants = [self._grant(home, request.holder, question) for question in questions]
         return Ok(SharesResponse(home.epoch, tuple(grant for grant in grants if grant is not None)).as_json())
 
     def home(self, partition: Partition) -> Home:
--- a/tests/tenants/test_edge_share.py
+++ b/tests/tenants/test_edge_share.py
@@ -64,8 +64,17 @@
     share = share_with(80.0, 40.0, 4.0)
     assert share.is_due(LIMIT, RENEW, 0.5)
     told = share.ask("t", 2, 0, RENEW, LIMIT, 0.5)
-    assert (told.rate, told.demand) == (0.0, 0.0)
-    assert share.rate == 0.0
+    assert (told.rate, told.burst, told.demand) == (0.0, 0.0, 0.0)
+    assert told.returned == 40.0 and told.tokens == 0.0
+    assert share.rate == 0.0 and not share.take(LIMIT, 0.5)
+
+
+def test_a_silence_that_is_long_for_the_demand_before_ends_it() -> None:
+    share = EdgeShare(smoothing=1.0)
+    for step in range(200):
+        share.note_arrival(step / 100)
+    assert share.demand(2.05) > 70.0
+    assert share.demand(2.15) == 0.0
 
 
 def test_a_used_share_is_renewed_and_an_unused_one_is_not() -> None:
@@ -87,7 +96,7 @@
 
 
 def test_messages_are_read_as_they_were_written() -> None:
-    told = ShareRequest("t", 3, 1.5, 2.5, 3.5, 4.5, 5.5, 6.5)
+    told = ShareRequest("t", 3, 1.5, 2.5, 3.5, 4.5, 5.5, 6.5, 7.5)
     grant = ShareGrant("t", 3, 1.5, 2.5, 3.5, 4.5)
     assert ShareRequest.from_json(told.as_json()) == told
     assert ShareGrant.from_json(grant.as_json()) == grant
--- /dev/null
+++ b/tests/tenants/test_limit_in_fleet.py
@@ -0,0 +1,143 @@
+"""The limits of tenants among the daemons of a small announced fleet, as machines are lost and traffic moves."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass, field
+from typing import Any
+
+import pytest
+
+from postpass.daemon.data_plane import DataPlane
+from postpass.tenants.edge_shares import home_partition
+from sim.loop import SimLoop, run_sim
+from tests.platform.test_configuration import document
+from tests.support.announced import Fleet
+from tests.tenants.share_world import Terms, most_in_window
+
+PARTITIONS = 8
+TENANT = "huka270"
+TERMS = Terms(60, 30)
+USUAL = TERMS.rate / 1.6  # requests a second
+HOT = 7.5  # times the usual
+
+
+@dataclass(eq=False)
+class Count:
+    """When requests ran, and when refused ones came."""
+
+    ran: list[float] = field(default_factory=list)
+    refused: list[float] = field(default_factory=list)
+
+    @property
+    def refused_share(self) -> float:
+        return len(self.refused) / (len(self.ran) + len(self.refused))
+
+
+@dataclass(eq=False)
+class Drill:
+    fleet: Fleet
+    chance: random.Random
+    counts: list[Count] = field(default_factory=list)
+
+    async def start(self) -> None:
+        fleet = self.fleet
+        fleet.start()
+        assert await fleet.until(lambda: fleet.joined() and len(fleet.owners()) == PARTITIONS, 20.0) >= 0
+        fleet.first = False
+        wanted = document(1) | {
+            "tenants": [{"name": TENANT, "keys": ["a-key"], "rateS": TERMS.rate, "burst": TERMS.burst}]
+        }
+        assert (await fleet.ask("c1", lambda c: c.apply_source(wanted, 0))).is_ok()
+        await asyncio.sleep(3.0)
+
+    def home(self) -> str:
+        return self.fleet.owners()[home_partition(TENANT, PARTITIONS)]
+
+    async def load(self, rate: float, edges: list[str], seconds: float) -> Count:
+        """Independent requests, at these edges alike."""
+        count, until = Count(), self.fleet.loop.clock + seconds
+        while True:
+            await asyncio.sleep(self.chance.expovariate(rate))
+            if self.fleet.loop.clock >= until:
+                break
+            self.send(self.chance.choice(edges), count)
+        self.counts.append(count)
+        return count
+
+    def ran(self) -> list[float]:
+        """When all requests of the day ran."""
+        return [at for count in self.counts for at in count.ran]
+
+    def send(self, edge: str, count: Count) -> None:
+        node = self.fleet.nodes[edge]
+        daemon = node.daemon
+        if isinstance(daemon, DataPlane) and daemon.tenant_shares is not None and not node.host.dead:
+            work = self.serve(daemon, count)
+            asyncio.get_running_loop().create_task(work, context=node.host.context())
+
+    async def serve(self, daemon: DataPlane, count: Count) -> None:
+        assert daemon.relay is not None and daemon.relay.rate_limit is not None
+        began = self.fleet.loop.clock
+        wait = await daemon.relay.rate_limit.admit(TENANT)
+        (count.refused if wait else count.ran).append(began if wait else self.fleet.loop.clock)
+
+
+EDGES = ["e1", "e2", "e3", "e4"]
+
+
+async def hot(drill: Drill) -> None:
+    """Many times the usual, at three edges of four: about the limit runs."""
+    assert (await drill.load(USUAL, EDGES, 6.0)).refused_share == 0
+    flood = await drill.load(USUAL * HOT, EDGES[:3], 6.0)
+    assert len(flood.ran) >= TERMS.rate * 6.0
+    calm = await drill.load(USUAL, EDGES, 6.0)
+    assert calm.refused_share < 0.05
+
+
+async def moving(drill: Drill) -> None:
+    """All comes to one edge, then to another."""
+    assert (await drill.load(USUAL, EDGES, 6.0)).refused_share == 0
+    for edge in EDGES[:3]:
+        assert (await drill.load(USUAL, [edge], 4.0)).refused_share < 0.02
+
+
+async def lost_home(drill: Drill) -> None:
+    """The home loses power; what flows goes on."""
+    await drill.load(USUAL, EDGES, 6.0)
+    drill.fleet.kill(drill.home(), silent=True)
+    assert (await drill.load(USUAL, EDGES, 10.0)).refused_share < 0.02
+
+
+async def lost_edge(drill: Drill) -> None:
+    """An edge loses power, and its requests come to another."""
+    await drill.load(USUAL, EDGES, 6.0)
+    drill.fleet.kill("e1", silent=True)
+    assert (await drill.load(USUAL, ["e2", "e2", "e3", "e4"], 6.0)).refused_share < 0.02
+
+
+async def flood_as_the_home_is_lost(drill: Drill) -> None:
+    """Many times the usual while the home and an edge lose power, and a new edge process comes."""
+    await drill.load(USUAL * HOT, EDGES, 4.0)
+    drill.fleet.kill(drill.home(), silent=True)
+    drill.fleet.kill("e1", silent=True)
+    await drill.load(USUAL * HOT, EDGES[1:], 2.0)
+    drill.fleet.boot("e1")
+    await drill.load(USUAL * HOT, EDGES, 8.0)
+
+
+Day = Callable[[Drill], Coroutine[Any, Any, None]]
+
+
+@pytest.mark.parametrize("day", [hot, moving, lost_home, lost_edge, flood_as_the_home_is_lost])
+def test_the_limit_holds_and_little_below_it_is_refused(day: Day) -> None:
+    async def main(loop: SimLoop) -> list[float]:
+        drill = Drill(Fleet(loop, stores=4, edges=4), random.Random(3))
+        await drill.start()
+        await day(drill)
+        await asyncio.sleep(0.5)
+        return drill.ran()
+
+    assert most_in_window(run_sim(main, 3)) <= TERMS.most
--- a/tests/tenants/test_share_ledger.py
+++ b/tests/tenants/test_share_ledger.py
@@ -67,6 +67,17 @@
     assert ask(ledger, "a", 1, 10.2, demand=5.0, wanted=5.0) is None
 
 
+def test_tokens_that_an_edge_returns_are_there_for_the_next_but_not_twice() -> None:
+    ledger = settled()
+    first = ask(ledger, "a", 1, 10.0, demand=50.0, wanted=40.0)
+    assert first is not None and first.tokens == 40.0
+    ask(ledger, "a", 2, 10.0, demand=0.0, returned=30.0)
+    ask(ledger, "a", 2, 10.0, demand=0.0, returned=30.0)
+    ask(ledger, "a", 3, 10.0, demand=0.0)
+    second = ask(ledger, "b", 1, 10.0, demand=50.0, wanted=100.0)
+    assert second is not None and second.tokens == 30.0
+
+
 def test_an_unsettled_home_lets_edges_keep_what_they_have_and_gives_nothing_more() -> None:
     ledger = ShareLedger(LEASE, 3.0, 0.0, limit=LIMIT)
     kept = ledger.grant("a", ShareRequest("t", 9, 50.0, 30.0, 10.0, 4.0, 2.0, 20.0), LIMIT, False, 1.0)
