--- a/postpass/batch/placement.py
+++ b/postpass/batch/placement.py
@@ -9,19 +9,18 @@
 from dataclasses import dataclass
 
 from postpass.batch.capacity import RouteCapacity
+from postpass.batch.free_slots import FreeSlots, Slots
 from postpass.batch.item_run import ItemRunner
 from postpass.batch.leased_items import LeasedItem, LeasedItems, nearest_due
 from postpass.configuration.configuration import Configuration, Route
 from postpass.configuration.header_names import Dialect
 from postpass.configuration.settings import Settings
 from postpass.feed.configuration_view import ConfigurationView
+from postpass.routing.fair_share import Demand, fair_serving_order, has_single_client, within_shares
 from postpass.routing.item_choice import choose_item_worker
-from postpass.routing.item_order import serving_order
 from postpass.runtime.environment import Environment, now
 from postpass.worker_api.plugins import Candidate, PlacementRequest, affinity_key, affinity_worker, place
 
-Slots = dict[str, int]  # by worker
-
 
 def weighted_pool(key: str, split: list[tuple[str, int]]) -> str:
     """One of some pools by their weights, the same for the same key."""
@@ -34,12 +33,26 @@
     return split[0][0]
 
 
+def pools_of_jobs(configuration: Configuration) -> list[str]:
+    """The pools that routes of jobs go to, each once."""
+    parts = [
+        part for route in configuration.get("routes", {}).values() if route["kind"] == "lot" for part in route["split"]
+    ]
+    pools = dict.fromkeys(part["pool"] for part in parts if part["weight"] > 0)
+    return [pool for pool in pools if pool in configuration["pools"]]
+
+
 def prompt_prefix(headers: dict[str, str], dialect: Dialect) -> str:
     """The first shared part of an item's prompt; empty if its headers don't tell one."""
     parts = next((value for name, value in headers.items() if name.lower() == dialect.prompt), "")
     return parts.split(",")[0].split(":")[0] if "," in parts else ""
 
 
+def item_demand(item: LeasedItem) -> Demand:
+    """What an item of a route asks for in a queue."""
+    return Demand(item.due, item.client, 1, item.request["tokens"] if item.request is not None else 0)
+
+
 def fair_order(items: list[LeasedItem]) -> list[LeasedItem]:
     """Nearest due first, to the second; among equals, the clients take turns."""
     turn: Counter[str] = Counter()
@@ -93,22 +106,49 @@
         waiting = [i for i in self.items.waiting() if i.request is not None and i.not_before <= now()]
         if not waiting or self.runner.workers is None:
             return
-        free: dict[str, Slots] = {}
+        free, pools = self.free_slots(configuration), pools_of_jobs(configuration)
+        if not free.any_in(pools):
+            return
         by_due = sorted(waiting, key=nearest_due)
-        for item in serving_order(by_due, lambda item: item.due, self.earliest_due, self.capacity.options):
+        rate = self.starting_rate(free, pools)
+        for item in fair_serving_order(by_due, item_demand, self.earliest_due, rate, self.capacity.options):
+            if not free.any_in(pools):
+                return
             route = configuration.get("routes", {}).get(item.route)
             if route is None or self.configuration_view.revision < item.since:
                 continue
-            if self.items.lease_expired(item.partition) or not self.choose_pool(configuration, route, item):
-                continue
-            slots = free.setdefault(item.pool, self.capacity.free(configuration, item.pool))
-            worker = self.request_worker(item, slots)
-            if worker is None:
-                continue
-            item.worker = worker
-            slots[worker] -= 1
-            self.capacity.limits[(item.pool, worker)].running += 1
-            item.task = asyncio.create_task(self.runner.run_request(configuration, route, item))
+            if not self.items.lease_expired(item.partition) and self.choose_pool(configuration, route, item):
+                self.start_request(configuration, route, item, free)
+
+    def free_slots(self, configuration: Configuration) -> FreeSlots:
+        """The workers' free slots, for one placement run."""
+        return FreeSlots(lambda pool: self.capacity.free(configuration, pool))
+
+    def starting_rate(self, free: FreeSlots, pools: list[str]) -> float:
+        """How many items of routes start in a second while there are enough; 0 before one was done."""
+        if self.capacity.usual_seconds <= 0:
+            return 0.0
+        running = sum(limit.running for limit in self.capacity.limits.values())
+        return (running + sum(sum(free.of(pool).values()) for pool in pools)) / self.capacity.usual_seconds
+
+    def kept_in_time(self, configuration: Configuration, items: list[LeasedItem]) -> int:
+        """How many of some waiting items can be done in time, within the shares of their clients."""
+        earliest = self.earliest_due
+        demands = [item_demand(item) for item in sorted(items, key=nearest_due) if item.due >= earliest]
+        if not self.capacity.options.fair_items or has_single_client(demands):
+            return len(demands)
+        rate = self.starting_rate(self.free_slots(configuration), pools_of_jobs(configuration))
+        return len(within_shares(demands, earliest, rate)[0])
+
+    def start_request(self, configuration: Configuration, route: Route, item: LeasedItem, free: FreeSlots) -> None:
+        """Starts an item of a route at a worker that has a free slot, which it takes; it goes on waiting if none has."""
+        worker = self.request_worker(item, free.of(item.pool))
+        if worker is None:
+            return
+        item.worker = worker
+        free.take(item.pool, worker)
+        self.capacity.limits[(item.pool, worker)].running += 1
+        item.task = asyncio.create_task(self.runner.run_request(configuration, route, item))
 
     @property
     def earliest_due(self) -> float:
--- a/postpass/gateway/relay.py
+++ b/postpass/gateway/relay.py
@@ -71,7 +71,7 @@
         self.unready: Callable[[], str] = lambda: ""  # what is lacking to answer clients; empty if nothing is
         self.job_handler: JobHandler | None = None
         self.clients = ClientKeys(configuration_view)
-        self.rate_limit: RateLimit | None = None
+        self.rate_limit: RateLimit | None = None  # of tenants
         self.workers = WorkerSelection(settings, environment, configuration_view)
         self.started = now()
         self.rejected: dict[str, int] = {}  # by cause, since the last log line on it
--- a/tests/test_readable_code.py
+++ b/tests/test_readable_code.py
@@ -27,9 +27,10 @@
         "reconfiguration", "owner_duties", "store",
     ),
     "batch": (
-        "messages", "background", "quota", "job", "leases", "partition_access", "partition_client", "quota_service",
+        "messages", "background", "quota", "job", "leases", "partition_access", "partition_client", "told_counts", "quota_holder",
+        "quota_service",
         "job_records", "job_service", "retention", "job_api", "item_request", "leased_items", "scheduler_election",
-        "owner_client", "capacity", "item_run", "placement", "dispatch", "scheduler",
+        "owner_client", "free_slots", "capacity", "item_run", "placement", "dispatch", "scheduler",
     ),
     "gateway": (
         "response_check", "http_headers", "http_errors", "request_bodies", "client_connection", "attempts",
@@ -38,7 +39,7 @@
         "load_exchange", "body_reader", "route_table", "event_stream", "client_identity", "worker_health", "relayed_request",
         "worker_selection", "answer_delivery", "relay",
     ),
-    "routing": ("options", "prefixes", "cold_workers", "load_picture", "live_choice", "item_choice", "item_order"),
+    "routing": ("options", "prefixes", "cold_workers", "load_picture", "live_choice", "item_choice", "item_order", "fair_share"),
     "worker_api": ("openai", "plugins"),
     "membership": (
         "partial_view", "safe_change", "registry", "machine_registry", "worker_registry", "operator_changes",
--- a/tests/test_release_compatibility.py
+++ b/tests/test_release_compatibility.py
@@ -348,16 +348,10 @@
 
 
 # --- names
-def test_names_of_records_are_those_of_the_release() -> None:
+def test_names_on_disk_are_those_of_the_release() -> None:
     assert release_keys()["data"] == recorded("keys")["data"]
 
 
-def test_names_of_the_protocol_are_those_of_the_release_but_for_listed_verbs() -> None:
-    before, today = recorded("keys")["thrift"], release_keys()["thrift"]
-    assert set(today["verbs"]) - set(before["verbs"]) == ADDED_VERBS
-    assert before == today | {"verbs": {verb: v for verb, v in today["verbs"].items() if verb not in ADDED_VERBS}}
-
-
 def test_names_of_settings_are_those_of_the_release_and_what_was_added_since() -> None:
     expected = recorded("keys")["settings"]
     for section, added in ADDED_SETTINGS.items():
@@ -366,6 +360,12 @@
     assert release_keys()["settings"] == expected
 
 
+def test_names_of_the_protocol_are_those_of_the_release_but_for_listed_verbs() -> None:
+    before, today = recorded("keys")["thrift"], release_keys()["thrift"]
+    assert set(today["verbs"]) - set(before["verbs"]) == ADDED_VERBS
+    assert before == today | {"verbs": {verb: v for verb, v in today["verbs"].items() if verb not in ADDED_VERBS}}
+
+
 def test_messages_of_a_day_have_the_keys_that_they_had_in_the_release() -> None:
     before, today = recorded("keys")["messages"], message_keys(play_release_day().frames)
     assert set(before) == set(today) - ADDED_MESSAGES
