--- a/postpass/tenants/limits.py
+++ b/postpass/tenants/limits.py
@@ -12,10 +12,6 @@
 from postpass.configuration.configuration import Tenant
 from postpass.configuration.settings import Bounds
 
-DEFAULT_WINDOW_S = 5.0
-DEFAULT_EXCESS = 0.1
-DEFAULT_EXTRA = 20.0  # requests
-
 USED_EXCESS = 0.5  # of the excess that the promise allows
 USED_EXTRA = 0.6  # of the extra requests that the promise allows
 STARTING_EXTRA = 0.15  # of the extra requests: tokens of a home that has just begun
@@ -32,9 +28,9 @@
     :ivar extra: requests.
     """
 
-    window: float = DEFAULT_WINDOW_S
-    excess: float = DEFAULT_EXCESS
-    extra: float = DEFAULT_EXTRA
+    window: float
+    excess: float
+    extra: float
 
 
 @dataclass(frozen=True)
@@ -49,12 +45,8 @@
 
 
 def quota_slack(bounds: Bounds) -> QuotaSlack:
-    """The slack that the settings promise, or its defaults."""
-    return QuotaSlack(
-        window=getattr(bounds, "quota_window", DEFAULT_WINDOW_S),
-        excess=getattr(bounds, "quota_excess", DEFAULT_EXCESS),
-        extra=getattr(bounds, "quota_extra", DEFAULT_EXTRA),
-    )
+    """The slack that the settings promise."""
+    return QuotaSlack(bounds.quota_window, bounds.quota_excess, bounds.quota_extra)
 
 
 def tenant_limit(tenant: Tenant | None, slack: QuotaSlack) -> RateBurst | None:
--- a/tests/tenants/share_world.py
+++ b/tests/tenants/share_world.py
@@ -26,13 +26,13 @@
 from postpass.rpc.peer_links import PeerLinks
 from postpass.runtime.errors import MOVED, SLOW, Fault
 from postpass.tenants.edge_shares import EdgeShares
-from postpass.tenants.limits import QuotaSlack
+from postpass.tenants.limits import quota_slack
 from postpass.tenants.messages import HOLDINGS
 from postpass.tenants.share_service import ShareService
 from sim.loop import Host, SimLoop
 
 PARTITION = 0
-SLACK = QuotaSlack()
+SLACK = quota_slack(Bounds())
 FOREVER = 1e9
 
 
