--- a/tests/batch/test_tenant_jobs.py
+++ b/tests/batch/test_tenant_jobs.py
@@ -30,7 +30,7 @@
 async def hand_in(api: JobApi, tenant: str, job_id: str, tokens: int) -> int:
     """The status of a job of one item that an edge hands in for a tenant."""
     items = json.loads(lot("a", tokens=tokens))["items"]
-    job = api.job_body("r", ROUTE, job_id, items) | {"caller": tenant}
+    job = api.job_body("r", ROUTE, job_id, items, tenant)
     partition = partition_of(job_id, api.edge.configuration["parts"])
     answer = await api.edge.owners.ask(partition, "accept", {"lot": job}, now() + api.patience())
     return 202 if answer.is_ok() else api.not_accepted(job_id, answer.unwrap_err()).status
