An owner that gives no answer holds up no other owner's items at the scheduler

What callers saw: while one owner of a partition was silent to the scheduler (frozen, cut off, or too busy), items of all jobs came late, though workers had free slots.

Cause: a round, and a run between rounds, awaited the answers of all owners that it had asked, and placed items only then. A silent owner is waited for up to two polls, and the next round asks it again at once: nothing was placed for 0.5 s at a time for as long as it was silent. The wake-ups of freed slots and of other owners waited meanwhile.

Ruled out: a shorter wait for each owner, which would drop the answers of slow ones, and the items that they grant.

Change: a question goes on by itself; its answer wakes the scheduler. A round waits for an eighth of a poll, and then goes on with what has come. There is one question at a time to the owner of a partition; an owner that has something new meanwhile is asked once more right after.

Evidence: the first new test failed before ("nothing was placed for 0.5 s"). The two others guard the change: one question at a time, and no wake-up of a slow owner is lost.

--- a/postpass/batch/dispatch.py
+++ b/postpass/batch/dispatch.py
@@ -26,6 +26,7 @@
 DEFAULT_HAND_BACK = 1.0  # seconds within which a class hands back slots
 AHEAD = 4  # one in so many slots of a route's pools is leased ahead, to go on with
 RUNS_PER_POLL = 16  # at most so many runs between rounds in the longest pause between two rounds
+WAITS_PER_POLL = 8  # that pause is so many times as long as owners' answers hold up the placing of items
 
 
 @dataclass(eq=False)
@@ -35,6 +36,8 @@
     A round recalls items where live requests came back, asks all owners, and starts what came. `woken` holds the
     partitions whose owners have said since the last question that they have something; `wake` is set with it. Runs
     between rounds keep a pause, so that what they cost does not grow with how often a worker or an owner wakes this.
+    An owner that is slow to answer holds up no other's items: its question goes on by itself, in `asking`, and its answer
+    wakes this. Invariant: of the questions to the owner of a partition one is under way at the most.
     """
 
     settings: Settings
@@ -49,6 +52,7 @@
     ended_items: Counter
     wake: asyncio.Event
     woken: set[int] = field(default_factory=set)
+    asking: dict[int, asyncio.Task[None]] = field(default_factory=dict)  # the question under way, by partition
 
     @property
     def poll_interval(self) -> float:
@@ -60,6 +64,14 @@
 
     async def run(self) -> None:
         """Runs rounds until it is cancelled."""
+        try:
+            await self.run_rounds()
+        finally:
+            for question in self.asking.values():
+                question.cancel()
+
+    async def run_rounds(self) -> None:
+        """Runs rounds, and between them what wakes this."""
         last_round = last_run = 0.0
         while True:
             pause = self.poll_interval * (0.9 + 0.2 * self.environment.chance.random())
@@ -112,7 +124,9 @@
 
     async def run_between_rounds(self, configuration: Configuration) -> None:
         """Asks only the owners that have said they have something, and fills free slots with items of routes."""
-        partitions, self.woken = self.woken, set()
+        # Who has said so while its question is under way is asked again once that has come to its end.
+        being_asked = {partition for partition in self.woken if partition in self.asking}
+        partitions, self.woken = self.woken - being_asked, being_asked
         if partitions and self.configuration_view.fresh:
             wanted = self.wanted_of_routes(configuration)
             if any(wanted.values()):
@@ -148,8 +162,21 @@
         return max(0, min(free + slots // AHEAD - in_time, free + slots - len(waiting)))
 
     async def lease_all(self, partitions: Iterable[int], wanted: dict[str, int]) -> None:
-        """Asks the owners of some partitions at once."""
-        await asyncio.gather(*(self.lease(partition, wanted) for partition in partitions))
+        """Asks the owners of some partitions at once, but for those that are being asked, and waits for most answers."""
+        questions = [self.ask_owner(partition, wanted) for partition in partitions if partition not in self.asking]
+        if not questions:
+            return
+        answered, late = await asyncio.wait(questions, timeout=self.settings.bounds.poll / WAITS_PER_POLL)
+        for question in answered:
+            question.result()
+        for question in late:
+            question.add_done_callback(lambda _: self.wake.set())
+
+    def ask_owner(self, partition: int, wanted: dict[str, int]) -> asyncio.Task[None]:
+        """Starts the question to the owner of a partition."""
+        question = self.asking[partition] = asyncio.create_task(self.lease(partition, wanted))
+        question.add_done_callback(lambda _: self.asking.pop(partition, None))
+        return question
 
     async def lease(self, partition: int, wanted: dict[str, int]) -> None:
         """Renews the lease of a partition and takes items; the lease runs from when it was asked for.
--- a/tests/batch/test_dispatch.py
+++ b/tests/batch/test_dispatch.py
@@ -8,7 +8,7 @@
 from types import SimpleNamespace
 from typing import Any
 
-from result import Ok
+from result import Err, Ok
 
 from postpass.batch.dispatch import RUNS_PER_POLL, Dispatcher
 from postpass.batch.leased_items import LeasedItems
@@ -16,6 +16,7 @@
 from postpass.configuration.settings import Bounds
 from postpass.rpc.codec import Body, PeerResponse
 from postpass.runtime.environment import Environment, now
+from postpass.runtime.errors import SLOW, Fault
 from sim.loop import SimLoop, run_sim
 
 PARTITIONS = 3
@@ -26,10 +27,15 @@
 
 @dataclass(eq=False)
 class WokenScheduler:
-    """A dispatcher whose owners hold nothing; notes when each owner was asked, and when items were placed."""
+    """A dispatcher whose owners hold nothing; notes when each owner was asked, and when items were placed.
+
+    The owners of partitions in `silent` give no answer.
+    """
 
     asked: defaultdict[int, list[float]] = field(default_factory=lambda: defaultdict(list))
     placed: list[float] = field(default_factory=list)
+    silent: frozenset[int] = frozenset()
+    round_trip: float = ROUND_TRIP
 
     def __post_init__(self) -> None:
         configuration = {
@@ -53,7 +59,10 @@
 
     async def ask(self, partition: int, verb: str, body: Body, wait: float) -> PeerResponse:
         self.asked[partition].append(now())
-        await asyncio.sleep(ROUND_TRIP)
+        if partition in self.silent:
+            await asyncio.sleep(wait)
+            return Err(Fault(verb, "o1", "no answer in time", SLOW))
+        await asyncio.sleep(self.round_trip)
         return Ok(TakeResponse([], [], {}).as_json())
 
     async def run(self, wake_interval: float, woken: set[int]) -> None:
@@ -103,3 +112,45 @@
         task.cancel()
 
     run_sim(main, 1)
+
+
+def test_an_owner_that_gives_no_answer_keeps_no_items_of_others_from_free_slots() -> None:
+    async def main(loop: SimLoop) -> None:
+        scheduler = WokenScheduler(silent=frozenset({1}))
+        await scheduler.run(ROUND_TRIP * 2, {0})
+        times = [0.0, *scheduler.placed, SECONDS]
+        longest = max(later - earlier for earlier, later in zip(times, times[1:], strict=False))
+        assert longest < BOUNDS.poll / 2, f"nothing was placed for {longest} s"
+        for partition in (0, 2):
+            times = [0.0, *scheduler.asked[partition], SECONDS]
+            longest = max(later - earlier for earlier, later in zip(times, times[1:], strict=False))
+            assert longest < BOUNDS.poll * 1.5, f"the lease of partition {partition} was not renewed for {longest} s"
+
+    run_sim(main, 1)
+
+
+def test_an_owner_is_asked_no_second_time_before_it_answered_or_the_time_for_it_is_over() -> None:
+    async def main(loop: SimLoop) -> None:
+        scheduler = WokenScheduler(silent=frozenset({1}))
+        await scheduler.run(ROUND_TRIP * 2, {0, 1})
+        times = scheduler.asked[1]
+        assert len(times) >= SECONDS / (BOUNDS.poll * 2) - 1
+        assert all(later - earlier >= BOUNDS.poll * 2 for earlier, later in zip(times, times[1:], strict=False))
+
+    run_sim(main, 1)
+
+
+def test_an_owner_that_has_something_new_while_it_is_slow_to_answer_is_asked_again_right_after() -> None:
+    async def main(loop: SimLoop) -> None:
+        scheduler = WokenScheduler(round_trip=BOUNDS.poll / 3)
+        task = asyncio.create_task(scheduler.dispatcher.run())
+        while not scheduler.asked[0]:
+            await asyncio.sleep(ROUND_TRIP)
+        await asyncio.sleep(BOUNDS.poll / 4)
+        scheduler.dispatcher.woken.add(0)
+        scheduler.dispatcher.wake.set()
+        await asyncio.sleep(BOUNDS.poll / 4)
+        assert len(scheduler.asked[0]) == 2 and len(scheduler.asked[1]) == 1
+        task.cancel()
+
+    run_sim(main, 1)
