Name a tenant with the same bytes on items as on requests

What callers saw: none yet. An item of a tenant whose name has characters beyond ASCII went to its worker with other bytes in the tenant's header than a request of the same tenant; beyond ISO 8859-1 the item's task ended with an exception, and the item stayed at the scheduler as running, for good.

Cause: the headers of items are encoded in ISO 8859-1, which is right for those that came with the job; the relay encodes the tenant's name in UTF-8. Names of tenants may have any printable characters.

Change: the name is encoded in UTF-8 on items too.

Evidence: the new test compares both; it failed before for all three names (UnicodeEncodeError for two).

--- a/postpass/batch/item_request.py
+++ b/postpass/batch/item_request.py
@@ -157,11 +157,12 @@
         ("content-length", str(len(base64.b64decode(item["body"])))),
     ]
     headers += [(name, value) for name, value in item["headers"].items() if name.lower() not in own_names]
-    if client.tenant:
-        headers.append((dialect.tenant, client.tenant))
     if last_event >= 0:
         headers.append((dialect.last_event, str(last_event)))
     encoded = [(name.encode("latin-1"), value.encode("latin-1")) for name, value in headers]
+    if client.tenant:
+        # As the relay names it: a name may have characters that ISO 8859-1 lacks.
+        encoded.append((dialect.tenant.encode(), client.tenant.encode()))
     return [*encoded, (dialect.urgency.encode(), LEAST_URGENT)]
 
 
--- a/tests/batch/test_item_request.py
+++ b/tests/batch/test_item_request.py
@@ -12,6 +12,8 @@
 from postpass.configuration.header_names import Dialect
 from postpass.gateway.client_identity import PUBLIC, WITHOUT_TENANTS, ClientIdentity
 from postpass.gateway.connection_pool import ConnectionPool
+from postpass.gateway.http_headers import HeaderNames
+from postpass.gateway.relayed_request import build_request
 from postpass.runtime.errors import FaultError
 from tests.gateway.test_upstream_connection import run
 
@@ -79,6 +81,18 @@
         keys = [value for name, value in named if name == b"authorization"]
         assert keys == ([b"Bearer k1", b"Bearer k2"] if client is WITHOUT_TENANTS else [])
 
+    @pytest.mark.parametrize("name", ["blå", "Łódź", "東京"])
+    def test_a_tenant_is_named_as_on_requests_whatever_the_characters_of_its_name(self, name: str) -> None:
+        request: Item = {"id": "i1", "path": "/x", "tokens": 3, "body": "q83v", "headers": {}}
+        heads = request_headers(Dialect(), request, ClientIdentity(name), "h.example", "w1", 5000, 12)
+        scope: Any = {"method": "POST", "raw_path": b"/x", "query_string": b"", "headers": []}
+        route: Any = {"tokens": False, "kind": "once", "resumable": False, "target": 1.0, "gap": 0.0, "rank": 0}
+        unused: Any = None
+        relayed = build_request(
+            HeaderNames(Dialect()), "r", route, ClientIdentity(name), scope, b"", 0.0, 1.0, unused
+        )  # fmt: skip
+        assert dict(heads)[b"x-tenant"] == dict(relayed.headers)[b"x-tenant"] == name.encode()
+
 
 ITEM: Item = {"id": "i1", "path": "/x", "headers": {}, "body": "q83v", "tokens": 3}
 SEALED = b"X-Call-Id: i1\r\nX-Seal: s\r\n"
