A job that comes again is the same one though its client needs a key now, or needs none any more

What callers saw: a client that sent a job once more, since the answer to its first try was lost, got 409 if tenants had come into the configuration meanwhile, or had gone, or the job's route had become public, or was public no more.

Cause: the name of a job's client is a part of what makes a job the same, and a client without a key has none.

Ruled out: leaving the name out of the digest, since jobs on disk are known by digests that have it.

Change: of a job with the same content, two names that differ are two clients still (409); no name is anyone's, as it is when results are read.

Evidence: the new test fails for all four changes of the configuration without the change of the service (409, not 202). Left as it is: a tenant's job can't be read by a client without a key once the tenants have gone (404).

--- a/postpass/batch/job_service.py
+++ b/postpass/batch/job_service.py
@@ -82,7 +82,7 @@
         kept = partition.view.jobs.get(job["id"])
         if kept is None:
             return self.failed("accept", "not known yet", SLOW)
-        if kept.digest != job_digest(job) and not self.is_renamed(kept, body["lot"]):
+        if kept.digest != job_digest(job) and not self.is_the_same(kept, body["lot"]):
             return self.failed("accept", "a lot with this id and other content is here", CLASH)
         if await partition.wait(kept.seq, "", limit):
             self.wake(partition)
@@ -90,11 +90,20 @@
         awaited = ", ".join(self.store.members_awaited(partition))
         return self.failed("accept", f"not covered yet, without the word of {awaited or 'nobody'}", SLOW)
 
-    def is_renamed(self, kept: Job, job: Body) -> bool:
-        """Is this the job that is kept, but for the name that its route has now?"""
-        if "route" not in kept.body or kept.body["route"] == job.get("route"):
+    def is_the_same(self, kept: Job, job: Body) -> bool:
+        """Is this the job that is kept, but for the name that its route has now, and for its client's name?
+
+        A client that showed no key when the job was kept, or needs none now, has no name, and may be any; two names
+        that differ are two clients.
+        """
+        if "route" not in kept.body:
+            return False
+        now_named, then_named = job.get("caller", ""), kept.body.get("caller", "")
+        if now_named and then_named and now_named != then_named:
             return False
-        again, _ = pack_items(job | {"route": kept.body["route"]})
+        names = {key: value for key, value in kept.body.items() if key in ("route", "caller")}
+        content = {key: value for key, value in job.items() if key not in ("route", "caller")}
+        again, _ = pack_items(names | content)
         return kept.digest == job_digest(again)
 
     async def take_once(self, partition: Partition, job: Body, payload: bytes, limit: float) -> Fault | None:
--- a/tests/platform/test_job_keys.py
+++ b/tests/platform/test_job_keys.py
@@ -7,6 +7,7 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+import pytest
 from prometheus_client import CollectorRegistry
 from starlette.applications import Starlette
 
@@ -159,6 +160,32 @@
 
         play(check, tenants=None)
 
+    @pytest.mark.parametrize(
+        ("before", "key_before", "after", "key_after"),
+        [
+            ((None, False), "", (TWO, False), "k1"),
+            ((TWO, False), "k1", (None, False), ""),
+            ((TWO, False), "k1", (TWO, True), "k1"),
+            ((TWO, True), "k1", (TWO, False), "k1"),
+        ],
+        ids=["tenants came", "tenants went", "route became public", "route is public no more"],
+    )
+    def test_that_comes_again_is_the_same_though_its_client_needs_no_key_any_more_or_needs_one_now(
+        self, before: tuple[Any, bool], key_before: str, after: tuple[Any, bool], key_after: str
+    ) -> None:
+        async def check(one: Edge, two: Edge, workers: Pretend) -> None:
+            workers.full = True
+            await one.configure(before[0], public=before[1])
+            assert await one.status("POST", "/lot/x", key_before, lot("a", "b")) == 202
+            await one.configure(after[0], public=after[1])
+            assert await one.status("POST", "/lot/x", key_after, lot("a", "b")) == 202
+            assert await one.status("POST", "/lot/x", key_after, lot("a", "c")) == 409
+            workers.full = False
+            await asyncio.sleep(2.0)
+            assert len(workers.runs) == 2
+
+        play(check, tenants=None)
+
     def test_of_a_public_route_needs_no_key(self) -> None:
         async def check(one: Edge, two: Edge, workers: Pretend) -> None:
             assert await one.status("POST", "/lot/x", "", lot("a")) == 202
