--- a/postpass/control/configuration.py
+++ b/postpass/control/configuration.py
@@ -35,7 +35,7 @@
         return ConfigurationOrder.of(self.sent, self.base if self.is_patch else None)
 
     @cached_property
-    def whole_document(self) -> Result[OperatorConfiguration, list[str]] | None:
+    def read_document(self) -> Result[OperatorConfiguration, list[str]] | None:
         """What a whole document says, or what is wrong with it, whatever it is applied to; None for a patch."""
         return None if self.translator is None or self.is_patch else self.translator.terms(self.sent)
 
@@ -47,8 +47,8 @@
             return Ok(state)
         if self.translator is None:
             return self._refuse("this process reads no documents")
-        if isinstance(self.whole_document, Err):
-            return self._refuse(*self.whole_document.unwrap_err())
+        if isinstance(self.read_document, Err):
+            return self._refuse(*self.read_document.unwrap_err())
         if recollection is Recollection.FORGOTTEN and self.base < self.order.version:
             why = f"version {self.order.version}: too long ago to tell whether it was taken"
             return Err(Fault(STEP, self.member, why, SLOW))
@@ -62,7 +62,7 @@
         if isinstance(document, Err):
             return self._refuse(*document.unwrap_err())
         source = document.unwrap()
-        read = self.whole_document or translator.terms(source)
+        read = self.read_document or translator.terms(source)
         if isinstance(read, Err):
             return self._refuse(*read.unwrap_err())
         terms = read.unwrap()
