--- a/sim/announced.py
+++ b/sim/announced.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import contextvars
+import copy
 import importlib
 import itertools
 import random
@@ -132,6 +133,7 @@
     late: dict[str, float] = field(default_factory=dict)  # machines that first start later than the others
     jump: float = 1.0  # how much more traffic there is now
     rates: dict[str, float] = field(default_factory=dict)
+    tenants: list[dict[str, Any]] | None = None  # of the first configuration, as the operator's document has them
     began: float = 0.0  # of the traffic
     closing: float = 0.0  # when the closing fault struck
 
@@ -382,8 +384,9 @@
         idle = [
             routes[0] | {"name": f"r-idle{i}", "prefix": f"/idle{i}/", "host": f"idle{i % 3}.example"} for i in range(4)
         ]
-        return {"version": 3, "routes": routes + idle, "services": [s.entry() for s in self.services.values()],
-                "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headTimeoutMs": 3000, "idleMs": 15000}}  # fmt: skip
+        document = {"version": 3, "routes": routes + idle, "services": [s.entry() for s in self.services.values()],
+                    "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headTimeoutMs": 3000, "idleMs": 15000}}  # fmt: skip
+        return document if self.tenants is None else document | {"tenants": copy.deepcopy(self.tenants)}
 
     async def probe(self) -> None:
         """Asks each edge for routes that were just added or removed, or that never were."""
--- a/sim/operators.py
+++ b/sim/operators.py
@@ -16,7 +16,7 @@
 from sim.workers import Event
 
 Settings = dict[str, Any]
-LISTS = ("routes", "services")
+LISTS = ("routes", "services", "tenants")
 
 
 def patched(base: Settings, patch: Settings) -> Settings:
@@ -25,9 +25,10 @@
     out["version"] = patch["version"]
     for part in LISTS:
         gone = set(patch.get("remove", {}).get(part, []))
-        items = {i["name"]: i for i in out[part] if i["name"] not in gone}
+        items = {i["name"]: i for i in out.get(part, []) if i["name"] not in gone}
         items |= {i["name"]: i for i in patch.get("upsert", {}).get(part, [])}
-        out[part] = list(items.values())
+        if part in out or items:
+            out[part] = list(items.values())
     return out
 
 
@@ -181,6 +182,11 @@
     async def drop_route(self, name: str) -> int:
         return await self.patch({"version": self.step(), "remove": {"routes": [name]}})
 
+    async def set_keys(self, name: str, keys: list[str]) -> int:
+        """A tenant has these keys from now on, and none of its older ones."""
+        tenant = copy.deepcopy(next(t for t in self.config["tenants"] if t["name"] == name)) | {"keys": keys}
+        return await self.patch({"version": self.step(), "upsert": {"tenants": [tenant]}})
+
     async def race(self) -> list[int]:
         """Two changes on top of the same version, at once, at two daemons."""
         base = self.config
@@ -212,6 +218,9 @@
             route["split"] = [{"service": service, "weight": 0}]
         elif how == "no_timeout":
             route["timeoutMs"] = 0
+        elif how == "shared_key":
+            key = next(key for tenant in whole["tenants"] for key in tenant["keys"])
+            whole["tenants"].append({"name": "t-same", "keys": [key]})
         elif how == "old_version":
             whole["version"] = base
             route["timeoutMs"] = int(route["timeoutMs"]) + 7
