The scheduler starts items while one owner of a partition gives no answer

What callers saw: while a store was dark or slow, items waited though workers had free slots.

Cause: a round asks the owners of all partitions at once and starts items when the last one has answered. One that gives none is waited for twice the time between two rounds, and once more where it was named by another; the more stores, the likelier that a round has such a one.

Change: while an answer is missing, items of routes that are there are started, eight times in the time between two rounds.

Evidence: tests/batch/test_dispatch.py: the items of the owners that did answer start within a quarter of that time (before: after 0.5 s, the whole wait).

--- a/postpass/batch/dispatch.py
+++ b/postpass/batch/dispatch.py
@@ -23,6 +23,7 @@
 
 POLLS_PER_HAND_BACK = 4
 DEFAULT_HAND_BACK = 1.0  # seconds within which a class hands back slots
+PLACINGS_PER_POLL = 8  # how often in `bounds.poll` items are started while an owner doesn't answer
 AHEAD = 4  # one in so many slots of a route's pools is leased ahead, to go on with
 
 
@@ -93,7 +94,7 @@
         wanted = {name: self.wanted_of_class(name, slots[name]) for name in batch_classes}
         wanted |= self.wanted_of_routes(configuration)
         self.woken.clear()
-        await self.lease_all(range(configuration["parts"]), wanted)
+        await self.lease_and_place(configuration, range(configuration["parts"]), wanted)
         if self.election.active:
             self.placement.place_prompts(configuration, slots)
             self.placement.place_requests(configuration)
@@ -103,7 +104,7 @@
         partitions, self.woken = self.woken, set()
         wanted = self.wanted_of_routes(configuration)
         if partitions and any(wanted.values()) and self.configuration_view.fresh:
-            await self.lease_all(partitions, wanted)
+            await self.lease_and_place(configuration, partitions, wanted)
         if self.election.active:
             self.placement.place_requests(configuration)
 
@@ -134,6 +135,20 @@
         # but what is held has a bound.
         return max(0, min(free + slots // AHEAD - in_time, free + slots - len(waiting)))
 
+    async def lease_and_place(
+        self, configuration: Configuration, partitions: Iterable[int], wanted: dict[str, int]
+    ) -> None:
+        """Asks the owners of some partitions at once. While one of them gives no answer, items of routes are started."""
+        questions = asyncio.ensure_future(self.lease_all(partitions, wanted))
+        try:
+            while not questions.done():
+                await asyncio.wait([questions], timeout=self.settings.bounds.poll / PLACINGS_PER_POLL)
+                if self.election.active and not self.election.leaving and not questions.done():
+                    self.placement.place_requests(configuration)
+        finally:
+            questions.cancel()
+        await questions
+
     async def lease_all(self, partitions: Iterable[int], wanted: dict[str, int]) -> None:
         """Asks the owners of some partitions at once."""
         await asyncio.gather(*(self.lease(partition, wanted) for partition in partitions))
