--- a/sim/operators.py
+++ b/sim/operators.py
@@ -24,7 +24,7 @@
     """What a patch makes of a configuration."""
     out = copy.deepcopy(base)
     out["version"] = patch["version"]
-    for part in (*LISTS, *([TENANTS] if TENANTS in base or TENANTS in patch.get("upsert", {}) else [])):
+    for part in LISTS:
         gone = set(patch.get("remove", {}).get(part, []))
         items = {i["name"]: i for i in out.get(part, []) if i["name"] not in gone}
         items |= {i["name"]: i for i in patch.get("upsert", {}).get(part, [])}
--- a/tests/batch/test_dispatch.py
+++ b/tests/batch/test_dispatch.py
@@ -154,3 +154,18 @@
         task.cancel()
 
     run_sim(main, 1)
+
+
+def test_a_loop_that_is_cancelled_asks_no_owner_any_more() -> None:
+    async def main(loop: SimLoop) -> None:
+        scheduler = WokenScheduler(silent=frozenset({1}))
+        before = asyncio.all_tasks()
+        task = asyncio.create_task(scheduler.dispatcher.run())
+        await asyncio.sleep(BOUNDS.poll * 1.5)
+        task.cancel()
+        await asyncio.wait([task])
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        assert task.cancelled() and asyncio.all_tasks() == before
+
+    run_sim(main, 1)
