--- a/bench/capacity/measurements/memory.py
+++ b/bench/capacity/measurements/memory.py
@@ -11,6 +11,7 @@
 from bench.capacity.meter import Row, timed
 from postpass.batch.job import Job, JobView, job_digest, pack_items
 from postpass.batch.job_service import JobService
+from postpass.batch.messages import BudgetKey
 from postpass.replication.partition import Partition
 from postpass.replication.record_log import Record
 from sim.hollow import taken_lot
@@ -85,5 +86,5 @@
         "digest_ms": timed(lambda: job_digest(job.body | {"sum": "x"})) * 1e3,
         "packed_ms": timed(lambda: pack_items(raw)) * 1e3,
         "item_body_us": item_body * 1e6,
-        "count_ms": timed(lambda: service.quota.count(partition, "r-batch")) * 1e3,
+        "count_ms": timed(lambda: service.quota.count(partition, BudgetKey("r-batch"))) * 1e3,
     }
