--- a/postpass/tenants/edge_share.py
+++ b/postpass/tenants/edge_share.py
@@ -16,6 +16,8 @@
 LEAST_DEMAND = 0.1  # requests a second; less counts as none
 RARE = 0.5  # requests between two questions below which it is asked less often
 RARE_RENEWALS = 2  # times the usual interval
+USUAL_SMOOTHING = 4  # times the smoothing time over which usual demand is smoothed
+BY_CHANCE = 1.2  # times the demand of late that usual demand counts at the most
 SILENCE = 8  # usual intervals between two requests, without one, after which demand has ended
 GIVE_BACK = 0.6  # of its rate that an edge wants at the most when it gives the rest back at once
 KEEP = 0.8  # of its rate that an edge wants at the most when it gives the rest back with a question that it has anyway
@@ -41,6 +43,7 @@
         heard: whether the last question that is over was answered; if not, nothing is given back to nobody.
         short_until: before this no question is asked for a request, since the last answer gave too little.
         arrivals: smoothed number of requests a second, at `arrived_at`.
+        usual_arrivals: the same, smoothed over a longer time.
     """
 
     smoothing: float
@@ -55,19 +58,25 @@
     heard: bool = True
     short_until: float = -math.inf
     arrivals: float = 0.0
+    usual_arrivals: float = 0.0
     arrived_at: float = -math.inf
 
     def note_arrival(self, now: float) -> None:
         """A request has come."""
-        self.arrivals = self.demand(now) + 1 / self.smoothing
+        since, usual = max(0.0, now - self.arrived_at), self.smoothing * USUAL_SMOOTHING
+        self.arrivals = self.arrivals * math.exp(-since / self.smoothing) + 1 / self.smoothing
+        self.usual_arrivals = self.usual_arrivals * math.exp(-since / usual) + 1 / usual
         self.arrived_at = now
 
     def demand(self, now: float) -> float:
-        """Requests a second that arrive, refused ones included. None do if the last one is much longer ago than it would
-        be at such a rate."""
-        if (now - self.arrived_at) * self.arrivals > SILENCE:
+        """Requests a second that arrive, refused ones included: of late, or as is usual if that is more but not much
+        more, so that a share doesn't shrink by chance. None do if the last one is much longer ago than it would be."""
+        since = max(0.0, now - self.arrived_at)
+        if not self.arrivals or since * max(self.arrivals, self.usual_arrivals) > SILENCE:
             return 0.0
-        return self.arrivals * math.exp(-max(0.0, now - self.arrived_at) / self.smoothing) if self.arrivals else 0.0
+        lately = self.arrivals * math.exp(-since / self.smoothing)
+        usual = self.usual_arrivals * math.exp(-since / (self.smoothing * USUAL_SMOOTHING))
+        return max(lately, min(usual, lately * BY_CHANCE))
 
     def count(self, limit: RateBurst, now: float) -> None:
         """Counts the tokens that came since the last time; the limit in force here holds beside the share."""
@@ -102,8 +111,8 @@
         if self.heard and self._want(limit, now) < self.rate * GIVE_BACK:
             return True
         demand = self.demand(now)
-        rare = demand * renew < RARE
-        return demand > LEAST_DEMAND and now >= self.asked_at + renew * (RARE_RENEWALS if rare else 1)
+        interval = renew * RARE_RENEWALS if demand * renew < RARE else renew
+        return demand > LEAST_DEMAND and now >= self.asked_at + interval
 
     def ask(self, tenant: str, number: int, waiting: int, renew: float, limit: RateBurst, now: float) -> ShareRequest:
         """The next question. What it tells of the share holds from now on: what is not wanted any more is given back.
