Let what a round started begin before the next round, which may recall it

Cause: since a round that is due begins without a turn of the event loop in between. Where rounds take longer than the pause between them, the next one could recall an item whose task had not begun. A task that is cancelled before it began never runs what gives its item back, so that the item counted as running for ever, under a lease that was renewed.

Change: a due round gives the event loop one turn first.

Evidence: the new test fails without that turn.

--- a/postpass/batch/dispatch.py
+++ b/postpass/batch/dispatch.py
@@ -82,9 +82,11 @@
     async def woken_before(self, until: float) -> bool:
         """Waits to be woken, at the longest until that loop time; False if nothing came before it.
 
-        Once that time has come a wake-up counts no more: a round, which renews all leases, is not put off by one.
+        Once that time has come a wake-up counts no more: a round, which renews all leases, is not put off by one. What the
+        last run started begins in any case: a task that is cancelled before it began would never give its item back.
         """
         if now() >= until:
+            await asyncio.sleep(0)
             return False
         try:
             async with asyncio.timeout(max(0.0, until - now())):
--- a/tests/batch/test_dispatch.py
+++ b/tests/batch/test_dispatch.py
@@ -30,6 +30,7 @@
 
     asked: defaultdict[int, list[float]] = field(default_factory=lambda: defaultdict(list))
     placed: list[float] = field(default_factory=list)
+    round_trip: float = ROUND_TRIP
 
     def __post_init__(self) -> None:
         configuration = {
@@ -53,7 +54,7 @@
 
     async def ask(self, partition: int, verb: str, body: Body, wait: float) -> PeerResponse:
         self.asked[partition].append(now())
-        await asyncio.sleep(ROUND_TRIP)
+        await asyncio.sleep(self.round_trip)
         return Ok(TakeResponse([], [], {}).as_json())
 
     async def run(self, wake_interval: float, woken: set[int]) -> None:
@@ -103,3 +104,32 @@
         task.cancel()
 
     run_sim(main, 1)
+
+
+def test_what_a_round_started_has_begun_before_the_next_round_may_recall_it() -> None:
+    async def main(loop: SimLoop) -> None:
+        scheduler = WokenScheduler()
+        begun: list[bool] = []
+        seen: list[bool] = []
+
+        async def item() -> None:
+            begun.append(True)
+
+        def place(*_: object) -> None:
+            tasks.append(asyncio.create_task(item()))
+
+        def forget(_: object) -> None:
+            # The start of a round, which is where items are recalled.
+            seen.append(len(begun) == len(tasks))
+
+        tasks: list[asyncio.Task[None]] = []
+        fakes: Any = scheduler.dispatcher
+        fakes.placement.place_requests = place
+        fakes.route_capacity.forget_removed = forget
+        scheduler.round_trip = BOUNDS.poll * 2  # each round takes longer than the pause between two
+        task = asyncio.create_task(scheduler.dispatcher.run())
+        await asyncio.sleep(SECONDS)
+        task.cancel()
+        assert len(seen) > 3 and all(seen)
+
+    run_sim(main, 1)
