--- a/postpass/tenants/edge_share.py
+++ b/postpass/tenants/edge_share.py
@@ -17,7 +17,7 @@
 BY_CHANCE = 1.2  # times the demand of late that usual demand counts at the most
 SILENCE = 8  # usual intervals between two requests, without one, after which demand has ended
 # Requests between two questions from which a share is worth having; below, the token of each request is asked for.
-STEADY = 6.0
+STEADY = 4.0
 GIVE_BACK = 0.6  # of its rate that an edge wants at the most when it gives the rest back at once
 KEEP = 0.8  # of its rate that an edge wants at the most when it gives the rest back with a question that it has anyway
 FETCH_AHEAD = 0.5  # of the time between two questions for which tokens should be there
--- a/tests/batch/test_dispatch.py
+++ b/tests/batch/test_dispatch.py
@@ -169,3 +169,32 @@
         assert task.cancelled() and asyncio.all_tasks() == before
 
     run_sim(main, 1)
+
+
+def test_what_a_round_started_has_begun_before_the_next_round_may_recall_it() -> None:
+    async def main(loop: SimLoop) -> None:
+        scheduler = WokenScheduler()
+        begun: list[bool] = []
+        seen: list[bool] = []
+
+        async def item() -> None:
+            begun.append(True)
+
+        def place(*_: object) -> None:
+            tasks.append(asyncio.create_task(item()))
+
+        def forget(_: object) -> None:
+            # The start of a round, which is where items are recalled.
+            seen.append(len(begun) == len(tasks))
+
+        tasks: list[asyncio.Task[None]] = []
+        fakes: Any = scheduler.dispatcher
+        fakes.placement.place_requests = place
+        fakes.route_capacity.forget_removed = forget
+        scheduler.round_trip = BOUNDS.poll * 2  # each round takes longer than the pause between two
+        task = asyncio.create_task(scheduler.dispatcher.run())
+        await asyncio.sleep(SECONDS)
+        task.cancel()
+        assert len(seen) > 3 and all(seen)
+
+    run_sim(main, 1)
