--- a/postpass/tenants/share_ledger.py
+++ b/postpass/tenants/share_ledger.py
@@ -14,7 +14,7 @@
 from postpass.tenants.messages import ShareGrant, ShareRequest
 from postpass.tenants.share_allocation import fair_rate
 
-LEASED_RATE = 7 / 8  # of the rate that shares may have; the rest comes here, for edges that have none or too little
+LEASED_RATE = 3 / 4  # of the rate that shares may have; the rest comes here, for edges that have none or too little
 LEASED_BURST = 1 / 2  # of the burst that shares may have
 ROUNDING = 1e-6  # of a token, as figures in messages are rounded
 TOKENS_ALONE = 1 / 10  # of the lease time: for which tokens are good that are given without a rate
