review: shared code beside the cases, and loopback addresses alone

Cause: a folder of review/ is a case, and review/common/ was none. The search for free ports bound the wildcard address, though every address in a case has to be a loopback address.

Done: fleet.py and standins.py stand in review/ itself; free ports are looked for at 127.0.0.1. No check, bound or disruption has changed.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -13,7 +13,7 @@
 from pathlib import Path
 
 HERE = Path(__file__).resolve().parent
-sys.path.insert(0, str(HERE.parent / "common"))
+sys.path.insert(0, str(HERE.parent))
 
 from fleet import BOUNDS, LIMITS, ZONES, Fleet, Machine, Record, has_build  # noqa: E402
 from standins import Operator, Worker, call, is_ready, until  # noqa: E402
--- a/review/common/fleet.py
+++ b/review/fleet.py
@@ -17,7 +17,7 @@
 import tomllib
 from pathlib import Path
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[1]
 REGION = "midtjylland"
 ZONES = ["sal-nord", "sal-syd", "sal-oest", "sal-vest"]
 # Those of the site klab-drift.
@@ -32,14 +32,14 @@
 
 
 def free_ports(count: int) -> int:
-    """The first of so many ports in a row that are free on all loopback addresses."""
+    """The first of so many ports in a row that are free at 127.0.0.1, so that nothing listens there on all addresses."""
     for first in range(21000 + os.getpid() % 5000, 60000, count):
         held = []
         try:
             for port in range(first, first + count):
                 probe = socket.socket()
                 held.append(probe)
-                probe.bind(("", port))
+                probe.bind(("127.0.0.1", port))
         except OSError:
             continue
         finally:
