Ask every store before leading without a quorum, and drop none that a partition needs

No disk is lost.

Cause: "every member has answered" was said by a store that can't know the members. They stand in the log; a new store's log is empty, so it asked those that the configuration names, which were all new, and led "after a loss". The old members did not run: they looked for themselves in the folded part of the log, which is empty up to 64 records. A second way to the same loss: control drops a silent store once another of its zone has come, and a dropped machine counts as gone with its disk.

Change: before anyone leads without a quorum it asks all stores of the newest configuration that any machine has, and each member that one of their logs names; a pre-vote does so too, so a blank store raises no epoch over a live owner. Those with the records run first. Control drops a store only when a majority of each partition's members answers its owner without it, or after ten times the recovery bound.

Why it works: a covered record is on a majority of the members' disks. A quorum meets it there; who leads without one has asked every store that could hold it.

--- a/postpass/batch/job.py
+++ b/postpass/batch/job.py
@@ -344,6 +344,14 @@
         duplicate.jobs = {job_id: job.copy() for job_id, job in self.jobs.items()}
         return duplicate
 
+    def without_jobs(self) -> JobView:
+        """Returns a copy that has the members, the predicate and the losses, but no jobs, rejections and claims."""
+        return JobView(
+            members=self.members, members_seq=self.members_seq, old_members=self.old_members, predicate=self.predicate,
+            old_predicate=self.old_predicate, predicate_seq=self.predicate_seq, settled_seq=self.settled_seq,
+            losses=self.losses,
+        )  # fmt: skip
+
     def dump(self) -> bytes:
         """Returns the view as it is stored in snapshots: JSON, followed by the payloads of all jobs."""
         fields = {VIEW_KEYS.get(name, name): value for name, value in vars(self).items() if name not in NOT_DUMPED}
--- a/postpass/control/member.py
+++ b/postpass/control/member.py
@@ -94,6 +94,8 @@
             str, float
         ] = {}  # when each other control machine last sent its report of heartbeats
         self.first_heard: dict[str, float] = {}
+        # Silent stores of which the primary is finding out whether a partition needs them.
+        self.stores_in_question: set[str] = set()
         # `reported_at` is when this member sent the newest of its heartbeat reports that reached the primary; while this
         # member is the primary itself, `report` sets it to the present time again and again.
         self.leading_since = self.reported_at = 0.0
--- a/postpass/control/orders.py
+++ b/postpass/control/orders.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-import asyncio
 from typing import Any
 
 from result import Err, Ok, Result
 
 from postpass.configuration import accepted_orders
-from postpass.configuration.configuration import Configuration, dump, members, with_duty
+from postpass.configuration.configuration import Configuration, dump, members
 from postpass.configuration.configuration_check import check
 from postpass.control.changes import StateUpdate
 from postpass.control.configuration import ConfigurationChange
@@ -259,28 +258,11 @@
         members do not include the store, and that all members have synced that record. Of several stores that claim a
         partition, the one with the newest epoch is its owner.
         """
-        other_stores = [other for other in with_duty(configuration, "store") if other != store]
-        responses = await asyncio.gather(
-            *(
-                self.peer_links.request(
-                    configuration["machines"][other]["peer"], "parts", {}, self.settings.bounds.feed_interval
-                )
-                for other in other_stores
-            )
-        )
-        newest_row: dict[int, Body] = {}
-        for response in responses:
-            for row in response.unwrap()["parts"] if isinstance(response, Ok) else []:
-                if (
-                    row["owning"]
-                    and row["ready"]
-                    and row["epoch"] > newest_row.get(row["part"], {"epoch": -1})["epoch"]
-                ):
-                    newest_row[row["part"]] = row
+        reports = await self.ask_owner_reports(configuration, without=store)
         return all(
-            partition in newest_row
-            and store not in newest_row[partition]["crew"]
-            and newest_row[partition].get("complete", True)
+            partition in reports
+            and store not in reports[partition].members
+            and reports[partition].complete
             and store not in members(configuration, partition)
             for partition in range(configuration["parts"])
         )
--- a/postpass/control/registry.py
+++ b/postpass/control/registry.py
@@ -9,11 +9,13 @@
 from result import Err, Ok, Result
 
 from postpass.configuration.configuration import Configuration, with_duty
+from postpass.control.changes import StateUpdate
 from postpass.control.election_rules import Cause, ElectionReason
 from postpass.control.feed import Feed
 from postpass.control.member import INFINITY
 from postpass.control.messages import HEAR, HeartbeatReport, HeartbeatReportAnswer
 from postpass.control.order_messages import WorkerHeartbeat
+from postpass.control.partition_reports import OwnerReport, all_serve_without, newest_owner_reports
 from postpass.control.read_messages import RevisionAnswer
 from postpass.membership import machine_registry, worker_registry
 from postpass.membership.registry import MachineAnnouncement, State, WorkerAnnouncement
@@ -26,6 +28,9 @@
 MAX_DRAINED_WORKERS = 4096  # how many workers a member remembers whose leaving the primary has acknowledged
 LATE_AFTER_PERIODS = 3.5  # heartbeat periods of silence after which a worker is late
 MANY_LATE_AFTER_PERIODS = 10  # the same, where more than half of the workers would be late at once
+# A silent store that a partition needs isn't dropped, since it may come back with the only records; but after so many
+# times the recovery bound it counts as gone for good.
+NEEDED_STORE_GONE_AFTER = 10
 SMALL_FLEET_WORKERS = 4  # with fewer workers than this, half of this number may be late at once, whatever share that is
 # How many workers a member remembers the number of the last heartbeat of, before the oldest are trimmed and after it.
 MAX_SEQNOS, SEQNOS_AFTER_TRIM = 4096, 1024
@@ -214,15 +219,7 @@
             worker_registry.all_workers(state), self.worker_heartbeats, listening_since, current_time
         )
         late_names = late_workers(worker_silences, self.settings.beat)
-        # A member that holds the state has to leave the replica set before it is dropped, since a dropped member can't
-        # lead, though it may be the one with the newest state.
-        gone_names = [
-            name
-            for name in machine_registry.machines_to_drop(
-                configuration, machine_silences, self.first_heard, current_time, self.patience
-            )
-            if name not in self.replicated_state.replica_set
-        ]
+        gone_names = self.droppable_machines(configuration, machine_silences)
         last_store_joined_at = max(
             (self.first_heard.get(name, 0.0) for name in with_duty(configuration, "store")), default=current_time
         )
@@ -241,15 +238,61 @@
             )
 
         if apply_changes(state).unwrap() is not state:
-            result = await self.change(apply_changes, 0.0)
-            if isinstance(result, Ok):
-                log_events.emit(
-                    Event.MACHINE_DROPPED,
-                    self.settings.name,
-                    machines=",".join(gone_names),
-                    workers=",".join(late_names),
-                    revision=result.unwrap(),
-                )
+            await self.drop(apply_changes, gone_names, late_names)
+
+    async def drop(self, update: StateUpdate, machines: list[str], workers: list[str]) -> None:
+        """Writes a change that removes machines and workers, and logs which."""
+        result = await self.change(update, 0.0)
+        if isinstance(result, Ok):
+            log_events.emit(
+                Event.MACHINE_DROPPED,
+                self.settings.name,
+                machines=",".join(machines),
+                workers=",".join(workers),
+                revision=result.unwrap(),
+            )
+
+    def droppable_machines(self, configuration: Configuration, silences: Mapping[str, float]) -> list[str]:
+        """Returns the machines to drop at once, given the seconds since each was heard; of the stores among those that
+        are gone, begins to find out whether they are needed."""
+        # A member that holds the state has to leave the replica set before it is dropped, since a dropped member can't
+        # lead, though it may be the one with the newest state.
+        names = [
+            name
+            for name in machine_registry.machines_to_drop(
+                configuration, silences, self.first_heard, now(), self.patience
+            )
+            if name not in self.replicated_state.replica_set
+        ]
+        gone_after = NEEDED_STORE_GONE_AFTER * self.settings.bounds.recover
+        stores = {n for n in with_duty(configuration, "store") if silences[n] <= gone_after}
+        for name in names:
+            if name in stores and name not in self.stores_in_question:
+                self.spawn(self.drop_unless_needed(name, configuration))
+        return [name for name in names if name not in stores]
+
+    async def drop_unless_needed(self, store: str, configuration: Configuration) -> None:
+        """Drops a silent store if no partition needs it.
+
+        A store that is silent may come back with records that no other one has, and partitions regard a machine that
+        the configuration has no more as gone for good.
+        """
+        self.stores_in_question.add(store)
+        try:
+            reports = await self.ask_owner_reports(configuration, without=store)
+            is_needed = not all_serve_without(store, reports, range(configuration["parts"]))
+            silence = now() - self.machine_heartbeats.get(store, -INFINITY)
+            if not is_needed and self.epoch and silence > self.patience:
+                await self.drop(lambda state: Ok(machine_registry.without_machines(state, [store])), [store], [])
+        finally:
+            self.stores_in_question.discard(store)
+
+    async def ask_owner_reports(self, configuration: Configuration, without: str) -> dict[int, OwnerReport]:
+        """Asks all stores but one which partitions they own; returns the owners' reports by partition."""
+        addresses = [configuration["machines"][n]["peer"] for n in with_duty(configuration, "store") if n != without]
+        limit = self.settings.bounds.feed_interval
+        responses = await asyncio.gather(*(self.peer_links.request(a, "parts", {}, limit) for a in addresses))
+        return newest_owner_reports(responses)
 
     async def record_worker_heartbeat(self, worker: str, announcement: WorkerAnnouncement, seqno: int) -> PeerResponse:
         """Takes a worker's heartbeat: records it here if it changes nothing, else forwards it to the primary.
--- a/postpass/daemon/data_plane.py
+++ b/postpass/daemon/data_plane.py
@@ -69,6 +69,11 @@
             self.store.election.ask_kept_jobs = self.ask_kept_jobs
             self.store.election.ask_epochs = self.gossip.ask_epochs
             self.store.election.known_epochs = self.gossip.partition_epochs
+            self.store.election.refresh_configuration = self.refresh_configuration
+
+    async def refresh_configuration(self) -> None:
+        """Asks all machines for their revision of the configuration, and takes over the newest."""
+        await self.follower.poll_revisions(self.configuration_view.addresses_of_others())
 
     async def open(self) -> None:
         """Recovers the store from its disk, and creates the objects of the other duties."""
--- a/postpass/replication/election.py
+++ b/postpass/replication/election.py
@@ -3,18 +3,18 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Collection
 from dataclasses import dataclass, field, replace
 
 from result import Err, Ok
 
 from postpass.batch.job import JobView
 from postpass.replication.catch_up import CatchUp
-from postpass.replication.election_decision import Candidacy, Step, next_step
+from postpass.replication.election_decision import Candidacy, Step, enough_answered_to_found, next_step
 from postpass.replication.log_entries import promise_entry
 from postpass.replication.messages import LogPosition, PromiseAnswer, PromiseRequest
 from postpass.replication.owner import PartitionOwner
-from postpass.replication.partition import Partition, latest_view
+from postpass.replication.partition import Partition, latest_membership, latest_view
 from postpass.replication.partition_table import PartitionTable
 from postpass.replication.record_log import RecordLog
 from postpass.rpc.codec import Body, PeerResponse
@@ -58,7 +58,10 @@
         catch_up: Fetches the log of a voter that has more records.
         ask_epochs: Asks other daemons for the highest epochs that they remember; None if there is nobody to ask.
         ask_kept_jobs: Asks other daemons for the jobs that they know to be kept in a partition; None if there is nobody
-        to ask. known_epochs: Highest known epoch by partition. It is the daemon's own map, which `ask_epochs` fills.
+            to ask.
+        refresh_configuration: Asks other daemons for a newer configuration, and takes it over; None if there is nobody
+            to ask.
+        known_epochs: Highest known epoch by partition. It is the daemon's own map, which `ask_epochs` fills.
     """
 
     table: PartitionTable
@@ -66,27 +69,44 @@
     catch_up: CatchUp
     ask_epochs: Callable[[], Awaitable[int]] | None = None
     ask_kept_jobs: Callable[[int], Awaitable[list[str]]] | None = None
+    refresh_configuration: Callable[[], Awaitable[object]] | None = None
     known_epochs: dict[str, int] = field(default_factory=dict)
 
     def run_if_silent(self, partition: Partition) -> None:
         """Begins an election if nothing was heard of the owner for the detection time and this store's stagger.
 
-        Each member waits `bounds.candidate_delay` seconds longer than the one before it in the agreed order, so that
-        normally only the first live member runs.
+        Each candidate waits `bounds.candidate_delay` seconds longer than the one before it, so that normally only the
+        first live one runs.
         """
-        order = self.table.configuration_view.order(partition.id)
-        members = partition.record_log.base.members if isinstance(partition.record_log.base, JobView) else {}
-        ranks = order + [n for n in sorted(members) if n not in order]
-        ranks = [n for n in ranks if n != partition.refused_owner]
-        if self.table.settings.name not in ranks or partition.in_election or self.table.leaving:
-            return
         bounds = self.table.settings.bounds
-        if (
-            now() - partition.last_heard_at
-            > bounds.detection_time + ranks.index(self.table.settings.name) * bounds.candidate_delay
-        ):
+        silence = now() - partition.last_heard_at
+        if partition.in_election or self.table.leaving or silence <= bounds.detection_time:
+            return
+        rank = self.rank(partition)
+        if rank is not None and silence > bounds.detection_time + rank * bounds.candidate_delay:
             self.run_soon(partition, 0)
 
+    def rank(self, partition: Partition) -> int | None:
+        """Returns how many candidates run before this store; None if it is none itself.
+
+        The members run first, in the agreed order, since they have the records; they are found in the log, since the
+        configuration may name other stores already. Stores that are to become members follow: they know of the members
+        only by the answers of others.
+        """
+        own_name = self.table.settings.name
+        order = [n for n in self.table.configuration_view.order(partition.id) if n != partition.refused_owner]
+        membership = latest_membership(partition.record_log)
+        members = {*membership.members, *self.table.uncovered_members(partition, membership)}
+        members.discard(partition.refused_owner)
+        candidates = [n for n in order if n in members] + sorted(members - set(order))
+        candidates += [n for n in order if n not in members]
+        if own_name not in candidates:
+            return None
+        was_led = self.known_epochs.get(str(partition.id), 0) > 0
+        # Without a log it isn't known how many members there are; there are normally as many as names in the order.
+        unknown_members = len(order) if was_led and not members else 0
+        return candidates.index(own_name) + unknown_members
+
     def run_soon(self, partition: Partition, handed_epoch: int) -> None:
         """Begins an election in the background; `in_election` is set until it has ended.
 
@@ -143,48 +163,72 @@
 
         The members are recorded in the log: a candidate that lags behind learns of some members only from the log that
         it fetches, and then asks these as well. Without them it could neither become owner nor leave the election to a
-        candidate that knows all members.
+        candidate that knows all members. If these don't suffice, all other stores are asked too, see `other_stores`.
 
         Returns:
             The promises; None if a higher epoch was promised meanwhile or the log could not be fetched.
         """
-        promises, epoch = Promises(partition.record_log), request.epoch
-        next_members = self.table.other_members(partition, latest_view(partition.record_log))
-        while next_members:
-            view = latest_view(promises.log)
-            answers = await self.ask_promises(partition, view, next_members, request, promises.voters)
-            partition.promised = max([partition.promised, *(a.promised for a in answers.values())])
-            if partition.promised != epoch or partition.owning:
+        promises = Promises(partition.record_log)
+        while names := self.next_to_ask(partition, promises):
+            if not await self.collect_more(partition, request, promises, names):
                 return None
-            promises.asked_members += next_members
-            promises.responses |= {n: a for n, a in answers.items() if a.granted}
-            best_voter = max(promises.responses, key=promises.log_position, default="")
-            if best_voter and promises.log_position(best_voter) > (promises.log.last_epoch, promises.log.last):
-                fetched_log = await self.catch_up.fetch_log(
-                    partition, best_voter, promises.responses[best_voter], epoch
-                )
-                if fetched_log is None or partition.promised != epoch:
-                    return None
-                promises.log = fetched_log
-            next_members = [
-                n
-                for n in self.table.other_members(partition, latest_view(promises.log))
-                if n not in promises.asked_members
-            ]
         return promises
 
+    async def collect_more(
+        self, partition: Partition, request: PromiseRequest, promises: Promises, names: list[str]
+    ) -> bool:
+        """Asks further stores for promises, and fetches the most complete log among theirs; returns False if a higher
+        epoch was promised meanwhile or the log could not be fetched."""
+        membership, epoch = latest_membership(promises.log), request.epoch
+        answers = await self.ask_promises(partition, membership, names, request, promises.voters)
+        partition.promised = max([partition.promised, *(a.promised for a in answers.values())])
+        if partition.promised != epoch or partition.owning:
+            return False
+        promises.asked_members += names
+        promises.responses |= {n: a for n, a in answers.items() if a.granted}
+        best_voter = max(promises.responses, key=promises.log_position, default="")
+        if best_voter and promises.log_position(best_voter) > (promises.log.last_epoch, promises.log.last):
+            fetched_log = await self.catch_up.fetch_log(partition, best_voter, promises.responses[best_voter], epoch)
+            if fetched_log is None or partition.promised != epoch:
+                return False
+            promises.log = fetched_log
+        return True
+
+    def next_to_ask(self, partition: Partition, promises: Promises) -> list[str]:
+        """Returns the stores to ask next: the known members first; then, if their promises don't suffice, all others."""
+        membership = latest_membership(promises.log)
+        members = [n for n in self.table.other_members(partition, membership) if n not in promises.asked_members]
+        if members or partition.may_lead(membership, promises.voters | self.table.own_vote):
+            return members
+        others = self.other_stores(partition, membership, promises.voters)
+        return [n for n in others if n not in promises.asked_members]
+
+    def other_stores(self, partition: Partition, membership: JobView, voters: Collection[str]) -> list[str]:
+        """Returns the stores besides the known members that have to be asked before a candidate may lead without a quorum.
+
+        The known members may all be new ones: the configuration may have moved the partition to them while its owner
+        was silent, and the stores that have the records may be named in no log that was seen. Empty if a known member
+        with records does not answer, since no answer of other stores makes up for that.
+        """
+        members = self.table.other_members(partition, membership)
+        if membership.members and any(n not in voters and self.table.configuration_view.addr(n) for n in members):
+            return []
+        return [n for n in self.table.all_other_stores() if n not in members]
+
     async def run_election(self, partition: Partition, handed_epoch: int) -> None:
         """Runs one election for owner of a partition; on failure the next one is delayed by up to `bounds.candidate_delay`.
 
         Args:
             partition: The partition; this store's own promise of the new epoch is synced before others are asked.
             handed_epoch: Epoch of the owner that handed the partition over, for whose silence the members need not
-            wait;
-                0 if none did.
+                wait; 0 if none did.
         """
         bounds = self.table.settings.bounds
         if not handed_epoch and not await self.could_win(partition):
-            partition.last_heard_at = now() - bounds.detection_time + bounds.candidate_delay
+            # A store that has left without knowing it goes on asking, so it asks less often.
+            is_wanted = self.table.settings.name in self.table.configuration_view.order(partition.id)
+            retry_delay = bounds.candidate_delay if is_wanted else bounds.detection_time
+            partition.last_heard_at = now() - bounds.detection_time + retry_delay
             return
         epoch = partition.promised + 1
         partition.promised = epoch
@@ -203,14 +247,20 @@
 
         This is asked first (a pre-vote), so that a store that can't win does not raise the epoch.
         """
-        view = latest_view(partition.record_log)
+        membership = latest_membership(partition.record_log)
         probe = PromiseRequest(partition.id, self.table.settings.name, 0, partition.promised + 1, probe=True)
-        answers = await self.ask_promises(partition, view, self.table.other_members(partition, view), probe)
+        members = self.table.other_members(partition, membership)
+        answers = await self.ask_promises(partition, membership, members, probe)
+        if not self.would_suffice(partition, membership, answers) and all(a.granted for a in answers.values()):
+            others = self.other_stores(partition, membership, answers)
+            answers |= await self.ask_promises(partition, membership, others, probe)
         partition.promised = max([partition.promised, *(a.promised for a in answers.values())])
-        if all(a.granted for a in answers.values()):
-            return True
+        return all(a.granted for a in answers.values()) or self.would_suffice(partition, membership, answers)
+
+    def would_suffice(self, partition: Partition, membership: JobView, answers: dict[str, PromiseAnswer]) -> bool:
+        """Returns whether the promises that were given, or would be, suffice to lead."""
         willing_voters = {n: a.disk for n, a in answers.items() if a.granted}
-        return partition.may_lead(view, willing_voters | self.table.own_vote)
+        return partition.may_lead(membership, willing_voters | self.table.own_vote)
 
     async def try_to_lead(self, partition: Partition, epoch: int, promises: Promises) -> bool:
         """Becomes the owner if the election's decision allows it.
@@ -220,18 +270,10 @@
         """
         view = latest_view(promises.log)
         voters = promises.voters | self.table.own_vote
-        required_members = set(self.table.other_members(partition, view)) | set(view.members)
-        candidacy = Candidacy(
-            epoch=epoch,
-            promised=partition.promised,
-            owning=partition.owning,
-            quorum=partition.may_lead(view, voters),
-            all_answered=all(n in voters or not self.table.configuration_view.addr(n) for n in required_members),
-            blank=promises.log.last == 0,
-            known_epoch=None if self.ask_epochs is not None else 0,
-            lost_jobs=None if self.ask_kept_jobs is not None else (),
-        )
+        candidacy = self.candidacy(partition, epoch, promises)
         step = next_step(candidacy)
+        if step in (Step.ASK_EPOCHS, Step.ASK_KEPT_JOBS) and await self.are_stores_outdated(partition):
+            return False  # other stores may have copies than those that were asked; the next election asks them
         if step is Step.ASK_EPOCHS and self.ask_epochs is not None:
             await self.ask_epochs()
             known_epoch = self.known_epochs.get(str(partition.id), 0)
@@ -249,12 +291,47 @@
             return False
         try:
             self.catch_up.adopt(partition, promises.log)
-            self.owner.become_owner(partition, epoch, view.losses, voters, step, list(candidacy.lost_jobs or ()))
+            first_members = {n: d for n, d in voters.items() if n in self.copy_holders(partition, view)}
+            self.owner.become_owner(partition, epoch, view.losses, first_members, step, list(candidacy.lost_jobs or ()))
         except FaultError:
             partition.step_down()
             partition.last_heard_at = now()
         return True
 
+    def copy_holders(self, partition: Partition, view: JobView) -> set[str]:
+        """Returns the stores that have, or should have, a copy of the partition, including this one."""
+        return {self.table.settings.name, *self.table.other_members(partition, view)}
+
+    def candidacy(self, partition: Partition, epoch: int, promises: Promises) -> Candidacy:
+        """Returns what is known of this candidate's election once the promises are collected."""
+        membership = latest_membership(promises.log)
+        voters = promises.voters | self.table.own_vote
+        stores = self.table.all_other_stores() + self.table.other_members(partition, membership)
+        unanswered = [n for n in dict.fromkeys(stores) if n not in voters and self.table.configuration_view.addr(n)]
+        return Candidacy(
+            epoch=epoch,
+            promised=partition.promised,
+            owning=partition.owning,
+            quorum=partition.may_lead(membership, voters),
+            all_answered=not unanswered,
+            blank=promises.log.last == 0,
+            known_epoch=None if self.ask_epochs is not None else 0,
+            lost_jobs=None if self.ask_kept_jobs is not None else (),
+            enough_to_found=enough_answered_to_found(
+                len(unanswered),
+                len(self.table.configuration_view.order(partition.id)),
+                self.table.settings.disks_lost,
+            ),
+        )
+
+    async def are_stores_outdated(self, partition: Partition) -> bool:
+        """Takes over the newest configuration that other daemons have; returns whether it has other stores, or others
+        that should have a copy, than the one that was in force here."""
+        stores_before = (self.table.all_other_stores(), self.table.configuration_view.order(partition.id))
+        if self.refresh_configuration is not None:
+            await self.refresh_configuration()
+        return stores_before != (self.table.all_other_stores(), self.table.configuration_view.order(partition.id))
+
     def write_promise(self, partition: Partition, epoch: int) -> int:
         """Appends a promise to the log on disk; returns the offset up to which the log must be synced."""
         return self.table.write(partition, [promise_entry(partition.id, epoch)])
--- a/postpass/replication/partition.py
+++ b/postpass/replication/partition.py
@@ -23,6 +23,8 @@
 from postpass.rpc.codec import PACKET
 
 Members = dict[str, str]
+# Kinds of records that change the members or the predicate, or settle such a change.
+MEMBERSHIP_RECORDS = frozenset({"crew", "predicate", "loss", "mark"})
 
 
 @dataclass(eq=False)
@@ -96,6 +98,20 @@
     return view
 
 
+def latest_membership(record_log: RecordLog) -> JobView:
+    """Returns the members and the predicate as they are after the last record of a log, in a view without jobs.
+
+    It costs far less than `latest_view`, and suffices for every question about votes.
+    """
+    base = record_log.base
+    assert isinstance(base, JobView)
+    membership = base.without_jobs()
+    for record in record_log.records:
+        if record.kind in MEMBERSHIP_RECORDS:
+            membership.fold(record)
+    return membership
+
+
 @dataclass(eq=False)
 class Partition:
     """The state of one partition on one store. `Partition` owns all its fields; the components of the store change them
--- a/postpass/replication/partition_table.py
+++ b/postpass/replication/partition_table.py
@@ -102,11 +102,19 @@
             [
                 *self.configuration_view.order(partition.id),
                 *view.members,
-                *(view.old_members if view.members_seq > partition.covered else {}),
+                *self.uncovered_members(partition, view),
             ]
         )
         return [n for n in copy_holders if n != self.settings.name]
 
+    def uncovered_members(self, partition: Partition, view: JobView) -> dict[str, str]:
+        """Returns the members from before the last change of members, with their disks, while that is not covered."""
+        return view.old_members if view.members_seq > partition.covered else {}
+
+    def all_other_stores(self) -> list[str]:
+        """Returns the names of all other stores of the configuration that aren't declared gone."""
+        return [n for n in self.configuration_view.duty("store") if n != self.settings.name]
+
     async def ask(self, name: str, verb: str, body: Body) -> PeerResponse:
         """Sends a request to another store and returns its response; the fault NOT_FOUND if the store has no address."""
         addr = self.configuration_view.addr(name)
--- a/tests/test_readable_code.py
+++ b/tests/test_readable_code.py
@@ -17,7 +17,7 @@
 # From the lowest to the highest; a module imports from lower layers alone. One that is not there yet is passed over.
 LAYERS = {
     "control": (
-        "epochs", "state", "journal", "messages", "order_messages", "read_messages", "changes", "configuration", "member", "contact", "replica", "election_rules", "election", "writer",
+        "epochs", "state", "journal", "messages", "order_messages", "read_messages", "partition_reports", "changes", "configuration", "member", "contact", "replica", "election_rules", "election", "writer",
         "in_force", "feed", "registry", "leadership", "orders", "health", "api", "daemon",
     ),
     "replication": (
