Fence orders without a version, and take none that waited while the process stood still

Cause: an order outlived its sender. The frozen machine had been sent the order that takes the first evacuation back; its sender gave up after a second, sent it elsewhere, and evacuated the zone again. On waking, the machine forwarded the old order, and nothing at the primary told it from a new one. The machine did not know that it had lost touch: heartbeats that waited in its socket counted as heard when they were read.

Change: the primary gives out a fence (its epoch, and how many orders without a version it has accepted) and carries an order out only under the present one. Whoever receives the order gets the fence first, a round trip to a majority, and then looks whether the sender's connection is open. A pause detector in each control member lets it answer 503 to orders and workers' messages that it may have found in its sockets. Contact counts from before a pause, or from when a request was sent.

Why it works: if a later order was accepted after the fence, the primary refuses; if before, the sender had closed its connection before the fence was asked for. No clock decides that. Orders of members of an earlier release have no fence and are taken as before; a primary of an earlier release knows none, so its members go on without.

The stand-in of control in tests/platform/test_operators.py follows the new argument.

--- a/postpass/configuration/settings.py
+++ b/postpass/configuration/settings.py
@@ -145,6 +145,12 @@
         """Seconds within which a follower turns from a stale source to another one."""
         return self.manifest / 10
 
+    @property
+    def pause_threshold(self) -> float:
+        """Seconds without a run of the event loop after which a process counts as having stood still. It is less than
+        the time for which senders of orders and workers' heartbeats wait, and more than the longest computation."""
+        return self.detection_time / 3
+
     @property
     def candidate_delay(self) -> float:
         """Seconds that each candidate waits longer than the one before it in the agreed order, before its election."""
--- a/postpass/control/api.py
+++ b/postpass/control/api.py
@@ -98,6 +98,7 @@
             self.tick(),
             self.lead_after_restart(),
             self.compact_journal(),
+            self.pause_detector.run(),
             *([self.found_fleet(), self.write(), self.report()] if self.settings.announce else []),
         ]
 
--- a/postpass/control/contact.py
+++ b/postpass/control/contact.py
@@ -69,6 +69,11 @@
         instead."""
         return Stale(self.configuration_view.revision, tuple(self.other_members()))
 
+    def resumed_fault(self, step: str) -> Fault:
+        """Returns the fault of a member that stood still while a request waited in its socket: the sender may have given
+        up since, and repeated the request elsewhere."""
+        return Fault(step, self.settings.name, "this process stood still since it was sent; ask again", REJECTED)
+
     def out_of_touch_fault(self, step: str) -> Fault:
         """Returns the fault of a member that is out of touch, with the addresses of the others to ask instead."""
         others = ", ".join(self.other_members()) or "no other is known"
--- a/postpass/control/member.py
+++ b/postpass/control/member.py
@@ -26,9 +26,11 @@
 from postpass.runtime.environment import Environment, now
 from postpass.runtime.errors import NO_SPACE, NOT_RESPONSIBLE, Fault, FaultError
 from postpass.runtime.log_events import Event
+from postpass.runtime.pause_detector import PauseDetector
 from postpass.storage.data_directory import STATE_FORMAT, open_data_directory, raise_format
 
 INFINITY = float("inf")
+PAUSE_OBSERVATIONS = 5  # how often the event loop is observed in the time from which on it counts as paused
 STATE_FILE = "state"  # of releases up to 0.2.0, which rewrote the complete state at every change
 STATE_SEGMENT = 1 << 16  # size in bytes of the log of changes from which on a snapshot may be due
 
@@ -104,6 +106,10 @@
         self.vote_record, self.replicated_state, self.disk_id, self.epoch = VoteRecord(), ReplicatedState(), "", 0
         self.committed = CommittedState()
         self.leader_silent_since = 0.0
+        bounds = settings.bounds
+        self.pause_detector = PauseDetector(bounds.pause_threshold / PAUSE_OBSERVATIONS, bounds.pause_threshold)
+        # How many orders without a version this member has accepted as the primary, see `OrderFence`.
+        self.accepted_orders = 0
         self.candidate_until = 0.0  # until when a candidate that was given a promise here may become the primary
         self.promise_on_disk = 0  # the highest promised epoch that is synced
         self.backup_heard: dict[str, float] = {}  # when each backup last answered
--- a/postpass/control/order_messages.py
+++ b/postpass/control/order_messages.py
@@ -73,6 +73,41 @@
         return {"what": self.kind, "name": self.store}
 
 
+@dataclass(frozen=True)
+class FenceQuery:
+    """Asks the primary for the fence under which an order without a version may be sent to it."""
+
+    kind = "fence"
+
+    def as_json(self) -> Body:
+        """Returns the JSON body of this message."""
+        return {"what": self.kind}
+
+
+@dataclass(frozen=True)
+class OrderFence:
+    """Names a moment in the sequence of orders that carry no version: the primary's epoch, and how many it has accepted.
+
+    An order that is sent under a fence is carried out only if no other one was accepted since, so that one that was held
+    up on its way, however long, can't undo an order that was acknowledged meanwhile. No clock is used for that.
+    """
+
+    epoch: int
+    accepted: int
+
+    def as_json(self) -> Body:
+        """Returns the JSON body of the answer to a query, which also belongs to the body of an order."""
+        return {"fence": [self.epoch, self.accepted]}
+
+    @classmethod
+    def from_json(cls, body: Body) -> OrderFence | None:
+        """Parses the fence in a JSON body; None if there is none, as in orders from releases that know of none."""
+        if "fence" not in body:
+            return None
+        epoch, accepted = body["fence"]
+        return cls(epoch, accepted)
+
+
 @dataclass(frozen=True)
 class UnknownOrder:
     """An order of a kind that this release doesn't know; it is refused."""
@@ -81,7 +116,7 @@
 
 
 Change = DocumentOrder | EvacuationOrder | RetirementOrder | UnknownOrder
-Order = Change | RetirementQuery
+Order = Change | RetirementQuery | FenceQuery
 
 
 def order_of(body: Body) -> Order:
@@ -95,6 +130,8 @@
             return RetirementOrder(body["name"])
         case "retired":
             return RetirementQuery(body["name"])
+        case "fence":
+            return FenceQuery()
         case kind:
             return UnknownOrder(kind)
 
--- a/postpass/control/orders.py
+++ b/postpass/control/orders.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 from result import Err, Ok, Result
@@ -18,7 +19,9 @@
     Change,
     DocumentOrder,
     EvacuationOrder,
+    FenceQuery,
     OrderAnswer,
+    OrderFence,
     RetirementAnswer,
     RetirementOrder,
     RetirementQuery,
@@ -43,6 +46,14 @@
 )
 from postpass.runtime.log_events import Event
 
+# Returns whether the sender of an order still waits for the answer.
+SenderCheck = Callable[[], Awaitable[bool]]
+
+
+async def always() -> bool:
+    """Stands for a sender that is known to wait."""
+    return True
+
 
 class Orders(Leadership):
     """Accepts and carries out the orders of operators.
@@ -156,23 +167,60 @@
         """Returns the operator's configuration document in force, with its version."""
         return await self.forward("read", ReadRequest(source=True).as_json(), self.settings.bounds.manifest / 4)
 
-    async def evacuate(self, zone: str, evacuated: bool) -> PeerResponse:
+    async def evacuate(self, zone: str, evacuated: bool, is_sender_waiting: SenderCheck = always) -> PeerResponse:
         """Takes all traffic away from a zone, or lets traffic return to it if `evacuated` is false."""
-        return await self.send_order(EvacuationOrder(zone, evacuated))
+        return await self.send_fenced_order(EvacuationOrder(zone, evacuated), is_sender_waiting)
 
-    async def retire(self, store: str) -> PeerResponse:
+    async def retire(self, store: str, is_sender_waiting: SenderCheck = always) -> PeerResponse:
         """Orders a store to be emptied for good, so that it can be removed from the fleet."""
-        return await self.send_order(RetirementOrder(store))
+        return await self.send_fenced_order(RetirementOrder(store), is_sender_waiting)
 
     async def query_retirement(self, store: str) -> PeerResponse:
         """Asks whether a store that was retired is empty, and removed from the fleet."""
         return await self.send_order(RetirementQuery(store))
 
     async def send_order(
-        self, order: DocumentOrder | EvacuationOrder | RetirementOrder | RetirementQuery
+        self,
+        order: DocumentOrder | EvacuationOrder | RetirementOrder | RetirementQuery,
+        fence: OrderFence | None = None,
     ) -> PeerResponse:
-        """Forwards an order to the primary."""
-        return await self.forward("order", order.as_json(), self.settings.bounds.manifest / 2)
+        """Forwards an order to the primary, under a fence if one is given."""
+        if self.pause_detector.has_just_resumed:
+            return Err(self.resumed_fault("order"))
+        body = order.as_json() | (fence.as_json() if fence is not None else {})
+        return await self.forward("order", body, self.settings.bounds.manifest / 2)
+
+    async def send_fenced_order(
+        self, order: EvacuationOrder | RetirementOrder, is_sender_waiting: SenderCheck
+    ) -> PeerResponse:
+        """Forwards an order that carries no version, unless its sender has given up.
+
+        A sender that has given up may have sent the order elsewhere, and then others that undo it. So the primary is
+        asked for a fence first; if the sender still waits after that, whatever it orders later is accepted after the
+        fence was given out. If another order is accepted in between, all of that is done again.
+        """
+        received_at, limit = now(), self.settings.bounds.manifest / 2
+        while not self.pause_detector.has_just_resumed and not self.pause_detector.has_paused_since(received_at):
+            answer = await self.forward("order", FenceQuery().as_json(), limit)
+            if isinstance(answer, Err) and answer.unwrap_err().code != BAD_REQUEST:
+                return answer
+            # A primary of an earlier release knows of no fence.
+            fence = OrderFence.from_json(answer.unwrap()) if isinstance(answer, Ok) else None
+            if not await is_sender_waiting():
+                return Err(Fault("order", self.settings.name, "its sender has given up", REJECTED))
+            response = await self.send_order(order, fence)
+            if response.is_ok() or response.unwrap_err().code != PRECONDITION_FAILED:
+                return response
+            if now() - received_at > limit:
+                return Err(Fault("order", self.settings.name, "others were accepted meanwhile; ask again", REJECTED))
+        return Err(self.resumed_fault("order"))
+
+    async def give_fence(self) -> PeerResponse:
+        """Answers with the present fence, as the primary."""
+        async with self.lock:
+            if not await self.confirm_leadership():
+                return Err(self.unconfirmed_fault("order"))
+            return Ok(OrderFence(self.epoch, self.accepted_orders).as_json())
 
     async def on_order(self, body: Body) -> PeerResponse:
         """Carries out an order as the primary; answers with its revision and the machines not known to run it in time."""
@@ -181,7 +229,12 @@
         requested_at, order = now(), order_of(body)
         if isinstance(order, RetirementQuery):
             return await self.retirement_status(order.store)
-        result = await self.change(self.change_for(order), 0.0)
+        if isinstance(order, FenceQuery):
+            return await self.give_fence()
+        update = self.change_for(order)
+        if isinstance(order, EvacuationOrder | RetirementOrder):
+            update = self.fenced(update, OrderFence.from_json(body))
+        result = await self.change(update, 0.0)
         if isinstance(result, Err):
             return Err(result.unwrap_err())
         revision = result.unwrap()
@@ -191,6 +244,20 @@
         )
         return Ok(OrderAnswer(revision, unconfirmed).as_json())
 
+    def fenced(self, update: StateUpdate, fence: OrderFence | None) -> StateUpdate:
+        """Returns a change that is refused if another order without a version was accepted since its fence was given."""
+
+        def apply(state: State) -> Result[State, Fault]:
+            if fence is not None and fence != OrderFence(self.epoch, self.accepted_orders):
+                reason = "another order was accepted since this one was sent"
+                return Err(Fault("order", self.settings.name, reason, PRECONDITION_FAILED))
+            result = update(state)
+            if isinstance(result, Ok):
+                self.accepted_orders += 1
+            return result
+
+        return apply
+
     def change_for(self, order: Change) -> StateUpdate:
         """Returns the function that applies an order to the replicated state, or refuses it."""
         match order:
--- a/postpass/control/registry.py
+++ b/postpass/control/registry.py
@@ -305,6 +305,8 @@
         if flaws:
             return Err(Fault("beat", self.settings.name, "\n".join(flaws), BAD_REQUEST))
         heartbeat = WorkerHeartbeat(worker, announcement, seqno)
+        if self.pause_detector.has_just_resumed:
+            return Err(self.resumed_fault("beat"))
         if self.is_superseded(heartbeat):
             return Ok({})
         if len(self.worker_seqnos) > MAX_SEQNOS:
@@ -341,6 +343,8 @@
 
     async def report_worker_ended(self, worker: str) -> PeerResponse:
         """Reports to the primary that a worker has ended."""
+        if self.pause_detector.has_just_resumed:
+            return Err(self.resumed_fault("beat"))
         final_heartbeat = WorkerHeartbeat(worker, announcement=None, seqno=0)
         return await self.forward("beat", final_heartbeat.as_json(), self.settings.bounds.leave / 3)
 
--- a/postpass/control/replica.py
+++ b/postpass/control/replica.py
@@ -11,6 +11,7 @@
 from postpass.control.contact import Contact
 from postpass.control.epochs import Acknowledgement, ReplicaSet
 from postpass.control.journal import Change, Image, JournalError
+from postpass.control.member import INFINITY
 from postpass.control.messages import APPEND, AppendAnswer, AppendRequest
 from postpass.control.state import ReplicatedState
 from postpass.membership.registry import State
@@ -62,7 +63,9 @@
 
     def follow_leader(self, name: str) -> None:
         """Records that the primary of a granted epoch was heard, and wakes all tasks that wait for one."""
-        self.leader_silent_since = self.leader_heard = now()
+        self.leader_silent_since = now()
+        # A message that waited in a socket while this process stood still proves contact for the time before that only.
+        self.leader_heard = max(self.leader_heard, self.pause_detector.earliest_arrival())
         self.leader = name
         self.announce_leader()
 
@@ -135,6 +138,7 @@
         )
         # Where machines announce themselves, another backup is soon found, so an order doesn't wait long for this one.
         timeout = self.settings.bounds.sync_request_limit / (2 if self.settings.announce else 1)
+        sent_at = now()
         response = await self.peer_links.request(address, APPEND, request.as_json(), timeout)
         if isinstance(response, Err):
             return None
@@ -152,7 +156,8 @@
         (self.departing_members.add if answer.leaving else self.departing_members.discard)(member)
         acknowledgement = Acknowledgement(member, answer.disk, answer.epoch)
         if epoch == self.epoch and replica_set.is_valid_acknowledgement(acknowledgement):
-            self.voter_heard[member] = now()
+            # From when the request was sent: the answer may have waited in a socket while this process stood still.
+            self.voter_heard[member] = max(self.voter_heard.get(member, -INFINITY), sent_at)
             if member in replica_set.backups:
                 self.backup_heard[member] = now()
         return acknowledgement
--- a/tests/control/test_order_messages.py
+++ b/tests/control/test_order_messages.py
@@ -11,7 +11,9 @@
     ApplyRequest,
     DocumentOrder,
     EvacuationOrder,
+    FenceQuery,
     OrderAnswer,
+    OrderFence,
     RetirementAnswer,
     RetirementOrder,
     RetirementQuery,
@@ -31,6 +33,7 @@
         (EvacuationOrder("a", evacuated=False), '{"what": "return", "area": "a"}'),
         (RetirementOrder("s1"), '{"what": "retire", "name": "s1"}'),
         (RetirementQuery("s1"), '{"what": "retired", "name": "s1"}'),
+        (FenceQuery(), '{"what": "fence"}'),
     ],
 )
 def test_an_order_is_written_with_its_json_keys_and_read_from_them(order: Any, json_text: str) -> None:
@@ -45,6 +48,7 @@
 @pytest.mark.parametrize(
     ("message", "json_text"),
     [
+        (OrderFence(7, 3), '{"fence": [7, 3]}'),
         (ApplyRequest({"name": "x"}, 2), '{"manifest": {"name": "x"}, "base": 2}'),
         (OrderAnswer(7, ["e1"]), '{"edition": 7, "waits": ["e1"]}'),
         (ReadRequest(), "{}"),
@@ -67,3 +71,7 @@
 
 def test_a_worker_that_ended_leaves() -> None:
     assert WorkerHeartbeat("w1", None, 0).leaves
+
+
+def test_an_order_of_an_earlier_release_has_no_fence() -> None:
+    assert OrderFence.from_json(EvacuationOrder("a", evacuated=True).as_json()) is None
--- a/tests/platform/test_operators.py
+++ b/tests/platform/test_operators.py
@@ -20,27 +20,40 @@
 
 
 class RecordedControl:
-    """A fake control member that accepts every request and records it in `calls`."""
+    """A fake control member that accepts every request and records it in `calls`, and whether its sender still waits."""
 
     def __init__(self) -> None:
         self.calls: list[tuple[Any, ...]] = []
+        self.sender_waits: bool | None = None
 
     def __getattr__(self, name: str) -> Any:
-        async def call(*arguments: Any) -> Any:
+        async def call(*arguments: Any, is_sender_waiting: Any = None) -> Any:
             self.calls.append((name, *arguments))
+            if is_sender_waiting is not None:
+                self.sender_waits = await is_sender_waiting()
             return Ok({})
 
         return call
 
 
-def ask(method: str, path: str, body: bytes, headers: dict[str, str] | None = None) -> tuple[int, Any, RecordedControl]:
-    """Sends a request to the routes; returns the status and body of the response, and the control member that recorded it."""
+def ask(
+    method: str, path: str, body: bytes, headers: dict[str, str] | None = None, gives_up: bool = False
+) -> tuple[int, Any, RecordedControl]:
+    """Sends a request to the routes; returns the status and body of the response, and the control member that recorded it.
+
+    With `gives_up` the sender closes its connection right after the request.
+    """
     control = RecordedControl()
     app = Starlette(routes=adapter("operators").ControlRoutes(control).routes())
     sent: list[Any] = []
 
+    messages: list[Any] = [{"type": "http.request", "body": body, "more_body": False}]
+    messages += [{"type": "http.disconnect"}] if gives_up else []
+
     async def receive() -> Any:
-        return {"type": "http.request", "body": body, "more_body": False}
+        if not messages:
+            await asyncio.Event().wait()  # the connection stays open, and nothing more is sent
+        return messages.pop(0)
 
     async def send(message: Any) -> None:
         sent.append(message)
@@ -114,3 +127,12 @@
     assert (status, control.calls) == (200, [("retire", "store-a-1")])
     status, _, control = ask("POST", "/-/evac/a", body)
     assert (status, control.calls) == (200, [("evacuate", "a", True)])
+
+
+@pytest.mark.parametrize(
+    ("method", "path"), [("POST", "/-/evac/a"), ("DELETE", "/-/evac/a"), ("POST", "/-/retire/store-a-1")]
+)
+def test_an_order_without_a_version_tells_whether_its_sender_still_waits(method: str, path: str) -> None:
+    """An order whose sender had given up was carried out, and undid others that were acknowledged since."""
+    assert ask(method, path, b"{}")[2].sender_waits is True
+    assert ask(method, path, b"{}", gives_up=True)[2].sender_waits is False
--- a/tests/test_readable_code.py
+++ b/tests/test_readable_code.py
@@ -58,7 +58,7 @@
         "header_names", "json_delta", "tenant_keys", "schema", "settings", "accepted_orders", "nginx_import", "configuration",
         "configuration_check",
     ),
-    "runtime": ("deferred_import", "errors", "log_events", "ordered_set", "disk", "environment"),
+    "runtime": ("deferred_import", "errors", "log_events", "ordered_set", "disk", "environment", "pause_detector"),
     "rpc": ("idl", "codec", "framing", "connection", "peer_links", "peer_server"),
 }  # fmt: skip
 # Withdrawn words that still stand in names, by module, with the reason; docs/ROADMAP.md has what is to become of them.
