Bound the bytes of responses that lease items or page through results and records

Cause: a response had a bound on its rows and none on its bytes. A scheduler that has just taken over asks for an item for each free slot and a quarter more; the response was longer than a frame, so the scheduler closed the link (E102, "a frame of bytes"), and asked for the same again.

Change: ResponseBudget takes rows while they fit into a quarter of a frame, the first always; take, results, fetch and page use it, the last two had the same fault. TakeResponse.more has the scheduler ask again at once, so the serving order and the round are the same. A message that is too long is a fault where it is made, and no longer ends the other requests on its link.

Why it works: what a request brought is shorter than a frame by 4 KiB, so one row always fits; rows are taken in order and none after one that did not fit.

Found and not mended: the whole state of control with a document of 4 MiB takes 9,032,022 bytes, so no new backup could take it.

--- a/postpass/batch/dispatch.py
+++ b/postpass/batch/dispatch.py
@@ -200,9 +200,21 @@
         return lease_task
 
     async def lease(self, partition: int, wanted: dict[str, int]) -> None:
-        """Renews the lease of a partition and takes items; the lease runs from the time of the request.
+        """Renews the lease of a partition and takes items; asks again at once while more wait than one response holds."""
+        remaining = dict(wanted)
+        while (take_response := await self.take(partition, remaining)) is not None and take_response.more:
+            for grant in take_response.items:
+                remaining[grant.item_class] -= 1
+            self.wake.set()  # what has come is placed while the rest is requested
+            # Without an item in the response nothing would be different the next time.
+            if not take_response.items or not any(count > 0 for count in remaining.values()):
+                return
+
+    async def take(self, partition: int, wanted: dict[str, int]) -> TakeResponse | None:
+        """Renews the lease of a partition and takes items, once; the lease runs from the time of the request.
 
         An owner that knows of a scheduler with a higher term refuses; the next request then has a term above that.
+        Returns the owner's response; None if there was none, or if this scheduler is not the active one any more.
         """
         bounds = self.settings.bounds
         requested_at = now()
@@ -212,9 +224,9 @@
             fault = answer.unwrap_err()
             if fault.code == CONFLICT and fault.hint.isdigit():
                 self.election.exceed_term(int(fault.hint))
-            return
+            return None
         if not self.election.active:
-            return
+            return None
         self.items.leases[partition] = requested_at + bounds.item_lease
         take_response = TakeResponse.from_json(answer.unwrap())
         for job in take_response.stopped_jobs:
@@ -223,3 +235,4 @@
                 self.items.drop(item)
         for grant in take_response.items:
             self.items.add(LeasedItem.from_grant(partition, grant))
+        return take_response
--- a/postpass/batch/job.py
+++ b/postpass/batch/job.py
@@ -16,6 +16,7 @@
 
 from postpass.batch.messages import BudgetKey
 from postpass.replication.record_log import Base, Record
+from postpass.rpc.response_budget import ResponseBudget
 
 Body = dict[str, Any]
 Payload = bytes | memoryview
@@ -384,15 +385,19 @@
 
 
 def results_page(job: Job, covered: int, start: int, max_rows: int) -> ResultsPage:
-    """Returns covered results from index `start` on, in record order, at most `max_rows` of them.
+    """Returns covered results from index `start` on, in record order: at most `max_rows` of them, and as many as fit.
 
     Records are covered in order, so the covered results are a prefix of `order`, and a page that was read once reads
     the same for ever.
     """
-    covered_items = [item for item in job.order[start : start + max_rows] if job.results[item].seq <= covered]
-    rows = [
-        {"item": item, "status": job.results[item].status, "output": job.results[item].output} for item in covered_items
-    ]
-    next_start = start + len(covered_items)
+    rows: list[Body] = []
+    budget = ResponseBudget()
+    for item in job.order[start : start + max_rows]:
+        result = job.results[item]
+        row = {"item": item, "status": result.status, "output": result.output}
+        if result.seq > covered or not budget.accept(len(json.dumps(row))):
+            break
+        rows.append(row)
+    next_start = start + len(rows)
     ended = job.state == JobState.ENDED and job.state_seq <= covered
     return ResultsPage(rows, next_start, next_start == len(job.order) and (job.complete or ended))
--- a/postpass/batch/job_service.py
+++ b/postpass/batch/job_service.py
@@ -20,6 +20,7 @@
 from postpass.batch.quota_service import QuotaService
 from postpass.replication.partition import Partition
 from postpass.rpc.codec import Body, PeerResponse
+from postpass.rpc.response_budget import ResponseBudget
 from postpass.runtime.environment import now
 from postpass.runtime.errors import CONFLICT, NO_SPACE, NOT_FOUND, NOT_RESPONSIBLE, TIMED_OUT, Fault, FaultError
 
@@ -193,11 +194,10 @@
     def covered_rows(self, partition: Partition, job: Job, start: int) -> list[ResultRow]:
         """Returns covered results from a position on, as many as fit on a page."""
         rows: list[ResultRow] = []
-        size = 0
+        budget = ResponseBudget(PAGE_BYTES)
         for position in job.order[start : start + PAGE_ITEMS]:
             result = job.results[position]
-            size += len(result.output) + ROW_BYTES
-            if result.seq > partition.covered or (rows and size > PAGE_BYTES):
+            if result.seq > partition.covered or not budget.accept(len(result.output) + ROW_BYTES):
                 break
             rows.append({"id": job.body["items"][position]["id"], "state": result.status, "text": result.output})
         return rows
--- a/postpass/batch/leases.py
+++ b/postpass/batch/leases.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import base64
+import json
 from collections import Counter, defaultdict
 from dataclasses import dataclass, field
 from itertools import islice
@@ -22,11 +23,13 @@
 from postpass.routing.fair_share import Demand, fair_serving_order
 from postpass.routing.item_order import usual_seconds
 from postpass.rpc.codec import Body, PeerResponse
+from postpass.rpc.response_budget import ResponseBudget
 from postpass.runtime.environment import now
 from postpass.runtime.errors import BAD_REQUEST, CONFLICT, TIMED_OUT, Fault, FaultError
 from postpass.worker_api.openai import Prompt
 
 DEFAULT_TRIES = 5  # failures after which an item of a class is given up
+GRANT_BYTES = 512  # of an item in a response, beside its texts, body and headers
 OWNER_LEASE_FACTOR = 2  # an owner holds an item as leased for this many times the duration that a scheduler relies on
 
 
@@ -113,6 +116,15 @@
     )  # fmt: skip
 
 
+def grant_bytes(job: Job, position: int) -> int:
+    """Returns about how many bytes an item takes in a response: texts are escaped there, and bodies are base64."""
+    item = job.body["items"][position]
+    if "route" not in job.body:
+        return GRANT_BYTES + len(json.dumps([*job.body.get("shared", []), item]))
+    body_size: int = item["size"]
+    return GRANT_BYTES + 4 * -(-body_size // 3) + len(json.dumps(item))
+
+
 def job_demand(job: Job, leased: int) -> Demand:
     """Returns the demand of a job's items that wait and are not leased. For classes, clients are not distinguished."""
     waiting = max(0, job.size - len(job.results) - leased)
@@ -162,7 +174,10 @@
         return Ok(self.grant(partition, state, request, expires_at).as_json())
 
     def grant(self, partition: Partition, state: OwnerState, request: TakeRequest, expires_at: float) -> TakeResponse:
-        """Leases as many items of each class as are wanted, until the loop time `expires_at`."""
+        """Leases as many items of each class as are wanted and fit into a response, until the loop time `expires_at`.
+
+        Where they don't fit, the scheduler asks again at once, so that the serving order is the same.
+        """
         view = partition.view
         jobs = [
             job
@@ -170,6 +185,7 @@
             if job.state == JobState.OPEN and not job.complete and job.seq <= partition.covered
         ]
         wanted, waiting = dict(request.wanted), dict.fromkeys(request.wanted, 0)
+        budget = ResponseBudget()
         leased = Counter(key.job for key in state.leases if key.position not in view.jobs[key.job].results)
         grants = []
         if any(wanted.values()):
@@ -182,10 +198,12 @@
                 i for i in range(job.size) if i not in job.results and (job.id, i) not in state.leases
             )
             for position in list(islice(available_positions, max(wanted.get(item_class, 0), 0))):
+                if not budget.accept(grant_bytes(job, position)):
+                    break
                 state.leases[ItemKey(job.id, position)] = Lease(request.scheduler, expires_at, now())
                 grants.append(item_grant(job, position))
                 wanted[item_class] -= 1
-        return TakeResponse(grants, ended_jobs(view, request.leased), waiting)
+        return TakeResponse(grants, ended_jobs(view, request.leased), waiting, budget.exhausted)
 
     def in_serving_order(self, jobs: list[Job], state: OwnerState, leased: Counter[str]) -> list[Job]:
         """Returns jobs in the order in which their items are leased; `leased` has the number of leased items by job."""
--- a/postpass/batch/messages.py
+++ b/postpass/batch/messages.py
@@ -144,21 +144,29 @@
     """An owner's response to `take`.
 
     `items` are leased to the scheduler, which is to stop the items of `stopped_jobs` that it holds. `waiting` counts by
-    class the items that no scheduler held before this response; schedulers of earlier releases read it.
+    class the items that no scheduler held before this response; schedulers of earlier releases read it. `more` says that
+    further wanted items wait, which the response had no room for.
     """
 
     items: list[ItemGrant]
     stopped_jobs: list[str]
     waiting: dict[str, int] = field(default_factory=dict)
+    more: bool = False
 
     def as_json(self) -> Body:
         """Returns the body of the response."""
-        return {"items": [item.as_json() for item in self.items], "stop": self.stopped_jobs, "ahead": self.waiting}
+        body: Body = {
+            "items": [item.as_json() for item in self.items],
+            "stop": self.stopped_jobs,
+            "ahead": self.waiting,
+        }
+        return body | {"more": 1} if self.more else body
 
     @classmethod
     def from_json(cls, body: Body) -> TakeResponse:
         """Decodes the body of a response."""
-        return cls([ItemGrant.from_json(row) for row in body["items"]], body["stop"], body["ahead"])
+        items = [ItemGrant.from_json(row) for row in body["items"]]
+        return cls(items, body["stop"], body["ahead"], bool(body.get("more")))
 
 
 @dataclass(frozen=True)
--- a/postpass/replication/catch_up.py
+++ b/postpass/replication/catch_up.py
@@ -13,9 +13,10 @@
 from postpass.replication.partition_table import PartitionTable
 from postpass.replication.record_log import Record, RecordLog, last_common_seq
 from postpass.rpc.codec import Body, PeerResponse
+from postpass.rpc.response_budget import ResponseBudget
 from postpass.runtime.errors import NOT_RESPONSIBLE, Fault
 
-PIECE_BYTES = 256 << 10  # about how many bytes of records, or at most of a base, one answer holds
+PIECE_BYTES = 256 << 10  # most bytes of a base, or of records unless a single one is longer, in one answer
 
 
 @dataclass(eq=False)
@@ -94,12 +95,11 @@
             piece = BasePiece(record_log.base_seq, record_log.base_epoch, len(base), data)
             return Ok(FetchAnswer([], piece).encode())
         records: list[Record] = []
-        size = 0
+        budget = ResponseBudget(PIECE_BYTES)
         for record in record_log.after(request.after):
-            records.append(record)
-            size += len(record.body)
-            if size > PIECE_BYTES:
+            if not budget.accept(len(record.body)):
                 break
+            records.append(record)
         return Ok(FetchAnswer(records).encode())
 
     def adopt(self, partition: Partition, staged_log: RecordLog) -> None:
--- a/postpass/rpc/connection.py
+++ b/postpass/rpc/connection.py
@@ -19,12 +19,14 @@
 from postpass.configuration.settings import split_address
 from postpass.rpc import codec
 from postpass.rpc.codec import HANDSHAKE, IDL, WIRE_VERSIONS, Body, PeerResponse
-from postpass.rpc.framing import FRAME_HEAD, STREAM_BUFFER_BYTES, BoundedFrames, Stream
+from postpass.rpc.framing import FRAME_HEAD, MAXIMUM_FRAME_BYTES, STREAM_BUFFER_BYTES, BoundedFrames, Stream, too_long
 from postpass.runtime import log_events
 from postpass.runtime.errors import TIMED_OUT, Fault
 from postpass.runtime.log_events import Event
 
 MAXIMUM_SEQUENCE = 0x7FFFFFFF
+# The longest text of a request. What it holds, such as the item of a job, still fits into a response with other keys.
+MAXIMUM_REQUEST_BYTES = MAXIMUM_FRAME_BYTES - (4 << 10)
 # Divisors of the time limit for the early attempts to connect (1/8 and 1/4 of it); the last attempt takes the remaining
 # 5/8. There are several attempts because the operating system repeats a lost SYN packet only after seconds. Each
 # attempt lasts longer than the one before, so that one of them succeeds on a slow network too.
@@ -159,9 +161,13 @@
         """
         if self.closed:
             return Err(Fault(verb, self.address, "the link is closed", unsent=True))
+        text = codec.encode_body(body)
+        if len(text) > MAXIMUM_REQUEST_BYTES:
+            # It would close the link, and end all other requests on it.
+            return Err(Fault(verb, self.address, too_long(len(text)), unsent=True))
         future: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
         sent_at = asyncio.get_running_loop().time()
-        sequence = self.put(verb, codec.encode_body(body))
+        sequence = self.put(verb, text)
         self.pending[sequence] = future
         try:
             async with asyncio.timeout(limit):
--- a/postpass/rpc/framing.py
+++ b/postpass/rpc/framing.py
@@ -22,6 +22,11 @@
     """A peer announced a frame that is empty or longer than `MAXIMUM_FRAME_BYTES`."""
 
 
+def too_long(size: int) -> str:
+    """Returns the reason why a message of so many bytes is not sent."""
+    return f"a message of {size} bytes; a frame holds {MAXIMUM_FRAME_BYTES}"
+
+
 class Stream:
     """The socket interface that the thrift library's transports use, on top of asyncio's streams."""
 
--- a/postpass/rpc/peer_server.py
+++ b/postpass/rpc/peer_server.py
@@ -24,7 +24,7 @@
     PeerResponse,
     UnknownMessageError,
 )
-from postpass.rpc.framing import FRAME_HEAD, STREAM_BUFFER_BYTES, BoundedFrames, Stream
+from postpass.rpc.framing import FRAME_HEAD, MAXIMUM_FRAME_BYTES, STREAM_BUFFER_BYTES, BoundedFrames, Stream, too_long
 from postpass.runtime import log_events
 from postpass.runtime.errors import PEER_FAILED, Fault
 from postpass.runtime.log_events import Event
@@ -148,11 +148,24 @@
             result.fault = codec.encode_fault(response.unwrap_err())
         try:
             data = codec.encode_message(verb, TMessageType.REPLY, sequence, result)
+            if len(data) > MAXIMUM_FRAME_BYTES:
+                data = self._encode_too_long(verb, sequence, len(data))
             writer.write(FRAME_HEAD.pack(len(data)) + data)
             await writer.drain()
         except (ConnectionError, RuntimeError):
             pass
 
+    def _encode_too_long(self, verb: str, sequence: int, size: int) -> bytes:
+        """Returns the message that takes the place of a response which is too long for a frame.
+
+        The response itself would close the link, and end all other requests on it.
+        """
+        why = too_long(size)
+        log_events.emit(Event.HANDLER_FAILED, self.process, step=verb, why=why)
+        result = getattr(IDL.Peer, verb + "_result")()
+        result.fault = codec.encode_fault(Fault(verb, self.process, why, PEER_FAILED))
+        return codec.encode_message(verb, TMessageType.REPLY, sequence, result)
+
 
 def _peer_name(writer: asyncio.StreamWriter) -> str:
     """Returns the remote address of a link, for events."""
--- a/tests/test_readable_code.py
+++ b/tests/test_readable_code.py
@@ -59,7 +59,7 @@
         "configuration_check",
     ),
     "runtime": ("deferred_import", "errors", "log_events", "ordered_set", "disk", "environment", "pause_detector"),
-    "rpc": ("idl", "codec", "framing", "connection", "peer_links", "peer_server"),
+    "rpc": ("idl", "codec", "framing", "response_budget", "connection", "peer_links", "peer_server"),
 }  # fmt: skip
 # Withdrawn words that still stand in names, by module, with the reason; docs/ROADMAP.md has what is to become of them.
 STANDING_NAMES: dict[str, set[str]] = {
