--- a/postpass/batch/item_request.py
+++ b/postpass/batch/item_request.py
@@ -9,6 +9,7 @@
 from typing import Protocol
 
 from postpass.batch.messages import Item
+from postpass.batch.run_progress import RunProgress
 from postpass.configuration.header_names import Dialect
 from postpass.gateway.client_identity import ClientIdentity
 from postpass.gateway.http_headers import AUTHORIZATION
@@ -180,12 +181,12 @@
 
 async def run_item(
     workers: Workers, dialect: Dialect, url: str, worker: str, host: str, item: Item, client: ClientIdentity,
-    text: ItemText, admission_check: Callable[[], str], limit: float,
+    text: ItemText, progress: RunProgress, admission_check: Callable[[], str], limit: float,
 ) -> RunEnd:  # fmt: skip
     """Runs an item of a client's job at a worker, for at most `limit` seconds, continuing after what `text` has.
 
     Returns how it ended: done, failed or never. Raises FaultError otherwise: with `unsent`, or the hint REJECTED_HINT,
-    if the worker did not run it. What has arrived of the text is kept in any case.
+    if the worker did not run it. What has arrived of the text is kept in any case; `progress` is updated as it arrives.
     """
     exchange = await workers.request(
         url.removeprefix("http://"), "POST", item["path"].encode("latin-1"),
@@ -194,13 +195,14 @@
         expect=(dialect.request_id.encode(), item["id"].encode()),
     )  # fmt: skip
     try:
+        progress.record_received()
         check_head(exchange, dialect, worker)
         if exchange.status in FINAL_STATUSES:
             await drain_body(exchange, worker)
             return FINAL_STATUSES[exchange.status]
         if exchange.status != 200:
             raise FaultError(Fault("run item", worker, f"status {exchange.status}", PEER_FAILED))
-        await read_text(exchange, text, worker)
+        await read_text(exchange, text, progress, worker)
         return RunEnd.DONE
     finally:
         exchange.close()
@@ -215,10 +217,11 @@
         raise FaultError(Fault("run item", worker, checked.why, PEER_FAILED))
 
 
-async def read_text(exchange: Exchange, text: ItemText, worker: str) -> None:
+async def read_text(exchange: Exchange, text: ItemText, progress: RunProgress, worker: str) -> None:
     """Reads the events of a response into a text; raises FaultError if they are cut off, or there are none."""
     events = EventReader(text)
     async for chunk in exchange.chunks():
+        progress.record_received()
         events.feed(chunk)
     if not events.complete or text.last < 0:
         raise FaultError(Fault("run item", worker, "the answer ended within an event", PEER_FAILED))
--- a/postpass/batch/item_run.py
+++ b/postpass/batch/item_run.py
@@ -108,14 +108,14 @@
                 item.not_before = now() + poll
                 run_end = RunEnd.CUT
         except asyncio.CancelledError:
-            item.task = None
+            item.end_run()
             raise
         finally:
             limit.running -= 1
             self.slot_freed.set()
         self.ended_items.labels(item.item_class, run_end).inc()
         if run_end not in ROUTE_STATUS:
-            item.task = None
+            item.end_run()
             return
         text = item.text.text if run_end == RunEnd.DONE else ""
         await self.finish(item, ItemResult(ROUTE_STATUS[run_end], text, item.tries, output_checksum(text)))
@@ -127,11 +127,12 @@
         """
         assert self.workers is not None
         assert item.request is not None
+        assert item.progress is not None
         pool, worker = item.pool, item.worker
         url = configuration["pools"][pool]["servers"][worker]["url"]
         return await run_item(
             self.workers, self.dialect, url, worker, route["host"], item.request,
-            ClientIdentity(item.client, hides_key="tenants" in configuration), item.text,
+            ClientIdentity(item.client, hides_key="tenants" in configuration), item.text, item.progress,
             lambda: self.route_admission_check(item, pool, worker), self.settings.bounds.recover * ROUTE_TIMEOUT,
         )  # fmt: skip
 
@@ -157,7 +158,7 @@
             if error.fault.unsent:
                 worker_state.unusable_reason = worker_state.unusable_reason or error.fault.why
         except asyncio.CancelledError:
-            item.task = None
+            item.end_run()
             raise
         finally:
             worker_state.in_flight[item.item_class] -= 1
@@ -176,6 +177,8 @@
         ):  # fmt: skip
             output.append(text)
             item.pieces += 1
+            if item.progress is not None:
+                item.progress.record_received()
         return "".join(output)
 
     # --- the end of an item
@@ -186,7 +189,7 @@
                 await self.report_result(item, result)
         finally:
             self.items.remove(item)
-            item.task = None
+            item.end_run()
 
     async def report_result(self, item: LeasedItem, result: ItemResult) -> None:
         """Reports a result to the owner, whichever machine that is by now; the owner may receive it more than once.
--- a/postpass/batch/leased_items.py
+++ b/postpass/batch/leased_items.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Iterator
+from collections.abc import Coroutine, Iterator
 from dataclasses import dataclass, field
+from typing import Any
 
 from postpass.batch.item_request import ItemText
 from postpass.batch.messages import Item, ItemGrant, ItemKey
+from postpass.batch.run_progress import RunProgress
 from postpass.runtime.environment import now
 from postpass.worker_api.openai import Prompt
 
@@ -33,6 +35,8 @@
     worker: str = ""
     task: asyncio.Task[None] | None = None
     pieces: int = 0  # pieces of output that have arrived in this run
+    progress: RunProgress | None = None  # of the run that lasts, or of the last one
+    waiting_since: float = 0.0  # loop time, in seconds, at which it came here or its last run ended
     # Only for an item of a route: the request, the pool it was placed in, and the text so far.
     request: Item | None = None
     tries: int = 0  # failures after which it is given up
@@ -56,6 +60,7 @@
             request=grant.request,
             tries=grant.tries,
             since=grant.since,
+            waiting_since=now(),
         )
 
     @property
@@ -73,6 +78,16 @@
         """Whether a task is running the item."""
         return self.task is not None
 
+    def start_run(self, run: Coroutine[Any, Any, None]) -> None:
+        """Starts a run of the item in a task of its own."""
+        self.progress = RunProgress.begin()
+        self.task = asyncio.create_task(run)
+
+    def end_run(self) -> None:
+        """Notes that the run has ended, so that the item waits again."""
+        self.task = None
+        self.waiting_since = now()
+
 
 def due_order(item: LeasedItem) -> tuple[float, str, int]:
     """Returns the sort key for items by due time, then by job and position."""
--- a/postpass/batch/placement.py
+++ b/postpass/batch/placement.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import hashlib
 import math
 from collections import Counter
@@ -85,7 +84,7 @@
                 continue
             item.worker, item.pieces = worker, 0
             pool = configuration["classes"][item.item_class]["pool"]
-            item.task = asyncio.create_task(self.runner.run_prompt(configuration, pool, item))
+            item.start_run(self.runner.run_prompt(configuration, pool, item))
 
     def worker_for_prompt(self, configuration: Configuration, item: LeasedItem, slots: Slots) -> str | None:
         """Returns the worker that the class's plug-ins choose for an item; None if none has a free slot."""
@@ -150,7 +149,7 @@
         item.worker = worker
         free.take(item.pool, worker)
         self.capacity.limits[(item.pool, worker)].running += 1
-        item.task = asyncio.create_task(self.runner.run_request(configuration, route, item))
+        item.start_run(self.runner.run_request(configuration, route, item))
 
     @property
     def earliest_due(self) -> float:
--- a/postpass/batch/scheduler.py
+++ b/postpass/batch/scheduler.py
@@ -19,6 +19,7 @@
 from postpass.batch.dispatch import Dispatcher
 from postpass.batch.item_run import ItemRunner
 from postpass.batch.leased_items import LeasedItems
+from postpass.batch.leased_items_status import most_silent_run, register_leased_items_gauges
 from postpass.batch.owner_client import OwnerClient
 from postpass.batch.placement import Placement
 from postpass.batch.scheduler_election import SchedulerElection
@@ -87,6 +88,7 @@
         Gauge("postpass_items_waiting", "Items held that wait for a slot", registry=self.registry).set_function(
             lambda: len(self.items.waiting())
         )
+        register_leased_items_gauges(self.registry, self.items)
         Gauge("postpass_sched_active", "1 while this daemon schedules", registry=self.registry).set_function(
             lambda: float(self.active)
         )
@@ -144,4 +146,5 @@
             "term": self.election.term,
             "held": len(self.items),
             "running": len(self.items.running()),
+            "most_silent": most_silent_run(self.items),
         }
--- a/postpass/cli/doctor.py
+++ b/postpass/cli/doctor.py
@@ -1,6 +1,6 @@
 """The faults that `postpassctl doctor` finds, as a pure function of two snapshots of the fleet, taken one after the other.
 
-The codes D02 to D16 are described in `docs/operators.md`. D01, that the configuration can't be read, is reported by the
+The codes D02 to D17 are described in `docs/operators.md`. D01, that the configuration can't be read, is reported by the
 command itself, since there is no snapshot without the configuration.
 """
 
@@ -17,6 +17,7 @@
 
 MIN_FREE_SHARE = 0.1  # of a disk's size
 MAX_REPLICA_LAG = 500  # records
+MAX_SILENT_S = 10.0  # seconds in which the worker of an item sends nothing
 
 
 @dataclass(frozen=True)
@@ -70,6 +71,11 @@
                       "see its log; a frozen daemon must be woken or killed")  # fmt: skip
     if machine.store is not None:
         yield from _store_findings(name, machine.store)
+    run = machine.most_silent_run
+    if run is not None and run.silent_s > MAX_SILENT_S:
+        yield Finding("D17", name, f"item {run.position} of job {run.job} has run at {run.worker} for {run.running_s:.0f} s, "
+                      f"of which it sent nothing for the last {run.silent_s:.0f} s",
+                      "look at this worker; if it is stuck, restart it: its items then go on elsewhere")  # fmt: skip
     for key, worker in machine.workers.items():
         if worker.blocked_reason.startswith("weights"):
             remedy = "load the right weights, or correct them in the manifest"
--- a/postpass/cli/status_page.py
+++ b/postpass/cli/status_page.py
@@ -83,6 +83,22 @@
     requests: int
 
 
+@dataclass(frozen=True)
+class ItemRunStatus:
+    """The run of an item at a worker, as its scheduler sees it; `silent_s` is for how long the worker has sent nothing."""
+
+    job: str
+    position: int
+    worker: str
+    running_s: float
+    silent_s: float
+
+    @classmethod
+    def from_json(cls, raw: Mapping[str, Any]) -> Self:
+        """Parses a run in the status of a scheduler."""
+        return cls(raw["job"], raw["item"], raw["worker"], raw["running_s"], raw["silent_s"])
+
+
 @dataclass(frozen=True)
 class MachineStatus:
     """A machine that answered.
@@ -108,6 +124,7 @@
         default_factory=dict
     )  # jobs that got no acknowledgement since the process started, by partition
     running_jobs: int | None = None  # None except at the machine that runs the active scheduler
+    most_silent_run: ItemRunStatus | None = None  # of all items that run from here, that with the longest silence
 
     @classmethod
     def from_json(cls, raw: Mapping[str, Any]) -> Self:
@@ -128,6 +145,7 @@
             workers={key: WorkerStatus(w["barred"], w["mine"]) for key, w in raw.get("servers", {}).items()},
             unkept_jobs={int(number): count for number, count in raw.get("unkept", {}).items()},
             running_jobs=scheduler["running"] if scheduler.get("active") else None,
+            most_silent_run=ItemRunStatus.from_json(run) if (run := scheduler.get("most_silent")) else None,
         )
 
 
--- a/tests/batch/test_item_answers.py
+++ b/tests/batch/test_item_answers.py
@@ -67,3 +67,12 @@
         outcome = run_items(ItemScene(((play,), (play,)), (1,)))
         assert judge_items(outcome) == []
         assert play.cut_end == "silence" or len(outcome.results) == 1
+
+
+@pytest.mark.parametrize("sent_share", [0.0, 0.1, 0.5, 0.9])
+def test_an_item_whose_worker_falls_silent_within_its_answer_is_not_left_lying(sent_share: float) -> None:
+    # Issue 47: the run lasted for its whole limit of two minutes, its lease was renewed, and no other worker got the item.
+    size = len(run_items(ItemScene(((),), (1,))).record.runs[0].raw)
+    silent = Play(cut=int(size * sent_share), cut_end="silence", silence_s=600.0)
+    outcome = run_items(ItemScene(((silent,), ()), (2,)))
+    assert judge_items(outcome) == [] and len(outcome.results) == 2
--- a/tests/batch/test_item_request.py
+++ b/tests/batch/test_item_request.py
@@ -9,6 +9,7 @@
 
 from postpass.batch.item_request import EventReader, ItemText, request_headers, run_item
 from postpass.batch.messages import Item
+from postpass.batch.run_progress import RunProgress
 from postpass.configuration.header_names import Dialect
 from postpass.gateway.client_identity import PUBLIC, WITHOUT_TENANTS, ClientIdentity
 from postpass.gateway.connection_pool import ConnectionPool
@@ -117,7 +118,8 @@
             text = ItemText()
             try:
                 ending: str = await run_item(
-                    connections, Dialect(), "http://w:1", "w1", "h", ITEM, WITHOUT_TENANTS, text, lambda: "", 1.0
+                    connections, Dialect(), "http://w:1", "w1", "h", ITEM, WITHOUT_TENANTS, text, RunProgress.begin(),
+                    lambda: "", 1.0,
                 )  # fmt: skip
             except FaultError as error:
                 ending = error.fault.hint or "broken"
--- a/tests/cli/test_doctor.py
+++ b/tests/cli/test_doctor.py
@@ -55,3 +55,7 @@
     assert codes(partition(last=9, covered=5, epoch=99), behind) == set()
     unkept = machine("e1", unkept={"3": 2})
     assert codes(unkept) == {"D16"} and codes(unkept, unkept) == set()
+    run = {"job": "x", "item": 3, "worker": "w1", "running_s": 24.1, "silent_s": 23.5}
+    scheduling = {"active": True, "held": 4, "running": 4, "term": 1}
+    assert codes(machine("e1", sched=scheduling | {"most_silent": run})) == {"D17"}
+    assert codes(machine("e1", sched=scheduling | {"most_silent": run | {"silent_s": 0.2}})) == set()
--- a/tests/support/answers.py
+++ b/tests/support/answers.py
@@ -91,6 +91,7 @@
     delay: float = 0.0  # seconds before the first byte
     cut: int | None = None  # only so many bytes leave
     cut_end: str = "reset"
+    silence_s: float = CALLER_PATIENCE  # seconds of silence if the bytes end in it
     flip: tuple[int, int] | None = None  # a bit of a byte of the head is turned
     surplus: str = ""
     surplus_delay: float = 0.0
@@ -212,7 +213,7 @@
         data = run.raw if play.cut is None else run.raw[: play.cut % len(run.raw)]
         await self.send(stream, data, play.splits)
         if play.cut is not None and play.cut_end == "silence":
-            await asyncio.sleep(CALLER_PATIENCE)
+            await asyncio.sleep(play.silence_s)
         if play.cut is not None or play.closes or play.framing == "no length":
             if play.cut_end == "lost":
                 stream.reset()
