Give up an item's run whose worker is silent, and continue it at another worker

Cause: the run of an item had one limit, ten times the recovery bound (120 s). A worker that takes a request or begins its answer and then says nothing, on a connection that stays open, kept the item for that long; the scheduler renewed its lease meanwhile. Live requests have deadlines, items have none.

Change: a run without a byte for half the recovery bound is given up, and after a sixth of it if the same worker has done an item meanwhile that began later. The connection is closed first, the text so far is continued, another worker is preferred, and the limit doubles with each silent run, so that an item ends where all workers are slow. Silence is counted in checks, so a pause of this process is one check. E155 names the job, item, worker and times.

--- a/postpass/batch/capacity.py
+++ b/postpass/batch/capacity.py
@@ -13,6 +13,7 @@
 from prometheus_client import Counter
 
 from postpass.batch.leased_items import LeasedItem, LeasedItems
+from postpass.batch.run_progress import RunProgress
 from postpass.configuration.configuration import Class, Configuration
 from postpass.configuration.settings import Settings
 from postpass.gateway.worker_load import WorkerLoad, integer_share
@@ -127,12 +128,14 @@
 class WorkerLimit:
     """The number of items of routes that one worker may run, adapted to whether it rejected or ran previous ones.
 
+    `latest_done_start` is the loop time, in seconds, at which the youngest of its runs that ended as done began.
     Invariant: `max_items` is between 1 and the worker's number of slots.
     """
 
     max_items: float
     closed_until: float = 0.0  # loop time in seconds
     running: int = 0
+    latest_done_start: float = -math.inf
 
     def rejected(self, pause: float) -> None:
         """Halves the limit after the worker rejected an item, and closes it to items for `pause` seconds."""
@@ -142,6 +145,14 @@
         """Raises the limit, up to the worker's slots, after it ran an item."""
         self.max_items = min(max(1.0, float(slots)), self.max_items + LIMIT_INCREASE)
 
+    def record_done(self, started_at: float) -> None:
+        """Records that a run that began at the loop time `started_at` ended as done."""
+        self.latest_done_start = max(self.latest_done_start, started_at)
+
+    def has_overtaken(self, progress: RunProgress) -> bool:
+        """Returns whether the worker has done a run that began after it last sent something in this one."""
+        return self.latest_done_start > progress.received_at
+
     @property
     def allowed(self) -> float:
         """The number of items that may run there now; 0 during the pause after a rejection."""
--- a/postpass/batch/item_request.py
+++ b/postpass/batch/item_request.py
@@ -20,6 +20,7 @@
 MAX_LINE_BYTES = 1 << 20  # longest line of a response
 MAX_FAILURE_BYTES = 1 << 20  # largest body of a failure response
 REJECTED_HINT = "shed"  # hint of a fault: the worker rejected the request without running it
+SILENT_HINT = "silent"  # hint of a fault: the worker sent nothing for too long
 # Headers that concern one connection only, or that are set here; a client's are not forwarded.
 OWN_HEADERS = frozenset(
     {"host", "connection", "keep-alive", "te", "trailer", "transfer-encoding", "upgrade", "content-length"}
@@ -33,6 +34,7 @@
     FAILED = "failed"  # the worker responded with status 500: a retry may succeed
     NEVER = "never"  # the worker responded with status 422: no retry will succeed
     NOT_RUN = "unsent"  # the worker certainly did not run the item
+    SILENT = "silent"  # the worker of an item of a route sent nothing for too long
     CUT = "cut"  # the response to an item of a route was cut off
     BROKEN = "broken"  # the response to an item of a class was cut off
 
--- a/postpass/batch/item_run.py
+++ b/postpass/batch/item_run.py
@@ -10,25 +10,28 @@
 from result import Ok
 
 from postpass.batch.capacity import PROBES_UNTIL_STALE, RouteCapacity
-from postpass.batch.item_request import REJECTED_HINT, RunEnd, Workers, run_item
+from postpass.batch.item_request import REJECTED_HINT, SILENT_HINT, RunEnd, Workers, run_item
 from postpass.batch.leased_items import LeasedItem, LeasedItems
 from postpass.batch.messages import ItemKey, ItemResult, ItemStatus, output_checksum
 from postpass.batch.owner_client import OwnerClient
 from postpass.batch.scheduler_election import SchedulerElection
+from postpass.batch.silence_watch import end_if_silent
 from postpass.configuration.configuration import Configuration, Route
 from postpass.configuration.header_names import Dialect
 from postpass.configuration.settings import Settings
 from postpass.feed.configuration_view import ConfigurationView
 from postpass.gateway.client_identity import ClientIdentity
 from postpass.gateway.worker_load import WorkerLoad
+from postpass.runtime import log_events
 from postpass.runtime.environment import now
-from postpass.runtime.errors import NOT_RESPONSIBLE, Fault, FaultError
+from postpass.runtime.errors import NOT_RESPONSIBLE, TIMED_OUT, Fault, FaultError
 from postpass.worker_api.openai import complete
 
 if TYPE_CHECKING:
     import aiohttp
 
 ROUTE_STATUS = {RunEnd.DONE: ItemStatus.DONE, RunEnd.FAILED: ItemStatus.FAILED, RunEnd.NEVER: ItemStatus.ABANDONED}
+RUN_SILENT = 155  # number of the log event
 ROUTE_TIMEOUT = 10  # time limit of a run of an item of a route, in multiples of the recovery bound
 
 
@@ -97,6 +100,8 @@
         try:
             run_end = await self.send_request(configuration, route, item)
             limit.completed(slots)
+            if run_end == RunEnd.DONE:
+                limit.record_done(started_at)
             self.capacity.record_run(now() - started_at)
         except FaultError as error:
             poll = self.settings.bounds.scheduling_pause
@@ -104,6 +109,11 @@
                 limit.rejected(poll)
                 item.not_before = now() + poll / 4
                 run_end = RunEnd.NOT_RUN
+            elif error.fault.hint == SILENT_HINT:
+                limit.rejected(poll)
+                item.silent_workers.add(item.worker)
+                item.silent_runs += 1
+                run_end = RunEnd.SILENT
             else:
                 item.not_before = now() + poll
                 run_end = RunEnd.CUT
@@ -130,11 +140,33 @@
         assert item.progress is not None
         pool, worker = item.pool, item.worker
         url = configuration["pools"][pool]["servers"][worker]["url"]
-        return await run_item(
-            self.workers, self.dialect, url, worker, route["host"], item.request,
-            ClientIdentity(item.client, hides_key="tenants" in configuration), item.text, item.progress,
-            lambda: self.route_admission_check(item, pool, worker), self.settings.bounds.recover * ROUTE_TIMEOUT,
-        )  # fmt: skip
+        bounds = self.settings.bounds
+        try:
+            async with end_if_silent(item.progress, lambda: self.silence_limit(item), bounds.silence_check_interval):
+                return await run_item(
+                    self.workers, self.dialect, url, worker, route["host"], item.request,
+                    ClientIdentity(item.client, hides_key="tenants" in configuration), item.text, item.progress,
+                    lambda: self.route_admission_check(item, pool, worker), bounds.recover * ROUTE_TIMEOUT,
+                )  # fmt: skip
+        except TimeoutError as error:
+            log_events.emit(
+                RUN_SILENT, self.settings.name, job=item.job, item=item.position, worker=worker,
+                running=f"{item.progress.running_s:.3f}", silent=f"{item.progress.silent_s:.3f}",
+            )  # fmt: skip
+            raise FaultError(
+                Fault("run item", worker, "it sent nothing for too long", TIMED_OUT, SILENT_HINT)
+            ) from error
+
+    def silence_limit(self, item: LeasedItem) -> float:
+        """Returns for how many seconds the worker of a running item of a route may send nothing.
+
+        A slow worker begins its items in the order in which they came, so one that has done a later item has left this
+        one out. The limit doubles with each silent run: where all workers are slow, an item still ends.
+        """
+        assert item.progress is not None
+        bounds, limit = self.settings.bounds, self.capacity.limits[(item.pool, item.worker)]
+        first = bounds.overtaken_silence_limit if limit.has_overtaken(item.progress) else bounds.silence_limit
+        return first * (1 << item.silent_runs)
 
     # --- items of classes
     def prompt_admission_check(self, item: LeasedItem, pool: str) -> str:
--- a/postpass/batch/leased_items.py
+++ b/postpass/batch/leased_items.py
@@ -44,6 +44,8 @@
     pool: str = ""
     text: ItemText = field(default_factory=ItemText)
     not_before: float = 0.0  # loop time before which it isn't placed again, in seconds
+    silent_runs: int = 0  # runs that were given up because the worker was silent
+    silent_workers: set[str] = field(default_factory=set)  # those that fell silent in a run of it
     reporting: bool = False  # whether its result is being reported to the owner
 
     @classmethod
--- a/postpass/batch/placement.py
+++ b/postpass/batch/placement.py
@@ -176,9 +176,11 @@
         """Returns the worker for an item; None if none has a free slot.
 
         Among workers with equally many free slots, items with the same shared prompt prefix go to the same one; so do
-        items of the same job if their headers name no prefix.
+        items of the same job if their headers name no prefix. A worker that fell silent in a run of the item is taken
+        only if no other has a free slot.
         """
         if item.request is None:
             return None
         item_affinity_key = prompt_prefix(item.request["headers"], self.runner.dialect) or item.job
+        slots = {worker: free for worker, free in slots.items() if worker not in item.silent_workers} or slots
         return choose_item_worker(slots, item_affinity_key.encode(), self.capacity.options)
--- a/postpass/configuration/settings.py
+++ b/postpass/configuration/settings.py
@@ -104,6 +104,7 @@
       the order serves within the bound.
     - item_lease + scheduling_pause <= end: the items of an ended job stop within its bound.
     - feed_interval * 2 <= manifest: a daemon polls twice within the bound.
+    - overtaken_silence_limit < silence_limit < recover: a run that is given up can begin again within the bound.
     - probe_interval * 3 <= leave: a worker's state is read three times within the bound.
     - acknowledge * 10 <= resend_period: an order is still recognised long after its sender must have received an
       answer.
@@ -186,6 +187,21 @@
         """Seconds for which a scheduler may run items of a partition, counted from its request to the owner."""
         return self.end / 3
 
+    @property
+    def silence_limit(self) -> float:
+        """Seconds without a byte from its worker after which the first run of an item is given up."""
+        return self.recover / 2
+
+    @property
+    def overtaken_silence_limit(self) -> float:
+        """The same if the worker has meanwhile completed an item that it got later."""
+        return self.recover / 6
+
+    @property
+    def silence_check_interval(self) -> float:
+        """Seconds between two checks of whether the worker of an item is silent."""
+        return self.recover / 24
+
     @property
     def isolation_time(self) -> float:
         """Seconds without contact to any other daemon after which a daemon is isolated."""
--- a/postpass/runtime/log_events.py
+++ b/postpass/runtime/log_events.py
@@ -68,6 +68,7 @@
     CAPACITY_RECLAIMED = 152
     WORKER_STATE_CHANGED = 153
     PLUGIN_FAILED = 154
+    ITEM_RUN_SILENT = 155
     REQUEST_BROKEN = 160
     REQUEST_CLAIMED = 161
     PROXY_BROKEN = 170
@@ -131,6 +132,7 @@
     Event.CAPACITY_RECLAIMED: "Batch items were cancelled at a worker to hand capacity back to live requests.",
     Event.WORKER_STATE_CHANGED: "A worker's state as seen here changed: up, down, leaving, odd weights, ramping.",
     Event.PLUGIN_FAILED: "A plug-in raised or answered nonsense; the default was taken.",
+    Event.ITEM_RUN_SILENT: "A worker sent nothing for too long in the run of an item, which goes on at another one.",
     Event.REQUEST_BROKEN: "A live request's stream ended with an explicit error; step and peer follow.",
     Event.REQUEST_CLAIMED: "A request that may not be repeated was claimed, or refused because it had been.",
     Event.PROXY_BROKEN: "A proxied request may have run and got no complete answer; route, worker and cause follow.",
--- a/tests/batch/test_item_answers.py
+++ b/tests/batch/test_item_answers.py
@@ -9,11 +9,13 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from postpass.configuration.settings import Bounds
 from tests.gateway.test_answers import THEMES, Theme, end_at, examples, plays, quick_collections
 from tests.support.answers import Play
-from tests.support.item_answers import ItemScene, judge_items, run_items, whole_text
+from tests.support.item_answers import ROUND_S, ROUNDS, ItemScene, judge_items, run_items, whole_text
 
 __all__ = ["quick_collections"]
+BOUNDS = Bounds()
 
 
 def bounded(play: Play) -> Play:
@@ -64,9 +66,8 @@
     size = len(run_items(ItemScene(((Play(framing=framing),),), (1,))).record.runs[0].raw)
     for i in range(size):
         play = Play(framing=framing, cut=i, cut_end=end_at(i))
-        outcome = run_items(ItemScene(((play,), (play,)), (1,)))
-        assert judge_items(outcome) == []
-        assert play.cut_end == "silence" or len(outcome.results) == 1
+        outcome = run_items(ItemScene(((play,), (play,)), (1,)), rounds=3 * ROUNDS)
+        assert judge_items(outcome) == [] and len(outcome.results) == 1
 
 
 @pytest.mark.parametrize("sent_share", [0.0, 0.1, 0.5, 0.9])
@@ -76,3 +77,27 @@
     silent = Play(cut=int(size * sent_share), cut_end="silence", silence_s=600.0)
     outcome = run_items(ItemScene(((silent,), ()), (2,)))
     assert judge_items(outcome) == [] and len(outcome.results) == 2
+
+
+def test_a_slow_worker_that_is_silent_for_less_than_the_limit_keeps_its_item() -> None:
+    limit = BOUNDS.silence_limit
+    slow = Play(delay=limit - 1.5 * BOUNDS.silence_check_interval)
+    outcome = run_items(ItemScene(((slow,), ()), (1,)))
+    assert judge_items(outcome) == [] and len(outcome.results) == 1
+    assert len(outcome.record.runs) == 1
+
+
+def test_an_item_that_later_ones_of_its_worker_overtake_is_given_up_sooner() -> None:
+    silent = Play(cut=10, cut_end="silence", silence_s=600.0)
+    alone, overtaken = (run_items(ItemScene(((silent,),), (items,))) for items in (1, 8))
+    for outcome, limit in ((alone, BOUNDS.silence_limit), (overtaken, BOUNDS.overtaken_silence_limit)):
+        assert judge_items(outcome) == []
+        first, *_, again = [run.sent for run in outcome.record.runs if run.id == outcome.record.runs[0].id]
+        assert limit <= again - first <= limit + 2 * BOUNDS.silence_check_interval + BOUNDS.scheduling_pause + ROUND_S
+
+
+def test_an_item_ends_though_every_worker_is_slower_than_the_limit() -> None:
+    slow = Play(delay=BOUNDS.silence_limit * 1.5)
+    outcome = run_items(ItemScene(((slow,) * 4, (slow,) * 4), (1,)), rounds=400)
+    assert judge_items(outcome) == [] and len(outcome.results) == 1
+    assert len(outcome.record.runs) == 2  # the second one may be silent for twice as long
--- a/tests/support/item_answers.py
+++ b/tests/support/item_answers.py
@@ -96,7 +96,7 @@
     return item_scheduler
 
 
-def run_items(scene: ItemScene, seed: int = 0) -> Told:
+def run_items(scene: ItemScene, seed: int = 0, rounds: int = ROUNDS) -> Told:
     async def world(loop: SimLoop) -> Told:
         told = Told(Record(), loop.errors)
         names = [f"w{i + 1}" for i in range(len(scene.plays))]
@@ -109,7 +109,7 @@
         async def schedule() -> None:
             item_scheduler = scheduler(told, names, seed)
             item_scheduler.items.by_key = {item.key: item for item in leased_items_of(scene)}
-            for _ in range(ROUNDS):
+            for _ in range(rounds):
                 item_scheduler.placement.place_requests(
                     item_scheduler.configuration_view.manifest or configuration(tuple(names))
                 )
