Give item and slot back however the task of an item's run ends

What callers would see: an item that is left lying, or workers that get fewer items until the scheduler restarts.

Cause: the item and the slot at its worker were given back by the run's own code, for the ends that it expects. An error of another kind, or a cancellation before the first step, left the item running for ever, its lease renewed, and the slot taken.

Change: the end of the task gives both back, whatever it was; unexpected errors are logged with the item (E103).

The dispatch loop yields so that tasks begin before it cancels any; a response of an owner that ends a job could still come between.

--- a/postpass/batch/capacity.py
+++ b/postpass/batch/capacity.py
@@ -159,6 +159,20 @@
         return self.max_items if now() >= self.closed_until else 0.0
 
 
+@dataclass(eq=False)
+class TakenSlot:
+    """A slot that an item of a route takes at a worker, until it is released. It is released once."""
+
+    limit: WorkerLimit
+    is_taken: bool = True
+
+    def release(self) -> None:
+        """Gives the slot back."""
+        assert self.is_taken
+        self.is_taken = False
+        self.limit.running -= 1
+
+
 @dataclass(eq=False)
 class RouteCapacity:
     """Slots for the items of routes: those that live requests leave, within each worker's `WorkerLimit`.
@@ -175,6 +189,12 @@
         """Updates `usual_seconds` with the duration of a run that ended."""
         self.usual_seconds = usual_seconds(self.usual_seconds, seconds)
 
+    def take_slot(self, pool: str, worker: str) -> TakenSlot:
+        """Takes a slot of a worker, which `free` has returned."""
+        limit = self.limits[(pool, worker)]
+        limit.running += 1
+        return TakenSlot(limit)
+
     def free(self, configuration: Configuration, pool: str) -> dict[str, int]:
         """Returns how many more items each worker of a pool may get now; barred workers are left out."""
         load = self.live_load()
--- a/postpass/batch/dispatch.py
+++ b/postpass/batch/dispatch.py
@@ -102,8 +102,7 @@
         """Waits to be woken, at most until the loop time `until`; returns whether it was woken before then.
 
         Once that time has come, a wake-up is ignored, so that it can't delay a round, which renews all leases. Yields
-        to the event loop in any case, so that the tasks which the last run created begin: a task that is cancelled
-        before it has begun would never give its item back.
+        to the event loop in any case, so that the tasks which the last run created begin.
         """
         if now() >= until:
             await asyncio.sleep(0)
--- a/postpass/batch/item_run.py
+++ b/postpass/batch/item_run.py
@@ -9,7 +9,7 @@
 from prometheus_client import Counter
 from result import Ok
 
-from postpass.batch.capacity import PROBES_UNTIL_STALE, RouteCapacity
+from postpass.batch.capacity import PROBES_UNTIL_STALE, RouteCapacity, TakenSlot
 from postpass.batch.item_request import REJECTED_HINT, SILENT_HINT, RunEnd, Workers, run_item
 from postpass.batch.leased_items import LeasedItem, LeasedItems
 from postpass.batch.messages import ItemKey, ItemResult, ItemStatus, output_checksum
@@ -31,7 +31,7 @@
     import aiohttp
 
 ROUTE_STATUS = {RunEnd.DONE: ItemStatus.DONE, RunEnd.FAILED: ItemStatus.FAILED, RunEnd.NEVER: ItemStatus.ABANDONED}
-RUN_SILENT = 155  # number of the log event
+TASK_FAILED, RUN_SILENT = 103, 155  # numbers of the log events
 ROUTE_TIMEOUT = 10  # time limit of a run of an item of a route, in multiples of the recovery bound
 
 
@@ -89,9 +89,36 @@
             return "the lease has passed"
         return ""
 
-    async def run_request(self, configuration: Configuration, route: Route, item: LeasedItem) -> None:
+    def start_request(self, configuration: Configuration, route: Route, item: LeasedItem) -> None:
+        """Starts a run of an item of a route at `item.worker`, where it takes a slot."""
+        slot = self.capacity.take_slot(item.pool, item.worker)
+
+        def on_end(task: asyncio.Task[None]) -> None:
+            self.release(slot)
+            self.log_unexpected_error(item, task)
+
+        item.start_run(self.run_request(configuration, route, item, slot), on_end)
+
+    def release(self, slot: TakenSlot) -> None:
+        """Gives a slot back, and wakes the placement of waiting items; does nothing if it was given back before."""
+        if slot.is_taken:
+            slot.release()
+            self.slot_freed.set()
+
+    def log_unexpected_error(self, item: LeasedItem, task: asyncio.Task[None]) -> None:
+        """Logs an error with which the task of a run ended; the item is not placed again at once."""
+        error = None if task.cancelled() else task.exception()
+        if error is not None:
+            item.not_before = now() + self.settings.bounds.scheduling_pause
+            log_events.emit(
+                TASK_FAILED, self.settings.name, job=item.job, item=item.position, worker=item.worker, why=repr(error)
+            )
+
+    async def run_request(self, configuration: Configuration, route: Route, item: LeasedItem, slot: TakenSlot) -> None:
         """Runs an item of a route at `item.worker`, continuing after the text that it has.
 
+        `slot` is given back as soon as the worker is done, before the result is reported.
+
         An item without a complete response stays leased here with its text so far, and continues at another worker.
         """
         slots = configuration["pools"][item.pool]["servers"][item.worker]["slots"]
@@ -117,15 +144,10 @@
             else:
                 item.not_before = now() + poll
                 run_end = RunEnd.CUT
-        except asyncio.CancelledError:
-            item.end_run()
-            raise
         finally:
-            limit.running -= 1
-            self.slot_freed.set()
+            self.release(slot)
         self.ended_items.labels(item.item_class, run_end).inc()
         if run_end not in ROUTE_STATUS:
-            item.end_run()
             return
         text = item.text.text if run_end == RunEnd.DONE else ""
         await self.finish(item, ItemResult(ROUTE_STATUS[run_end], text, item.tries, output_checksum(text)))
@@ -174,6 +196,10 @@
         stale_after_s = self.settings.bounds.probe_interval * PROBES_UNTIL_STALE
         return self.lease_admission_check(item) or self.worker_load.barred_reason(pool, item.worker, stale_after_s)
 
+    def start_prompt(self, configuration: Configuration, pool: str, item: LeasedItem) -> None:
+        """Starts a run of an item of a class at `item.worker`."""
+        item.start_run(self.run_prompt(configuration, pool, item), lambda task: self.log_unexpected_error(item, task))
+
     async def run_prompt(self, configuration: Configuration, pool: str, item: LeasedItem) -> None:
         """Runs an item of a class at `item.worker`.
 
@@ -189,9 +215,6 @@
             result = ItemResult(ItemStatus.FAILED, str(error.fault))
             if error.fault.unsent:
                 worker_state.unusable_reason = worker_state.unusable_reason or error.fault.why
-        except asyncio.CancelledError:
-            item.end_run()
-            raise
         finally:
             worker_state.in_flight[item.item_class] -= 1
         self.ended_items.labels(item.item_class, run_end).inc()
@@ -221,7 +244,6 @@
                 await self.report_result(item, result)
         finally:
             self.items.remove(item)
-            item.end_run()
 
     async def report_result(self, item: LeasedItem, result: ItemResult) -> None:
         """Reports a result to the owner, whichever machine that is by now; the owner may receive it more than once.
--- a/postpass/batch/leased_items.py
+++ b/postpass/batch/leased_items.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Coroutine, Iterator
+from collections.abc import Callable, Coroutine, Iterator
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -80,10 +80,20 @@
         """Whether a task is running the item."""
         return self.task is not None
 
-    def start_run(self, run: Coroutine[Any, Any, None]) -> None:
-        """Starts a run of the item in a task of its own."""
+    def start_run(self, run: Coroutine[Any, Any, None], on_end: Callable[[asyncio.Task[None]], None]) -> None:
+        """Starts a run of the item in a task of its own.
+
+        However the task ends, even if it was cancelled before its first step, the item waits again; then `on_end` is
+        called with the task.
+        """
         self.progress = RunProgress.begin()
         self.task = asyncio.create_task(run)
+        self.task.add_done_callback(self._run_ended)
+        self.task.add_done_callback(on_end)
+
+    def _run_ended(self, task: asyncio.Task[None]) -> None:
+        if self.task is task:
+            self.end_run()
 
     def end_run(self) -> None:
         """Notes that the run has ended, so that the item waits again."""
--- a/postpass/batch/placement.py
+++ b/postpass/batch/placement.py
@@ -84,7 +84,7 @@
                 continue
             item.worker, item.pieces = worker, 0
             pool = configuration["classes"][item.item_class]["pool"]
-            item.start_run(self.runner.run_prompt(configuration, pool, item))
+            self.runner.start_prompt(configuration, pool, item)
 
     def worker_for_prompt(self, configuration: Configuration, item: LeasedItem, slots: Slots) -> str | None:
         """Returns the worker that the class's plug-ins choose for an item; None if none has a free slot."""
@@ -148,8 +148,7 @@
             return
         item.worker = worker
         free.take(item.pool, worker)
-        self.capacity.limits[(item.pool, worker)].running += 1
-        item.start_run(self.runner.run_request(configuration, route, item))
+        self.runner.start_request(configuration, route, item)
 
     @property
     def earliest_due(self) -> float:
--- a/tests/batch/test_leased_items_status.py
+++ b/tests/batch/test_leased_items_status.py
@@ -34,7 +34,7 @@
         silent, sending, _waiting = (leased(items, position) for position in range(3))
         await asyncio.sleep(1)
         for item in (silent, sending):
-            item.start_run(asyncio.sleep(60))
+            item.start_run(asyncio.sleep(60), lambda _: None)
         await asyncio.sleep(5)
         assert sending.progress is not None
         sending.progress.record_received()
--- a/tests/batch/test_placement.py
+++ b/tests/batch/test_placement.py
@@ -66,7 +66,7 @@
         self.capacity = RouteCapacity(live_load=self.live_load)
         view = ConfigurationView("s1")
         view.revision = 1
-        runner: Any = SimpleNamespace(workers=object(), dialect=Dialect(), run_request=self.run_request)
+        runner: Any = SimpleNamespace(workers=object(), dialect=Dialect(), start_request=self.start_request)
         settings: Any = None
         environment = Environment(wall=lambda: 0.0)
         self.placement = Placement(settings, environment, view, self.items, self.capacity, runner)
@@ -75,9 +75,10 @@
         self.lookups += 1
         return {}
 
-    async def run_request(self, configuration: Any, route: Any, item: LeasedItem) -> None:
+    def start_request(self, configuration: Any, route: Any, item: LeasedItem) -> None:
         self.started.append(item)
-        await asyncio.sleep(math.inf)
+        self.capacity.take_slot(item.pool, item.worker)
+        item.start_run(asyncio.sleep(math.inf), lambda _: None)
 
     def add_waiting(self, count: int) -> None:
         for number in range(count):
@@ -149,14 +150,16 @@
         workers = object()
         dialect = Dialect()
 
-        async def run_request(self, *_: Any) -> None:
-            await asyncio.sleep(1.0)
+        def start_request(self, _configuration: Any, _route: Any, item: LeasedItem) -> None:
+            capacity.take_slot(item.pool, item.worker)
+            item.start_run(asyncio.sleep(1.0), lambda _: None)
+
+    capacity = CountingCapacity(usual_seconds=0.5)
 
     async def run() -> tuple[list[str], CountingCapacity]:
         servers = {f"w{number}": {"slots": slots, "area": "a"} for number in range(workers)}
         split = [{"pool": "gpu", "weight": 1}]
         configuration: Any = {"pools": {"gpu": {"servers": servers}}, "routes": {"r": {"kind": "lot", "split": split}}}
-        capacity = CountingCapacity(usual_seconds=0.5)
         settings: Any = SimpleNamespace(name="e", zone="a")
         clock: Any = SimpleNamespace(wall=lambda: WALL)
         view: Any = SimpleNamespace(revision=1)
