Simulator: workers that fall silent, and a rule that no accepted item is left lying

ITEM_LEFT looks finishS after the last request. `mute` is a worker that falls silent within an answer; `hang` says when it did, so that its run does not count as work.

The system in a nutshell had the same fault and gives an item's run up now.

--- a/sim/rules/checks.py
+++ b/sim/rules/checks.py
@@ -35,6 +35,7 @@
     "QUOTA": jobs.quota,
     "LOT_KEPT": liveness.unkept_jobs,
     "REPLICAS": liveness.standing_replicas,
+    "ITEM_LEFT": liveness.items_left_lying,
     "RECOVER": overload.recovery,
     "FAULT": overload.faults,
 }
--- a/sim/rules/day.py
+++ b/sim/rules/day.py
@@ -76,6 +76,11 @@
         """The ends of the runs of each request or item."""
         return self.by_id("ended")
 
+    @cached_property
+    def silences(self) -> dict[str, list[Event]]:
+        """When a worker fell silent in a run, by request or item."""
+        return self.by_id("silent")
+
     def by_id(self, kind: str) -> dict[str, list[Event]]:
         """Events of a kind by the id of their request or item."""
         events: dict[str, list[Event]] = defaultdict(list)
--- a/sim/rules/liveness.py
+++ b/sim/rules/liveness.py
@@ -1,5 +1,5 @@
 """Rules of liveness: within the tolerance and some time after the last trouble, each partition takes jobs, covers what it
-has, and has all the members that the configuration wants.
+has, and has all the members that the configuration wants; and no item of an accepted job is left lying.
 
 The other rules say what must never happen; these say what must happen in the end, so that a partition that stands still
 is no silent loss.
@@ -10,8 +10,12 @@
 from collections import defaultdict
 
 from sim.rules.day import Day
-from sim.rules.history import Event
+from sim.rules.history import EVER, Event
 
+CALM_S = 5.0  # seconds without trouble of control or stores, or a run of an item, before the item counts as left lying
+FAILURE_S = 20.0  # seconds for which an item isn't looked at after its worker failed or fell silent
+FINISHING_S = 3.0  # seconds without an item that was finished before any item counts as left lying
+READ_S = 2.0  # seconds in which a client reads a job once more
 LEAST_TRIES = 2  # of a job, before it counts as one that is not kept
 # Answers that say why a job is not kept, and that it needn't be: the route's quota, or what is wrong with the job.
 REASONED = frozenset({400, 409, 413, 422, 429})
@@ -70,3 +74,37 @@
                 f"partition {number} of {row['owner']} has the members {row['members']}, not {row['wanted']}"
             )
     return breaches
+
+
+def items_left_lying(day: Day) -> list[str]:
+    """ITEM_LEFT: `finishS` after the last request, if that is a calm time, each item of an accepted job is listed, was at a worker just before, failed
+    there not long ago, or belongs to a job that was ended or can't be read; unless items are still being finished."""
+    time = max((event["t"] for event in day.of("request", "lot_sent")), default=EVER) + day.seconds("finishS")
+    finished = [end["t"] for end in day.of("ended") if end["id"] in day.items and end["whole"]]
+    if not calm_before(day, time, CALM_S) or any(time - FINISHING_S <= moment <= time for moment in finished):
+        return []
+    audited = {event["lot"] for event in day.of("lot_audit") if event["status"] == 200}
+    listed = {row["id"] for read in day.of("lot_read") if read["t"] <= time + READ_S for row in read["results"]}
+    unlisted: dict[str, list[Event]] = defaultdict(list)
+    for name, item in day.items.items():
+        if name not in listed and item["lot"] in audited and item["lot"] not in day.cancelled_at:
+            unlisted[item["lot"]].append(item)
+    return [
+        f"item {item['id']} of lot {job}, sent at {item['t']:.2f}, is left lying; its runs ended at {run_ends(day, item['id'])}"
+        for job, items in unlisted.items()
+        if not any(was_at_worker(day, item["id"], time - CALM_S, time) for item in items)
+        for item in items
+        if not any(time - FAILURE_S <= moment for moment in run_ends(day, item["id"]).values())
+    ]
+
+
+def run_ends(day: Day, item: str) -> dict[int, float]:
+    """When the runs of an item ended, or their workers fell silent in them, by run."""
+    ended_at = {event["run"]: event["t"] for event in day.ends.get(item, [])}
+    return ended_at | {event["run"]: event["t"] for event in day.silences.get(item, [])}
+
+
+def was_at_worker(day: Day, item: str, begin: float, end: float) -> bool:
+    """Did a run of an item last at some moment of a span, with a worker that had not fallen silent?"""
+    ended_at = run_ends(day, item)
+    return any(run["t"] <= end and ended_at.get(run["run"], EVER) >= begin for run in day.runs.get(item, []))
--- a/sim/workers.py
+++ b/sim/workers.py
@@ -409,8 +409,7 @@
         size, key = requested_work(path)
         seal = f"{digest(self.id.encode(), str(end['run']).encode())}.{end['run']}"
         if self.fault_strikes("hang"):
-            await self.work_for(stream, 1e6, deadline + 5)
-            raise Broken("hung")
+            await self.stay_silent(stream, end, deadline)
 
         async def fail(status: int) -> bool:
             end.update(status=status, whole=True)
@@ -456,7 +455,10 @@
             for word in ("cut", "lost")
             if self.fault_strikes(word)
         }
+        silent_from = start + 1 + self.chance.randrange(max(size - start, 1)) if self.fault_strikes("mute") else 0
         for number in range(start + 1, size + 1):
+            if number == silent_from:
+                await self.stay_silent(stream, end, deadline)
             if number > start + 1:
                 pace = (self.engine.pace + self.engine.crowd * self.active) * self.speed
                 if not await self.work_for(stream, pace, deadline):
@@ -482,6 +484,16 @@
         await self.send_surplus(stream, answer(200, echo | {"Postpass-Seal": seal}, b"late and extra"))
         return not last_response
 
+    async def stay_silent(self, stream: Stream, end: Event, deadline: float) -> None:
+        """Keeps the connection of a run open and sends nothing more, until the client disconnects.
+
+        Raises:
+            Broken: always, in the end.
+        """
+        self.log({"ev": "silent", "worker": self.id, "id": end["id"], "run": end["run"]})
+        await self.work_for(stream, 1e6, deadline + 5)
+        raise Broken("it fell silent")
+
     async def send_answer(self, stream: Stream, response: bytes, end: Event, cut_positions: list[int]) -> None:
         """Sends an answer, or, if a fault strikes, nothing, a part of it, or bytes that are no answer.
 
--- a/tests/sim/test_broken_variants.py
+++ b/tests/sim/test_broken_variants.py
@@ -13,6 +13,7 @@
 
 from postpass.batch import item_request, item_run
 from postpass.batch.item_request import ItemText
+from postpass.batch.item_run import ItemRunner
 from postpass.batch.job import JobView
 from postpass.batch.job_api import JobApi
 from postpass.batch.job_service import JobService
@@ -399,6 +400,11 @@
     mp.setattr(Reconfiguration, "change_next", lambda self, partition: None)
 
 
+def waits_for_silent_workers(mp: pytest.MonkeyPatch) -> None:
+    """A scheduler that waits for a silent worker for as long as a run may last."""
+    mp.setattr(ItemRunner, "silence_limit", lambda self, item: 1e9)
+
+
 def covers_nothing_more(mp: pytest.MonkeyPatch) -> None:
     """An owner that counts no acknowledgement any more, some seconds into the day."""
     plain = Partition.advance
@@ -476,6 +482,7 @@
     ("QUOTA", no_quota, "clients view 1 lots 3x30\n"),
     ("LOT_KEPT", budget_never_answers, "clients view 1 lots 2x4\n"),
     ("REPLICAS", lets_nobody_in, "clients view 1 lots 1x4\nrun 14\nat 1 add store 0\n"),
+    ("ITEM_LEFT", waits_for_silent_workers, "clients view 1 lots 2x6\nrun 20\nsettle 10\nat 2 fault worker:llm:0 mute 0.5 for 3\n"),
     ("REPLICAS", covers_nothing_more, "clients view 1 lots 2x4\n"),
     ("RECOVER", stays_down, "clients view 8\nrun 26\nat 3 closing kill_all for 1\n"),
     ("FAULT", ends_itself, "clients view 4\n"),
--- a/tests/sim/test_rules.py
+++ b/tests/sim/test_rules.py
@@ -121,6 +121,15 @@
             "total": 1, "next": start + 1, "results": rows} | more  # fmt: skip
 
 
+def over(t: float) -> list[Event]:
+    """The last request of a day, a job that is refused, and the last read of the job before it."""
+    return [*lot(429, "l2", t, id="i2"), {"ev": "lot_audit", "t": t + 30.0, "lot": "l1", "status": 200}]
+
+
+def silence(t: float) -> Event:
+    return {"ev": "silent", "t": t, "worker": "w1", "id": "i1", "run": 1}
+
+
 def beat(state: str, t: float) -> Event:
     return {"ev": "beat", "t": t, "worker": "w1", "state": state, "via": "core"}
 
@@ -285,6 +294,11 @@
         [*FIRST, *replicas(members=["s1", "s2"])],
         [*FIRST, *replicas(owner="")],
     ],
+    "ITEM_LEFT": [
+        [*FIRST, *lot(), *over(23.0)],
+        [*FIRST, *lot(), *item_run(end_status=0, whole=False), *over(23.0)],
+        [*FIRST, *lot(), item_run()[1], silence(6.5), *over(23.0)],
+    ],
     "RECOVER": [[*FIRST, *SERVED * 4, {"ev": "trouble", "t": 20.0, "machine": "edge", "what": "down", "on": None},
                  {"ev": "trouble", "t": 21.0, "machine": "edge", "what": "start", "on": None},
                  *(SERVED[0] | {"t": 40.0, "began": 36.0, "good": False} for _ in range(5))]],
@@ -360,6 +374,21 @@
         assert "LOT_KEPT" not in breaches(day([*FIRST, *handed_in(*statuses)]))
 
 
+def test_an_item_that_moves_or_need_not_end_is_not_left_lying() -> None:
+    held = [*FIRST, *lot()]
+    shock = {"ev": "trouble", "t": 30.0, "machine": "core", "what": "start", "on": None}
+    late_failure = item_run(15.0, end_status=0, whole=False)
+    for more in (
+        [item_run()[1]],
+        late_failure,
+        [shock],
+        [{"ev": "lot_ending", "t": 9.0, "lot": "l1"}],
+        [read(), *item_run()],
+    ):
+        assert "ITEM_LEFT" not in breaches(day([*held, *more, *over(23.0)]))
+    assert "ITEM_LEFT" not in breaches(day([*held, item_run()[1], silence(20.0), *over(23.0)]))
+
+
 def test_orders_wait_while_the_core_is_unsettled() -> None:
     sent = [*FIRST, changed(2, config(5), 3, 5.0)[0], {"ev": "traffic_over", "t": 10.0}]
     shocks = [{"ev": "trouble", "t": t, "machine": "core", "what": "start", "on": None} for t in (6.0, 8.5)]
--- a/tests/support/naive_system.py
+++ b/tests/support/naive_system.py
@@ -18,6 +18,7 @@
 from sim.rules import route_of
 
 DROP = ("connection", "keep-alive", "transfer-encoding", "content-length")
+ITEM_ATTEMPT_S = 6.0  # seconds that one run of an item may take
 
 
 @dataclass(eq=False)
@@ -321,7 +322,12 @@
             out: list[str] = []
             if "runs_ended" in m.flaws:
                 await asyncio.sleep(14)
-            got = await self.attempt(None, route, head, base64.b64decode(item["body"]), item["id"], until, 0, [], out)
+            body = base64.b64decode(item["body"])
+            try:
+                async with asyncio.timeout(ITEM_ATTEMPT_S):  # the worker may fall silent
+                    got = await self.attempt(None, route, head, body, item["id"], until, 0, [], out)
+            except TimeoutError:
+                got = "ran"
             if got == "done" and out[0] == "200":
                 state, text = "done", "\n".join(out[1:])
                 break
