Show the item that has made no progress for longest, and why an item waits

A silent run, a long wait and a series of silent runs could not be told apart: the gauges start again with each run, and placement passed over an item without a trace. The scheduler's status now names the item that has gone longest without progress over all its runs here, its state, the reason for which it waits and its silent runs (least_progress, D18, item_idle_seconds_max); waits have their reason (item_wait_reason_seconds_max). An owner's partition names its oldest lease and who holds it. No change of logic.

--- a/postpass/batch/leased_items.py
+++ b/postpass/batch/leased_items.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Callable, Coroutine, Iterator
 from dataclasses import dataclass, field
+from enum import StrEnum
 from typing import Any
 
 from postpass.batch.item_request import ItemText
@@ -17,6 +18,18 @@
 LeasedItemKey = tuple[int, str, int]  # partition, job, position in the job
 
 
+class WaitReason(StrEnum):
+    """Why the last placement run did not start an item that waits, by its value in status pages and metrics."""
+
+    NOT_CONSIDERED = "not considered yet"
+    PAUSED = "paused after a run"
+    NO_FREE_SLOT = "no free slot"
+    NO_ROUTE = "no route"
+    OLD_CONFIGURATION = "older configuration than its job"
+    LEASE_EXPIRED = "lease expired"
+    NO_POOL = "no pool"
+
+
 @dataclass(eq=False)
 class LeasedItem:
     """An item leased to this scheduler, waiting or running.
@@ -37,6 +50,9 @@
     pieces: int = 0  # pieces of output that have arrived in this run
     progress: RunProgress | None = None  # of the run that lasts, or of the last one
     waiting_since: float = 0.0  # loop time, in seconds, at which it came here or its last run ended
+    # Loop time, in seconds, at which it came here or a part of its text last arrived, the present or last run left out.
+    earlier_progress_at: float = 0.0
+    passed_over: WaitReason = WaitReason.NOT_CONSIDERED  # by the last placement run that looked at it
     # Only for an item of a route: the request, the pool it was placed in, and the text so far.
     request: Item | None = None
     tries: int = 0  # failures after which it is given up
@@ -63,6 +79,7 @@
             tries=grant.tries,
             since=grant.since,
             waiting_since=now(),
+            earlier_progress_at=now(),
         )
 
     @property
@@ -80,12 +97,26 @@
         """Whether a task is running the item."""
         return self.task is not None
 
+    @property
+    def progressed_at(self) -> float:
+        """The loop time, in seconds, at which it came here, or a part of its text last arrived in any run here."""
+        if self.progress is None or not self.progress.has_received:
+            return self.earlier_progress_at
+        return max(self.earlier_progress_at, self.progress.received_at)
+
+    @property
+    def wait_reason(self) -> WaitReason:
+        """Why it waits; of no meaning while it runs."""
+        return WaitReason.PAUSED if self.not_before > now() else self.passed_over
+
     def start_run(self, run: Coroutine[Any, Any, None], on_end: Callable[[asyncio.Task[None]], None]) -> None:
         """Starts a run of the item in a task of its own.
 
         However the task ends, even if it was cancelled before its first step, the item waits again; then `on_end` is
         called with the task.
         """
+        self.earlier_progress_at = self.progressed_at
+        self.passed_over = WaitReason.NOT_CONSIDERED
         self.progress = RunProgress.begin()
         self.task = asyncio.create_task(run)
         self.task.add_done_callback(self._run_ended)
--- a/postpass/batch/leases.py
+++ b/postpass/batch/leases.py
@@ -82,6 +82,19 @@
         if lease is not None and status == ItemStatus.DONE:
             self.usual_seconds = usual_seconds(self.usual_seconds, now() - lease.granted_at)
 
+    def oldest_lease(self) -> Body | None:
+        """Returns the item that has been leased for longest, and to whom; None if none is leased.
+
+        Keys: job, item (its position), scheduler, leased_s (seconds).
+        """
+        if not self.leases:
+            return None
+        key, lease = min(self.leases.items(), key=lambda entry: entry[1].granted_at)
+        return {
+            "job": key.job, "item": key.position, "scheduler": lease.scheduler,
+            "leased_s": round(now() - lease.granted_at, 3),
+        }  # fmt: skip
+
     def release_expired(self, view: JobView, request: TakeRequest, current_time: float) -> None:
         """Drops leases of jobs that no longer exist, and unrenewed ones that expired or belong to another scheduler."""
         renewed = set(request.leased)
--- a/postpass/batch/placement.py
+++ b/postpass/batch/placement.py
@@ -10,7 +10,7 @@
 from postpass.batch.capacity import RouteCapacity
 from postpass.batch.free_slots import FreeSlots, Slots
 from postpass.batch.item_run import ItemRunner
-from postpass.batch.leased_items import LeasedItem, LeasedItems, due_order
+from postpass.batch.leased_items import LeasedItem, LeasedItems, WaitReason, due_order
 from postpass.configuration.configuration import Configuration, Route
 from postpass.configuration.header_names import Dialect
 from postpass.configuration.settings import Settings
@@ -107,6 +107,8 @@
         waiting = [i for i in self.items.waiting() if i.request is not None and i.not_before <= now()]
         if not waiting or self.runner.workers is None:
             return
+        for item in waiting:
+            item.passed_over = WaitReason.NO_FREE_SLOT
         free, pools = self.free_slots(configuration), pools_of_jobs(configuration)
         if not free.any_in(pools):
             return
@@ -116,9 +118,15 @@
             if not free.any_in(pools):
                 return
             route = configuration.get("routes", {}).get(item.route)
-            if route is None or self.configuration_view.revision < item.since:
-                continue
-            if not self.items.lease_expired(item.partition) and self.choose_pool(configuration, route, item):
+            if route is None:
+                item.passed_over = WaitReason.NO_ROUTE
+            elif self.configuration_view.revision < item.since:
+                item.passed_over = WaitReason.OLD_CONFIGURATION
+            elif self.items.lease_expired(item.partition):
+                item.passed_over = WaitReason.LEASE_EXPIRED
+            elif not self.choose_pool(configuration, route, item):
+                item.passed_over = WaitReason.NO_POOL
+            else:
                 self.start_request(configuration, route, item, free)
 
     def free_slots(self, configuration: Configuration) -> FreeSlots:
--- a/postpass/batch/run_progress.py
+++ b/postpass/batch/run_progress.py
@@ -12,12 +12,14 @@
 class RunProgress:
     """When a run began and when its worker last sent something. Times are loop times, in seconds.
 
+    :ivar has_received: whether a part of the response has arrived.
     :ivar longest_pause: the longest time, in seconds, between two parts of the response, or before its first one.
     """
 
     started_at: float
     received_at: float  # `started_at` before the first part of the response
     longest_pause: float = 0.0
+    has_received: bool = False
 
     @classmethod
     def begin(cls) -> Self:
@@ -29,7 +31,7 @@
         """Records that a part of the response has arrived."""
         received_at = now()
         self.longest_pause = max(self.longest_pause, received_at - self.received_at)
-        self.received_at = received_at
+        self.received_at, self.has_received = received_at, True
 
     @property
     def running_s(self) -> float:
--- a/postpass/batch/scheduler.py
+++ b/postpass/batch/scheduler.py
@@ -19,7 +19,7 @@
 from postpass.batch.dispatch import Dispatcher
 from postpass.batch.item_run import ItemRunner
 from postpass.batch.leased_items import LeasedItems
-from postpass.batch.leased_items_status import most_silent_run, register_leased_items_gauges
+from postpass.batch.leased_items_status import least_progress, most_silent_run, register_leased_items_gauges
 from postpass.batch.owner_client import OwnerClient
 from postpass.batch.placement import Placement
 from postpass.batch.scheduler_election import SchedulerElection
@@ -147,4 +147,5 @@
             "held": len(self.items),
             "running": len(self.items.running()),
             "most_silent": most_silent_run(self.items),
+            "least_progress": least_progress(self.items),
         }
--- a/postpass/cli/doctor.py
+++ b/postpass/cli/doctor.py
@@ -1,6 +1,6 @@
 """The faults that `postpassctl doctor` finds, as a pure function of two snapshots of the fleet, taken one after the other.
 
-The codes D02 to D17 are described in `docs/operators.md`. D01, that the configuration can't be read, is reported by the
+The codes D02 to D18 are described in `docs/operators.md`. D01, that the configuration can't be read, is reported by the
 command itself, since there is no snapshot without the configuration.
 """
 
@@ -11,13 +11,15 @@
 from dataclasses import dataclass
 from typing import Any
 
-from postpass.cli.status_page import FleetStatus, MachineStatus, PartitionStatus, StoreStatus
+from postpass.batch.leased_items import WaitReason
+from postpass.cli.status_page import FleetStatus, IdleItemStatus, MachineStatus, PartitionStatus, StoreStatus
 from postpass.configuration.configuration import Machine
 from postpass.control.health import member_health, next_loss_problem
 
 MIN_FREE_SHARE = 0.1  # of a disk's size
 MAX_REPLICA_LAG = 500  # records
 MAX_SILENT_S = 10.0  # seconds in which the worker of an item sends nothing
+MAX_IDLE_S = 12.0  # seconds in which an item makes no progress, in one run or over several
 
 
 @dataclass(frozen=True)
@@ -76,12 +78,24 @@
         yield Finding("D17", name, f"item {run.position} of job {run.job} has run at {run.worker} for {run.running_s:.0f} s, "
                       f"of which it sent nothing for the last {run.silent_s:.0f} s",
                       "look at this worker; if it is stuck, restart it: its items then go on elsewhere")  # fmt: skip
+    yield from _idle_item_findings(name, machine.least_progress)
     for key, worker in machine.workers.items():
         if worker.blocked_reason.startswith("weights"):
             remedy = "load the right weights, or correct them in the manifest"
             yield Finding("D12", f"{name} {key}", worker.blocked_reason, remedy)
 
 
+def _idle_item_findings(name: str, item: IdleItemStatus | None) -> Iterator[Finding]:
+    """Yields a fault if an item makes no progress; that it waits for a free slot is none."""
+    if item is None or item.idle_s <= MAX_IDLE_S or item.reason == WaitReason.NO_FREE_SLOT:
+        return
+    where = f"last at {item.worker}" if item.worker else "at no worker yet"
+    why = f", because: {item.reason}" if item.reason else ""
+    yield Finding("D18", name, f"item {item.position} of job {item.job} is {item.state}{why}; it has made no progress for "
+                  f"{item.idle_s:.0f} s, after {item.silent_runs} silent runs, {where}",
+                  "look at this worker and at what the reason names; restart the scheduler's daemon if the item stays")  # fmt: skip
+
+
 def _uptime(machine: MachineStatus | None, default: float) -> float:
     return default if machine is None or machine.uptime_s is None else machine.uptime_s
 
--- a/postpass/cli/status_page.py
+++ b/postpass/cli/status_page.py
@@ -99,6 +99,30 @@
         return cls(raw["job"], raw["item"], raw["worker"], raw["running_s"], raw["silent_s"])
 
 
+@dataclass(frozen=True)
+class IdleItemStatus:
+    """The item of a scheduler that has made no progress for longest.
+
+    `state` is reporting, running or waiting; `reason` is why it waits, empty unless it does; `worker` is that of its
+    present or last run.
+    """
+
+    job: str
+    position: int
+    state: str
+    reason: str
+    worker: str
+    silent_runs: int
+    idle_s: float
+
+    @classmethod
+    def from_json(cls, raw: Mapping[str, Any]) -> Self:
+        """Parses an item in the status of a scheduler."""
+        return cls(
+            raw["job"], raw["item"], raw["state"], raw["reason"], raw["worker"], raw["silent_runs"], raw["idle_s"]
+        )
+
+
 @dataclass(frozen=True)
 class MachineStatus:
     """A machine that answered.
@@ -125,6 +149,7 @@
     )  # jobs that got no acknowledgement since the process started, by partition
     running_jobs: int | None = None  # None except at the machine that runs the active scheduler
     most_silent_run: ItemRunStatus | None = None  # of all items that run from here, that with the longest silence
+    least_progress: IdleItemStatus | None = None  # of all items that are held here
 
     @classmethod
     def from_json(cls, raw: Mapping[str, Any]) -> Self:
@@ -146,6 +171,7 @@
             unkept_jobs={int(number): count for number, count in raw.get("unkept", {}).items()},
             running_jobs=scheduler["running"] if scheduler.get("active") else None,
             most_silent_run=ItemRunStatus.from_json(run) if (run := scheduler.get("most_silent")) else None,
+            least_progress=IdleItemStatus.from_json(item) if (item := scheduler.get("least_progress")) else None,
         )
 
 
--- a/postpass/replication/store.py
+++ b/postpass/replication/store.py
@@ -243,6 +243,7 @@
                 "persisted": p.persisted, "owning": p.owning, "ready": p.ready, "bytes": p.record_log.size,
                 "crew": p.members, "complete": self.reconfiguration.complete(p), "losses": p.view.losses,
                 "awaited": members_awaited(p) if p.owning else [],
+                "oldest_lease": self.owner_states[p.id].oldest_lease() if p.owning else None,
                 "mirrors": {
                     name: {"persisted": p.acknowledgements.get(name, mirror.disk, "persisted"), "silent": mirror.silent,
                     "full": mirror.disk_full, "disk": mirror.disk} for name, mirror in sorted(p.mirrors.items())
--- a/tests/batch/test_leased_items_status.py
+++ b/tests/batch/test_leased_items_status.py
@@ -6,8 +6,8 @@
 
 from prometheus_client import CollectorRegistry
 
-from postpass.batch.leased_items import LeasedItem, LeasedItems
-from postpass.batch.leased_items_status import most_silent_run, register_leased_items_gauges
+from postpass.batch.leased_items import LeasedItem, LeasedItems, WaitReason
+from postpass.batch.leased_items_status import least_progress, most_silent_run, register_leased_items_gauges
 from postpass.runtime.environment import now
 from postpass.worker_api.openai import Prompt
 from sim.loop import SimLoop, run_sim
@@ -16,7 +16,7 @@
 
 
 def leased(items: LeasedItems, position: int) -> LeasedItem:
-    item = LeasedItem(0, "j", position, "route:r", 0.0, Prompt((), ""), "", worker=f"w{position}", waiting_since=now())
+    item = LeasedItem(0, "j", position, "route:r", 0.0, Prompt((), ""), "", worker=f"w{position}", waiting_since=now(), earlier_progress_at=now())  # fmt: skip
     items.add(item)
     return item
 
@@ -48,3 +48,34 @@
         items.drop_all()
 
     run_sim(main)
+
+
+def test_the_longest_time_without_progress_counts_over_all_runs_and_has_its_reason() -> None:
+    async def main(_loop: SimLoop) -> None:
+        items, registry = LeasedItems(), CollectorRegistry()
+        register_leased_items_gauges(registry, items)
+        assert least_progress(items) is None
+        item = leased(items, 0)
+        for _ in range(2):
+            item.start_run(asyncio.sleep(3), lambda _: None)
+            await asyncio.sleep(4)
+        assert least_progress(items) == {
+            "job": "j", "item": 0, "state": "waiting", "reason": "not considered yet", "worker": "w0", "silent_runs": 0, "idle_s": 8,
+        }  # fmt: skip
+        item.passed_over = WaitReason.LEASE_EXPIRED
+        shown = {"reason": str(WaitReason.LEASE_EXPIRED)}
+        assert registry.get_sample_value("postpass_item_wait_reason_seconds_max", shown) == 1
+        assert registry.get_sample_value("postpass_item_idle_seconds_max") == 8
+        item.start_run(asyncio.sleep(3), lambda _: None)
+        assert item.progress is not None
+        item.progress.record_received()
+        await asyncio.sleep(2)
+        shown_item = least_progress(items)
+        assert shown_item is not None and (shown_item["state"], shown_item["reason"], shown_item["idle_s"]) == (
+            "running",
+            "",
+            2,
+        )
+        items.drop_all()
+
+    run_sim(main)
--- a/tests/batch/test_placement.py
+++ b/tests/batch/test_placement.py
@@ -12,12 +12,12 @@
 import pytest
 
 from postpass.batch.capacity import RouteCapacity
-from postpass.batch.leased_items import LeasedItem, LeasedItems
+from postpass.batch.leased_items import LeasedItem, LeasedItems, WaitReason
 from postpass.batch.placement import Placement, fair_order, prompt_prefix, weighted_pool
 from postpass.configuration.header_names import Dialect
 from postpass.feed.configuration_view import ConfigurationView
 from postpass.routing.load_picture import LoadReport
-from postpass.runtime.environment import Environment
+from postpass.runtime.environment import Environment, now
 from postpass.worker_api.openai import Prompt
 
 WALL = 999.0  # seconds of the wall clock
@@ -123,6 +123,29 @@
     asyncio.run(main())
 
 
+def test_an_item_that_is_passed_over_tells_why() -> None:
+    async def main() -> None:
+        fleet = CrowdedFleet(workers=1, slots=4)
+        fleet.add_waiting(7)
+        no_route, too_new, no_lease, paused, no_pool, *others = fleet.items
+        no_route.item_class, too_new.since, no_lease.partition = "route:gone", 9, 7
+        paused.not_before = now() + 60
+        fleet.configuration["routes"]["elsewhere"] = {"kind": "lot", "split": [{"pool": "gone", "weight": 1}]}
+        no_pool.item_class = "route:elsewhere"
+        await fleet.place()
+        assert [waiting.wait_reason for waiting in (no_route, too_new, no_lease, paused, no_pool)] == [
+            WaitReason.NO_ROUTE, WaitReason.OLD_CONFIGURATION, WaitReason.LEASE_EXPIRED, WaitReason.PAUSED, WaitReason.NO_POOL,
+        ]  # fmt: skip
+        assert fleet.started == others
+        fleet.add_waiting(12)
+        await fleet.place()
+        assert {waiting.wait_reason for waiting in fleet.items.waiting() if waiting.position > 6} == {
+            WaitReason.NO_FREE_SLOT
+        }
+
+    asyncio.run(main())
+
+
 class CountingCapacity(RouteCapacity):
     """Counts how often the free slots of a pool were looked up."""
 
--- a/tests/cli/test_doctor.py
+++ b/tests/cli/test_doctor.py
@@ -59,3 +59,15 @@
     scheduling = {"active": True, "held": 4, "running": 4, "term": 1}
     assert codes(machine("e1", sched=scheduling | {"most_silent": run})) == {"D17"}
     assert codes(machine("e1", sched=scheduling | {"most_silent": run | {"silent_s": 0.2}})) == set()
+    idle = {
+        "job": "x",
+        "item": 3,
+        "state": "waiting",
+        "reason": "lease expired",
+        "worker": "w1",
+        "silent_runs": 2,
+        "idle_s": 22.5,
+    }
+    assert codes(machine("e1", sched=scheduling | {"least_progress": idle})) == {"D18"}
+    for sound in ({"idle_s": 2.0}, {"reason": "no free slot"}):
+        assert codes(machine("e1", sched=scheduling | {"least_progress": idle | sound})) == set()
