Lost answers take no room from a worker that answers others

Cause, since: a run that was given up as silent counted as a rejection, so it halved the number of items that its worker may run, down to one. That one item was then the next to be lost, held for 6, 12 or 24 s, and nothing else was started: the number grows with completed runs alone. Class: a failure that says nothing about room is taken for a lack of room, and only success gives it back.

Why it works: silence no longer changes the number. A worker that has sent nothing in any run since is suspected and gets one trial at a time, which one byte ends; but if most workers of the pool are suspected, answers are likelier to be lost on their way, and none is shut. An item pauses shortly after a silent run, so that the worker sees the connection close first.

--- a/postpass/batch/capacity.py
+++ b/postpass/batch/capacity.py
@@ -19,7 +19,7 @@
 from postpass.gateway.worker_load import WorkerLoad, integer_share
 from postpass.routing.item_choice import ItemWorker, free_item_slots
 from postpass.routing.item_order import usual_seconds
-from postpass.routing.load_picture import IDLE, LoadReport
+from postpass.routing.load_picture import IDLE, LoadReport, are_failures_credible
 from postpass.routing.options import DEFAULT_OPTIONS, RoutingOptions
 from postpass.runtime import log_events
 from postpass.runtime.environment import now
@@ -129,6 +129,8 @@
     """The number of items of routes that one worker may run, adapted to whether it rejected or ran previous ones.
 
     `latest_done_start` is the loop time, in seconds, at which the youngest of its runs that ended as done began.
+    `ended_runs_sign` is when the worker last sent something in a run that has ended, and `suspected_at` when a run was last
+    given up although the worker had sent nothing in any other run since; both are loop times in seconds.
     Invariant: `max_items` is between 1 and the worker's number of slots.
     """
 
@@ -136,6 +138,9 @@
     closed_until: float = 0.0  # loop time in seconds
     running: int = 0
     latest_done_start: float = -math.inf
+    open_runs: set[RunProgress] = field(default_factory=set)
+    ended_runs_sign: float = -math.inf
+    suspected_at: float = -math.inf
 
     def rejected(self, pause: float) -> None:
         """Halves the limit after the worker rejected an item, and closes it to items for `pause` seconds."""
@@ -158,6 +163,30 @@
         """The number of items that may run there now; 0 during the pause after a rejection."""
         return self.max_items if now() >= self.closed_until else 0.0
 
+    @property
+    def last_sign(self) -> float:
+        """The loop time, in seconds, at which the worker last sent something in any run."""
+        return max([self.ended_runs_sign, *(run.received_at for run in self.open_runs if run.has_received)])
+
+    def record_silence(self, progress: RunProgress) -> None:
+        """Suspects the worker after a run that was given up, unless it has sent something in another run meanwhile.
+
+        Silence says nothing about how many items the worker can run, so `max_items` stays as it is.
+        """
+        if self.last_sign <= progress.received_at:
+            self.suspected_at = now()
+
+    @property
+    def is_suspect(self) -> bool:
+        """Whether the worker has sent nothing since it was suspected of being stuck."""
+        return self.suspected_at > self.last_sign
+
+    @property
+    def allowed_while_suspect(self) -> float:
+        """The number of items that may run there while it is suspect: one trial, beside the runs from before."""
+        earlier_runs = sum(run.started_at < self.suspected_at for run in self.open_runs)
+        return min(self.allowed, 1.0 + earlier_runs)
+
 
 @dataclass(eq=False)
 class TakenSlot:
@@ -165,12 +194,23 @@
 
     limit: WorkerLimit
     is_taken: bool = True
+    progress: RunProgress | None = None  # of the item's run, once it has begun
+
+    def watch(self, progress: RunProgress) -> None:
+        """Counts what the worker sends in this run among its signs of life."""
+        self.progress = progress
+        self.limit.open_runs.add(progress)
 
     def release(self) -> None:
         """Gives the slot back."""
         assert self.is_taken
         self.is_taken = False
         self.limit.running -= 1
+        if self.progress is None:
+            return
+        self.limit.open_runs.discard(self.progress)
+        if self.progress.has_received:
+            self.limit.ended_runs_sign = max(self.limit.ended_runs_sign, self.progress.received_at)
 
 
 @dataclass(eq=False)
@@ -197,16 +237,21 @@
 
     def free(self, configuration: Configuration, pool: str) -> dict[str, int]:
         """Returns how many more items each worker of a pool may get now; barred workers are left out."""
+        servers = configuration["pools"][pool]["servers"]
+        limits = {
+            name: self.limits.setdefault((pool, name), WorkerLimit(max(1.0, float(server["slots"]))))
+            for name, server in servers.items()
+            if not self.barred(configuration, pool, name)
+        }
+        # If most workers seem to be stuck, it is likelier that answers are lost on their way.
+        suspects_count = are_failures_credible(sum(limit.is_suspect for limit in limits.values()), len(limits))
         load = self.live_load()
         workers = []
-        for name, server in configuration["pools"][pool]["servers"].items():
-            if self.barred(configuration, pool, name):
-                continue
-            slots = server["slots"]
-            limit = self.limits.setdefault((pool, name), WorkerLimit(max(1.0, float(slots))))
+        for name, limit in limits.items():
+            allowed = limit.allowed_while_suspect if suspects_count and limit.is_suspect else limit.allowed
             other_load = None if load is None else load.get(name, IDLE)
             live, failing = (None, False) if other_load is None else (other_load.requests, other_load.fails_most)
-            workers.append(ItemWorker(name, slots, limit.running, live, limit.allowed, failing))
+            workers.append(ItemWorker(name, servers[name]["slots"], limit.running, live, allowed, failing))
         return free_item_slots(workers, self.options)
 
     def barred(self, configuration: Configuration, pool: str, worker: str) -> str:
--- a/postpass/batch/item_run.py
+++ b/postpass/batch/item_run.py
@@ -97,7 +97,7 @@
             self.release(slot)
             self.log_unexpected_error(item, task)
 
-        item.start_run(self.run_request(configuration, route, item, slot), on_end)
+        slot.watch(item.start_run(self.run_request(configuration, route, item, slot), on_end))
 
     def release(self, slot: TakenSlot) -> None:
         """Gives a slot back, and wakes the placement of waiting items; does nothing if it was given back before."""
@@ -137,7 +137,10 @@
                 item.not_before = now() + poll / 4
                 run_end = RunEnd.NOT_RUN
             elif error.fault.hint == SILENT_HINT:
-                limit.rejected(poll)
+                assert item.progress is not None
+                limit.record_silence(item.progress)
+                # The worker must have seen the connection close before another one runs the item.
+                item.not_before = now() + poll / 4
                 item.silent_workers.add(item.worker)
                 item.silent_runs += 1
                 run_end = RunEnd.SILENT
--- a/postpass/batch/leased_items.py
+++ b/postpass/batch/leased_items.py
@@ -109,8 +109,8 @@
         """Why it waits; of no meaning while it runs."""
         return WaitReason.PAUSED if self.not_before > now() else self.passed_over
 
-    def start_run(self, run: Coroutine[Any, Any, None], on_end: Callable[[asyncio.Task[None]], None]) -> None:
-        """Starts a run of the item in a task of its own.
+    def start_run(self, run: Coroutine[Any, Any, None], on_end: Callable[[asyncio.Task[None]], None]) -> RunProgress:
+        """Starts a run of the item in a task of its own, and returns its progress.
 
         However the task ends, even if it was cancelled before its first step, the item waits again; then `on_end` is
         called with the task.
@@ -121,6 +121,7 @@
         self.task = asyncio.create_task(run)
         self.task.add_done_callback(self._run_ended)
         self.task.add_done_callback(on_end)
+        return self.progress
 
     def _run_ended(self, task: asyncio.Task[None]) -> None:
         if self.task is task:
--- a/sim/random_days.py
+++ b/sim/random_days.py
@@ -111,6 +111,14 @@
             length = round(self.chance.uniform(0.5, 5.0), 2)
             self.lines.append(f"at {at:.2f} fault worker:llm:{worker} {word} {share} for {length}")
 
+    def draw_lost_answers(self, span: float) -> None:
+        """Draws workers that lose answers to what they ran, with the connection left open or reset, in series."""
+        for _ in range(self.chance.randrange(4)):
+            at, worker = self.chance.uniform(0.5, span - 1), self.chance.randrange(3)
+            word, share = self.chance.choice(["withheld", "lost"]), self.chance.choice([0.05, 0.3, 0.6])
+            length = round(self.chance.uniform(0.5, 6.0), 2)
+            self.lines.append(f"at {at:.2f} fault worker:llm:{worker} {word} {share} for {length}")
+
     def draw_other_faults(self, span: float) -> None:
         """Draws what may coincide with anything else: workers, edges, changes, evacuations, bursts, added machines."""
         chance, zones = self.chance, self.sizes["zones"]
@@ -208,6 +216,7 @@
     else:
         draw.draw_other_faults(span)
     draw.draw_silent_workers(end - 1 if closing else span)
+    draw.draw_lost_answers(end - 1 if closing else span)
     head += [f"run {span:.0f}", "settle 10"]
     expect = ["expect served >= 0.3" if closing else "expect served >= 0.5"]
     return "\n".join([*head, *sorted(draw.lines, key=fault_time), *expect]) + "\n"
--- a/sim/rules/checks.py
+++ b/sim/rules/checks.py
@@ -36,6 +36,7 @@
     "LOT_KEPT": liveness.unkept_jobs,
     "REPLICAS": liveness.standing_replicas,
     "ITEM_LEFT": liveness.items_left_lying,
+    "ITEM_STALLED": liveness.stalled_items,
     "RECOVER": overload.recovery,
     "FAULT": overload.faults,
 }
--- a/sim/workers.py
+++ b/sim/workers.py
@@ -19,6 +19,8 @@
 from sim.http1 import Broken, Garbled, Head, Stream, answer, call, chunk, message
 
 Event = dict[str, Any]
+HELD_OPEN_S = 1e6  # seconds for which a connection stays open after an answer that was withheld
+EVER = 1e18  # seconds; later than any deadline
 
 
 def digest(*parts: bytes) -> str:
@@ -80,6 +82,10 @@
         return entry
 
 
+class AnswerWithheld(Broken):
+    """A request was run to its end, and nothing of its answer was sent; its connection stays open."""
+
+
 @dataclass(eq=False)
 class QueuedRequest:
     """A request that waits for a slot; `admitted` is done once it has one."""
@@ -248,6 +254,8 @@
                 return
             while await self.serve_request(stream):
                 pass
+        except AnswerWithheld:
+            await self.work_for(stream, HELD_OPEN_S, EVER)
         except (Broken, Garbled, TimeoutError):
             pass
         finally:
@@ -446,6 +454,8 @@
                 return await fail(504)
             raise Broken("the client disconnected")
         start = int(head.headers.get("last-event-id", "0") or 0)
+        if self.fault_strikes("withheld"):
+            await self.withhold_answer(stream, end, size - start, deadline)
         end.update(status=200, seal=seal, body="events", size=size, upto=start)
         stream.send(answer(200, echo | {"Postpass-Seal": seal, "Content-Type": "text/event-stream"}, None))
         made: list[float] = []
@@ -494,6 +504,17 @@
         await self.work_for(stream, 1e6, deadline + 5)
         raise Broken("it fell silent")
 
+    async def withhold_answer(self, stream: Stream, end: Event, events: int, deadline: float) -> None:
+        """Runs a stream of so many events to its end, and sends nothing of it.
+
+        Raises:
+            AnswerWithheld: always, unless the client disconnects before.
+        """
+        await self.work_for(stream, events * self.engine.pace * self.speed, deadline)
+        end["broke"] = True
+        self.log({"ev": "silent", "worker": self.id, "id": end["id"], "run": end["run"]})
+        raise AnswerWithheld("the answer is lost")
+
     async def send_answer(self, stream: Stream, response: bytes, end: Event, cut_positions: list[int]) -> None:
         """Sends an answer, or, if a fault strikes, nothing, a part of it, or bytes that are no answer.
 
--- a/tests/batch/test_item_answers.py
+++ b/tests/batch/test_item_answers.py
@@ -80,6 +80,13 @@
     assert judge_items(outcome) == [] and len(outcome.results) == 2
 
 
+def test_items_wait_for_no_free_slot_behind_the_lost_answers_of_others() -> None:
+    # Issue 50: each lost answer halved its worker's limit, down to the one item that was lost next; all others waited for that.
+    lost = Play(cut=0, cut_end="silence", silence_s=600.0)
+    outcome = run_items(ItemScene(((lost,) * 5, (lost,) * 5), (16,)))
+    assert judge_items(outcome) == [] and len(outcome.results) >= 14
+
+
 def test_a_slow_worker_that_is_silent_for_less_than_the_limit_keeps_its_item() -> None:
     limit = BOUNDS.silence_limit
     slow = Play(delay=limit - 1.5 * BOUNDS.silence_check_interval)
--- a/tests/sim/test_broken_variants.py
+++ b/tests/sim/test_broken_variants.py
@@ -483,6 +483,7 @@
     ("LOT_KEPT", budget_never_answers, "clients view 1 lots 2x4\n"),
     ("REPLICAS", lets_nobody_in, "clients view 1 lots 1x4\nrun 14\nat 1 add store 0\n"),
     ("ITEM_LEFT", waits_for_silent_workers, "clients view 1 lots 2x6\nrun 20\nsettle 10\nat 2 fault worker:llm:0 mute 0.5 for 3\n"),
+    ("ITEM_STALLED", waits_for_silent_workers, "clients view 1 lots 2x6\nrun 20\nsettle 10\nat 2 fault worker:llm:0 withheld 0.5 for 3\n"),
     ("REPLICAS", covers_nothing_more, "clients view 1 lots 2x4\n"),
     ("RECOVER", stays_down, "clients view 8\nrun 26\nat 3 closing kill_all for 1\n"),
     ("FAULT", ends_itself, "clients view 4\n"),
--- a/tests/sim/test_rules.py
+++ b/tests/sim/test_rules.py
@@ -126,6 +126,11 @@
     return [*lot(429, "l2", t, id="i2"), {"ev": "lot_audit", "t": t + 30.0, "lot": "l1", "status": 200}]
 
 
+def pool_worker(slots: int = 8) -> list[Event]:
+    """The start of a worker that runs items."""
+    return [START | {"service": "llm", "slots": slots}]
+
+
 def silence(t: float) -> Event:
     return {"ev": "silent", "t": t, "worker": "w1", "id": "i1", "run": 1}
 
@@ -299,6 +304,11 @@
         [*FIRST, *lot(), *item_run(end_status=0, whole=False), *over(23.0)],
         [*FIRST, *lot(), item_run()[1], silence(6.5), *over(23.0)],
     ],
+    "ITEM_STALLED": [
+        [*FIRST, *pool_worker(), *lot(), *item_run(end_status=0, whole=False), read(25.0)],
+        [*FIRST, *pool_worker(), *lot(), item_run()[1], silence(6.5), *item_run(19.0, run=2), read(25.0)],
+        [*FIRST, *pool_worker(), *lot(), *item_run(18.0), read(25.0)],
+    ],
     "RECOVER": [[*FIRST, *SERVED * 4, {"ev": "trouble", "t": 20.0, "machine": "edge", "what": "down", "on": None},
                  {"ev": "trouble", "t": 21.0, "machine": "edge", "what": "start", "on": None},
                  *(SERVED[0] | {"t": 40.0, "began": 36.0, "good": False} for _ in range(5))]],
@@ -389,6 +399,21 @@
     assert "ITEM_LEFT" not in breaches(day([*held, item_run()[1], silence(20.0), *over(23.0)]))
 
 
+def test_an_item_that_soon_runs_again_or_finds_no_room_is_not_stalled() -> None:
+    broken = item_run(end_status=0, whole=False)
+    late = [*item_run(19.0, run=2), read(25.0)]
+    shock = {"ev": "trouble", "t": 12.0, "machine": "core", "what": "start", "on": None}
+    for more in (
+        [*pool_worker(), *broken, *item_run(17.0, run=2), read(25.0)],
+        [*pool_worker(), *broken, read(17.0)],
+        [*pool_worker(), *broken, shock, *late],
+        [*pool_worker(), *broken, {"ev": "lot_ending", "t": 9.0, "lot": "l1"}, *late],
+        [*pool_worker(slots=1), *broken, *reach("ask", "q7", 9.0, run=7)[:2], *late],
+        [*pool_worker(), *broken, {"ev": "worker_down", "t": 7.0, "worker": "w1"}, *late],
+    ):
+        assert "ITEM_STALLED" not in breaches(day([*FIRST, *lot(), *more]))
+
+
 def test_orders_wait_while_the_core_is_unsettled() -> None:
     sent = [*FIRST, changed(2, config(5), 3, 5.0)[0], {"ev": "traffic_over", "t": 10.0}]
     shocks = [{"ev": "trouble", "t": t, "machine": "core", "what": "start", "on": None} for t in (6.0, 8.5)]
