Bound the silence limit of an item whose answers are lost again

Cause: the limit doubled with each silent run without a bound, so that an item still ends where every worker is slow; it can't tell those from lost answers. Class: a wait that is a power of the failures.

Why it works: the limit ends at 5/6 of the recovery bound, so an item is at a worker again within that bound after each loss. A worker that pauses for up to 10 s (recover 12) still keeps its item at the third run at the latest; the test with workers that are slower than the first limit holds unchanged. What is given up: a worker that pauses for longer is cut in each run; text so far is continued.

--- a/postpass/batch/item_run.py
+++ b/postpass/batch/item_run.py
@@ -186,12 +186,12 @@
         """Returns for how many seconds the worker of a running item of a route may send nothing.
 
         A slow worker begins its items in the order in which they came, so one that has done a later item has left this
-        one out. The limit doubles with each silent run: where all workers are slow, an item still ends.
+        one out. The limit doubles with each silent run, up to a bound: where all workers are slow, an item still ends.
         """
         assert item.progress is not None
         bounds, limit = self.settings.bounds, self.capacity.limits[(item.pool, item.worker)]
         first = bounds.overtaken_silence_limit if limit.has_overtaken(item.progress) else bounds.silence_limit
-        return first * (1 << item.silent_runs)
+        return min(first * (1 << item.silent_runs), bounds.longest_silence_limit)
 
     # --- items of classes
     def prompt_admission_check(self, item: LeasedItem, pool: str) -> str:
--- a/postpass/configuration/settings.py
+++ b/postpass/configuration/settings.py
@@ -104,7 +104,8 @@
       the order serves within the bound.
     - item_lease + scheduling_pause <= end: the items of an ended job stop within its bound.
     - feed_interval * 2 <= manifest: a daemon polls twice within the bound.
-    - overtaken_silence_limit < silence_limit < recover: a run that is given up can begin again within the bound.
+    - overtaken_silence_limit < silence_limit < longest_silence_limit, and longest_silence_limit + silence_check_interval +
+      scheduling_pause <= recover: an item whose answer is lost runs again within the bound, however often that happens.
     - probe_interval * 3 <= leave: a worker's state is read three times within the bound.
     - acknowledge * 10 <= resend_period: an order is still recognised long after its sender must have received an
       answer.
@@ -197,6 +198,11 @@
         """The same if the worker has meanwhile completed an item that it got later."""
         return self.recover / 6
 
+    @property
+    def longest_silence_limit(self) -> float:
+        """The same after any number of silent runs of the item, whose limit grows with each."""
+        return self.recover * 5 / 6
+
     @property
     def silence_check_interval(self) -> float:
         """Seconds between two checks of whether the worker of an item is silent."""
--- a/tests/batch/test_item_answers.py
+++ b/tests/batch/test_item_answers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import replace
+from itertools import pairwise
 from typing import Any
 
 import pytest
@@ -87,6 +88,15 @@
     assert judge_items(outcome) == [] and len(outcome.results) >= 14
 
 
+def test_an_item_whose_answers_are_lost_again_and_again_runs_again_within_the_recovery_bound() -> None:
+    # Issue 50: the wait doubled with each lost answer, 6, 12, 24, 48 s.
+    lost = Play(cut=0, cut_end="silence", silence_s=600.0)
+    outcome = run_items(ItemScene(((lost,) * 4,), (1,)), rounds=8 * ROUNDS)
+    assert judge_items(outcome) == [] and len(outcome.results) == 1
+    sent = [run.sent for run in outcome.record.runs]
+    assert all(again - before <= BOUNDS.recover for before, again in pairwise(sent)) and len(sent) == 5
+
+
 def test_a_slow_worker_that_is_silent_for_less_than_the_limit_keeps_its_item() -> None:
     limit = BOUNDS.silence_limit
     slow = Play(delay=limit - 1.5 * BOUNDS.silence_check_interval)
--- a/tests/configuration/test_settings.py
+++ b/tests/configuration/test_settings.py
@@ -26,7 +26,8 @@
     )
     assert bounds.item_lease + bounds.scheduling_pause <= bounds.end
     assert bounds.feed_interval * 2 <= bounds.manifest
-    assert bounds.overtaken_silence_limit < bounds.silence_limit < bounds.recover
+    assert bounds.overtaken_silence_limit < bounds.silence_limit < bounds.longest_silence_limit < bounds.recover
+    assert bounds.longest_silence_limit + bounds.silence_check_interval + bounds.scheduling_pause <= bounds.recover
     assert bounds.probe_interval * 3 <= bounds.leave
     assert bounds.acknowledge * 10 <= bounds.resend_period
     assert bounds.feed_interval * 2 < bounds.isolation_time < bounds.leave
