--- a/postpass/batch/capacity.py
+++ b/postpass/batch/capacity.py
@@ -179,7 +179,8 @@
     @property
     def is_suspect(self) -> bool:
         """Whether the worker has sent nothing since it was suspected of being stuck."""
-        return self.suspected_at > self.last_sign
+        # Most workers never were: then nothing is computed from their runs, however many these are.
+        return self.suspected_at > -math.inf and self.suspected_at > self.last_sign
 
     @property
     def allowed_while_suspect(self) -> float:
