--- a/postpass/batch/capacity.py
+++ b/postpass/batch/capacity.py
@@ -23,6 +23,7 @@
 from postpass.routing.options import DEFAULT_OPTIONS, RoutingOptions
 from postpass.runtime import log_events
 from postpass.runtime.environment import now
+from postpass.runtime.ordered_set import OrderedSet
 
 PROBES_UNTIL_STALE = 4  # probing intervals after which a worker's last report counts as stale
 DEFAULT_RESERVE = 0.25  # share of the live load that is kept free on top of it, for its growth
@@ -138,7 +139,7 @@
     closed_until: float = 0.0  # loop time in seconds
     running: int = 0
     latest_done_start: float = -math.inf
-    open_runs: set[RunProgress] = field(default_factory=set)
+    open_runs: OrderedSet[RunProgress] = field(default_factory=OrderedSet)
     ended_runs_sign: float = -math.inf
     suspected_at: float = -math.inf
 
