Log why an item is abandoned, and the run of each failure that is counted

Now E156 at the scheduler (worker, run, seconds since it began, whether its connection had carried other requests), E157 at the owner for each counted failure with its run, and E158 for what is abandoned, with its cause. A report of a failure names its run; releases before pass over the key.

--- a/postpass/batch/item_request.py
+++ b/postpass/batch/item_request.py
@@ -47,6 +47,7 @@
 
     status: int
     headers: list[tuple[bytes, bytes]]
+    reused: bool  # whether its connection had carried other requests before
 
     def chunks(self) -> AsyncIterator[bytes]:
         """Yields the body of the response as it arrives; raises FaultError if it is cut off."""
@@ -198,6 +199,7 @@
     )  # fmt: skip
     try:
         progress.record_received()
+        progress.connection_reused = exchange.reused
         check_head(exchange, dialect, worker)
         if exchange.status in FINAL_STATUSES:
             await drain_body(exchange, worker)
--- a/postpass/batch/item_run.py
+++ b/postpass/batch/item_run.py
@@ -14,6 +14,7 @@
 from postpass.batch.leased_items import LeasedItem, LeasedItems
 from postpass.batch.messages import ItemKey, ItemResult, ItemStatus, output_checksum
 from postpass.batch.owner_client import OwnerClient
+from postpass.batch.run_names import RunNames
 from postpass.batch.scheduler_election import SchedulerElection
 from postpass.batch.silence_watch import end_if_silent
 from postpass.configuration.configuration import Configuration, Route
@@ -25,13 +26,13 @@
 from postpass.runtime import log_events
 from postpass.runtime.environment import now
 from postpass.runtime.errors import NOT_RESPONSIBLE, TIMED_OUT, Fault, FaultError
+from postpass.runtime.log_events import Event
 from postpass.worker_api.openai import complete
 
 if TYPE_CHECKING:
     import aiohttp
 
 ROUTE_STATUS = {RunEnd.DONE: ItemStatus.DONE, RunEnd.FAILED: ItemStatus.FAILED, RunEnd.NEVER: ItemStatus.ABANDONED}
-TASK_FAILED, RUN_SILENT = 103, 155  # numbers of the log events
 ROUTE_TIMEOUT = 10  # time limit of a run of an item of a route, in multiples of the recovery bound
 
 
@@ -58,6 +59,7 @@
     capacity: RouteCapacity
     ended_items: Counter
     slot_freed: asyncio.Event
+    run_names: RunNames
     dialect: Dialect = field(default_factory=Dialect)  # the header names that requests and responses use
     workers: Workers | None = None  # the client that sends items of routes to workers; None: they are not run here
 
@@ -97,7 +99,8 @@
             self.release(slot)
             self.log_unexpected_error(item, task)
 
-        slot.watch(item.start_run(self.run_request(configuration, route, item, slot), on_end))
+        run = self.run_request(configuration, route, item, slot)
+        slot.watch(item.start_run(self.run_names.next(), run, on_end))
 
     def release(self, slot: TakenSlot) -> None:
         """Gives a slot back, and wakes the placement of waiting items; does nothing if it was given back before."""
@@ -111,7 +114,12 @@
         if error is not None:
             item.not_before = now() + self.settings.bounds.scheduling_pause
             log_events.emit(
-                TASK_FAILED, self.settings.name, job=item.job, item=item.position, worker=item.worker, why=repr(error)
+                Event.TASK_FAILED,
+                self.settings.name,
+                job=item.job,
+                item=item.position,
+                worker=item.worker,
+                why=repr(error),
             )
 
     async def run_request(self, configuration: Configuration, route: Route, item: LeasedItem, slot: TakenSlot) -> None:
@@ -152,8 +160,21 @@
         self.ended_items.labels(item.item_class, run_end).inc()
         if run_end not in ROUTE_STATUS:
             return
-        text = item.text.text if run_end == RunEnd.DONE else ""
-        await self.finish(item, ItemResult(ROUTE_STATUS[run_end], text, item.tries, output_checksum(text)))
+        if run_end == RunEnd.DONE:
+            text = item.text.text
+            await self.finish(item, ItemResult(ItemStatus.DONE, text, item.tries, output_checksum(text)))
+        else:
+            self.log_failure(item, run_end)
+            checksum = output_checksum("")
+            await self.finish(item, ItemResult(ROUTE_STATUS[run_end], "", item.tries, checksum, item.run))
+
+    def log_failure(self, item: LeasedItem, run_end: RunEnd) -> None:
+        """Logs a run of an item that its worker answered with a failure of its own."""
+        assert item.progress is not None
+        log_events.emit(
+            Event.ITEM_RUN_FAILED, self.settings.name, job=item.job, item=item.position, worker=item.worker, run=item.run,
+            end=run_end, after=f"{item.progress.running_s:.3f}", reused=item.progress.connection_reused,
+        )  # fmt: skip
 
     async def send_request(self, configuration: Configuration, route: Route, item: LeasedItem) -> RunEnd:
         """Sends an item to its worker, by the client `self.workers`, and appends the response to `item.text`.
@@ -175,7 +196,7 @@
                 )  # fmt: skip
         except TimeoutError as error:
             log_events.emit(
-                RUN_SILENT, self.settings.name, job=item.job, item=item.position, worker=worker,
+                Event.ITEM_RUN_SILENT, self.settings.name, job=item.job, item=item.position, worker=worker,
                 running=f"{item.progress.running_s:.3f}", silent=f"{item.progress.silent_s:.3f}",
             )  # fmt: skip
             raise FaultError(
@@ -201,7 +222,8 @@
 
     def start_prompt(self, configuration: Configuration, pool: str, item: LeasedItem) -> None:
         """Starts a run of an item of a class at `item.worker`."""
-        item.start_run(self.run_prompt(configuration, pool, item), lambda task: self.log_unexpected_error(item, task))
+        run = self.run_prompt(configuration, pool, item)
+        item.start_run(self.run_names.next(), run, lambda task: self.log_unexpected_error(item, task))
 
     async def run_prompt(self, configuration: Configuration, pool: str, item: LeasedItem) -> None:
         """Runs an item of a class at `item.worker`.
@@ -215,7 +237,7 @@
             run_end, result = RunEnd.DONE, ItemResult(ItemStatus.DONE, output, checksum=output_checksum(output))
         except FaultError as error:
             run_end = RunEnd.NOT_RUN if not_run(error.fault) else RunEnd.BROKEN
-            result = ItemResult(ItemStatus.FAILED, str(error.fault))
+            result = ItemResult(ItemStatus.FAILED, str(error.fault), run=item.run)
             if error.fault.unsent:
                 worker_state.unusable_reason = worker_state.unusable_reason or error.fault.why
         finally:
--- a/postpass/batch/job_service.py
+++ b/postpass/batch/job_service.py
@@ -13,6 +13,7 @@
 
 from result import Err, Ok, Result
 
+from postpass.batch.abandonment import AbandonCause, log_abandoned
 from postpass.batch.background import spawn
 from postpass.batch.job import Job, JobState, budget_key_of, job_digest, pack_items
 from postpass.batch.messages import ItemStatus, ResultRow, ResultsRequest, ResultsResponse
@@ -234,7 +235,7 @@
         revision_known = store.configuration_view.revision >= job.body.get("since", 0)
         route_removed = revision_known and self.quota.route(job.body["route"]) is None
         if (route_removed or age > job.body["expire"]) and job.seq <= partition.covered:
-            self.abandon(partition, job)
+            self.abandon(partition, job, AbandonCause.ROUTE_REMOVED if route_removed else AbandonCause.EXPIRED)
         return False
 
     def retention(self) -> float:
@@ -245,8 +246,9 @@
             configuration.get("retention", DEFAULT_RETENTION_S) if configuration else DEFAULT_RETENTION_S
         )
 
-    def abandon(self, partition: Partition, job: Job) -> None:
+    def abandon(self, partition: Partition, job: Job, cause: AbandonCause) -> None:
         """Records all items that have no result as abandoned."""
+        log_abandoned(self.store.settings.name, job, job.size - len(job.results), cause)
         for position in range(job.size):
             if position not in job.results:
                 status = str(ItemStatus.ABANDONED)
--- a/postpass/batch/leased_items.py
+++ b/postpass/batch/leased_items.py
@@ -47,6 +47,7 @@
     client: str
     worker: str = ""
     task: asyncio.Task[None] | None = None
+    run: str = ""  # identifies the run that lasts, or the last one
     pieces: int = 0  # pieces of output that have arrived in this run
     progress: RunProgress | None = None  # of the run that lasts, or of the last one
     waiting_since: float = 0.0  # loop time, in seconds, at which it came here or its last run ended
@@ -109,15 +110,17 @@
         """Why it waits; of no meaning while it runs."""
         return WaitReason.PAUSED if self.not_before > now() else self.passed_over
 
-    def start_run(self, run: Coroutine[Any, Any, None], on_end: Callable[[asyncio.Task[None]], None]) -> RunProgress:
-        """Starts a run of the item in a task of its own, and returns its progress.
+    def start_run(
+        self, name: str, run: Coroutine[Any, Any, None], on_end: Callable[[asyncio.Task[None]], None]
+    ) -> RunProgress:
+        """Starts a run of the item, identified by `name`, in a task of its own, and returns its progress.
 
         However the task ends, even if it was cancelled before its first step, the item waits again; then `on_end` is
         called with the task.
         """
         self.earlier_progress_at = self.progressed_at
         self.passed_over = WaitReason.NOT_CONSIDERED
-        self.progress = RunProgress.begin()
+        self.run, self.progress = name, RunProgress.begin()
         self.task = asyncio.create_task(run)
         self.task.add_done_callback(self._run_ended)
         self.task.add_done_callback(on_end)
--- a/postpass/batch/leases.py
+++ b/postpass/batch/leases.py
@@ -14,6 +14,7 @@
 
 from result import Err, Ok
 
+from postpass.batch.abandonment import AbandonCause, log_abandoned_item, log_failure_counted
 from postpass.batch.job import Job, JobState, JobView, item_class_of
 from postpass.batch.messages import ItemGrant, ItemKey, ItemResult, ItemStatus, TakeRequest, TakeResponse
 from postpass.replication.leadership_check import LeadershipCheck
@@ -247,8 +248,12 @@
         try:
             if recorded is None:
                 self.owner.append(partition, "mark", {"failed": [key.job, key.position]})
+                log_failure_counted(self.table.settings.name, job, key.position, result)
                 return Ok({"taken": False})
             self.owner.append(partition, "result", ItemResult(recorded.status, recorded.output).as_json(key))
         except FaultError as error:
             return Err(error.fault)
+        if recorded.status != ItemStatus.DONE:
+            cause = AbandonCause.IMPOSSIBLE if result.status == ItemStatus.ABANDONED else AbandonCause.FAILURES
+            log_abandoned_item(self.table.settings.name, job, key.position, result, cause)
         return Ok({"taken": True})
--- a/postpass/batch/messages.py
+++ b/postpass/batch/messages.py
@@ -174,13 +174,15 @@
     """An item's result as a scheduler reports it to the owner (verb `done`).
 
     `tries` is the number of failures after which the item is given up, None for the owner's default. `checksum` is that
-    of the output; it is empty where the output is only the reason for a failure.
+    of the output; it is empty where the output is only the reason for a failure. `run` identifies the run that ended so;
+    it is empty in the reports of releases that don't tell it, and in records.
     """
 
     status: ItemStatus
     output: str
     tries: int | None = None
     checksum: str = ""
+    run: str = ""
 
     def as_json(self, key: ItemKey) -> Body:
         """Returns the body of the request, without the partition."""
@@ -189,13 +191,15 @@
             body["tries"] = self.tries
         if self.checksum:
             body["sum"] = self.checksum
+        if self.run:
+            body["run"] = self.run
         return body
 
     @classmethod
     def from_json(cls, body: Body) -> ItemResult:
         """Decodes the body of a request, except for the item's key."""
         tries = int(body["tries"]) if "tries" in body else None
-        return cls(ItemStatus(body["status"]), body["output"], tries, body.get("sum", ""))
+        return cls(ItemStatus(body["status"]), body["output"], tries, body.get("sum", ""), body.get("run", ""))
 
     @property
     def intact(self) -> bool:
--- a/postpass/batch/run_progress.py
+++ b/postpass/batch/run_progress.py
@@ -13,6 +13,7 @@
     """When a run began and when its worker last sent something. Times are loop times, in seconds.
 
     :ivar has_received: whether a part of the response has arrived.
+    :ivar connection_reused: whether the connection of the response had carried other requests before.
     :ivar longest_pause: the longest time, in seconds, between two parts of the response, or before its first one.
     """
 
@@ -20,6 +21,7 @@
     received_at: float  # `started_at` before the first part of the response
     longest_pause: float = 0.0
     has_received: bool = False
+    connection_reused: bool = False
 
     @classmethod
     def begin(cls) -> Self:
--- a/postpass/batch/scheduler.py
+++ b/postpass/batch/scheduler.py
@@ -22,6 +22,7 @@
 from postpass.batch.leased_items_status import least_progress, most_silent_run, register_leased_items_gauges
 from postpass.batch.owner_client import OwnerClient
 from postpass.batch.placement import Placement
+from postpass.batch.run_names import RunNames
 from postpass.batch.scheduler_election import SchedulerElection
 from postpass.configuration.header_names import Dialect
 from postpass.configuration.settings import Settings
@@ -64,7 +65,8 @@
         self.class_capacity = ClassCapacity(self.settings, self.worker_load, self.items, ended_items, recalled_items)
         self.runner = ItemRunner(
             self.settings, self.configuration_view, self.worker_load, self.session, self.election, self.owners,
-            self.items, self.route_capacity, ended_items, self.wake, self.dialect,
+            self.items, self.route_capacity, ended_items, self.wake,
+            RunNames.of_process(self.settings.name, self.environment.wall()), self.dialect,
         )  # fmt: skip
         self.placement = Placement(
             self.settings, self.environment, self.configuration_view, self.items, self.route_capacity, self.runner
--- a/postpass/runtime/log_events.py
+++ b/postpass/runtime/log_events.py
@@ -69,6 +69,9 @@
     WORKER_STATE_CHANGED = 153
     PLUGIN_FAILED = 154
     ITEM_RUN_SILENT = 155
+    ITEM_RUN_FAILED = 156
+    ITEM_FAILURE_COUNTED = 157
+    ITEM_ABANDONED = 158
     REQUEST_BROKEN = 160
     REQUEST_CLAIMED = 161
     PROXY_BROKEN = 170
@@ -133,6 +136,10 @@
     Event.WORKER_STATE_CHANGED: "A worker's state as seen here changed: up, down, leaving, odd weights, ramping.",
     Event.PLUGIN_FAILED: "A plug-in raised or answered nonsense; the default was taken.",
     Event.ITEM_RUN_SILENT: "A worker sent nothing for too long in the run of an item, which goes on at another one.",
+    Event.ITEM_RUN_FAILED: "A worker answered the run of an item with a failure of its own. `run` identifies the run, `after` "
+    "has the seconds since it began, `reused` tells whether its connection had carried other requests before.",
+    Event.ITEM_FAILURE_COUNTED: "An owner counted a failed run of an item, which is tried again; `failures` are all so far.",
+    Event.ITEM_ABANDONED: "An owner recorded items of a job as abandoned; the cause follows, and the run if it was one.",
     Event.REQUEST_BROKEN: "A live request's stream ended with an explicit error; step and peer follow.",
     Event.REQUEST_CLAIMED: "A request that may not be repeated was claimed, or refused because it had been.",
     Event.PROXY_BROKEN: "A proxied request may have run and got no complete answer; route, worker and cause follow.",
--- a/tests/batch/test_job_service.py
+++ b/tests/batch/test_job_service.py
@@ -31,6 +31,7 @@
 class Answer:
     def __init__(self, status: int, headers: list[tuple[bytes, bytes]], parts: list[bytes], cut: bool) -> None:
         self.status, self.headers, self.parts, self.cut = status, headers, parts, cut
+        self.reused = False
 
     async def chunks(self) -> AsyncIterator[bytes]:
         for part in self.parts:
--- a/tests/batch/test_leased_items_status.py
+++ b/tests/batch/test_leased_items_status.py
@@ -34,7 +34,7 @@
         silent, sending, _waiting = (leased(items, position) for position in range(3))
         await asyncio.sleep(1)
         for item in (silent, sending):
-            item.start_run(asyncio.sleep(60), lambda _: None)
+            item.start_run("run", asyncio.sleep(60), lambda _: None)
         await asyncio.sleep(5)
         assert sending.progress is not None
         sending.progress.record_received()
@@ -57,7 +57,7 @@
         assert least_progress(items) is None
         item = leased(items, 0)
         for _ in range(2):
-            item.start_run(asyncio.sleep(3), lambda _: None)
+            item.start_run("run", asyncio.sleep(3), lambda _: None)
             await asyncio.sleep(4)
         assert least_progress(items) == {
             "job": "j", "item": 0, "state": "waiting", "reason": "not considered yet", "worker": "w0", "silent_runs": 0, "idle_s": 8,
@@ -66,7 +66,7 @@
         shown = {"reason": str(WaitReason.LEASE_EXPIRED)}
         assert registry.get_sample_value("postpass_item_wait_reason_seconds_max", shown) == 1
         assert registry.get_sample_value("postpass_item_idle_seconds_max") == 8
-        item.start_run(asyncio.sleep(3), lambda _: None)
+        item.start_run("run", asyncio.sleep(3), lambda _: None)
         assert item.progress is not None
         item.progress.record_received()
         await asyncio.sleep(2)
--- a/tests/batch/test_placement.py
+++ b/tests/batch/test_placement.py
@@ -78,7 +78,7 @@
     def start_request(self, configuration: Any, route: Any, item: LeasedItem) -> None:
         self.started.append(item)
         self.capacity.take_slot(item.pool, item.worker)
-        item.start_run(asyncio.sleep(math.inf), lambda _: None)
+        item.start_run("run", asyncio.sleep(math.inf), lambda _: None)
 
     def add_waiting(self, count: int) -> None:
         for number in range(count):
@@ -175,7 +175,7 @@
 
         def start_request(self, _configuration: Any, _route: Any, item: LeasedItem) -> None:
             capacity.take_slot(item.pool, item.worker)
-            item.start_run(asyncio.sleep(1.0), lambda _: None)
+            item.start_run("run", asyncio.sleep(1.0), lambda _: None)
 
     capacity = CountingCapacity(usual_seconds=0.5)
 
--- a/tests/test_readable_code.py
+++ b/tests/test_readable_code.py
@@ -27,9 +27,9 @@
         "reconfiguration", "owner_duties", "store",
     ),
     "batch": (
-        "messages", "background", "quota", "job", "leases", "partition_access", "partition_client", "told_counts", "quota_holder",
+        "messages", "background", "quota", "job", "abandonment", "leases", "partition_access", "partition_client", "told_counts", "quota_holder",
         "quota_service",
-        "job_records", "job_service", "retention", "job_api", "run_progress", "silence_watch", "item_request", "leased_items",
+        "job_records", "job_service", "retention", "job_api", "run_names", "run_progress", "silence_watch", "item_request", "leased_items",
         "leased_items_status", "scheduler_election",
         "owner_client", "free_slots", "capacity", "item_run", "placement", "dispatch", "scheduler",
     ),
