Send no request on a connection that has carried the same id before

Cause: an answer was matched to its request by the id alone, and all runs of an item have the same id. A worker that answers twice, the second time late, answers the next run of the item if that goes out on the same connection; a 500 leaves it idle, and the pool prefers the connection that was used last. A late 503, 429 or 421 was likewise taken as proof that the later run did not run, while the worker ran it.

Why it works: a connection remembers (as hashes) what its requests expected, and carries no second request that expects the same; so whatever arrives with an id on a connection is of the one request with it. It holds for live requests and items alike, since both use ConnectionPool. A connection ends after 256 requests, which bounds the memory; at the bound of connections to a worker, the idle one unused for longest makes room.

tests/gateway/test_relay.py sent two requests with one id and wanted one connection: the second has an id of its own now, and a third with the first id must take another connection.

--- a/postpass/gateway/connection_pool.py
+++ b/postpass/gateway/connection_pool.py
@@ -55,21 +55,41 @@
                 if not connections:
                     del table[connection.addr]
 
-    def take_idle(self, addr: str) -> UpstreamConnection | None:
-        """Removes and returns the idle connection that was used last, or returns None if there is none.
+    def take_idle(self, addr: str, expect: tuple[bytes, bytes] | None = None) -> UpstreamConnection | None:
+        """Removes and returns the idle connection that was used last and may carry a request with `expect`.
 
-        Closes and skips those that the worker may have closed in the meantime.
+        Returns None if there is none. Closes those that the worker may have closed in the meantime.
         """
         now = asyncio.get_running_loop().time()
-        while idle := self.idle.get(addr):
-            connection = idle.pop()
-            if not idle:
-                del self.idle[addr]
-            if connection.usable_until >= now and connection.is_open():
+        for connection in reversed(self.idle.get(addr, ())):
+            if connection.usable_until < now or not connection.is_open():
+                connection.abort()
+            elif connection.may_carry(expect):
+                self._remove_idle(connection)
                 return connection
-            connection.abort()
         return None
 
+    def _remove_idle(self, connection: UpstreamConnection) -> None:
+        """Removes a connection from the idle ones."""
+        idle = self.idle[connection.addr]
+        idle.remove(connection)
+        if not idle:
+            del self.idle[connection.addr]
+
+    def _make_room(self, addr: str, max_connections: int) -> None:
+        """Closes the idle connection to an address that was unused for longest if no further one may be opened.
+
+        Raises FaultError if all are busy; nothing was sent then.
+        """
+        if not max_connections or len(self.opened.get(addr, ())) < max_connections:
+            return
+        idle = self.idle.get(addr)
+        if not idle:
+            raise FaultError(
+                Fault("connect", addr, f"{max_connections} connections are open", TOO_MANY_REQUESTS, unsent=True)
+            )
+        idle[0].abort()
+
     def busy_count(self, addr: str) -> int:
         """Returns how many connections to an address have an exchange or are being opened."""
         return len(self.opened.get(addr, ())) - len(self.idle.get(addr, ()))
@@ -120,19 +140,16 @@
         must not be sent, otherwise an empty string. `limit`: seconds for the complete exchange, including the body.
         `max_connections`: how many connections this process may have to that address; 0: no bound. `expect`: name and
         value of a header that the answer must have with exactly this value, or must not have if the value is empty;
-        otherwise the answer belongs to another request. `patience`: for an exchange that may be abandoned and repeated
+        otherwise the answer belongs to another request; a connection carries one request with it. `patience`: for an exchange that may be abandoned and repeated
         elsewhere, the seconds of silence after which the worker is probed; 0 for others.
 
         Raises FaultError; its fault is marked `unsent` only if it is proved that no byte was sent.
         """
         deadline = asyncio.get_running_loop().time() + limit
-        connection = self.take_idle(addr)
+        connection = self.take_idle(addr, expect)
         reused = connection is not None
         if connection is None:
-            if max_connections and len(self.opened.get(addr, ())) >= max_connections:
-                raise FaultError(
-                    Fault("connect", addr, f"{max_connections} connections are open", TOO_MANY_REQUESTS, unsent=True)
-                )
+            self._make_room(addr, max_connections)
             connection = await self.open(addr, limit)
         objection = admission_check()
         if objection:
--- a/postpass/gateway/upstream_connection.py
+++ b/postpass/gateway/upstream_connection.py
@@ -24,6 +24,7 @@
 MAX_BODY_BYTES = 64 << 20  # the longest body that `Exchange.read` accepts unless told otherwise
 MAX_BUFFERED_BYTES = 128 << 10  # of a body; beyond that, reading from the worker pauses until the reader has caught up
 DEFAULT_IDLE = 0.5  # seconds that an idle connection is kept if the worker doesn't specify a time
+MAX_REQUESTS = 256  # after which a connection is not used again; bounds what it remembers of them
 IDLE_MARGIN = 0.25  # share of the time specified by the worker that is left unused
 BODILESS = (204, 304)  # statuses of answers without a body, whatever length their headers state
 SWITCHING_PROTOCOLS = 101
@@ -193,8 +194,8 @@
 class UpstreamConnection(asyncio.Protocol):
     """One connection to a worker. Owner: its pool.
 
-    Invariants: it has at most one exchange at a time; bytes that arrive while it has none close it. Times are seconds
-    of the loop's clock.
+    Invariants: it has at most one exchange at a time; bytes that arrive while it has none close it; no two requests that
+    it carries expect the same header of their answers. Times are seconds of the loop's clock.
     """
 
     def __init__(self, addr: str, pool: Pool) -> None:
@@ -213,6 +214,7 @@
         self.keep_alive = False
         self.has_surplus = False  # whether more bytes were received than the answer
         self.expect: tuple[bytes, bytes] | None = None  # the header that an answer to this request must have
+        self.expected_before: set[int] = set()  # hashes of what all requests so far have expected
         self.answers_other_request = False  # whether the received head belongs to another request
         self.lacks_length = False  # whether the received head doesn't define where its body ends
 
@@ -312,6 +314,13 @@
             self.phase = Phase.END
 
     # --- the exchange
+    def may_carry(self, expect: tuple[bytes, bytes] | None) -> bool:
+        """Returns whether an answer to an earlier request can't be mistaken for that to a request with `expect`.
+
+        A worker may answer a request twice, the second time late. Two hashes that are equal by chance cost a connection.
+        """
+        return expect is None or hash(expect) not in self.expected_before
+
     def fault_step(self) -> str:
         """Returns the step that a fault at this moment belongs to: "head" or "body" of the answer."""
         return "body" if self.phase is Phase.BODY else "head"
@@ -336,6 +345,8 @@
         """
         assert self.transport is not None
         self.exchange, self.bodiless, self.expect = exchange, bodiless, expect
+        if expect is not None:
+            self.expected_before.add(hash(expect))
         self.phase, self.head_bytes, self.keep_alive, self.has_surplus = Phase.NOTHING, 0, False, False
         loop = asyncio.get_running_loop()
         self.timer = loop.call_later(limit, self._timed_out)
@@ -352,13 +363,23 @@
         exchange, self.exchange = self.exchange, None
         assert exchange is not None
         self._stop_timer()
-        if self.keep_alive and not self.has_surplus and self.is_open() and self.transport.get_write_buffer_size() == 0:  # type: ignore[union-attr]
+        if self._is_reusable():
             self.resume()
             self.pool.keep_idle(self)
         else:
             self.abort()
         exchange.end(None)
 
+    def _is_reusable(self) -> bool:
+        """Returns whether the connection may carry another request after a complete answer."""
+        return (
+            self.keep_alive
+            and not self.has_surplus
+            and len(self.expected_before) < MAX_REQUESTS
+            and self.is_open()
+            and self.transport.get_write_buffer_size() == 0  # type: ignore[union-attr]
+        )
+
     def fail(self, step: str, why: str, code: int = PEER_FAILED, hint: str = "") -> None:
         """Closes the connection, and ends its exchange, if there is one, with a fault."""
         exchange, self.exchange = self.exchange, None
--- a/tests/batch/test_item_answers.py
+++ b/tests/batch/test_item_answers.py
@@ -62,6 +62,25 @@
     assert len(outcome.record.runs) == 9
 
 
+@pytest.mark.parametrize("kind", ["failure", "bare failure"])
+@pytest.mark.parametrize("delay", [0.15, 0.25, 0.5, 2.0])
+def test_a_second_late_failure_of_a_run_is_not_counted_for_the_next_run_of_its_item(kind: str, delay: float) -> None:
+    # Issue 53: all runs of an item have the same id, and the next one went out on the connection of the run before.
+    twice = Play(kind, surplus="repeat", surplus_delay=delay)
+    outcome = run_items(ItemScene(((twice,),), (1,), tries=2))
+    assert judge_items(outcome) == []
+    assert [result["status"] for result in outcome.results["lot0", 0]] == ["done"]
+
+
+@pytest.mark.parametrize("kind", ["full", "too many", "another"])
+def test_a_second_late_rejection_is_no_proof_that_the_next_run_of_its_item_did_not_run(kind: str) -> None:
+    # Issue 53: the item was placed again while the worker ran it.
+    twice = Play(kind, surplus="repeat", surplus_delay=1.0)
+    outcome = run_items(ItemScene(((twice, Play(delay=3.0)),), (1,)))
+    assert judge_items(outcome) == [] and len(outcome.results) == 1
+    assert sum(run.ran for run in outcome.record.runs) == 1
+
+
 @pytest.mark.parametrize("framing", ["length", "chunked"])
 def test_an_item_whose_answer_ends_at_any_byte_goes_on_elsewhere(framing: str) -> None:
     size = len(run_items(ItemScene(((Play(framing=framing),),), (1,))).record.runs[0].raw)
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -220,10 +220,12 @@
         assert header_value(seen, "host") == "shop.example:80" and header_value(seen, "x-other") == "1"
         assert header_value(seen, "x-want-worker") == "w1" and 850 < int(header_value(seen, "x-deadline-ms")) <= 900
         assert not header_value(seen, "te") and not header_value(seen, "x-hop") and not header_value(seen, "connection")
-        await scene.ask("/i/?", method="GET")
+        await scene.ask("/i/?", method="GET", x_call_id="c2")
         assert scene.workers[0].seen[1].startswith(b"GET /i/? HTTP/1.1\r\n")
         assert 4900 < int(header_value(scene.workers[0].seen[1], "x-deadline-ms")) <= 5000
         assert len(scene.workers[0].writers) == 1
+        await scene.ask("/i/?", method="GET")  # the first one's id: a late answer to that could be taken for this one's
+        assert len(scene.workers[0].writers) == 2
 
     play({"w1": answer_ok}, main)
 
--- a/tests/gateway/test_upstream_connection.py
+++ b/tests/gateway/test_upstream_connection.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from postpass.gateway.connection_pool import ConnectionPool
+from postpass.gateway.upstream_connection import MAX_REQUESTS
 from postpass.runtime.errors import FaultError
 from sim.loop import Host, SimLoop, run_sim
 
@@ -326,3 +327,47 @@
         assert closed == list(range(40))
 
     run(silent, main)
+
+
+async def echo(_c: int, _n: int, head: bytes, writer: asyncio.StreamWriter) -> None:
+    own_id = next(line for line in head.split(b"\r\n") if line.startswith(b"x-id"))
+    writer.write(b"HTTP/1.1 200 OK\r\n" + own_id + b"\r\nContent-Length: 2\r\n\r\nok")
+
+
+async def ask_with_id(pool: ConnectionPool, request_id: bytes, max_connections: int = 0) -> int:
+    """Returns the status of the answer to a request with an id, which the answer must have."""
+    exchange = await pool.request(
+        "w:1", "GET", b"/", [(b"x-id", request_id)], b"", admission_check=lambda: "", limit=5,
+        max_connections=max_connections, expect=(b"x-id", request_id),
+    )  # fmt: skip
+    await exchange.read()
+    return exchange.status
+
+
+def test_a_request_whose_id_a_connection_has_carried_before_takes_another_connection() -> None:
+    # Issue 53: a second, late answer to the earlier request would be taken for the answer to this one.
+    async def main(pool: ConnectionPool, _loop: SimLoop, worker: Worker) -> None:
+        for request_id in (b"1", b"2", b"1", b"3", b"1", b"2"):
+            assert await ask_with_id(pool, request_id) == 200
+        # "2" goes out on the second connection, which had carried "1" and "3" alone.
+        assert worker.connections == 3 and len(pool.idle["w:1"]) == 3
+
+    run(echo, main)
+
+
+def test_a_connection_for_an_id_that_comes_again_takes_the_place_of_the_one_unused_for_longest() -> None:
+    async def main(pool: ConnectionPool, _loop: SimLoop, worker: Worker) -> None:
+        for _ in range(5):
+            assert await ask_with_id(pool, b"1", max_connections=2) == 200
+        assert worker.connections == 5 and len(pool.opened["w:1"]) == 2
+
+    run(echo, main)
+
+
+def test_a_connection_is_not_used_again_after_its_last_request() -> None:
+    async def main(pool: ConnectionPool, _loop: SimLoop, worker: Worker) -> None:
+        for number in range(2 * MAX_REQUESTS + 1):
+            assert await ask_with_id(pool, b"%d" % number) == 200
+        assert worker.connections == 3 and len(pool.opened["w:1"]) == 1
+
+    run(echo, main)
--- a/tests/support/item_answers.py
+++ b/tests/support/item_answers.py
@@ -17,7 +17,7 @@
 from prometheus_client import CollectorRegistry
 from result import Ok
 
-from postpass.batch.leased_items import LeasedItem
+from postpass.batch.leased_items import LeasedItem, LeasedItems
 from postpass.batch.messages import Item
 from postpass.batch.owner_client import OwnerClient
 from postpass.batch.scheduler import Scheduler
@@ -31,15 +31,17 @@
 from tests.support.answers import NAMES, Play, Record, Run, StandInWorker, configuration, events
 
 ROUNDS, ROUND_S = 120, 0.1  # how often the scheduler fills places, and seconds between
+GRANT_AGAIN_S = 0.1  # seconds after which the owner leases an item again that failed
 FAILURES = {"failed": ("failure", "bare failure"), "abandoned": ("never",)}
 
 
 @dataclass(frozen=True)
 class ItemScene:
-    """Workers with their plays, and how many items each of some lots has."""
+    """Workers with their plays, how many items each of some lots has, and after how many failures one is given up."""
 
     plays: tuple[tuple[Play, ...], ...]
     lots: tuple[int, ...]
+    tries: int = 1
 
 
 @dataclass
@@ -49,6 +51,8 @@
     record: Record
     errors: list[str]
     results: dict[tuple[str, int], list[Body]] = field(default_factory=dict)
+    failures: dict[tuple[str, int], list[Body]] = field(default_factory=dict)  # after which the item is tried again
+    waiting: int = 0  # items that failed and are not leased again yet
 
 
 def item_id(lot: str, position: int) -> str:
@@ -60,29 +64,46 @@
     return "\n".join(line.removeprefix("data: ") for line in lines if line.startswith("data: "))
 
 
+def leased_item(lot: str, position: int) -> LeasedItem:
+    request: Item = {"id": item_id(lot, position), "path": "/s/x", "headers": {}, "tokens": 9,
+                     "body": base64.b64encode(b"body").decode()}  # fmt: skip
+    return LeasedItem(0, lot, position, "route:lot", 0.0, Prompt((), ""), "", request=request)
+
+
 def leased_items_of(scene: ItemScene) -> list[LeasedItem]:
     out = []
     for number, size in enumerate(scene.lots):
         for position in range(size):
-            request: Item = {"id": item_id(f"lot{number}", position), "path": "/s/x", "headers": {}, "tokens": 9,
-                    "body": base64.b64encode(b"body").decode()}  # fmt: skip
-            out.append(LeasedItem(0, f"lot{number}", position, "route:lot", 0.0, Prompt((), ""), "", request=request))
+            out.append(leased_item(f"lot{number}", position))
     return out
 
 
 @dataclass(eq=False)
 class AnyOwner(OwnerClient):
-    """An owner that takes whatever it is told."""
+    """An owner that takes whatever it is told, and leases an item again until it has failed `tries` times."""
 
     told: Told = field(default_factory=lambda: Told(Record(), []))
+    tries: int = 1
+    items: LeasedItems = field(default_factory=LeasedItems)  # those of the scheduler
 
     async def ask(self, partition: int, verb: str, body: Body, wait: float) -> Any:
         assert verb == "done"
-        self.told.results.setdefault((body["id"], body["item"]), []).append(body)
+        key = (body["id"], body["item"])
+        failures = self.told.failures.setdefault(key, [])
+        if body["status"] == "failed" and len(failures) + 1 < self.tries:
+            failures.append(body)
+            self.told.waiting += 1
+            asyncio.get_running_loop().call_later(GRANT_AGAIN_S, self.grant_again, key)
+        else:
+            self.told.results.setdefault(key, []).append(body)
         return Ok({})
 
+    def grant_again(self, key: tuple[str, int]) -> None:
+        self.told.waiting -= 1
+        self.items.add(leased_item(*key))
+
 
-def scheduler(told: Told, workers: Sequence[str], seed: int) -> Scheduler:
+def scheduler(told: Told, workers: Sequence[str], seed: int, tries: int = 1) -> Scheduler:
     settings = Settings("e", "a", "127.0.0.1:1", "127.0.0.1:2", ("127.0.0.1:1",), ("item_scheduler",), announce=True)
     configuration_view = ConfigurationView("e")
     assert configuration_view.accept(1, configuration(tuple(workers)))
@@ -90,7 +111,9 @@
     unused = cast(Any, None)
     world = Environment(chance=random.Random(seed))
     item_scheduler = Scheduler(settings, world, configuration_view, unused, unused, unused, CollectorRegistry(), NAMES)
-    item_scheduler.runner.owners = AnyOwner(settings, configuration_view, unused, told=told)
+    item_scheduler.runner.owners = AnyOwner(
+        settings, configuration_view, unused, told=told, tries=tries, items=item_scheduler.items
+    )
     item_scheduler.election.active, item_scheduler.items.leases = True, {0: 1e9}
     item_scheduler.runner.workers = cast(Any, ConnectionPool())
     return item_scheduler
@@ -107,14 +130,15 @@
         here = loop.add(Host("e", ("127.0.0.1",), "a"))
 
         async def schedule() -> None:
-            item_scheduler = scheduler(told, names, seed)
-            item_scheduler.items.by_key = {item.key: item for item in leased_items_of(scene)}
+            item_scheduler = scheduler(told, names, seed, scene.tries)
+            for item in leased_items_of(scene):
+                item_scheduler.items.add(item)
             for _ in range(rounds):
                 item_scheduler.placement.place_requests(
                     item_scheduler.configuration_view.manifest or configuration(tuple(names))
                 )
                 await asyncio.sleep(ROUND_S)
-                if not item_scheduler.items:
+                if not item_scheduler.items and not told.waiting:
                     break
 
         await loop.create_task(schedule(), context=here.context())
@@ -133,9 +157,17 @@
             out.append(f"{name} has {len(results)} results")
         for result in results:
             out += judge_result(name, result, told.record)
+        out += judge_failures(name, len(told.failures.get((lot, position), [])), results[-1], told.record)
     return out
 
 
+def judge_failures(name: str, failures_before: int, result: Body, record: Record) -> list[str]:
+    """Did workers give as many failures of an item as were counted?"""
+    counted = failures_before + (result["status"] == "failed")
+    given = sum(run.play.kind in FAILURES["failed"] for run in record.of(name))
+    return [f"{name}: {counted} failures were counted, its workers gave {given}"] if counted > given else []
+
+
 def judge_result(name: str, result: Body, record: Record) -> list[str]:
     status, text = result["status"], result["output"]
     if result["sum"] != hashlib.sha256(text.encode()).hexdigest()[:16]:
