Count each failed run of an item once, however often its report comes

What callers would see: an item abandoned after fewer failures than its route allows (MIXED), if a report of a failure reached an owner twice.

Cause: a report named no run, and the record that counts a failure added one for each copy, at this owner and, since it is in the log, at the next one.

Evidence: with each report of a failure sent three times, an item of four tries was abandoned after 2 runs; with the report of one run sent again to the owner after a takeover, an item of three tries after 1 run.

A release before passes over the name, and counts as it did.

--- a/postpass/batch/job.py
+++ b/postpass/batch/job.py
@@ -131,10 +131,23 @@
         """Returns how often an item has failed, counted over all owners."""
         return int(self.body.get("failed", {}).get(str(position), 0))
 
-    def count_failure(self, position: int) -> None:
-        """Counts one more failure of an item, in a new body, since the old one may be shared with other views."""
+    def failed_runs(self, position: int) -> list[str]:
+        """Returns the names of the counted runs in which an item failed, as far as their reports told them."""
+        return list(self.body.get("failed_runs", {}).get(str(position), []))
+
+    def count_failure(self, position: int, run: str = "") -> None:
+        """Counts one more failure of an item, in a new body, since the old one may be shared with other views.
+
+        A run that was counted before is not counted again.
+        """
+        runs = self.failed_runs(position)
+        if run in runs:
+            return
         counts = {**self.body.get("failed", {}), str(position): self.failures(position) + 1}
         self.body = self.body | {"failed": counts}
+        if run:
+            all_runs = {**self.body.get("failed_runs", {}), str(position): [*runs, run]}
+            self.body = self.body | {"failed_runs": all_runs}
 
     @property
     def size(self) -> int:
@@ -262,7 +275,8 @@
         failure of an item; releases that don't know of that ignore it.
         """
         if "failed" in body:
-            self._count_failure(*body["failed"])
+            job_id, position = body["failed"]
+            self._count_failure(job_id, position, body.get("run", ""))
         settled_up_to = body.get("settled", 0)
         if 0 < self.unsettled() <= settled_up_to:
             self.settled_seq = seq
@@ -271,10 +285,10 @@
         if self.predicate_seq <= settled_up_to:
             self.old_predicate = self.predicate
 
-    def _count_failure(self, job_id: str, position: int) -> None:
+    def _count_failure(self, job_id: str, position: int, run: str) -> None:
         job = self.jobs.get(job_id)
         if job is not None and job.state == JobState.OPEN and position not in job.results:
-            job.count_failure(position)
+            job.count_failure(position, run)
 
     def fold_job(self, seq: int, body: Body) -> None:
         """Adds an accepted job, unless its id is already used by a job or was rejected before."""
--- a/postpass/batch/leases.py
+++ b/postpass/batch/leases.py
@@ -244,10 +244,14 @@
         result = ItemResult.from_json(body)
         if result.status == ItemStatus.DONE and not result.intact:
             return Err(Fault("done", self.table.settings.name, "the output doesn't match its sum", BAD_REQUEST))
+        if result.status == ItemStatus.FAILED and result.run in job.failed_runs(key.position):
+            # The report of a run comes again: every failure counts once, whoever owned the partition when it first came.
+            return Ok({"taken": False})
         recorded = result_to_record(job, key.position, result)
         try:
             if recorded is None:
-                self.owner.append(partition, "mark", {"failed": [key.job, key.position]})
+                run = {"run": result.run} if result.run else {}
+                self.owner.append(partition, "mark", {"failed": [key.job, key.position]} | run)
                 log_failure_counted(self.table.settings.name, job, key.position, result)
                 return Ok({"taken": False})
             self.owner.append(partition, "result", ItemResult(recorded.status, recorded.output).as_json(key))
--- a/tests/batch/test_job_service.py
+++ b/tests/batch/test_job_service.py
@@ -118,6 +118,36 @@
     return list(schedulers_by_name(fleet).values())
 
 
+def owner_of(fleet: SimFleet, partition: int) -> str:
+    return next(
+        n
+        for n, box in fleet.boxes.items()
+        if isinstance(box.daemon, DataPlane) and box.daemon.store and box.daemon.store.partitions[partition].ready
+    )
+
+
+def repeat_failure_reports(fleet: SimFleet, times: int = 2) -> list[dict[str, Any]]:
+    """Has each scheduler send each report of a failure so many times more; returns the reports, without the repetitions."""
+    reports: list[dict[str, Any]] = []
+
+    def repeat(scheduler: Scheduler) -> None:
+        ask = scheduler.owners.ask
+
+        async def ask_again(partition: int, verb: str, body: dict[str, Any], wait: float) -> Any:
+            answer = await ask(partition, verb, body, wait)
+            if verb == "done" and body["status"] == "failed":
+                reports.append(body)
+                for _ in range(times):
+                    await ask(partition, verb, body, wait)
+            return answer
+
+        scheduler.owners.ask = ask_again  # type: ignore[method-assign]
+
+    for scheduler in schedulers(fleet):
+        repeat(scheduler)
+    return reports
+
+
 async def all_results(api: JobApi, name: str) -> list[dict[str, Any]]:
     rows: list[dict[str, Any]] = []
     for _ in range(40):
@@ -192,13 +222,7 @@
                 await asyncio.sleep(0.01)
             workers.full = True
             await asyncio.sleep(0.5)
-            number = partition_of("l1", fleet.configuration["parts"])
-            owner = next(
-                n
-                for n, box in fleet.boxes.items()
-                if isinstance(box.daemon, DataPlane) and box.daemon.store and box.daemon.store.partitions[number].ready
-            )
-            fleet.kill(owner, silent=True)
+            fleet.kill(owner_of(fleet, partition_of("l1", fleet.configuration["parts"])), silent=True)
             await asyncio.sleep(6.0)
             await apis[1].results("l1", 0, 0.0)  # the first request may go to the owner that was killed
             workers.full = False
@@ -207,6 +231,37 @@
 
         run_with_fleet(check)
 
+    def test_counts_a_failure_once_whose_report_comes_again(self) -> None:
+        async def check(fleet: SimFleet, apis: list[JobApi], workers: FakeWorkers) -> None:
+            reports = repeat_failure_reports(fleet)
+            assert (await apis[0].accept("r", ROUTE | {"tries": 4}, "l1", job_json("fails")))[0] == 202  # type: ignore[arg-type]
+            assert [r["state"] for r in await all_results(apis[1], "l1")] == ["abandoned"]
+            assert len(workers.runs) == 4 and len(reports) == 4
+
+        run_with_fleet(check)
+
+    def test_counts_a_failure_once_whose_report_comes_again_to_the_next_owner(self) -> None:
+        async def check(fleet: SimFleet, apis: list[JobApi], workers: FakeWorkers) -> None:
+            reports = repeat_failure_reports(fleet, times=0)
+            assert (await apis[0].accept("r", ROUTE | {"tries": 3}, "l1", job_json("fails")))[0] == 202  # type: ignore[arg-type]
+            while not reports:
+                await asyncio.sleep(0.01)
+            workers.full = True
+            await asyncio.sleep(0.5)
+            partition = partition_of("l1", fleet.configuration["parts"])
+            fleet.kill(owner_of(fleet, partition), silent=True)
+            await asyncio.sleep(6.0)
+            await apis[1].results("l1", 0, 0.0)  # the first request may go to the owner that was killed
+            scheduler = next(s for s in schedulers(fleet) if s.active)
+            for body in reports[:1] * 3:
+                assert (await scheduler.owners.ask(partition, "done", body, 1.0)).is_ok()
+            assert (await apis[1].results("l1", 0, 0.0)).unwrap()["results"] == []
+            workers.full = False
+            assert [r["state"] for r in await all_results(apis[1], "l1")] == ["abandoned"]
+            assert len(workers.runs) == 3
+
+        run_with_fleet(check)
+
     def test_is_refused_past_the_quota_and_taken_once_there_is_room(self) -> None:
         async def check(fleet: SimFleet, apis: list[JobApi], workers: FakeWorkers) -> None:
             workers.full = True  # so that no item is done, which would lower the count
