--- a/sim/day_actions.py
+++ b/sim/day_actions.py
@@ -225,8 +225,8 @@
 
 @verb("fault")
 def fault(fleet: AnnouncedFleet, args: list[str], span: float, later: Later) -> None:
-    """fault WORKER WORD SHARE for S: a share of its answers has a fault: cut, lost, junk, surplus, extra, grey, hang, mute,
-    withheld, full, sick or dropidle."""
+    """fault WORKER WORD SHARE for S: a share of its answers has a fault: cut, lost, junk, surplus, extra, repeat, grey, hang,
+    mute, withheld, full, sick or dropidle."""
     worker = fleet.workers[fleet.pick(args[0])]
     worker.fault[args[1]] = float(args[2]) if len(args) > 2 else 1.0
     later(span, lambda: worker.fault.pop(args[1], None))
--- a/sim/http1.py
+++ b/sim/http1.py
@@ -47,6 +47,8 @@
     reader: asyncio.StreamReader
     writer: asyncio.StreamWriter
     buffer: bytearray = field(default_factory=bytearray)
+    within_answer: bool = False  # whether a part of an answer was sent here, but not its end
+    late_answer: bytes = b""  # to be sent once more when the next request comes
 
     @classmethod
     async def open(cls, addr: str, limit: float = 1.0) -> Stream:
--- a/sim/random_days.py
+++ b/sim/random_days.py
@@ -119,6 +119,18 @@
             length = round(self.chance.uniform(0.5, 6.0), 2)
             self.lines.append(f"at {at:.2f} fault worker:llm:{worker} {word} {share} for {length}")
 
+    def draw_repeated_answers(self, span: float) -> None:
+        """Draws workers that answer twice, the second time late, and fail some requests meanwhile, in series."""
+        for _ in range(self.chance.randrange(4)):
+            at, worker = self.chance.uniform(0.5, span - 1), self.chance.randrange(3)
+            length = round(self.chance.uniform(1.0, 8.0), 2)
+            self.lines.append(
+                f"at {at:.2f} fault worker:llm:{worker} repeat {self.chance.choice([0.3, 1])} for {length}"
+            )
+            if self.chance.random() < 0.6:
+                word, share = self.chance.choice(["grey", "full"]), self.chance.choice([0.1, 0.3])
+                self.lines.append(f"at {at:.2f} fault worker:llm:{worker} {word} {share} for {length}")
+
     def draw_other_faults(self, span: float) -> None:
         """Draws what may coincide with anything else: workers, edges, changes, evacuations, bursts, added machines."""
         chance, zones = self.chance, self.sizes["zones"]
@@ -217,6 +229,7 @@
         draw.draw_other_faults(span)
     draw.draw_silent_workers(end - 1 if closing else span)
     draw.draw_lost_answers(end - 1 if closing else span)
+    draw.draw_repeated_answers(end - 1 if closing else span)
     head += [f"run {span:.0f}", "settle 10"]
     expect = ["expect served >= 0.3" if closing else "expect served >= 0.5"]
     return "\n".join([*head, *sorted(draw.lines, key=fault_time), *expect]) + "\n"
--- a/sim/workers.py
+++ b/sim/workers.py
@@ -19,6 +19,7 @@
 from sim.http1 import Broken, Garbled, Head, Stream, answer, call, chunk, message
 
 Event = dict[str, Any]
+LATEST_REPEAT_S = 1.5  # seconds after an answer within which it may come a second time: several retries of an item
 HELD_OPEN_S = 1e6  # seconds for which a connection stays open after an answer that was withheld
 EVER = 1e18  # seconds; later than any deadline
 
@@ -266,6 +267,9 @@
         """Serves one request of a connection; returns whether another may follow."""
         idle = 0.05 if "dropidle" in self.fault else 30.0
         head = await asyncio.wait_for(stream.head(False), idle)
+        if stream.late_answer:
+            self.send_again(stream, stream.late_answer)
+            stream.late_answer = b""
         body = await stream.body(head, False)
         method, path, _ = head.line
         attempt_id = head.headers.get("postpass-attempt-id", "")
@@ -274,7 +278,10 @@
         echo |= {"Connection": "close"} if last_response else {"Keep-Alive": "timeout=30"}
 
         async def reply(status: int, extra_headers: dict[str, str], data: bytes = b"") -> bool:
-            stream.send(answer(status, echo | extra_headers, data))
+            response = answer(status, echo | extra_headers, data)
+            stream.send(response)
+            if "Postpass-Not-Run" in extra_headers:
+                self.repeat_late(stream, response)
             await stream.flush()
             return not last_response
 
@@ -421,7 +428,9 @@
 
         async def fail(status: int) -> bool:
             end.update(status=status, whole=True)
-            stream.send(answer(status, echo | {"Postpass-Worker": self.id}, b"no"))
+            response = answer(status, echo | {"Postpass-Worker": self.id}, b"no")
+            stream.send(response)
+            self.repeat_late(stream, response)
             await stream.flush()
             return not last_response
 
@@ -443,6 +452,7 @@
             await self.send_answer(stream, response, end, [len(response) // 3, len(response) - 1])
             end["whole"] = True
             await stream.flush()
+            self.repeat_late(stream, response)
             await self.send_surplus(stream, response)
             return not last_response
         unread_tokens = self.read_prompt(head.headers.get("postpass-prompt-prefix", ""))
@@ -457,6 +467,7 @@
         if self.fault_strikes("withheld"):
             await self.withhold_answer(stream, end, size - start, deadline)
         end.update(status=200, seal=seal, body="events", size=size, upto=start)
+        stream.within_answer = True
         stream.send(answer(200, echo | {"Postpass-Seal": seal, "Content-Type": "text/event-stream"}, None))
         made: list[float] = []
         end.update({"from": start, "made": made})
@@ -490,8 +501,11 @@
             end["upto"] = number
         end["whole"] = True
         stream.send(b"0\r\n\r\n")
+        stream.within_answer = False
         await stream.flush()
-        await self.send_surplus(stream, answer(200, echo | {"Postpass-Seal": seal}, b"late and extra"))
+        surplus = answer(200, echo | {"Postpass-Seal": seal}, b"late and extra")
+        self.repeat_late(stream, surplus)
+        await self.send_surplus(stream, surplus)
         return not last_response
 
     async def stay_silent(self, stream: Stream, end: Event, deadline: float) -> None:
@@ -545,6 +559,25 @@
                 await asyncio.sleep(0.005)
             stream.send(response)
 
+    def repeat_late(self, stream: Stream, response: bytes) -> None:
+        """Has a faulty worker send an answer a second time: as soon as the next request has come, or at some later time.
+
+        It goes on serving its connection meanwhile.
+        """
+        if not self.fault_strikes("repeat"):
+            return
+        if self.chance.random() < 0.5:
+            stream.late_answer = response
+        else:
+            delay = self.chance.uniform(0.0, LATEST_REPEAT_S)
+            asyncio.get_running_loop().call_later(delay, self.send_again, stream, response)
+
+    def send_again(self, stream: Stream, response: bytes) -> None:
+        """Sends an answer again in the place of the next one, unless the connection ended or an answer is under way."""
+        if not stream.within_answer and not stream.writer.is_closing():
+            self.log({"ev": "repeated", "worker": self.id, "size": len(response)})
+            stream.send(response)
+
     def report(self) -> dict[str, Any]:
         """Returns the body of the worker's load report."""
         return {"phase": "mixed", "models": [{"name": "m", "version": 1, "loras": []}], "busy": False, "seqno": self.seqno,
--- a/tests/sim/test_announced.py
+++ b/tests/sim/test_announced.py
@@ -32,7 +32,7 @@
 
 
 @pytest.mark.parametrize(
-    "word", ["cut", "lost", "junk", "surplus", "extra", "grey", "hang", "full", "sick", "dropidle"]
+    "word", ["cut", "lost", "junk", "surplus", "extra", "repeat", "grey", "hang", "full", "sick", "dropidle"]
 )
 def test_the_naive_system_breaks_no_rule_while_a_worker_is_in_trouble(word: str) -> None:
     """It takes a new connection for each request, so what a worker sends beyond an answer harms nobody."""
