Use each HTTP connection to a worker for one request, where answers carry no id

What callers would see: another request's answer, on proxied routes, live requests to model workers and items of classes; and a worker's report that belongs to another probe.

Cause: aiohttp keeps what arrives on an idle connection, and hands it to the next request. Nothing in such an answer tells which request it belongs to, so a worker that answers twice, the second time late, is believed.

Why it works: the session's connections are closed after one request, so a late answer meets no other one. The price is a connection a request on these paths; fleets that relay requests over their own connections don't use the session.

--- a/postpass/runtime/environment.py
+++ b/postpass/runtime/environment.py
@@ -30,7 +30,6 @@
 Answer = TypeVar("Answer")
 
 CONNECT_LIMIT_S = 1.0  # time limit for opening a TCP connection to a worker
-KEEPALIVE_S = 2.0  # how long an idle HTTP connection stays open
 
 
 @dataclass(frozen=True)
@@ -42,15 +41,14 @@
         chance: the random number generator; a simulation seeds it.
         wall: returns the wall-clock time in seconds, for people and for data that outlives the process; leases and
             timers use `now`.
-        connector: creates the connector of an HTTP session.
+        connector: creates the connector of an HTTP session. It must not reuse connections: a worker may answer twice, the
+            second time late, and nothing in such an answer tells which request it belongs to.
     """
 
     disk: Disk | None = None
     chance: random.Random = field(default_factory=random.Random)
     wall: Callable[[], float] = time.time
-    connector: Callable[[], aiohttp.BaseConnector] = lambda: aiohttp.TCPConnector(
-        limit=0, keepalive_timeout=KEEPALIVE_S
-    )
+    connector: Callable[[], aiohttp.BaseConnector] = lambda: aiohttp.TCPConnector(limit=0, force_close=True)
 
     def session(self) -> aiohttp.ClientSession:
         """Returns a new HTTP session, which the requester has to close.
--- a/sim/fleet.py
+++ b/sim/fleet.py
@@ -127,7 +127,7 @@
             disk=disk,
             chance=random.Random(seed),
             wall=self.wall,
-            connector=lambda: SimConnector(limit=0, keepalive_timeout=2.0),
+            connector=lambda: SimConnector(limit=0, force_close=True),
         )
 
     # --- machines
--- a/tests/support/announced.py
+++ b/tests/support/announced.py
@@ -70,7 +70,7 @@
             node.host = self.loop.add(Host(name, (split_address(node.settings.peer)[0],), node.settings.zone))
         world = Environment(
             node.disk, random.Random(f"{name}{self.loop.clock}"), lambda: EPOCH + self.loop.clock,
-            connector=lambda: SimConnector(limit=0, keepalive_timeout=2.0),
+            connector=lambda: SimConnector(limit=0, force_close=True),
         )  # fmt: skip
 
         async def run() -> None:
