--- a/postpass/gateway/answer_delivery.py
+++ b/postpass/gateway/answer_delivery.py
@@ -8,9 +8,10 @@
 from prometheus_client import Histogram
 
 from postpass.gateway.attempts import AttemptState
+from postpass.gateway.exchange import Exchange
 from postpass.gateway.http_headers import RESPONSE_CONNECTION_HEADERS, end_to_end
 from postpass.gateway.relayed_request import RelayedRequest
-from postpass.gateway.upstream_connection import BODILESS, Exchange
+from postpass.gateway.upstream_connection import BODILESS
 from postpass.runtime.environment import now
 from postpass.runtime.errors import Fault, FaultError
 
--- a/postpass/gateway/connection_pool.py
+++ b/postpass/gateway/connection_pool.py
@@ -7,7 +7,8 @@
 from dataclasses import dataclass, field
 
 from postpass.configuration.settings import split_address
-from postpass.gateway.upstream_connection import Exchange, UpstreamConnection
+from postpass.gateway.exchange import Exchange
+from postpass.gateway.upstream_connection import UpstreamConnection
 from postpass.runtime.errors import PEER_FAILED, TIMED_OUT, TOO_MANY_REQUESTS, Fault, FaultError
 
 # An attempt to connect is abandoned after this multiple of the usual time, but not before so many seconds.
--- a/postpass/gateway/relay.py
+++ b/postpass/gateway/relay.py
@@ -20,6 +20,7 @@
 from postpass.gateway.body_reader import BodyRefusal, read_body
 from postpass.gateway.client_identity import CHALLENGE, ClientIdentity, ClientKeys, KeyRefusal
 from postpass.gateway.connection_pool import ConnectionPool
+from postpass.gateway.exchange import Exchange
 from postpass.gateway.http_headers import (
     HeaderNames,
     Headers,
@@ -28,7 +29,7 @@
 )
 from postpass.gateway.relayed_request import RelayedRequest, attempt_headers, build_request
 from postpass.gateway.response_check import Proof, check_response
-from postpass.gateway.upstream_connection import GARBLED, Exchange
+from postpass.gateway.upstream_connection import GARBLED
 from postpass.gateway.worker_health import FULL_SECONDS, WorkerHealth
 from postpass.gateway.worker_selection import WorkerSelection
 from postpass.runtime import log_events
--- a/tests/gateway/test_answers_broken.py
+++ b/tests/gateway/test_answers_broken.py
@@ -19,11 +19,12 @@
 from postpass.gateway import answer_delivery, attempts, relay, upstream_connection
 from postpass.gateway.answer_delivery import AnswerDelivery
 from postpass.gateway.event_stream import EventStream
+from postpass.gateway.exchange import Exchange
 from postpass.gateway.http_headers import RESPONSE_CONNECTION_HEADERS, HeaderNames
 from postpass.gateway.http_server import limited_protocol, refusal_response
 from postpass.gateway.relay import Relay
 from postpass.gateway.response_check import Proof, ResponseCheck, check_response
-from postpass.gateway.upstream_connection import Exchange, UpstreamConnection
+from postpass.gateway.upstream_connection import UpstreamConnection
 from postpass.runtime.errors import FaultError
 from tests.gateway.test_answers import quick_collections
 from tests.support import answers
--- a/tests/test_readable_code.py
+++ b/tests/test_readable_code.py
@@ -36,7 +36,7 @@
     "gateway": (
         "response_check", "http_headers", "http_errors", "request_bodies", "client_connection", "attempts",
         "admission_queue", "worker_load", "admission_control", "owner_client", "edge_state", "job_routes",
-        "live_requests", "proxied_routes", "gateway", "upstream_connection", "connection_pool", "http_server",
+        "live_requests", "proxied_routes", "gateway", "exchange", "upstream_connection", "connection_pool", "http_server",
         "load_exchange", "body_reader", "route_table", "event_stream", "client_identity", "worker_health", "relayed_request",
         "worker_selection", "answer_delivery", "relay",
     ),
