Move the HTTP server into a package of its own, with the limits that its connections share

`postpass/http_server/` takes the protocol and `/ready` out of `gateway/http_server.py`, and has the parts for what follows, each a module with one job: limits and how they follow from memory and descriptors, a budget of memory, a queue of connections that wait to be parsed, a table of connections, a restartable timer, a log of clients that meet a limit (E109, `postpass_clients_limited`). The protocol uses none of them yet. Settings: `memory_bytes` and `descriptors`; the platform's file has them as `ramMb` and `maxFds`, which nothing read until now.

All daemons now use this protocol: the ports of control and stores get the limits on heads that edges had. The largest configuration is one constant instead of two.

Connections that wait to be accepted are at most half of those that may be open.

--- a/postpass/configuration/configuration.py
+++ b/postpass/configuration/configuration.py
@@ -203,6 +203,7 @@
     tenants: NotRequired[dict[str, Tenant]]
 
 
+MAX_CONFIGURATION_BYTES = 4 << 20  # of a configuration that is accepted over HTTP
 LIMITS: dict[str, int] = {
     "body_bytes": 4 << 20, "item_bytes": 64 << 10, "lot_items": 5000, "lot_bytes": 2 << 20,
     "pieces": 4096, "open_lots": 2000, "head_bytes": 16 << 10, "head_ms": 5000, "idle_ms": 15000,
--- a/postpass/configuration/settings.py
+++ b/postpass/configuration/settings.py
@@ -22,7 +22,9 @@
 
 # Fields of `Bounds` that may be 0; all others must be above 0.
 MAY_BE_ZERO = ("sync", "grace", "keep", "quota_excess", "quota_extra")
-MINIMUM_BYTES = (("buffer_bytes", 65536), ("segment_bytes", 4096), ("disk_bytes", 0))
+MINIMUM_VALUES = (
+    ("buffer_bytes", 65536), ("segment_bytes", 4096), ("disk_bytes", 0), ("memory_bytes", 64 << 20), ("descriptors", 256),
+)  # fmt: skip
 
 
 class BoundsFile(TypedDict, total=False):
@@ -75,6 +77,8 @@
     buffer_bytes: NotRequired[int]
     segment_bytes: NotRequired[int]
     disk_bytes: NotRequired[int]
+    memory_bytes: NotRequired[int]
+    descriptors: NotRequired[int]
 
 
 @dataclass(frozen=True)
@@ -255,6 +259,8 @@
         is refilled from the log.
     :ivar segment_bytes: the size of a segment of the log.
     :ivar disk_bytes: the most bytes that the data directory may take; 0 for all that the file system has.
+    :ivar memory_bytes: the memory that the process may use; what clients may occupy of it is a share.
+    :ivar descriptors: the file descriptors that the process may use; what clients may occupy of them is a share.
     """
 
     name: str
@@ -275,6 +281,8 @@
     buffer_bytes: int = 4 << 20
     segment_bytes: int = 1 << 20
     disk_bytes: int = 0
+    memory_bytes: int = 300 << 20
+    descriptors: int = 4096
 
     @property
     def tolerance(self) -> Tolerance:
@@ -333,7 +341,7 @@
     values = cast(dict[str, Any], file)
     return errors + [
         f"{key}: want at least {minimum}, got {values[key]}"
-        for key, minimum in MINIMUM_BYTES
+        for key, minimum in MINIMUM_VALUES
         if key in values and values[key] < minimum
     ]
 
--- a/postpass/control/api.py
+++ b/postpass/control/api.py
@@ -11,6 +11,7 @@
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
 
+from postpass.configuration.configuration import MAX_CONFIGURATION_BYTES
 from postpass.control.member import INFINITY
 from postpass.control.order_messages import ApplyRequest, OrderAnswer
 from postpass.control.orders import Orders
@@ -29,7 +30,6 @@
     Fault,
 )
 
-MAX_CONFIGURATION_BYTES = 4 << 20  # bytes of a configuration that is accepted over HTTP
 HTTP_STATUS_BY_FAULT = {
     BAD_REQUEST: 400,
     PRECONDITION_FAILED: 412,
--- a/postpass/daemon/data_plane.py
+++ b/postpass/daemon/data_plane.py
@@ -15,13 +15,14 @@
 from postpass.configuration.header_names import Dialect
 from postpass.configuration.settings import Settings
 from postpass.daemon.data_plane_status import duty_status, register_store_gauges
-from postpass.daemon.process import HTTP_PROTOCOL, Daemon, Task
+from postpass.daemon.process import Daemon, Task
 from postpass.gateway.connection_pool import ConnectionPool
 from postpass.gateway.gateway import Gateway
-from postpass.gateway.http_server import ConnectionLimits, limited_protocol, serve_ready
 from postpass.gateway.load_exchange import LoadExchange
 from postpass.gateway.relay import Relay
 from postpass.gateway.worker_load import WorkerLoad
+from postpass.http_server.limits import ConnectionLimits
+from postpass.http_server.readiness import serve_ready
 from postpass.replication.store import Store
 from postpass.routing.load_picture import LoadReport, sum_reports
 from postpass.rpc.codec import RELEASE, Body, PeerResponse
@@ -250,21 +251,25 @@
             self.settings.bounds.drain_time if grace == 0 else max(1.0, grace - UNREADY_DETECTION_DELAY - GRACE_RESERVE)
         )
 
-    def protocol(self) -> Any:
-        """Returns the HTTP protocol: in an announced fleet one whose limits on request heads the configuration sets."""
-        if self.relay is None:
-            return HTTP_PROTOCOL
-        return limited_protocol(self.head_limits, self.settings.bounds.recover / 2)
+    @property
+    def peer_timeout(self) -> float:
+        """Seconds until a client that doesn't acknowledge data is considered lost; 0 for the system's default."""
+        return self.settings.bounds.recover / 2 if self.relay is not None else 0.0
 
-    def head_limits(self) -> ConnectionLimits:
-        """Returns the present limits on request heads: the configuration's, or the defaults while there is none."""
+    def connection_limits(self) -> ConnectionLimits:
+        """Returns the present limits of clients' connections: the configuration's, or the defaults while there is none."""
+        if self.relay is None:
+            return super().connection_limits()
         configuration = self.configuration_view.manifest
         if configuration is None:
-            return ConnectionLimits(LIMITS["head_bytes"], LIMITS["head_ms"] / 1000, LIMITS["idle_ms"] / 1000)
+            return ConnectionLimits(
+                LIMITS["head_bytes"], LIMITS["head_ms"] / 1000, LIMITS["idle_ms"] / 1000, LIMITS["body_bytes"]
+            )
         return ConnectionLimits(
             limit(configuration, "head_bytes"),
             limit(configuration, "head_ms") / 1000,
             limit(configuration, "idle_ms") / 1000,
+            limit(configuration, "body_bytes"),
         )
 
     def http_routes(self) -> list[BaseRoute]:
--- a/postpass/daemon/process.py
+++ b/postpass/daemon/process.py
@@ -14,10 +14,11 @@
 from typing import Any, cast
 
 from absl import logging
-from prometheus_client import CollectorRegistry
+from prometheus_client import CollectorRegistry, Counter
 from result import Err, Ok, Result
 from starlette.routing import BaseRoute
 
+from postpass.configuration.configuration import LIMITS, MAX_CONFIGURATION_BYTES
 from postpass.configuration.configuration_check import check
 from postpass.configuration.settings import Settings, split_address
 from postpass.daemon.announcer import Announcer
@@ -26,6 +27,10 @@
 from postpass.feed.configuration_view import ConfigurationView
 from postpass.feed.follower import Follower
 from postpass.feed.messages import Poll
+from postpass.http_server.limit_log import LimitLog
+from postpass.http_server.limits import ConnectionLimits, ResourceLimits
+from postpass.http_server.protocol import limited_protocol
+from postpass.http_server.resources import ServerResources
 from postpass.membership.partial_view import MemberRecord, PartialView
 from postpass.rpc.codec import RELEASE, Body, PeerResponse
 from postpass.rpc.peer_links import PeerLinks
@@ -39,7 +44,7 @@
 
 EXIT_CANNOT_LISTEN = 1
 EXIT_FAULT = 3
-HTTP_PROTOCOL = "httptools"
+HTTP_IDLE_S = 5.0  # seconds that a connection of an operator or a worker may be idle
 
 
 @dataclass(eq=False)
@@ -133,9 +138,14 @@
         """How many seconds requests in progress may take once nothing new is accepted."""
         return self.settings.bounds.drain_time
 
-    def protocol(self) -> Any:
-        """Returns the HTTP protocol of the server, as a name or as a class."""
-        return HTTP_PROTOCOL
+    def connection_limits(self) -> ConnectionLimits:
+        """Returns the present limits of each HTTP connection."""
+        return ConnectionLimits(LIMITS["head_bytes"], LIMITS["head_ms"] / 1000, HTTP_IDLE_S, MAX_CONFIGURATION_BYTES)
+
+    @property
+    def peer_timeout(self) -> float:
+        """Seconds until an HTTP peer that doesn't acknowledge data is considered lost; 0 for the system's default."""
+        return 0.0
 
     async def duty_status_fields(self) -> Body:
         """Returns the fields that the duties add to the status page."""
@@ -195,7 +205,16 @@
             http=self.settings.http,
         )
         try:
-            await serve_http(self.app(), host, http_port, self.closed, self.drain, self.protocol())
+            resources = self._http_resources()
+            await serve_http(
+                self.app(),
+                host,
+                http_port,
+                self.closed,
+                self.drain,
+                limited_protocol(resources),
+                resources.listen_queue,
+            )
         finally:
             await peer_server.close()
             self.peer_links.close()
@@ -203,6 +222,19 @@
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
 
+    def _http_resources(self) -> ServerResources:
+        """Returns what all connections of the HTTP server share."""
+        settings = self.settings
+        counter = Counter(
+            "postpass_clients_limited", "Clients that met a limit of the HTTP server", ["limit"], registry=self.registry
+        )
+        return ServerResources.create(
+            self.connection_limits,
+            self.peer_timeout,
+            ResourceLimits.of_process(settings.memory_bytes, settings.descriptors),
+            LimitLog(settings.name, counter),
+        )
+
     def _named_tasks(self) -> list[tuple[str, Task]]:
         """Returns all tasks that run for as long as the process does, with their names in the log."""
         return [
--- a/postpass/gateway/upstream_connection.py
+++ b/postpass/gateway/upstream_connection.py
@@ -9,7 +9,6 @@
 
 import asyncio
 import re
-import socket
 from collections.abc import Sequence
 from enum import Enum, auto
 from typing import Protocol
@@ -19,6 +18,7 @@
 from postpass.gateway.exchange import Exchange
 from postpass.gateway.http_headers import Headers
 from postpass.runtime.errors import PEER_FAILED, TIMED_OUT, Fault
+from postpass.runtime.sockets import configure_socket
 
 MAX_HEAD_BYTES = 64 << 10  # a longer head of an answer is an error
 DEFAULT_IDLE = 0.5  # seconds that an idle connection is kept if the worker doesn't specify a time
@@ -44,25 +44,6 @@
     return any(n == b"content-length" or (n == b"transfer-encoding" and b"chunked" in v.lower()) for n, v in headers)
 
 
-def configure_socket(sock: socket.socket, silence_timeout: float) -> None:
-    """Sets the socket's options so that a dead or unreachable peer is noticed after about `silence_timeout` seconds,
-    also while nothing is written."""
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    probe_interval = max(1, round(silence_timeout / 3))
-    for name, value in (
-        ("TCP_USER_TIMEOUT", int(silence_timeout * 1000)),
-        ("TCP_KEEPIDLE", probe_interval),
-        ("TCP_KEEPINTVL", probe_interval),
-        ("TCP_KEEPCNT", 2),
-    ):
-        if hasattr(socket, name):
-            try:
-                sock.setsockopt(socket.IPPROTO_TCP, getattr(socket, name), value)
-            except OSError:
-                pass
-
-
 class Phase(Enum):
     """How much of an answer a connection has received."""
 
--- /dev/null
+++ b/postpass/http_server/protocol.py
@@ -0,0 +1,167 @@
+"""The server side of clients' connections: uvicorn's protocol, under limits on size, time, memory and processor time."""
+
+from __future__ import annotations
+
+import asyncio
+from http import HTTPStatus
+from typing import Any
+
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
+
+from postpass.http_server.resources import ServerResources
+from postpass.http_server.timer import Timer
+from postpass.runtime.sockets import configure_socket
+
+RETRY_AFTER = 0.2  # seconds after which a client may repeat a request that was refused
+RETRIED_STATUSES = (HTTPStatus.REQUEST_TIMEOUT, HTTPStatus.SERVICE_UNAVAILABLE)
+HEADER_OVERHEAD = 4  # bytes of a header line in addition to its name and value
+
+
+def refusal_response(status: int) -> bytes:
+    """Returns an encoded response without a body, after which the server closes the connection."""
+    retry_header = b"retry-after: %g\r\n" % RETRY_AFTER if status in RETRIED_STATUSES else b""
+    phrase = HTTPStatus(status).phrase.encode()
+    return b"HTTP/1.1 %d %s\r\ncontent-length: 0\r\n%sconnection: close\r\n\r\n" % (status, phrase, retry_header)
+
+
+class LimitedProtocol(HttpToolsProtocol):
+    """uvicorn's protocol of one connection, under limits that may change at any time.
+
+    `limited_protocol` sets `resources`. Invariants: `head_timer` runs only while a part of a head has arrived, or while nothing
+    has arrived yet on a new connection.
+    """
+
+    resources: ServerResources
+
+    def __init__(self, *args: Any, **kwargs: Any) -> None:
+        super().__init__(*args, **kwargs)
+        self.head_timer = Timer(self.loop, self._head_timed_out)
+        self.in_head = True
+        self.head_size = 0  # bytes that arrived since the end of the last request
+        self.refused = False  # no more data of this connection is processed
+
+    # --- callbacks of asyncio
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Called by the event loop once the connection is open. Starts the time limit for the first head."""
+        super().connection_made(transport)  # type: ignore[arg-type]
+        sock = transport.get_extra_info("socket")
+        if sock is not None and self.resources.peer_timeout_s:
+            configure_socket(sock, self.resources.peer_timeout_s)
+        self._start_head_timer()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Called by the event loop once the connection is closed."""
+        self._stop_timers()
+        super().connection_lost(exc)
+
+    def data_received(self, data: bytes) -> None:
+        """Called by the event loop with new data."""
+        if self.refused or self.transport.is_closing():
+            return
+        self._parse(data)
+        self._after_parsing()
+
+    def _parse(self, piece: bytes) -> None:
+        """Parses some bytes. Enforces the limit on the size of a head."""
+        if self.in_head:
+            self.head_size += len(piece)
+        super().data_received(piece)
+        if self.refused or self.transport.is_closing():
+            return
+        limits = self.resources.current_limits()
+        if self.in_head and self.head_size > limits.head_bytes:
+            self.refuse(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
+
+    def _after_parsing(self) -> None:
+        """Brings the time limits up to date with what was parsed."""
+        if self.refused or self.transport.is_closing():
+            return
+        self._update_timers()
+
+    def _update_timers(self) -> None:
+        """Starts the time limit of what is arriving."""
+        if self.in_head and self.head_size and not self.head_timer.is_running:
+            self._start_head_timer()
+
+    # --- callbacks of the HTTP parser
+    def on_message_begin(self) -> None:
+        """Called by the parser at the beginning of a request."""
+        self.in_head = True
+        super().on_message_begin()
+
+    def on_headers_complete(self) -> None:
+        """Called by the parser at the end of a head. Refuses one that is too large; keeps the raw target in the scope."""
+        self.head_timer.stop()
+        self.in_head, self.head_size = False, 0
+        limits = self.resources.current_limits()
+        size = len(self.url) + sum(len(name) + len(value) + HEADER_OVERHEAD for name, value in self.headers)
+        if size > limits.head_bytes:
+            self.refuse(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
+            return
+        self.timeout_keep_alive = limits.idle_s  # type: ignore[assignment]
+        self.scope["extensions"] = {"target": self.url}  # type: ignore[dict-item]
+        super().on_headers_complete()
+
+    def on_body(self, body: bytes) -> None:
+        """Called by the parser with a part of a body."""
+        if self.refused:
+            return
+        super().on_body(body)
+
+    def on_message_complete(self) -> None:
+        """Called by the parser at the end of a request."""
+        if self.refused:
+            return
+        super().on_message_complete()
+        self.in_head = True
+
+    # --- time limits
+    def _start_head_timer(self) -> None:
+        """Starts the time within which a head must arrive completely."""
+        self.head_timer.start(self.resources.current_limits().head_s)
+
+    def _head_timed_out(self) -> None:
+        """Refuses a head that is still incomplete; closes a connection on which nothing has arrived."""
+        if self.in_head and not self.transport.is_closing():
+            if self.head_size:
+                self.refuse(HTTPStatus.REQUEST_TIMEOUT)
+            else:
+                self.transport.close()
+
+    def _stop_timers(self) -> None:
+        self.head_timer.stop()
+
+    # --- refusals
+    def send_400_response(self, msg: str) -> None:
+        """Called by uvicorn if the data is not a valid request."""
+        self.refuse(HTTPStatus.BAD_REQUEST)
+
+    def refuse(self, status: int) -> None:
+        """Refuses the request with the given status, and processes no more data of this connection.
+
+        Sends the response at once and closes the connection, unless other responses are in progress, since nothing may be
+        written into or behind these: if the last request arrived completely, the connection closes after its response; if it
+        is still arriving, the connection closes without a further response.
+        """
+        self.refused = True
+        self._stop_timers()
+        cycle = self.cycle
+        if cycle is not None and not cycle.response_complete:
+            if not cycle.more_body:
+                # This is the last request that arrived completely: the connection closes after its response.
+                cycle.keep_alive = False
+                return
+            if cycle.response_started or self.pipeline:
+                self.transport.close()
+                return
+        self.transport.write(refusal_response(status))
+        self.transport.close()
+
+
+def limited_protocol(shared_resources: ServerResources) -> type[LimitedProtocol]:
+    """Returns the protocol class for a server whose connections share these resources."""
+
+    class ServerProtocol(LimitedProtocol):
+        resources = shared_resources
+
+    return ServerProtocol
--- a/postpass/runtime/environment.py
+++ b/postpass/runtime/environment.py
@@ -29,6 +29,7 @@
 
 Answer = TypeVar("Answer")
 
+MAX_LISTEN_QUEUE = 2048  # connections
 CONNECT_LIMIT_S = 1.0  # time limit for opening a TCP connection to a worker
 
 
@@ -138,15 +139,18 @@
 
 
 async def serve_http(
-    app: ASGIApp, host: str, port: int, stop: asyncio.Event, drain: float = 2.0, protocol: Any = "httptools"
-) -> None:
+    app: ASGIApp, host: str, port: int, stop: asyncio.Event, drain: float = 2.0, protocol: Any = "httptools",
+    listen_queue: int = MAX_LISTEN_QUEUE,
+) -> None:  # fmt: skip
     """Serves an app at `host` and `port` until `stop` is set, then gives open requests `drain` seconds to finish.
 
-    `protocol` is the name or the class of an HTTP protocol of uvicorn. Raises OSError if it can't listen.
+    `protocol` is the name or the class of an HTTP protocol of uvicorn; `listen_queue`: the longest queue of connections that aren't
+    accepted yet. Raises OSError if it can't listen.
     """
     settings = uvicorn.Config(
         app, host=host, port=port, http=protocol, ws="none", lifespan="off", loop="none",
         log_config=None, access_log=False, timeout_graceful_shutdown=math.ceil(drain), server_header=False, date_header=False,
+        backlog=listen_queue,
     )  # fmt: skip
     server = _Server(settings)
     server.server_state.connections = OrderedSet()  # type: ignore[assignment]  # closed in the order they were opened
--- a/postpass/runtime/log_events.py
+++ b/postpass/runtime/log_events.py
@@ -34,6 +34,7 @@
     WIRE_VERSION_MISMATCH = 106
     SEEDS_CHANGED = 107
     SETTINGS_REJECTED = 108
+    CLIENT_LIMITED = 109
     DISK_FORMATTED = 110
     DISK_TORN_TAIL = 111
     DISK_DAMAGED = 112
@@ -91,6 +92,7 @@
     Event.WIRE_VERSION_MISMATCH: "A peer speaks no wire version that this release speaks; the link is closed.",
     Event.SEEDS_CHANGED: "The settings name other seeds, which are used from now on.",
     Event.SETTINGS_REJECTED: "The settings were read again and can't be used; the process goes on with what it had.",
+    Event.CLIENT_LIMITED: "Clients met limits of the HTTP server, and were refused or disconnected; `limits` tells which, and how often since the last such line.",
     Event.DISK_FORMATTED: "A data folder was formatted; the disk has a new identity and votes only once refilled.",
     Event.DISK_TORN_TAIL: "A torn tail was cut from the last segment; nothing in it had been called synced.",
     Event.DISK_DAMAGED: "A file is damaged in the middle; it is set aside, nothing is served from it, peers refill.",
--- a/tests/gateway/test_answers_broken.py
+++ b/tests/gateway/test_answers_broken.py
@@ -21,14 +21,15 @@
 from postpass.gateway.event_stream import EventStream
 from postpass.gateway.exchange import Exchange
 from postpass.gateway.http_headers import RESPONSE_CONNECTION_HEADERS, HeaderNames
-from postpass.gateway.http_server import limited_protocol, refusal_response
 from postpass.gateway.relay import Relay
 from postpass.gateway.response_check import Proof, ResponseCheck, check_response
 from postpass.gateway.upstream_connection import UpstreamConnection
+from postpass.http_server.protocol import refusal_response
 from postpass.runtime.errors import FaultError
 from tests.gateway.test_answers import quick_collections
 from tests.support import answers
 from tests.support.answers import EVENTS, Ask, Connection, Play, Scene, chunk, event, judge, run_scene
+from tests.support.http_limits import protocol_under
 from tests.support.item_answers import ItemScene, judge_items, run_items
 
 __all__ = ["quick_collections"]
@@ -107,7 +108,7 @@
 
 def write_into_responses(monkeypatch: pytest.MonkeyPatch) -> None:
     def broken(limits: Any, silence: float) -> type[HttpToolsProtocol]:
-        original_protocol: Any = limited_protocol(limits, silence)
+        original_protocol: Any = protocol_under(limits, silence)
 
         class Broken(original_protocol):  # type: ignore[misc]
             def refuse(self, status: int) -> None:
@@ -117,7 +118,7 @@
 
         return Broken
 
-    monkeypatch.setattr(answers, "limited_protocol", broken)
+    monkeypatch.setattr(answers, "protocol_under", broken)
 
 
 def join_any_run(monkeypatch: pytest.MonkeyPatch) -> None:
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -16,13 +16,15 @@
 from postpass.configuration.settings import Bounds, Settings
 from postpass.daemon.data_plane import DataPlane
 from postpass.feed.configuration_view import ConfigurationView
-from postpass.gateway.http_server import ConnectionLimits, limited_protocol, serve_ready
 from postpass.gateway.relay import Relay
 from postpass.gateway.worker_selection import OUTCOME_INTERVALS
+from postpass.http_server.limits import ConnectionLimits
+from postpass.http_server.readiness import serve_ready
 from postpass.routing.load_picture import WorkerUse
 from postpass.runtime import log_events
 from postpass.runtime.environment import Environment, serve_http
 from sim.loop import Host, SimLoop, run_sim
+from tests.support.http_limits import protocol_under
 
 Head = dict[str, str]
 Play = Callable[["Worker", int, bytes, asyncio.StreamWriter], Awaitable[None]]
@@ -191,7 +193,7 @@
         bound = limits or ConnectionLimits(16384, 5.0, 15.0)
         stop = asyncio.Event()
         server = loop.create_task(
-            serve_http(relay, "127.0.0.1", 2, stop, 5.0, limited_protocol(lambda: bound, 3.0)),
+            serve_http(relay, "127.0.0.1", 2, stop, 5.0, protocol_under(lambda: bound, 3.0)),
             context=edge_host.context(),
         )
         await asyncio.sleep(0.01)
--- a/tests/support/answers.py
+++ b/tests/support/answers.py
@@ -20,12 +20,13 @@
 from postpass.configuration.header_names import Dialect
 from postpass.configuration.settings import Settings
 from postpass.feed.configuration_view import ConfigurationView
-from postpass.gateway.http_server import ConnectionLimits, limited_protocol
 from postpass.gateway.relay import Relay
+from postpass.http_server.limits import ConnectionLimits
 from postpass.runtime.environment import Environment, serve_http
 from sim.http1 import Broken, Garbled, Head, Stream
 from sim.loop import Host, SimLoop, run_sim
 from tests.gateway.test_relay import relay_configuration
+from tests.support.http_limits import protocol_under
 
 NAMES = Dialect()
 PROMISES = (408, 421, 429, 503)
@@ -488,7 +489,7 @@
     assert configuration_view.accept(1, configuration(workers))
     relay = Relay(settings, Environment(chance=random.Random(seed)), configuration_view, NAMES, CollectorRegistry())
     bound = ConnectionLimits(16384, 5.0, 15.0)
-    serving = serve_http(relay, ip, 2, asyncio.Event(), 5.0, limited_protocol(lambda: bound, 3.0))
+    serving = serve_http(relay, ip, 2, asyncio.Event(), 5.0, protocol_under(lambda: bound, 3.0))
     task = loop.create_task(serving, context=here.context())
     await asyncio.sleep(0.01)
     return task
--- a/tests/support/readable_code.py
+++ b/tests/support/readable_code.py
@@ -15,7 +15,7 @@
 PLATFORM = ROOT.parent / "platform"  # held to the same terms and rules; it is no package
 MOVED = (
     "control", "replication", "batch", "gateway", "worker_api", "membership", "feed", "daemon", "cli", "storage",
-    "configuration", "rpc", "runtime", "routing", "tenants",
+    "configuration", "rpc", "runtime", "routing", "tenants", "http_server",
 )  # fmt: skip
 # House words and metaphors on the left, and what the field calls them.
 STANDARD_TERMS = {
--- a/tests/test_readable_code.py
+++ b/tests/test_readable_code.py
@@ -36,7 +36,7 @@
     "gateway": (
         "response_check", "http_headers", "http_errors", "request_bodies", "client_connection", "attempts",
         "admission_queue", "worker_load", "admission_control", "owner_client", "edge_state", "job_routes",
-        "live_requests", "proxied_routes", "gateway", "exchange", "upstream_connection", "connection_pool", "http_server",
+        "live_requests", "proxied_routes", "gateway", "exchange", "upstream_connection", "connection_pool",
         "load_exchange", "body_reader", "route_table", "event_stream", "client_identity", "worker_health", "relayed_request",
         "worker_selection", "answer_delivery", "relay",
     ),
@@ -59,7 +59,11 @@
         "header_names", "json_delta", "tenant_keys", "schema", "settings", "accepted_orders", "nginx_import", "configuration",
         "configuration_check",
     ),
-    "runtime": ("deferred_import", "errors", "log_events", "ordered_set", "disk", "environment", "pause_detector"),
+    "http_server": (
+        "limits", "limit_log", "memory_budget", "parse_queue", "connection_table", "read_control", "timer", "resources", "protocol",
+        "readiness",
+    ),
+    "runtime": ("deferred_import", "sockets", "errors", "log_events", "ordered_set", "disk", "environment", "pause_detector"),
     "rpc": ("idl", "codec", "framing", "response_budget", "connection", "peer_links", "peer_server"),
 }  # fmt: skip
 # Withdrawn words that still stand in names, by module, with the reason; docs/ROADMAP.md has what is to become of them.
--- a/tests/test_release_compatibility.py
+++ b/tests/test_release_compatibility.py
@@ -41,7 +41,11 @@
 # Keys that are newer than the release: it passes over them, or never meets them. By verb and direction.
 ADDED_KEYS: dict[str, set[str]] = {}
 # Settings that are newer than the release, by the section of `keys.json`; each may be left out, as its files leave it out.
-ADDED_SETTINGS: dict[str, set[str]] = {"process bounds": {"quota_window", "quota_excess", "quota_extra"}}
+ADDED_SETTINGS: dict[str, set[str]] = {
+    "process bounds": {"quota_window", "quota_excess", "quota_extra"},
+    "process": {"memory_bytes", "descriptors"},
+    "platform limits": {"ramMb", "maxFds"},
+}
 # Messages that the release knows and did not send in its day: an edge tells the load of workers; a new holder of a budget
 # asks what waits (its keys are held to the byte by tests/batch/test_messages.py).
 ADDED_MESSAGES = {"floor call", "floor reply", "waiting call", "waiting reply"}
