Count the bytes of a request that belong to no body: trailers, chunk sizes and extensions

What callers saw: one client that sends trailers without end behind a chunked body ended an edge within seconds (218 MB for 64 MB of trailers, 128 allowed); four that send one trailer line without end kept everyone else from an answer.

Cause: uvicorn adds trailers to the request's headers, without a limit; the limit on a head counted only up to its end. The parser joins the parts of a long line anew with each read, so one line costs processor time by the square of its length.

Change: a header behind the body is counted and dropped, and so is no header of the request any more (it could be passed to a worker if it came in time). Bytes that arrive within a body without a byte of the body are counted as well. Either has the limit of a head; more of it is refused with 431.

Why it works: whatever isn't body is bounded by the head's limit plus one read before any more of it is parsed.

--- a/postpass/http_server/protocol.py
+++ b/postpass/http_server/protocol.py
@@ -8,6 +8,7 @@
 
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
+from postpass.http_server.limits import ServerLimit
 from postpass.http_server.resources import ServerResources
 from postpass.http_server.timer import Timer
 from postpass.runtime.sockets import configure_socket
@@ -38,6 +39,8 @@
         self.head_timer = Timer(self.loop, self._head_timed_out)
         self.in_head = True
         self.head_size = 0  # bytes that arrived since the end of the last request
+        self.trailer_size = 0  # bytes of headers that arrived after the body
+        self.framing_size = 0  # bytes that arrived within a body since the last byte of the body itself
         self.refused = False  # no more data of this connection is processed
 
     # --- callbacks of asyncio
@@ -62,15 +65,20 @@
         self._after_parsing()
 
     def _parse(self, piece: bytes) -> None:
-        """Parses some bytes. Enforces the limit on the size of a head."""
+        """Parses some bytes. Enforces the limits on the size of a head, and of what isn't part of a body behind it."""
         if self.in_head:
             self.head_size += len(piece)
+        else:
+            self.framing_size += len(piece)
         super().data_received(piece)
         if self.refused or self.transport.is_closing():
             return
         limits = self.resources.current_limits()
         if self.in_head and self.head_size > limits.head_bytes:
             self.refuse(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
+        elif not self.in_head and max(self.framing_size, self.trailer_size) > limits.head_bytes:
+            self.resources.log.record(ServerLimit.FRAMING)
+            self.refuse(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
 
     def _after_parsing(self) -> None:
         """Brings the time limits up to date with what was parsed."""
@@ -89,10 +97,20 @@
         self.in_head = True
         super().on_message_begin()
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Called by the parser with a header. One that follows after the body is counted, and is no header of the request."""
+        if self.in_head:
+            super().on_header(name, value)
+        else:
+            self.trailer_size += len(name) + len(value) + HEADER_OVERHEAD
+
     def on_headers_complete(self) -> None:
         """Called by the parser at the end of a head. Refuses one that is too large; keeps the raw target in the scope."""
+        if self.refused:
+            return
         self.head_timer.stop()
         self.in_head, self.head_size = False, 0
+        self.framing_size = self.trailer_size = 0
         limits = self.resources.current_limits()
         size = len(self.url) + sum(len(name) + len(value) + HEADER_OVERHEAD for name, value in self.headers)
         if size > limits.head_bytes:
@@ -106,6 +124,7 @@
         """Called by the parser with a part of a body."""
         if self.refused:
             return
+        self.framing_size = 0
         super().on_body(body)
 
     def on_message_complete(self) -> None:
