One budget of memory for all requests that arrive at a server or are handled there

What callers saw: large bodies of legal size, many at once, ended an edge: whole, by pieces, or in large chunks, most of them stopping short of their end (200 of 1 MiB: 207 to 265 MB, 128 allowed). The same at control: orders of 4 MiB, 267 MB.

Cause: each body was bounded, all of them together were not.

Over the budget, the connection that has received nothing for longest makes room: it gets 503 with Retry-After, which holds, since its request has not been passed on.

Why it works: what is counted never exceeds the budget, and a crowd that stops short is the first to go, whatever its size.

--- a/postpass/http_server/protocol.py
+++ b/postpass/http_server/protocol.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+from functools import partial
 from http import HTTPStatus
 from typing import Any
 
-from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
+from starlette.requests import ClientDisconnect
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol, RequestResponseCycle
 
 from postpass.http_server.limits import ServerLimit
+from postpass.http_server.memory_budget import MemoryUsage
 from postpass.http_server.resources import ServerResources
 from postpass.http_server.timer import Timer
 from postpass.runtime.sockets import configure_socket
@@ -16,6 +19,8 @@
 RETRY_AFTER = 0.2  # seconds after which a client may repeat a request that was refused
 RETRIED_STATUSES = (HTTPStatus.REQUEST_TIMEOUT, HTTPStatus.SERVICE_UNAVAILABLE)
 HEADER_OVERHEAD = 4  # bytes of a header line in addition to its name and value
+READ_BYTES = 64 << 10  # the most that is received at once
+REQUEST_BYTES = 8 << 10  # memory of a request in addition to its body
 
 
 def refusal_response(status: int) -> bytes:
@@ -42,11 +47,16 @@
         self.trailer_size = 0  # bytes of headers that arrived after the body
         self.framing_size = 0  # bytes that arrived within a body since the last byte of the body itself
         self.refused = False  # no more data of this connection is processed
+        self.new_bytes = 0  # memory taken since the last time that it was accounted for
+        self.request_sizes: dict[RequestResponseCycle, int] = {}  # memory of the requests that aren't done
+        self.unhandled: RequestResponseCycle | None = None  # its end is in the bytes that are just parsed
+        self.usage = MemoryUsage(self._evict)
 
     # --- callbacks of asyncio
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Called by the event loop once the connection is open. Starts the time limit for the first head."""
         super().connection_made(transport)  # type: ignore[arg-type]
+        transport.max_size = READ_BYTES  # type: ignore[attr-defined]  # of asyncio's transport of a socket
         sock = transport.get_extra_info("socket")
         if sock is not None and self.resources.peer_timeout_s:
             configure_socket(sock, self.resources.peer_timeout_s)
@@ -55,6 +65,10 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Called by the event loop once the connection is closed."""
         self._stop_timers()
+        for cycle, _ in self.pipeline:
+            self._release_request(cycle)
+        self.pipeline.clear()
+        self.resources.memory.mark_complete(self.usage)
         super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
@@ -81,10 +95,12 @@
             self.refuse(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
 
     def _after_parsing(self) -> None:
-        """Brings the time limits up to date with what was parsed."""
+        """Brings the time limits and the memory up to date with what was parsed."""
         if self.refused or self.transport.is_closing():
             return
         self._update_timers()
+        self._account_memory()
+        self.unhandled = None
 
     def _update_timers(self) -> None:
         """Starts the time limit of what is arriving."""
@@ -119,12 +135,17 @@
         self.timeout_keep_alive = limits.idle_s  # type: ignore[assignment]
         self.scope["extensions"] = {"target": self.url}  # type: ignore[dict-item]
         super().on_headers_complete()
+        self.request_sizes[self.cycle] = REQUEST_BYTES + size
+        self.new_bytes += REQUEST_BYTES + size
 
     def on_body(self, body: bytes) -> None:
         """Called by the parser with a part of a body."""
         if self.refused:
             return
         self.framing_size = 0
+        if self.cycle in self.request_sizes:
+            self.request_sizes[self.cycle] += len(body)
+            self.new_bytes += len(body)
         super().on_body(body)
 
     def on_message_complete(self) -> None:
@@ -133,6 +154,61 @@
             return
         super().on_message_complete()
         self.in_head = True
+        self.unhandled = self.cycle
+
+    # --- requests in progress
+    def _start_asgi_task(self, cycle: RequestResponseCycle, app: Any) -> None:
+        """Starts the handling of a request, whose memory is given back at the end of it."""
+        super()._start_asgi_task(cycle, partial(self._handle_request, app, cycle))
+
+    async def _handle_request(self, app: Any, cycle: RequestResponseCycle, scope: Any, receive: Any, send: Any) -> None:
+        try:
+            await app(scope, receive, send)
+        except ClientDisconnect:
+            if not cycle.disconnected:
+                raise
+        finally:
+            self._release_request(cycle)
+
+    # --- memory
+    def _account_memory(self) -> None:
+        """Takes what was received from the budget; refuses the request if there is no room."""
+        memory = self.resources.memory
+        size, self.new_bytes = self.new_bytes, 0
+        if not self.in_head or self.pipeline:
+            memory.mark_evictable(self.usage)
+        else:
+            memory.mark_complete(self.usage)
+        if size <= 0:
+            memory.release(self.usage, -size)
+        elif not memory.take(self.usage, size):
+            memory.mark_complete(self.usage)
+            remaining = self._evict()
+            memory.release(self.usage, self.usage.size - remaining)
+
+    def _release_request(self, cycle: RequestResponseCycle) -> None:
+        """Gives back the memory of a request that is done or dropped."""
+        self.resources.memory.release(self.usage, self.request_sizes.pop(cycle, 0))
+
+    def _evict(self) -> int:
+        """Ends what is still arriving, because the memory is needed; returns the bytes of requests that go on.
+
+        A request whose end has not been passed to its handler is refused, since it certainly does not run.
+        """
+        self.resources.log.record(ServerLimit.MEMORY)
+        dropped = [cycle for cycle, _ in self.pipeline]
+        unhandled = self.unhandled if self.in_head else self.cycle
+        if unhandled is not None:
+            dropped.append(unhandled)
+        if unhandled is not None and not self.pipeline and not unhandled.response_started:
+            self._refuse_unhandled(unhandled, HTTPStatus.SERVICE_UNAVAILABLE)
+        else:
+            self.close_at_once()
+        for cycle in dropped:
+            self.request_sizes.pop(cycle, None)
+            self._abandon_request(cycle)
+        self.new_bytes = 0
+        return sum(self.request_sizes.values())
 
     # --- time limits
     def _start_head_timer(self) -> None:
@@ -173,9 +249,29 @@
             if cycle.response_started or self.pipeline:
                 self.transport.close()
                 return
+            self._refuse_unhandled(cycle, status)
+            return
         self.transport.write(refusal_response(status))
         self.transport.close()
 
+    def _refuse_unhandled(self, cycle: RequestResponseCycle, status: int) -> None:
+        """Refuses a request whose end has not been passed to its handler."""
+        self.refused = True
+        self._stop_timers()
+        self._abandon_request(cycle)
+        self.transport.write(refusal_response(status))
+        self.transport.close()
+
+    def _abandon_request(self, cycle: RequestResponseCycle) -> None:
+        """Tells the handler of a request that its client has gone, and frees what has arrived of the body."""
+        cycle.disconnected = True
+        cycle.body = bytearray()
+        cycle.message_event.set()
+
+    def close_at_once(self) -> None:
+        """Closes the connection without waiting until what was written is sent."""
+        self.transport.abort()
+
 
 def limited_protocol(shared_resources: ServerResources) -> type[LimitedProtocol]:
     """Returns the protocol class for a server whose connections share these resources."""
