Parse a bounded number of bytes in each turn of the event loop, and no more requests than can be served

What callers saw: forty chunked bodies in chunks of two bytes took all of the processor: no ordinary request was answered for as long as they came. Twenty clients that pipeline small requests and read slowly took 1,270 MB.

Change: a connection parses 16 KiB at once, all of those with more to parse 32 KiB in a turn, in the order of a queue. Heads are parsed 1 KiB at a time, and nothing more while a complete request waits; what was received and isn't parsed counts as memory, and reading stands still meanwhile. A request that doesn't wait behind others takes no extra turn.

Why it works: the time of a callback and the requests that wait on a connection have bounds that don't depend on the sender.

--- a/postpass/http_server/protocol.py
+++ b/postpass/http_server/protocol.py
@@ -12,6 +12,8 @@
 
 from postpass.http_server.limits import ServerLimit
 from postpass.http_server.memory_budget import MemoryUsage
+from postpass.http_server.parse_queue import PIECE_BYTES
+from postpass.http_server.read_control import ReadControl
 from postpass.http_server.resources import ServerResources
 from postpass.http_server.timer import Timer
 from postpass.runtime.sockets import configure_socket
@@ -20,6 +22,8 @@
 RETRIED_STATUSES = (HTTPStatus.REQUEST_TIMEOUT, HTTPStatus.SERVICE_UNAVAILABLE)
 HEADER_OVERHEAD = 4  # bytes of a header line in addition to its name and value
 READ_BYTES = 64 << 10  # the most that is received at once
+HEAD_PIECE_BYTES = 1 << 10  # parsed at once while a head is expected, so that few pipelined requests are in it
+MAX_PIPELINED = 64  # requests that may be in one piece, in addition to the one in progress
 REQUEST_BYTES = 8 << 10  # memory of a request in addition to its body
 
 
@@ -35,6 +39,8 @@
 
     `limited_protocol` sets `resources`. Invariants: `head_timer` runs only while a part of a head has arrived, or while nothing
     has arrived yet on a new connection.
+    while no complete request waits behind the one in progress; those that aren't parsed yet are in `unparsed`, and while
+    there are any, nothing more is read.
     """
 
     resources: ServerResources
@@ -47,6 +53,8 @@
         self.trailer_size = 0  # bytes of headers that arrived after the body
         self.framing_size = 0  # bytes that arrived within a body since the last byte of the body itself
         self.refused = False  # no more data of this connection is processed
+        self.unparsed = memoryview(b"")
+        self.unparsed_charge = 0  # bytes of `unparsed` that are accounted for
         self.new_bytes = 0  # memory taken since the last time that it was accounted for
         self.request_sizes: dict[RequestResponseCycle, int] = {}  # memory of the requests that aren't done
         self.unhandled: RequestResponseCycle | None = None  # its end is in the bytes that are just parsed
@@ -56,6 +64,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Called by the event loop once the connection is open. Starts the time limit for the first head."""
         super().connection_made(transport)  # type: ignore[arg-type]
+        self.flow = ReadControl(self.transport)
         transport.max_size = READ_BYTES  # type: ignore[attr-defined]  # of asyncio's transport of a socket
         sock = transport.get_extra_info("socket")
         if sock is not None and self.resources.peer_timeout_s:
@@ -65,6 +74,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Called by the event loop once the connection is closed."""
         self._stop_timers()
+        self._discard_unparsed()
         for cycle, _ in self.pipeline:
             self._release_request(cycle)
         self.pipeline.clear()
@@ -72,19 +82,37 @@
         super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
-        """Called by the event loop with new data."""
+        """Called by the event loop with new data. Parses it now, or in turn with other connections if it is long."""
         if self.refused or self.transport.is_closing():
             return
-        self._parse(data)
+        if len(data) <= HEAD_PIECE_BYTES and not self.unparsed and not self.pipeline:
+            self._parse(data)
+            self._after_parsing()
+            return
+        self.unparsed = memoryview(bytes(self.unparsed) + data if self.unparsed else data)
+        self.parse_received(PIECE_BYTES)
+
+    def parse_received(self, max_bytes: int) -> int:
+        """Parses up to so many of the received bytes; returns how many. The rest waits for its turn."""
+        parsed = 0
+        while self.unparsed and parsed < max_bytes and self._may_parse():
+            size = min(HEAD_PIECE_BYTES if self.in_head else PIECE_BYTES, max_bytes - parsed)
+            piece, self.unparsed = self.unparsed[:size], self.unparsed[size:]
+            self._parse(piece)
+            parsed += len(piece)
         self._after_parsing()
+        return parsed
+
+    def _may_parse(self) -> bool:
+        return not self.pipeline and not self.refused and not self.transport.is_closing()
 
-    def _parse(self, piece: bytes) -> None:
+    def _parse(self, piece: bytes | memoryview) -> None:
         """Parses some bytes. Enforces the limits on the size of a head, and of what isn't part of a body behind it."""
         if self.in_head:
             self.head_size += len(piece)
         else:
             self.framing_size += len(piece)
-        super().data_received(piece)
+        super().data_received(piece)  # type: ignore[arg-type]
         if self.refused or self.transport.is_closing():
             return
         limits = self.resources.current_limits()
@@ -95,16 +123,24 @@
             self.refuse(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
 
     def _after_parsing(self) -> None:
-        """Brings the time limits and the memory up to date with what was parsed."""
+        """Brings the time limits, the memory and the queue up to date with what was parsed."""
         if self.refused or self.transport.is_closing():
+            self._discard_unparsed()
             return
         self._update_timers()
         self._account_memory()
         self.unhandled = None
+        if self.refused or self.transport.is_closing():
+            return
+        self.flow.set_unparsed(bool(self.unparsed))  # type: ignore[attr-defined]
+        if self.unparsed and not self.pipeline:
+            self.resources.parse_queue.add(self)
 
     def _update_timers(self) -> None:
-        """Starts the time limit of what is arriving."""
-        if self.in_head and self.head_size and not self.head_timer.is_running:
+        """Starts the time limit of what is arriving; it stands still while received bytes wait to be parsed."""
+        if self.unparsed:
+            self._stop_timers()
+        elif self.in_head and self.head_size and not self.head_timer.is_running:
             self._start_head_timer()
 
     # --- callbacks of the HTTP parser
@@ -132,6 +168,10 @@
         if size > limits.head_bytes:
             self.refuse(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
             return
+        if len(self.pipeline) >= MAX_PIPELINED:
+            self.resources.log.record(ServerLimit.PIPELINE)
+            self.refuse(HTTPStatus.SERVICE_UNAVAILABLE)
+            return
         self.timeout_keep_alive = limits.idle_s  # type: ignore[assignment]
         self.scope["extensions"] = {"target": self.url}  # type: ignore[dict-item]
         super().on_headers_complete()
@@ -170,12 +210,21 @@
         finally:
             self._release_request(cycle)
 
+    def on_response_complete(self) -> None:
+        """Called by uvicorn at the end of a response. Goes on with the requests that were received behind its request."""
+        super().on_response_complete()
+        if self.transport.is_closing():
+            return
+        if self.unparsed and not self.pipeline:
+            self.resources.parse_queue.add(self)
+
     # --- memory
     def _account_memory(self) -> None:
         """Takes what was received from the budget; refuses the request if there is no room."""
         memory = self.resources.memory
-        size, self.new_bytes = self.new_bytes, 0
-        if not self.in_head or self.pipeline:
+        size = self.new_bytes + len(self.unparsed) - self.unparsed_charge
+        self.new_bytes, self.unparsed_charge = 0, len(self.unparsed)
+        if self.unparsed or not self.in_head or self.pipeline:
             memory.mark_evictable(self.usage)
         else:
             memory.mark_complete(self.usage)
@@ -190,6 +239,11 @@
         """Gives back the memory of a request that is done or dropped."""
         self.resources.memory.release(self.usage, self.request_sizes.pop(cycle, 0))
 
+    def _discard_unparsed(self) -> None:
+        self.unparsed = memoryview(b"")
+        self.resources.memory.release(self.usage, self.unparsed_charge)
+        self.unparsed_charge = 0
+
     def _evict(self) -> int:
         """Ends what is still arriving, because the memory is needed; returns the bytes of requests that go on.
 
@@ -207,7 +261,7 @@
         for cycle in dropped:
             self.request_sizes.pop(cycle, None)
             self._abandon_request(cycle)
-        self.new_bytes = 0
+        self.unparsed, self.unparsed_charge, self.new_bytes = memoryview(b""), 0, 0
         return sum(self.request_sizes.values())
 
     # --- time limits
@@ -240,6 +294,7 @@
         """
         self.refused = True
         self._stop_timers()
+        self._discard_unparsed()
         cycle = self.cycle
         if cycle is not None and not cycle.response_complete:
             if not cycle.more_body:
@@ -258,6 +313,7 @@
         """Refuses a request whose end has not been passed to its handler."""
         self.refused = True
         self._stop_timers()
+        self._discard_unparsed()
         self._abandon_request(cycle)
         self.transport.write(refusal_response(status))
         self.transport.close()
