A body has a time limit on every route

What callers saw: a body that stops short of its end stayed open for ever on routes of jobs, /v1/calls and /v1/lots.

Cause: only the relay limited the time of a body.

The time stands still while bytes wait for the parser.

Evidence: test_a_body_that_stops_short_is_ended[jobs], [calls], [lots] failed on: open to the end of the test. Why it works: one timer, for all routes, where the bytes arrive.

--- a/postpass/http_server/protocol.py
+++ b/postpass/http_server/protocol.py
@@ -25,6 +25,7 @@
 HEAD_PIECE_BYTES = 1 << 10  # parsed at once while a head is expected, so that few pipelined requests are in it
 MAX_PIPELINED = 64  # requests that may be in one piece, in addition to the one in progress
 REQUEST_BYTES = 8 << 10  # memory of a request in addition to its body
+BODY_TIME_FACTOR = 4  # multiple of the idle time within which a body must arrive completely
 
 
 def refusal_response(status: int) -> bytes:
@@ -38,7 +39,7 @@
     """uvicorn's protocol of one connection, under limits that may change at any time.
 
     `limited_protocol` sets `resources`. Invariants: `head_timer` runs only while a part of a head has arrived, or while nothing
-    has arrived yet on a new connection.
+    has arrived yet on a new connection; `body_timer` runs only while a body is arriving. Received bytes are parsed only
     while no complete request waits behind the one in progress; those that aren't parsed yet are in `unparsed`, and while
     there are any, nothing more is read.
     """
@@ -48,10 +49,13 @@
     def __init__(self, *args: Any, **kwargs: Any) -> None:
         super().__init__(*args, **kwargs)
         self.head_timer = Timer(self.loop, self._head_timed_out)
+        self.body_timer = Timer(self.loop, self._body_timed_out)
         self.in_head = True
         self.head_size = 0  # bytes that arrived since the end of the last request
         self.trailer_size = 0  # bytes of headers that arrived after the body
         self.framing_size = 0  # bytes that arrived within a body since the last byte of the body itself
+        self.body_started_at = 0.0  # seconds of the loop's clock; when the arriving body was first waited for
+        self.last_data_at = 0.0  # seconds of the loop's clock; set only while a body is arriving
         self.refused = False  # no more data of this connection is processed
         self.unparsed = memoryview(b"")
         self.unparsed_charge = 0  # bytes of `unparsed` that are accounted for
@@ -140,7 +144,11 @@
         """Starts the time limit of what is arriving; it stands still while received bytes wait to be parsed."""
         if self.unparsed:
             self._stop_timers()
-        elif self.in_head and self.head_size and not self.head_timer.is_running:
+        elif not self.in_head:
+            self.last_data_at = self.loop.time()
+            if not self.body_timer.is_running:
+                self._start_body_timer()
+        elif self.head_size and not self.head_timer.is_running:
             self._start_head_timer()
 
     # --- callbacks of the HTTP parser
@@ -163,6 +171,7 @@
         self.head_timer.stop()
         self.in_head, self.head_size = False, 0
         self.framing_size = self.trailer_size = 0
+        self.body_started_at = 0.0
         limits = self.resources.current_limits()
         size = len(self.url) + sum(len(name) + len(value) + HEADER_OVERHEAD for name, value in self.headers)
         if size > limits.head_bytes:
@@ -192,6 +201,7 @@
         """Called by the parser at the end of a request."""
         if self.refused:
             return
+        self.body_timer.stop()
         super().on_message_complete()
         self.in_head = True
         self.unhandled = self.cycle
@@ -277,8 +287,31 @@
             else:
                 self.transport.close()
 
+    def _start_body_timer(self) -> None:
+        """Starts the time within which more of a body must arrive."""
+        self.body_started_at = self.body_started_at or self.loop.time()
+        self.body_timer.start(self._body_time_left())
+
+    def _body_time_left(self) -> float:
+        """Returns the seconds within which more of the arriving body must arrive."""
+        idle_s = self.resources.current_limits().idle_s
+        deadline = min(self.last_data_at + idle_s, self.body_started_at + idle_s * BODY_TIME_FACTOR)
+        return deadline - self.loop.time()
+
+    def _body_timed_out(self) -> None:
+        """Refuses a body that is too late, unless something of it has arrived meanwhile and there is time left."""
+        if self.in_head or self.transport.is_closing():
+            return
+        time_left = self._body_time_left()
+        if time_left > 0:
+            self.body_timer.start(time_left)
+            return
+        self.resources.log.record(ServerLimit.BODY_TIME)
+        self.refuse(HTTPStatus.REQUEST_TIMEOUT)
+
     def _stop_timers(self) -> None:
         self.head_timer.stop()
+        self.body_timer.stop()
 
     # --- refusals
     def send_400_response(self, msg: str) -> None:
