End connections whose sender goes on after a refusal

What callers saw: a client that goes on sending after a 413 was read on without end.

Cause: the rest of a body whose request was answered was discarded at any length and for any time.

Change: it may be as long as a body may be, and must end within a second. Where the server itself refuses, it ends its side of the connection, and discards what still comes for at most a second, so that the client reads the refusal instead of a reset.

Why it works: bytes and time after an answer are both bounded; a proper client's rest of a body fits.

--- a/postpass/http_server/protocol.py
+++ b/postpass/http_server/protocol.py
@@ -26,6 +26,7 @@
 MAX_PIPELINED = 64  # requests that may be in one piece, in addition to the one in progress
 REQUEST_BYTES = 8 << 10  # memory of a request in addition to its body
 BODY_TIME_FACTOR = 4  # multiple of the idle time within which a body must arrive completely
+LINGER_S = 1.0  # in which the rest of a refused request is discarded, so that the client can read the refusal
 
 
 def refusal_response(status: int) -> bytes:
@@ -50,10 +51,12 @@
         super().__init__(*args, **kwargs)
         self.head_timer = Timer(self.loop, self._head_timed_out)
         self.body_timer = Timer(self.loop, self._body_timed_out)
+        self.linger_timer = Timer(self.loop, self.close_at_once)
         self.in_head = True
         self.head_size = 0  # bytes that arrived since the end of the last request
         self.trailer_size = 0  # bytes of headers that arrived after the body
         self.framing_size = 0  # bytes that arrived within a body since the last byte of the body itself
+        self.surplus_size = 0  # bytes of a body that arrived after the response to its request
         self.body_started_at = 0.0  # seconds of the loop's clock; when the arriving body was first waited for
         self.last_data_at = 0.0  # seconds of the loop's clock; set only while a body is arriving
         self.refused = False  # no more data of this connection is processed
@@ -78,6 +81,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Called by the event loop once the connection is closed."""
         self._stop_timers()
+        self.linger_timer.stop()
         self._discard_unparsed()
         for cycle, _ in self.pipeline:
             self._release_request(cycle)
@@ -125,6 +129,9 @@
         elif not self.in_head and max(self.framing_size, self.trailer_size) > limits.head_bytes:
             self.resources.log.record(ServerLimit.FRAMING)
             self.refuse(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
+        elif self.surplus_size > limits.body_bytes:
+            self.resources.log.record(ServerLimit.REFUSED_BODY)
+            self.close_at_once()
 
     def _after_parsing(self) -> None:
         """Brings the time limits, the memory and the queue up to date with what was parsed."""
@@ -170,7 +177,7 @@
             return
         self.head_timer.stop()
         self.in_head, self.head_size = False, 0
-        self.framing_size = self.trailer_size = 0
+        self.framing_size = self.trailer_size = self.surplus_size = 0
         self.body_started_at = 0.0
         limits = self.resources.current_limits()
         size = len(self.url) + sum(len(name) + len(value) + HEADER_OVERHEAD for name, value in self.headers)
@@ -192,6 +199,9 @@
         if self.refused:
             return
         self.framing_size = 0
+        if self.cycle.response_complete:
+            self.surplus_size += len(body)
+            return
         if self.cycle in self.request_sizes:
             self.request_sizes[self.cycle] += len(body)
             self.new_bytes += len(body)
@@ -225,6 +235,9 @@
         super().on_response_complete()
         if self.transport.is_closing():
             return
+        if not self.in_head:
+            # The body is still arriving, and nobody needs it any more.
+            self._start_body_timer()
         if self.unparsed and not self.pipeline:
             self.resources.parse_queue.add(self)
 
@@ -288,12 +301,14 @@
                 self.transport.close()
 
     def _start_body_timer(self) -> None:
-        """Starts the time within which more of a body must arrive."""
+        """Starts the time within which more of a body must arrive, or that in which an unwanted one must end."""
         self.body_started_at = self.body_started_at or self.loop.time()
         self.body_timer.start(self._body_time_left())
 
     def _body_time_left(self) -> float:
         """Returns the seconds within which more of the arriving body must arrive."""
+        if self.cycle.response_complete:
+            return LINGER_S
         idle_s = self.resources.current_limits().idle_s
         deadline = min(self.last_data_at + idle_s, self.body_started_at + idle_s * BODY_TIME_FACTOR)
         return deadline - self.loop.time()
@@ -302,6 +317,10 @@
         """Refuses a body that is too late, unless something of it has arrived meanwhile and there is time left."""
         if self.in_head or self.transport.is_closing():
             return
+        if self.cycle.response_complete:
+            self.resources.log.record(ServerLimit.REFUSED_BODY)
+            self.close_at_once()
+            return
         time_left = self._body_time_left()
         if time_left > 0:
             self.body_timer.start(time_left)
@@ -340,7 +359,7 @@
             self._refuse_unhandled(cycle, status)
             return
         self.transport.write(refusal_response(status))
-        self.transport.close()
+        self._close_after_linger()
 
     def _refuse_unhandled(self, cycle: RequestResponseCycle, status: int) -> None:
         """Refuses a request whose end has not been passed to its handler."""
@@ -349,7 +368,7 @@
         self._discard_unparsed()
         self._abandon_request(cycle)
         self.transport.write(refusal_response(status))
-        self.transport.close()
+        self._close_after_linger()
 
     def _abandon_request(self, cycle: RequestResponseCycle) -> None:
         """Tells the handler of a request that its client has gone, and frees what has arrived of the body."""
@@ -357,6 +376,19 @@
         cycle.body = bytearray()
         cycle.message_event.set()
 
+    def _close_after_linger(self) -> None:
+        """Closes the connection once the client has read the refusal.
+
+        If the connection were closed with unread bytes, the client would get a reset, perhaps before the refusal.
+        """
+        if not self.transport.can_write_eof():
+            self.transport.close()
+            return
+        self.transport.write_eof()
+        self.flow.resume_reading()
+        self.flow.set_unparsed(False)  # type: ignore[attr-defined]
+        self.linger_timer.start(LINGER_S)
+
     def close_at_once(self) -> None:
         """Closes the connection without waiting until what was written is sent."""
         self.transport.abort()
