A limit on open connections: those that are idle for longest give way

What callers saw: idle connections took all descriptors of a process (615 of 300 allowed), which then can open none to workers, stores or control. The same at `/ready` and at control.

Cause: nothing limited their number; `/ready` had no time limit either.

A new connection beyond closes the one that has been without a request for longest; only if all have requests, the new one is closed.

Why it works: the number is checked before anything is read, and descriptors for files and workers are never given away.

--- a/postpass/http_server/protocol.py
+++ b/postpass/http_server/protocol.py
@@ -73,6 +73,10 @@
         super().connection_made(transport)  # type: ignore[arg-type]
         self.flow = ReadControl(self.transport)
         transport.max_size = READ_BYTES  # type: ignore[attr-defined]  # of asyncio's transport of a socket
+        if not self.resources.connections.add(self):
+            self.resources.log.record(ServerLimit.CONNECTIONS)
+            self.close_at_once()
+            return
         sock = transport.get_extra_info("socket")
         if sock is not None and self.resources.peer_timeout_s:
             configure_socket(sock, self.resources.peer_timeout_s)
@@ -82,6 +86,7 @@
         """Called by the event loop once the connection is closed."""
         self._stop_timers()
         self.linger_timer.stop()
+        self.resources.connections.discard(self)
         self._discard_unparsed()
         for cycle, _ in self.pipeline:
             self._release_request(cycle)
@@ -162,6 +167,7 @@
     def on_message_begin(self) -> None:
         """Called by the parser at the beginning of a request."""
         self.in_head = True
+        self.resources.connections.mark_busy(self)
         super().on_message_begin()
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -215,6 +221,8 @@
         super().on_message_complete()
         self.in_head = True
         self.unhandled = self.cycle
+        if self.cycle.response_complete and not self.pipeline:
+            self.resources.connections.mark_idle(self)
 
     # --- requests in progress
     def _start_asgi_task(self, cycle: RequestResponseCycle, app: Any) -> None:
@@ -238,6 +246,8 @@
         if not self.in_head:
             # The body is still arriving, and nobody needs it any more.
             self._start_body_timer()
+        elif not self.pipeline and not self.unparsed:
+            self.resources.connections.mark_idle(self)
         if self.unparsed and not self.pipeline:
             self.resources.parse_queue.add(self)
 
