--- a/postpass/http_server/protocol.py
+++ b/postpass/http_server/protocol.py
@@ -52,6 +52,7 @@
         self.head_timer = Timer(self.loop, self._head_timed_out)
         self.body_timer = Timer(self.loop, self._body_timed_out)
         self.linger_timer = Timer(self.loop, self.close_at_once)
+        self.write_timer = Timer(self.loop, self._write_timed_out)
         self.in_head = True
         self.head_size = 0  # bytes that arrived since the end of the last request
         self.trailer_size = 0  # bytes of headers that arrived after the body
@@ -85,6 +86,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Called by the event loop once the connection is closed."""
         self._stop_timers()
+        self.write_timer.stop()
         self.linger_timer.stop()
         self.resources.connections.discard(self)
         self._discard_unparsed()
@@ -338,6 +340,21 @@
         self.resources.log.record(ServerLimit.BODY_TIME)
         self.refuse(HTTPStatus.REQUEST_TIMEOUT)
 
+    def pause_writing(self) -> None:
+        """Called by the transport when the client reads too slowly. Starts the time within which it must read on."""
+        super().pause_writing()
+        self.write_timer.start(self.resources.current_limits().idle_s)
+
+    def resume_writing(self) -> None:
+        """Called by the transport when the client has read on."""
+        super().resume_writing()
+        self.write_timer.stop()
+
+    def _write_timed_out(self) -> None:
+        """Closes the connection of a client that doesn't read its response."""
+        self.resources.log.record(ServerLimit.UNREAD_RESPONSE)
+        self.close_at_once()
+
     def _stop_timers(self) -> None:
         self.head_timer.stop()
         self.body_timer.stop()
