Limits on the links of peers, and on large messages that arrive together

What callers saw: forty senders of a frame of 8 MiB at a peer's port, before any handshake, took 364 MB of an edge, 411 of a store, 339 of control (128 allowed); 600 idle connections there took 620 descriptors.

Cause: a frame was read whole before its link had made a handshake; there was no time for a handshake, and no limit on links.

Change: before the handshake a frame has 4 KiB, and a link ten seconds; peers may have a quarter of the descriptors that are not for files, and of too many links without a handshake the one that is open for longest is closed. After it, messages of more than 64 KiB are read one after another, as memory allows: an eighth of the process's, until each is handled. Reading of a message is in functions of its own.

Why it works: nothing large is read from anyone unknown; what peers send together has a bound, and one message always fits.

--- a/postpass/daemon/process.py
+++ b/postpass/daemon/process.py
@@ -33,8 +33,9 @@
 from postpass.http_server.resources import ServerResources
 from postpass.membership.partial_view import MemberRecord, PartialView
 from postpass.rpc.codec import RELEASE, Body, PeerResponse
+from postpass.rpc.link_table import LinkTable, links_of_process
 from postpass.rpc.peer_links import PeerLinks
-from postpass.rpc.peer_server import PeerServer
+from postpass.rpc.peer_server import PeerServer, large_frame_memory
 from postpass.runtime import log_events
 from postpass.runtime.environment import Environment, now, serve_http
 from postpass.runtime.errors import Fault, FaultError
@@ -193,7 +194,8 @@
         peer_server = PeerServer(self.settings.name, {
             "ping": self.on_ping, "shuffle": self.gossip.on_shuffle, "follow": self.on_follow,
             "join": self.announcer.on_join, **self.handlers(),
-        })  # fmt: skip
+        }, links=LinkTable(links_of_process(self.settings.descriptors)),
+            large_frames=large_frame_memory(self.settings.memory_bytes))  # fmt: skip
         await peer_server.listen(self.settings.peer)
         host, http_port = split_address(self.settings.http)
         tasks = [asyncio.create_task(self.run_supervised(name, task)) for name, task in self._named_tasks()]
--- a/postpass/rpc/framing.py
+++ b/postpass/rpc/framing.py
@@ -15,11 +15,12 @@
 
 FRAME_HEAD = struct.Struct("!i")  # the length of the message that follows
 MAXIMUM_FRAME_BYTES = 8 << 20
+MAXIMUM_HANDSHAKE_BYTES = 4 << 10  # of a frame on a link without a handshake
 STREAM_BUFFER_BYTES = 1 << 20  # received bytes of a connection that asyncio buffers before it stops reading
 
 
 class FrameSizeError(ProtocolError):
-    """A peer announced a frame that is empty or longer than `MAXIMUM_FRAME_BYTES`."""
+    """A peer announced a frame that is empty or longer than is accepted."""
 
 
 def too_long(size: int) -> str:
@@ -60,14 +61,22 @@
         super().__init__(stream)
         self.stream = stream
 
-    async def next(self) -> bytes:
-        """Reads and returns the next message.
+    async def next(self, max_bytes: int = MAXIMUM_FRAME_BYTES) -> bytes:
+        """Reads and returns the next message, which has `max_bytes` at most.
 
         Raises FrameSizeError for an invalid length, and asyncio.IncompleteReadError if the peer has closed the
         connection.
         """
+        return await self.read(await self.next_size(max_bytes))
+
+    async def next_size(self, max_bytes: int = MAXIMUM_FRAME_BYTES) -> int:
+        """Reads and returns the length of the next message, which has to be read then. Raises like `next`."""
         head = await self.stream.reader.readexactly(FRAME_HEAD.size)
         (size,) = FRAME_HEAD.unpack(head)
-        if not 0 < size <= MAXIMUM_FRAME_BYTES:
-            raise FrameSizeError(f"a frame of {size} bytes; 1 to {MAXIMUM_FRAME_BYTES} are taken")
+        if not 0 < size <= max_bytes:
+            raise FrameSizeError(f"a frame of {size} bytes; 1 to {max_bytes} are taken")
+        return int(size)
+
+    async def read(self, size: int) -> bytes:
+        """Reads and returns the message whose length was read before. Raises asyncio.IncompleteReadError like `next`."""
         return await self.stream.reader.readexactly(size)
--- a/tests/test_readable_code.py
+++ b/tests/test_readable_code.py
@@ -63,8 +63,8 @@
         "limits", "limit_log", "memory_budget", "parse_queue", "connection_table", "read_control", "timer", "resources", "protocol",
         "readiness",
     ),
-    "runtime": ("deferred_import", "sockets", "errors", "log_events", "ordered_set", "disk", "environment", "pause_detector"),
-    "rpc": ("idl", "codec", "framing", "response_budget", "connection", "peer_links", "peer_server"),
+    "runtime": ("deferred_import", "byte_semaphore", "sockets", "errors", "log_events", "ordered_set", "disk", "environment", "pause_detector"),
+    "rpc": ("idl", "codec", "framing", "link_table", "response_budget", "connection", "peer_links", "peer_server"),
 }  # fmt: skip
 # Withdrawn words that still stand in names, by module, with the reason; docs/ROADMAP.md has what is to become of them.
 STANDING_NAMES: dict[str, set[str]] = {
