Accept jobs only as far as there is memory for them, at edges and at stores

Cause: an edge holds a job several times over while it is handled (body, JSON, items, message to the owner), and handled any number at once. What a store has accepted stays in memory until the job is complete; only the disk had a bound.

Change: an edge handles large jobs (over 64 KiB) one after another as memory allows, a 24th of the process's; one that can't begin in the time of its answer gets 503. A store accepts no further job once its open jobs, those of its copies included, take a sixth of its memory: 503, before anything is sequenced.

A job that was accepted is never given back. Why it works: the bound is checked where the promise to keep a job is made, with what is held already.

--- a/postpass/batch/job.py
+++ b/postpass/batch/job.py
@@ -167,6 +167,11 @@
         items = enumerate(self.body["items"])
         return sum(item_tokens(item) for position, item in items if position not in self.results)
 
+    @cached_property
+    def text_bytes(self) -> int:
+        """The size of the items of a job that did not come by a route; 0 for others, whose items are in `payload`."""
+        return 0 if "route" in self.body else sum(len(item) for item in self.body["items"])
+
     @cached_property
     def mean_tokens(self) -> float:
         """The average number of tokens of an item; 0 for a job that did not come by a route or has no items."""
--- a/postpass/batch/job_api.py
+++ b/postpass/batch/job_api.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import asyncio
 import base64
 import binascii
 import json
 import re
+from contextlib import AsyncExitStack
 from dataclasses import dataclass
+from fractions import Fraction
 from typing import Any, NamedTuple, TypedDict
 
 from result import Err, Result
@@ -17,10 +20,13 @@
 from postpass.gateway.gateway import Gateway
 from postpass.gateway.request_bodies import IDENTIFIER
 from postpass.rpc.codec import Body
+from postpass.runtime.byte_semaphore import ByteSemaphore
 from postpass.runtime.environment import now
 from postpass.runtime.errors import CONFLICT, NO_SPACE, NOT_FOUND, REJECTED, TOO_MANY_REQUESTS, Fault
 
 MAX_ITEMS = 200
+LARGE_JOB_BYTES = 64 << 10
+LARGE_JOB_SHARE = Fraction(1, 24)  # of the memory of the process, for large jobs that are handled at once
 HEADER_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 HEADER_VALUE = re.compile(r"[\t\x20-\x7e\x80-\xff]*")
 MIN_CLIENT_PATIENCE_S = 2.5  # seconds that every client waits, at the least, for a response about a job
@@ -96,12 +102,18 @@
 class JobApi:
     """Handles the requests of an edge's clients about jobs.
 
+    A large job takes several times its size while it is handled, so that only a few are handled at once (`large_jobs`).
+
     Invariant: a response that promises that nothing runs is given only if no attempt of this request at an owner went
     without a response.
     """
 
     edge: Gateway
 
+    def __post_init__(self) -> None:
+        memory_bytes = self.edge.settings.memory_bytes
+        self.large_jobs = ByteSemaphore(max(LARGE_JOB_BYTES, int(memory_bytes * LARGE_JOB_SHARE)))
+
     def owner_timeout(self) -> float:
         """Returns the seconds to wait for an owner, so that the client still gets its response in time."""
         return min(MIN_CLIENT_PATIENCE_S, self.edge.settings.bounds.recover / 4)
@@ -116,6 +128,22 @@
             return JobAnswer(503, {"error": "this edge takes none now"})
         if not IDENTIFIER.fullmatch(job_id):
             return JobAnswer(400, {"error": "id: want 1 to 80 of A-Z a-z 0-9 . _ -"})
+        deadline = now() + min(self.owner_timeout(), route["timeout"])
+        if len(data) <= LARGE_JOB_BYTES:
+            return await self._accept_body(name, route, job_id, data, tenant, deadline)
+        async with AsyncExitStack() as memory:
+            try:
+                async with asyncio.timeout_at(deadline):
+                    await memory.enter_async_context(self.large_jobs.taken(len(data)))
+            except TimeoutError:
+                return JobAnswer(503, {"error": "too many large lots at once"})
+            return await self._accept_body(name, route, job_id, data, tenant, deadline)
+
+    async def _accept_body(
+        self, name: str, route: Route, job_id: str, data: bytes, tenant: str, deadline: float
+    ) -> JobAnswer:
+        """Validates a job, and submits it to its partition's owner until the deadline; see `accept`."""
+        edge = self.edge
         try:
             body = drop_unknown_fields(json.loads(data))
         except (ValueError, RecursionError) as error:
@@ -125,8 +153,7 @@
             return JobAnswer(400, {"error": validation_error})
         job = self.job_body(name, route, job_id, body["items"], tenant)
         partition = partition_of(job_id, edge.configuration["parts"])
-        owner_timeout = min(self.owner_timeout(), route["timeout"])
-        answer = await edge.owners.request(partition, "accept", {"lot": job}, now() + owner_timeout)
+        answer = await edge.owners.request(partition, "accept", {"lot": job}, deadline)
         if isinstance(answer, Err):
             return self.not_accepted(job_id, answer.unwrap_err())
         edge.jobs_total.labels("kept").inc()
--- a/postpass/batch/job_records.py
+++ b/postpass/batch/job_records.py
@@ -12,6 +12,7 @@
 
 from postpass.batch.job import Job, JobState, job_digest, results_page
 from postpass.batch.messages import ItemStatus
+from postpass.replication.job_memory import JobMemory
 from postpass.replication.leadership_check import LeadershipCheck
 from postpass.replication.owner import PartitionOwner
 from postpass.replication.partition import Partition
@@ -31,6 +32,7 @@
     table: PartitionTable
     owner: PartitionOwner
     leadership: LeadershipCheck
+    memory: JobMemory
 
     def failure(self, step: str, why: str, code: int) -> Err[Fault]:
         """Returns a fault in the name of this store."""
@@ -80,12 +82,14 @@
     def rejection(self, partition: Partition) -> Fault | None:
         """Returns why no further job is accepted now; None if one is.
 
-        Reasons are too many open jobs, too many uncovered bytes, or mirrors whose disks are full.
+        Reasons are too many open jobs, here or at the mirrors, too many uncovered bytes, or mirrors whose disks are full.
         """
         name = self.table.settings.name
         open_jobs = sum(1 for job in partition.view.jobs.values() if job.state == JobState.OPEN and not job.complete)
         if open_jobs >= self.table.configuration_view.limit("open_lots"):
             return Fault("submit", name, f"{open_jobs} lots are open in this partition", REJECTED)
+        if not self.memory.has_room():
+            return Fault("submit", name, "the open lots take all the memory that is for them", REJECTED)
         last_covered = max(partition.covered, partition.record_log.base_seq)
         uncovered = sum(len(record.body) for record in partition.record_log.after(last_covered))
         if uncovered > self.table.settings.buffer_bytes // 2:
@@ -93,7 +97,7 @@
         mirrors = partition.mirrors
         writable = {mirror for mirror, state in mirrors.items() if not state.disk_full and not state.silent} | {name}
         if not partition.can_cover(writable) and any(state.disk_full for state in mirrors.values()):
-            return Fault("submit", name, "the disks of the mirrors are full", NO_SPACE)
+            return Fault("submit", name, "the disks of the mirrors are full, or their memory for lots", NO_SPACE)
         return None
 
     async def reject(self, partition: Partition, body: Body, refusal: Fault, limit: float) -> PeerResponse:
--- a/postpass/replication/acknowledger.py
+++ b/postpass/replication/acknowledger.py
@@ -9,6 +9,7 @@
 from result import Err, Ok
 
 from postpass.replication.election import Election
+from postpass.replication.job_memory import JobMemory
 from postpass.replication.partition import Partition
 from postpass.replication.partition_table import PartitionTable
 from postpass.rpc.codec import IDL
@@ -25,6 +26,7 @@
 
     table: PartitionTable
     election: Election
+    memory: JobMemory
     pending: dict[str, set[int]] = field(default_factory=dict)  # owner -> numbers of the partitions to acknowledge
     wake_events: dict[str, asyncio.Event] = field(default_factory=dict)
     reconnected: set[str] = field(default_factory=set)  # owners that connected since the last acknowledgement to them
@@ -75,12 +77,10 @@
                 assert link.reader_task is not None
                 link.reader_task.add_done_callback(lambda _: self.probe_soon(owner))
             free_bytes, _ = self.table.log.disk.space()
+            is_full = free_bytes < self.table.log.reserved_bytes or not self.memory.has_room()
             link.put(
                 "ack",
-                [
-                    self.acknowledgement(self.table.partitions[n], free_bytes < self.table.log.reserved_bytes)
-                    for n in numbers
-                ],
+                [self.acknowledgement(self.table.partitions[n], is_full) for n in numbers],
             )
             try:
                 await asyncio.wait_for(link.drain(), self.table.settings.bounds.silent)
@@ -125,7 +125,7 @@
 
         Args:
             partition: The partition.
-            full: Whether this store's disk is full.
+            full: Whether this store's disk is full, or its memory for open jobs.
         """
         aligned = partition.aligned_epoch > 0 and partition.aligned_epoch == partition.promised
         return IDL.Ack(
--- a/postpass/replication/store.py
+++ b/postpass/replication/store.py
@@ -32,6 +32,7 @@
 from postpass.replication.cover_watch import CoverWatch, members_awaited
 from postpass.replication.election import Election
 from postpass.replication.handover import Handover
+from postpass.replication.job_memory import ITEM_BYTES, JobMemory
 from postpass.replication.leadership_check import LeadershipCheck
 from postpass.replication.mirror import Mirror
 from postpass.replication.owner import PartitionOwner
@@ -70,11 +71,12 @@
         self.leadership = LeadershipCheck(self.table)
         self.catch_up = CatchUp(self.table)
         self.election = Election(self.table, self.owner, self.catch_up)
-        self.acknowledger = Acknowledger(self.table, self.election)
+        self.job_memory = JobMemory(self.table)
+        self.acknowledger = Acknowledger(self.table, self.election, self.job_memory)
         self.mirror = Mirror(self.table, self.election, self.acknowledger)
         self.handover = Handover(self.table, self.election.run_soon)
         self.reconfiguration = Reconfiguration(self.table, self.owner)
-        self.jobs = JobRecords(self.table, self.owner, self.leadership)
+        self.jobs = JobRecords(self.table, self.owner, self.leadership, self.job_memory)
         self.leases = Leases(self.table, self.owner, self.leadership)
         self.job_service = JobService(self)
         self.shares = ShareService(self)
@@ -151,6 +153,8 @@
         Raises:
             FaultError: The disk does not accept it; nothing was sequenced.
         """
+        if kind == "lot":
+            self.job_memory.add(len(raw) + len(body["items"]) * ITEM_BYTES)
         return self.owner.append(partition, kind, body, vital, raw)
 
     def rejection(self, partition: Partition) -> Fault | None:
--- a/tests/test_readable_code.py
+++ b/tests/test_readable_code.py
@@ -22,7 +22,7 @@
     ),
     "replication": (
         "record_log", "log_entries", "owner_lookup", "acknowledgements", "stability", "messages", "election_decision", "partition",
-        "partition_table", "cover_watch",
+        "partition_table", "cover_watch", "job_memory",
         "streaming", "owner", "leadership_check", "catch_up", "election", "acknowledger", "mirror", "handover",
         "reconfiguration", "owner_duties", "store",
     ),
