End a worker's answer that goes on without any of its body

A worker in trouble that sends trailers, a trailer line or a chunk extension without end was read until the time limit of the request, and one line was kept whole, and joined anew with each read.

Change: bytes that arrive within an answer's body without a byte of the body have the limit of a head (64 KiB); beyond it the answer is garbled and its connection closed.

Evidence: three tests on the simulated network failed before (3.2 MB were read, to the end of the test); an answer with a hundred short trailers is complete, as before. Why it works: what isn't body is bounded, whatever form it has.

--- a/postpass/gateway/upstream_connection.py
+++ b/postpass/gateway/upstream_connection.py
@@ -20,7 +20,9 @@
 from postpass.runtime.errors import PEER_FAILED, TIMED_OUT, Fault
 from postpass.runtime.sockets import configure_socket
 
-MAX_HEAD_BYTES = 64 << 10  # a longer head of an answer is an error
+MAX_HEAD_BYTES = (
+    64 << 10
+)  # a longer head of an answer is an error; so are as many bytes in a body that aren't part of it
 DEFAULT_IDLE = 0.5  # seconds that an idle connection is kept if the worker doesn't specify a time
 MAX_REQUESTS = 256  # after which a connection is not used again; bounds what it remembers of them
 IDLE_MARGIN = 0.25  # share of the time specified by the worker that is left unused
@@ -88,6 +90,7 @@
         self.patience = 0.0  # seconds of silence after which the worker is probed; 0: never, its answer is waited for
         self.bodiless = False  # the answer has no body, because the request's method is HEAD
         self.head_bytes = 0
+        self.framing_bytes = 0  # received within the body since the last byte of the body itself: chunk sizes, trailers
         self.phase = Phase.NOTHING
         self.keep_alive = False
         self.has_surplus = False  # whether more bytes were received than the answer
@@ -113,6 +116,8 @@
         self.last_received = self.pool.last_received = asyncio.get_running_loop().time()
         if self.phase is Phase.NOTHING or self.phase is Phase.HEAD:
             self.head_bytes += len(data)
+        elif self.phase is Phase.BODY:
+            self.framing_bytes += len(data)
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
@@ -126,6 +131,8 @@
             self.fail("head", "an answer without a length", hint=GARBLED)
         elif self.phase is Phase.END:
             self.finish()
+        elif self.phase is Phase.BODY and self.framing_bytes > MAX_HEAD_BYTES:
+            self.fail("body", f"more than {MAX_HEAD_BYTES} bytes without any of the body", hint=GARBLED)
         elif self.phase is Phase.BODY:
             self.exchange.wake()
         elif self.head_bytes > MAX_HEAD_BYTES:
@@ -184,6 +191,7 @@
     def on_body(self, data: bytes) -> None:
         """Called by the parser for each part of the body."""
         if self.phase is Phase.BODY and self.exchange is not None:
+            self.framing_bytes = 0
             self.exchange.append_body(data)
 
     def on_message_complete(self) -> None:
@@ -225,7 +233,8 @@
         self.exchange, self.bodiless, self.expect = exchange, bodiless, expect
         if expect is not None:
             self.expected_before.add(hash(expect))
-        self.phase, self.head_bytes, self.keep_alive, self.has_surplus = Phase.NOTHING, 0, False, False
+        self.phase, self.head_bytes, self.framing_bytes = Phase.NOTHING, 0, 0
+        self.keep_alive = self.has_surplus = False
         loop = asyncio.get_running_loop()
         self.timer = loop.call_later(limit, self._timed_out)
         self.last_received, self.patience = loop.time(), patience
--- a/tests/gateway/test_upstream_connection.py
+++ b/tests/gateway/test_upstream_connection.py
@@ -6,8 +6,10 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+import pytest
+
 from postpass.gateway.connection_pool import ConnectionPool
-from postpass.gateway.upstream_connection import MAX_REQUESTS
+from postpass.gateway.upstream_connection import MAX_HEAD_BYTES, MAX_REQUESTS
 from postpass.runtime.errors import FaultError
 from sim.loop import Host, SimLoop, run_sim
 
@@ -371,3 +373,40 @@
         assert worker.connections == 3 and len(pool.opened["w:1"]) == 1
 
     run(echo, main)
+
+
+CHUNKED_START = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n"
+
+
+@pytest.mark.parametrize(
+    ("start", "piece"),
+    [(b"0\r\n", b"x-trailer: t\r\n"), (b"0\r\nx-trailer: ", b"t" * 14), (b"2;name=", b"e" * 14)],
+    ids=["trailers", "trailer line", "chunk extension"],
+)
+def test_an_answer_that_goes_on_without_its_body_is_ended(start: bytes, piece: bytes) -> None:
+    sent = [0]
+
+    async def play(_c: int, _n: int, _head: bytes, writer: asyncio.StreamWriter) -> None:
+        writer.write(CHUNKED_START + start)
+        while not writer.is_closing() and sent[0] < MAX_HEAD_BYTES * 50:
+            writer.write(piece * 100)
+            sent[0] += len(piece) * 100
+            await writer.drain()
+            await asyncio.sleep(0.0001)
+
+    async def main(pool: ConnectionPool, _loop: SimLoop, _worker: Worker) -> None:
+        assert await ask(pool) == ("body", False)
+        assert pool.busy_count("w:1") == 0
+
+    run(play, main)
+    assert sent[0] < MAX_HEAD_BYTES * 50
+
+
+def test_an_answer_with_trailers_is_complete() -> None:
+    async def play(_c: int, _n: int, _head: bytes, writer: asyncio.StreamWriter) -> None:
+        writer.write(CHUNKED_START + b"0\r\n" + b"x-trailer: t\r\n" * 100 + b"\r\n")
+
+    async def main(pool: ConnectionPool, _loop: SimLoop, _worker: Worker) -> None:
+        assert await ask(pool) == (200, b"ok")
+
+    run(play, main)
