--- a/tests/crowds/conftest.py
+++ b/tests/crowds/conftest.py
@@ -6,9 +6,9 @@
 
 import pytest
 
-from tests.crowds.clients import call, call_as_json
-from tests.crowds.deployment import FRONT_PORT, READY_PORT, ZONES, Deployment, Machine, configuration, wait_until
-from tests.crowds.worker import Worker
+from tests.crowds.clients import call
+from tests.crowds.deployment import FRONT_PORT, READY_PORT, Deployment, Machine, wait_until
+from tests.crowds.running_deployment import running_deployment
 
 
 def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
@@ -20,24 +20,8 @@
 @pytest.fixture(scope="module")
 def deployment() -> Iterator[Deployment]:
     """Control, stores and a worker, with a configuration in force."""
-    made = Deployment()
-    cores = [made.add("core", zone) for zone in ZONES]
-    for machine in cores:
-        made.start(machine)
-    for zone in ZONES:
-        made.add_started("store", zone)
-    worker = Worker(made.worker_address(), made.control_addresses())
-    worker.start()
-    try:
-        wait_until(
-            lambda: call_as_json(made.control_addresses()[0], "PUT", "/-/config", configuration(), {"If-Match": "0"}).status == 200,
-            "the configuration is taken",
-        )  # fmt: skip
-        made.bootstrap = False
+    with running_deployment() as made:
         yield made
-    finally:
-        worker.stop()
-        made.close()
 
 
 @pytest.fixture
