--- a/postpass/configuration/settings.py
+++ b/postpass/configuration/settings.py
@@ -23,7 +23,7 @@
 # Fields of `Bounds` that may be 0; all others must be above 0.
 MAY_BE_ZERO = ("sync", "grace", "keep", "quota_excess", "quota_extra")
 MINIMUM_VALUES = (
-    ("buffer_bytes", 65536), ("segment_bytes", 4096), ("disk_bytes", 0), ("memory_bytes", 64 << 20), ("descriptors", 256),
+    ("buffer_bytes", 65536), ("segment_bytes", 4096), ("disk_bytes", 0), ("memory_bytes", 1), ("descriptors", 1),
 )  # fmt: skip
 
 
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -65,6 +65,15 @@
     assert (core.duties, core.http, core.ready) == ((), "10.1.0.35:8146", "")
 
 
+def test_memory_and_descriptors_are_those_of_the_file_or_the_defaults() -> None:
+    settings_of = adapter("settings").settings_of
+    given = settings_of("edge", settings_file() | {"limits": {"ramMb": 200, "maxFds": 4100}}).unwrap()
+    assert (given.memory_bytes, given.descriptors) == (200 << 20, 4100)
+    for limits in ({}, {"ramMb": 0, "maxFds": 0}):
+        missing = settings_of("edge", settings_file() | {"limits": limits}).unwrap()
+        assert (missing.memory_bytes, missing.descriptors) == (300 << 20, 4096)
+
+
 def test_each_error_is_one_line_with_path_expected_type_and_value() -> None:
     settings_of = adapter("settings").settings_of
     assert settings_of("door", settings_file()).unwrap_err() == ["role: want one of edge, store, core, got 'door'"]
