HTTP server: memory of requests and refusals in modules of their own; bodies with a length in large pieces

What its requests take of the memory, and the response of a refusal, stand in modules of their own now.

Bytes of a body with a length cost an eighth of others in the turn of the event loop, since the parser only copies them, and a piece never goes beyond such a body; requests of up to 4 KiB are parsed in one piece.

--- a/postpass/http_server/protocol.py
+++ b/postpass/http_server/protocol.py
@@ -11,31 +11,23 @@
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol, RequestResponseCycle
 
 from postpass.http_server.limits import ServerLimit
-from postpass.http_server.memory_budget import MemoryUsage
 from postpass.http_server.parse_queue import PIECE_BYTES
 from postpass.http_server.read_control import ReadControl
+from postpass.http_server.refusal import refusal_response
+from postpass.http_server.request_memory import RequestMemory
 from postpass.http_server.resources import ServerResources
 from postpass.http_server.timer import Timer
 from postpass.runtime.sockets import configure_socket
 
-RETRY_AFTER = 0.2  # seconds after which a client may repeat a request that was refused
-RETRIED_STATUSES = (HTTPStatus.REQUEST_TIMEOUT, HTTPStatus.SERVICE_UNAVAILABLE)
 HEADER_OVERHEAD = 4  # bytes of a header line in addition to its name and value
 READ_BYTES = 64 << 10  # the most that is received at once
-HEAD_PIECE_BYTES = 1 << 10  # parsed at once while a head is expected, so that few pipelined requests are in it
-MAX_PIPELINED = 64  # requests that may be in one piece, in addition to the one in progress
-REQUEST_BYTES = 8 << 10  # memory of a request in addition to its body
+HEAD_PIECE_BYTES = 4 << 10  # parsed at once while a head is expected, so that few pipelined requests are in it
+PLAIN_BODY_FACTOR = 8  # bytes of a body with a length that cost as much to parse as one other byte
+MAX_PIPELINED = 256  # requests that may be in one piece, in addition to the one in progress
 BODY_TIME_FACTOR = 4  # multiple of the idle time within which a body must arrive completely
 LINGER_S = 1.0  # in which the rest of a refused request is discarded, so that the client can read the refusal
 
 
-def refusal_response(status: int) -> bytes:
-    """Returns an encoded response without a body, after which the server closes the connection."""
-    retry_header = b"retry-after: %g\r\n" % RETRY_AFTER if status in RETRIED_STATUSES else b""
-    phrase = HTTPStatus(status).phrase.encode()
-    return b"HTTP/1.1 %d %s\r\ncontent-length: 0\r\n%sconnection: close\r\n\r\n" % (status, phrase, retry_header)
-
-
 class LimitedProtocol(HttpToolsProtocol):
     """uvicorn's protocol of one connection, under limits that may change at any time.
 
@@ -55,6 +47,7 @@
         self.write_timer = Timer(self.loop, self._write_timed_out)
         self.in_head = True
         self.head_size = 0  # bytes that arrived since the end of the last request
+        self.body_left = 0  # bytes of a body with a length that haven't been parsed
         self.trailer_size = 0  # bytes of headers that arrived after the body
         self.framing_size = 0  # bytes that arrived within a body since the last byte of the body itself
         self.surplus_size = 0  # bytes of a body that arrived after the response to its request
@@ -62,11 +55,8 @@
         self.last_data_at = 0.0  # seconds of the loop's clock; set only while a body is arriving
         self.refused = False  # no more data of this connection is processed
         self.unparsed = memoryview(b"")
-        self.unparsed_charge = 0  # bytes of `unparsed` that are accounted for
-        self.new_bytes = 0  # memory taken since the last time that it was accounted for
-        self.request_sizes: dict[RequestResponseCycle, int] = {}  # memory of the requests that aren't done
         self.unhandled: RequestResponseCycle | None = None  # its end is in the bytes that are just parsed
-        self.usage = MemoryUsage(self._evict)
+        self.memory = RequestMemory(self.resources.memory, self._evict)
 
     # --- callbacks of asyncio
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -89,11 +79,11 @@
         self.write_timer.stop()
         self.linger_timer.stop()
         self.resources.connections.discard(self)
-        self._discard_unparsed()
+        self.unparsed = memoryview(b"")
         for cycle, _ in self.pipeline:
-            self._release_request(cycle)
+            self.memory.release(cycle)
         self.pipeline.clear()
-        self.resources.memory.mark_complete(self.usage)
+        self.memory.close()
         super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
@@ -108,16 +98,27 @@
         self.parse_received(PIECE_BYTES)
 
     def parse_received(self, max_bytes: int) -> int:
-        """Parses up to so many of the received bytes; returns how many. The rest waits for its turn."""
+        """Parses up to so many of the received bytes; returns how many. The rest waits for its turn.
+
+        Bytes of a body with a length cost little to parse, and count accordingly.
+        """
         parsed = 0
         while self.unparsed and parsed < max_bytes and self._may_parse():
-            size = min(HEAD_PIECE_BYTES if self.in_head else PIECE_BYTES, max_bytes - parsed)
+            size = self._piece_size(max_bytes - parsed)
+            parsed += max(1, size // PLAIN_BODY_FACTOR) if self.body_left else size
             piece, self.unparsed = self.unparsed[:size], self.unparsed[size:]
             self._parse(piece)
-            parsed += len(piece)
         self._after_parsing()
         return parsed
 
+    def _piece_size(self, max_bytes: int) -> int:
+        """Returns how many bytes to parse at once, if so many may be parsed that aren't part of a body with a length."""
+        if self.in_head:
+            return min(HEAD_PIECE_BYTES, max_bytes)
+        if self.body_left:
+            return min(self.body_left, max_bytes * PLAIN_BODY_FACTOR, len(self.unparsed))
+        return max_bytes
+
     def _may_parse(self) -> bool:
         return not self.pipeline and not self.refused and not self.transport.is_closing()
 
@@ -128,7 +129,7 @@
         else:
             self.framing_size += len(piece)
         super().data_received(piece)  # type: ignore[arg-type]
-        if self.refused or self.transport.is_closing():
+        if self.refused or self.transport.is_closing() or not self._has_excess_bytes():
             return
         limits = self.resources.current_limits()
         if self.in_head and self.head_size > limits.head_bytes:
@@ -140,13 +141,21 @@
             self.resources.log.record(ServerLimit.REFUSED_BODY)
             self.close_at_once()
 
+    def _has_excess_bytes(self) -> bool:
+        """Returns whether bytes have arrived that a limit applies to."""
+        if self.in_head:
+            return self.head_size > 0
+        return bool(self.framing_size or self.trailer_size or self.surplus_size)
+
     def _after_parsing(self) -> None:
         """Brings the time limits, the memory and the queue up to date with what was parsed."""
         if self.refused or self.transport.is_closing():
             self._discard_unparsed()
             return
         self._update_timers()
-        self._account_memory()
+        is_arriving = bool(self.unparsed or self.pipeline) or not self.in_head
+        if not self.memory.account(len(self.unparsed), is_arriving):
+            self.memory.evict()
         self.unhandled = None
         if self.refused or self.transport.is_closing():
             return
@@ -168,7 +177,7 @@
     # --- callbacks of the HTTP parser
     def on_message_begin(self) -> None:
         """Called by the parser at the beginning of a request."""
-        self.in_head = True
+        self.in_head, self.body_left = True, 0
         self.resources.connections.mark_busy(self)
         super().on_message_begin()
 
@@ -176,6 +185,8 @@
         """Called by the parser with a header. One that follows after the body is counted, and is no header of the request."""
         if self.in_head:
             super().on_header(name, value)
+            if self.headers[-1][0] == b"content-length":
+                self.body_left = int(value)
         else:
             self.trailer_size += len(name) + len(value) + HEADER_OVERHEAD
 
@@ -199,20 +210,18 @@
         self.timeout_keep_alive = limits.idle_s  # type: ignore[assignment]
         self.scope["extensions"] = {"target": self.url}  # type: ignore[dict-item]
         super().on_headers_complete()
-        self.request_sizes[self.cycle] = REQUEST_BYTES + size
-        self.new_bytes += REQUEST_BYTES + size
+        self.memory.begin(self.cycle, size)
 
     def on_body(self, body: bytes) -> None:
         """Called by the parser with a part of a body."""
         if self.refused:
             return
         self.framing_size = 0
+        self.body_left = max(0, self.body_left - len(body))
         if self.cycle.response_complete:
             self.surplus_size += len(body)
             return
-        if self.cycle in self.request_sizes:
-            self.request_sizes[self.cycle] += len(body)
-            self.new_bytes += len(body)
+        self.memory.add_body(self.cycle, len(body))
         super().on_body(body)
 
     def on_message_complete(self) -> None:
@@ -238,7 +247,7 @@
             if not cycle.disconnected:
                 raise
         finally:
-            self._release_request(cycle)
+            self.memory.release(cycle)
 
     def on_response_complete(self) -> None:
         """Called by uvicorn at the end of a response. Goes on with the requests that were received behind its request."""
@@ -254,30 +263,9 @@
             self.resources.parse_queue.add(self)
 
     # --- memory
-    def _account_memory(self) -> None:
-        """Takes what was received from the budget; refuses the request if there is no room."""
-        memory = self.resources.memory
-        size = self.new_bytes + len(self.unparsed) - self.unparsed_charge
-        self.new_bytes, self.unparsed_charge = 0, len(self.unparsed)
-        if self.unparsed or not self.in_head or self.pipeline:
-            memory.mark_evictable(self.usage)
-        else:
-            memory.mark_complete(self.usage)
-        if size <= 0:
-            memory.release(self.usage, -size)
-        elif not memory.take(self.usage, size):
-            memory.mark_complete(self.usage)
-            remaining = self._evict()
-            memory.release(self.usage, self.usage.size - remaining)
-
-    def _release_request(self, cycle: RequestResponseCycle) -> None:
-        """Gives back the memory of a request that is done or dropped."""
-        self.resources.memory.release(self.usage, self.request_sizes.pop(cycle, 0))
-
     def _discard_unparsed(self) -> None:
         self.unparsed = memoryview(b"")
-        self.resources.memory.release(self.usage, self.unparsed_charge)
-        self.unparsed_charge = 0
+        self.memory.discard_unparsed()
 
     def _evict(self) -> int:
         """Ends what is still arriving, because the memory is needed; returns the bytes of requests that go on.
@@ -294,10 +282,9 @@
         else:
             self.close_at_once()
         for cycle in dropped:
-            self.request_sizes.pop(cycle, None)
             self._abandon_request(cycle)
-        self.unparsed, self.unparsed_charge, self.new_bytes = memoryview(b""), 0, 0
-        return sum(self.request_sizes.values())
+        self.unparsed = memoryview(b"")
+        return self.memory.forget(dropped)
 
     # --- time limits
     def _start_head_timer(self) -> None:
--- a/tests/gateway/test_answers_broken.py
+++ b/tests/gateway/test_answers_broken.py
@@ -24,7 +24,7 @@
 from postpass.gateway.relay import Relay
 from postpass.gateway.response_check import Proof, ResponseCheck, check_response
 from postpass.gateway.upstream_connection import UpstreamConnection
-from postpass.http_server.protocol import refusal_response
+from postpass.http_server.refusal import refusal_response
 from postpass.runtime.errors import FaultError
 from tests.gateway.test_answers import quick_collections
 from tests.support import answers
--- a/tests/test_readable_code.py
+++ b/tests/test_readable_code.py
@@ -60,7 +60,7 @@
         "configuration_check",
     ),
     "http_server": (
-        "limits", "limit_log", "memory_budget", "parse_queue", "connection_table", "read_control", "timer", "resources", "protocol",
+        "refusal", "limits", "limit_log", "memory_budget", "request_memory", "parse_queue", "connection_table", "read_control", "timer", "resources", "protocol",
         "readiness",
     ),
     "runtime": ("deferred_import", "byte_semaphore", "sockets", "errors", "log_events", "ordered_set", "disk", "environment", "pause_detector"),
