A client that goes on reading isn't cut, however slowly it reads

What callers would have seen (never landed): the time limit of unread responses ran from when the write buffer was full until it was almost empty, so a client that reads two megabytes slowly but steadily was cut within them.

Change: at the end of the time the connection stays if the client has read anything since its start.

--- a/postpass/http_server/protocol.py
+++ b/postpass/http_server/protocol.py
@@ -53,6 +53,7 @@
         self.surplus_size = 0  # bytes of a body that arrived after the response to its request
         self.body_started_at = 0.0  # seconds of the loop's clock; when the arriving body was first waited for
         self.last_data_at = 0.0  # seconds of the loop's clock; set only while a body is arriving
+        self.unread_size = 0  # bytes of responses that the client had not read when `write_timer` was started
         self.refused = False  # no more data of this connection is processed
         self.unparsed = memoryview(b"")
         self.unhandled: RequestResponseCycle | None = None  # its end is in the bytes that are just parsed
@@ -330,6 +331,10 @@
     def pause_writing(self) -> None:
         """Called by the transport when the client reads too slowly. Starts the time within which it must read on."""
         super().pause_writing()
+        self._start_write_timer()
+
+    def _start_write_timer(self) -> None:
+        self.unread_size = self.transport.get_write_buffer_size()
         self.write_timer.start(self.resources.current_limits().idle_s)
 
     def resume_writing(self) -> None:
@@ -338,7 +343,10 @@
         self.write_timer.stop()
 
     def _write_timed_out(self) -> None:
-        """Closes the connection of a client that doesn't read its response."""
+        """Closes the connection of a client that has read nothing of its response since the timer was started."""
+        if self.transport.get_write_buffer_size() < self.unread_size:
+            self._start_write_timer()
+            return
         self.resources.log.record(ServerLimit.UNREAD_RESPONSE)
         self.close_at_once()
 
