Control: a state that waited while another was stored is refused, in place of ending the process

If another state is stored meanwhile (that of the next epoch, sent by another primary), the change has another base; the error is none that the tasks of control expect, so it ended the process.

Change: the refusal is a FaultError, which elections and writers expect from a disk that refuses; nothing is written.

Evidence: tests/control/test_journal.py plays that order of events; before, it ended with the very error of the record. Why it works: the state that is held is the newer one; whoever wanted to write the older one begins anew from there.

--- a/postpass/control/member.py
+++ b/postpass/control/member.py
@@ -15,7 +15,7 @@
 from postpass.configuration.settings import Settings
 from postpass.control.changes import QueuedChange
 from postpass.control.epochs import VoteRecord
-from postpass.control.journal import Change, Image, StateJournal
+from postpass.control.journal import BaseMismatchError, Change, Image, StateJournal
 from postpass.control.messages import GrantRequest, PreVoteRequest, VoteAnswer, prepare_request_from_json
 from postpass.control.state import CommittedState, ReplicatedState
 from postpass.daemon.process import Daemon
@@ -202,13 +202,19 @@
             self.replicated_state = ReplicatedState.from_json(self.journal.image.tree)
 
     async def store(self, replicated_state: ReplicatedState) -> StoredState:
-        """Syncs a state on this member's disk, as a change of the state in the journal if there is one."""
+        """Syncs a state on this member's disk, as a change of the state in the journal if there is one.
+
+        Raises FaultError if the disk fails, or if another state was stored while this one waited for the disk.
+        """
         base, tree, version = self.journal.image, replicated_state.as_json(), replicated_state.state.revision
         if base is None:
             image = await self.write_journal(self.journal.replace(Image.of(replicated_state.epoch, version, tree)))
             return StoredState(ReplicatedState.from_json(image.tree), None)
         change, _ = base.change_to(replicated_state.epoch, version, tree)
-        image = await self.write_journal(self.journal.append(change))
+        try:
+            image = await self.write_journal(self.journal.append(change))
+        except BaseMismatchError as error:
+            raise FaultError(Fault("store state", self.settings.name, str(error))) from error
         return StoredState(ReplicatedState.from_json(image.tree), change)
 
     @property
--- a/tests/control/test_journal.py
+++ b/tests/control/test_journal.py
@@ -7,6 +7,7 @@
 import json
 import random
 import zlib
+from types import SimpleNamespace
 from typing import Any
 
 import pytest
@@ -24,6 +25,7 @@
     replay,
     snapshot_entry,
 )
+from postpass.control.member import ControlMember
 from postpass.rpc.codec import IDL, pack, unpack
 from postpass.runtime.errors import NO_SPACE, PEER_FAILED, FaultError
 from postpass.storage.data_directory import (
@@ -424,3 +426,22 @@
 def test_positions_are_read_as_they_are_written() -> None:
     position = Position(3, 7, "00ff")
     assert Position.from_json(json.loads(json.dumps(position.as_json()))) == position
+
+
+def test_a_state_that_waited_while_another_was_stored_is_refused_and_ends_no_task() -> None:
+    async def run() -> None:
+        _, journal = await open_journal(SimDisk(random.Random(1)))
+        await journal.replace(Image.of(2, 26, tree(26)))
+        member: Any = SimpleNamespace(
+            journal=journal, settings=SimpleNamespace(name="c1"), write_journal=lambda write: write
+        )
+        state: Any = SimpleNamespace(epoch=2, state=SimpleNamespace(revision=27), as_json=lambda: tree(27))
+        of_the_next_epoch = asyncio.create_task(journal.replace(Image.of(3, 26, tree(26, routes=4))))
+        while not journal.lock.locked():
+            await asyncio.sleep(0)
+        with pytest.raises(FaultError) as refused:
+            await ControlMember.store(member, state)
+        assert refused.value.fault.step == "store state"
+        assert journal.image == await of_the_next_epoch
+
+    asyncio.run(run())
