--- a/postpass/daemon/process.py
+++ b/postpass/daemon/process.py
@@ -198,14 +198,19 @@
             large_frames=large_frame_memory(self.settings.memory_bytes))  # fmt: skip
         await peer_server.listen(self.settings.peer)
         host, http_port = split_address(self.settings.http)
-        tasks = [asyncio.create_task(self.run_supervised(name, task)) for name, task in self._named_tasks()]
-        log_events.emit(
-            Event.STARTED,
-            self.settings.name,
-            duties=",".join(self.settings.duties) or "control",
-            peer=self.settings.peer,
-            http=self.settings.http,
-        )
+        tasks: list[asyncio.Task[None]] = []
+
+        def start_tasks() -> None:
+            """Starts the tasks, one of which announces this machine to control, once it listens at all its addresses."""
+            tasks.extend(asyncio.create_task(self.run_supervised(name, task)) for name, task in self._named_tasks())
+            log_events.emit(
+                Event.STARTED,
+                self.settings.name,
+                duties=",".join(self.settings.duties) or "control",
+                peer=self.settings.peer,
+                http=self.settings.http,
+            )
+
         try:
             resources = self._http_resources()
             await serve_http(
@@ -216,6 +221,7 @@
                 self.drain,
                 limited_protocol(resources),
                 resources.listen_queue,
+                start_tasks,
             )
         finally:
             await peer_server.close()
--- a/postpass/runtime/environment.py
+++ b/postpass/runtime/environment.py
@@ -10,6 +10,7 @@
 import contextlib
 import math
 import random
+import socket
 import time
 from collections.abc import Callable, Coroutine, Generator, Mapping
 from dataclasses import dataclass, field
@@ -95,12 +96,21 @@
 
 
 class _Server(uvicorn.Server):
-    """An HTTP server that leaves the handling of signals to the daemon."""
+    """An HTTP server that leaves the handling of signals to the daemon, and reports when it listens."""
+
+    def __init__(self, config: uvicorn.Config, on_listening: Callable[[], None]) -> None:
+        super().__init__(config)
+        self._on_listening = on_listening
 
     @contextlib.contextmanager
     def capture_signals(self) -> Generator[None, None, None]:
         yield
 
+    async def startup(self, sockets: list[socket.socket] | None = None) -> None:
+        """Begins to listen; raises SystemExit if it can't."""
+        await super().startup(sockets)
+        self._on_listening()
+
 
 async def gather_until(
     requests: Mapping[str, Coroutine[Any, Any, Answer]], enough: Callable[[dict[str, Answer]], bool], grace: float
@@ -140,19 +150,19 @@
 
 async def serve_http(
     app: ASGIApp, host: str, port: int, stop: asyncio.Event, drain: float = 2.0, protocol: Any = "httptools",
-    listen_queue: int = MAX_LISTEN_QUEUE,
+    listen_queue: int = MAX_LISTEN_QUEUE, on_listening: Callable[[], None] = lambda: None,
 ) -> None:  # fmt: skip
     """Serves an app at `host` and `port` until `stop` is set, then gives open requests `drain` seconds to finish.
 
     `protocol` is the name or the class of an HTTP protocol of uvicorn; `listen_queue`: the longest queue of connections that aren't
-    accepted yet. Raises OSError if it can't listen.
+    accepted yet; `on_listening` is called once connections are accepted. Raises OSError if it can't listen.
     """
     settings = uvicorn.Config(
         app, host=host, port=port, http=protocol, ws="none", lifespan="off", loop="none",
         log_config=None, access_log=False, timeout_graceful_shutdown=math.ceil(drain), server_header=False, date_header=False,
         backlog=listen_queue,
     )  # fmt: skip
-    server = _Server(settings)
+    server = _Server(settings, on_listening)
     server.server_state.connections = OrderedSet()  # type: ignore[assignment]  # closed in the order they were opened
 
     async def exit_on_stop() -> None:
