--- a/postpass/daemon/data_plane.py
+++ b/postpass/daemon/data_plane.py
@@ -27,7 +27,7 @@
 from postpass.routing.load_picture import LoadReport, sum_reports
 from postpass.rpc.codec import RELEASE, Body, PeerResponse
 from postpass.rpc.peer_links import PeerLinks
-from postpass.runtime.environment import Environment
+from postpass.runtime.environment import Environment, now
 from postpass.tenants.edge_shares import EdgeShares
 from postpass.tenants.messages import HOLDINGS
 
@@ -218,7 +218,25 @@
 
     def ready(self) -> str:
         """Returns why this daemon isn't ready to serve; empty if it is."""
-        return "it is leaving" if self.leaving else self.unready()
+        if self.leaving:
+            return "it is leaving"
+        reason = self.unready()
+        return reason if reason or not self.awaits_stores() else "too few stores yet"
+
+    def awaits_stores(self) -> bool:
+        """Returns whether this is an edge of a fleet that is being founded and in which no partition has members yet.
+
+        Load balancers need not send it jobs that nobody could keep; requests that reach it are answered all the same. It does
+        not wait after a later start of its process, nor for longer than for its registration with control: a fleet may have
+        no stores.
+        """
+        return (
+            "edge" in self.settings.duties
+            and self.settings.announce
+            and self.settings.bootstrap
+            and now() - self.started_at < self.start_time_limit
+            and not self.configuration_view.order(0)
+        )
 
     def unready(self) -> str:
         """Returns why this daemon can't answer clients; empty if it can.
--- a/postpass/daemon/process.py
+++ b/postpass/daemon/process.py
@@ -122,10 +122,15 @@
         awaiting_registration = (
             self.settings.announce
             and not self.announcer.note_registration()
-            and now() - self.started_at < self.settings.bounds.recover / 2
+            and now() - self.started_at < self.start_time_limit
         )
         return "not announced yet" if awaiting_registration else ""
 
+    @property
+    def start_time_limit(self) -> float:
+        """How many seconds after its start this daemon waits at most for other machines before it reports that it is ready."""
+        return self.settings.bounds.recover / 2
+
     async def depart(self) -> None:
         """Hands over the work that only one daemon of the fleet may do; called once, when this daemon is to stop."""
 
