--- a/tests/replication/test_added_stores.py
+++ b/tests/replication/test_added_stores.py
@@ -47,9 +47,13 @@
         if answer.is_ok():
             self.kept[job] = number
 
+    def names(self, count: int, generation: int) -> list[str]:
+        """The names of stores that are added."""
+        return [f"n{generation}-{i}" for i in range(count)]
+
     def add_stores(self, count: int, generation: int) -> list[str]:
         """Adds empty stores, one in each zone in turn."""
-        names = [f"n{generation}-{i}" for i in range(count)]
+        names = self.names(count, generation)
         seeds = [c.settings.peer for c in self.fleet.controls()][:3]
         for i, name in enumerate(names):
             self.fleet.add(name, "store", AREAS[i % 4], f"10.3.{10 * generation + i}.1", seeds=seeds)
@@ -59,16 +63,16 @@
         """Runs a function at a later time, outside any host."""
         self.fleet.loop.call_later(delay, act, context=contextvars.Context())  # type: ignore[arg-type]
 
-    def strike(self, kind: str, name: str) -> None:
-        """Has a store stand still for a time: frozen, cut off, killed or without power. Its disk is sound."""
+    def strike(self, kind: str, name: str, seconds: float = FREEZE_S) -> None:
+        """Has a store stand still for a time: frozen or cut off for `seconds`, killed, or without power. Its disk is sound."""
         node, loop = self.fleet.nodes[name], self.fleet.loop
         if kind == "freeze":
             loop.freeze(node.host)
-            self.later(FREEZE_S, lambda: loop.thaw(node.host))
+            self.later(seconds, lambda: loop.thaw(node.host))
         elif kind == "cut":
             ways = {way for other in self.fleet.nodes if other != name for way in ((name, other), (other, name))}
             loop.net.cuts.update(ways)
-            self.later(FREEZE_S, lambda: loop.net.cuts.difference_update(ways))
+            self.later(seconds, lambda: loop.net.cuts.difference_update(ways))
         else:
             self.fleet.kill(name, silent=kind == "power")
             if kind == "power" and node.disk is not None:
