--- a/bench/fleet/__main__.py
+++ b/bench/fleet/__main__.py
@@ -24,6 +24,7 @@
 from bench.fleet.processes import CONTROL, EDGE, Fleet
 from bench.fleet.report import FinishedRun, report
 from sim.check import Bounds, History, breaches
+from sim.exit_status import ExitStatus, verdict_of
 
 
 class Commands:
@@ -39,7 +40,8 @@
         keep: bool = False,
         scale: float = 1.0,
     ) -> int:
-        """Runs the main job and prints its report; exit 1 if anything happened that must never happen.
+        """Runs the main job and prints its report; exit 1 if anything happened that must never happen, 2 if the run
+        itself failed.
 
         Args:
           name: kompressorlab or couriers.
@@ -78,7 +80,8 @@
             print(f"logs and data: {root}", file=sys.stderr)
         else:
             shutil.rmtree(root)
-        return 1 if breaches(History(fleet.events, Bounds(ramp=plan.manifest["ramp"]), wipe)) else 0
+        broken = breaches(History(fleet.events, Bounds(ramp=plan.manifest["ramp"]), wipe))
+        return ExitStatus.BROKEN if broken else ExitStatus.HELD
 
     def up(self, name: str, folder: str = "run") -> int:
         """Starts a deployment and leaves it running until Ctrl-C or SIGTERM.
@@ -131,4 +134,6 @@
 
 
 if __name__ == "__main__":
-    sys.exit(fire.Fire(Commands(), serialize=lambda result: None if isinstance(result, int) else result))
+    sys.exit(
+        verdict_of(lambda: fire.Fire(Commands(), serialize=lambda result: None if isinstance(result, int) else result))
+    )
--- a/sim/runner.py
+++ b/sim/runner.py
@@ -26,6 +26,7 @@
 from sim.day_statistics import day_figures
 from sim.days import run_day
 from sim.deferred import Later, later_on
+from sim.exit_status import ExitStatus, verdict_of
 from sim.fleet import SimFleet
 from sim.loop import SimLoop, run_sim
 from sim.points import Point
@@ -285,7 +286,7 @@
 
 
 def main(argv: list[str]) -> int:
-    """Runs the scenarios whose files are named, or all with `--all`; returns 1 if any run shows a flaw, else 0."""
+    """Runs the scenarios whose files are named, or all with `--all`; returns `BROKEN` if any run shows a flaw, else `HELD`."""
     names = [word for word in argv if not word.startswith("--") and not word.isdigit()]
     seeds = [int(argv[i + 1]) for i, word in enumerate(argv) if word == "--seed"]
     selected = scenarios() if "--all" in argv else [parse(Path(name).read_text(), Path(name).stem) for name in names]
@@ -296,8 +297,8 @@
             flaws = judge(scenario, report)
             failed = failed or bool(flaws)
             print_result(scenario, seed, report, flaws, argv)
-    return 1 if failed else 0
+    return ExitStatus.BROKEN if failed else ExitStatus.HELD
 
 
 if __name__ == "__main__":
-    sys.exit(main(sys.argv[1:]))
+    sys.exit(verdict_of(lambda: main(sys.argv[1:])))
--- a/sim/sweep.py
+++ b/sim/sweep.py
@@ -18,6 +18,7 @@
 
 import fire
 
+from sim.exit_status import ExitStatus, verdict_of
 from sim.random_days import random_day
 from sim.run_statistics import Figures
 from sim.runner import Report, judge, play, play_day
@@ -211,7 +212,7 @@
                 print_flaws(f"FAILED day {seed}, served {served_shares[-1]:.3f}", flaws, 8, 300)
     print(f"{runs} days, {failed} failed; served at the least {min(served_shares):.3f}, median {sorted(served_shares)[len(served_shares) // 2]:.3f}; "
           f"{time.monotonic() - began_at:.0f} s")  # fmt: skip
-    return 1 if failed else 0
+    return ExitStatus.BROKEN if failed else ExitStatus.HELD
 
 
 def show_schedule(seed: int, deployment: str) -> None:
@@ -225,7 +226,7 @@
 def sweep(
     runs: int = 100, first: int = 1, jobs: int = 8, show: bool = False, deployment: str = "", announced: int = 0
 ) -> int:
-    """Runs random schedules; exits with 1 if any of them shows a breach.
+    """Runs random schedules; exits with `BROKEN` (1) if any of them shows a breach.
 
     Args:
       runs: the number of schedules.
@@ -251,8 +252,8 @@
     print(
         f"{runs} runs, {failed} failed; longest time without a lot kept: {max(gaps):.1f} s, median {sorted(gaps)[len(gaps) // 2]:.1f} s"
     )
-    return 1 if failed else 0
+    return ExitStatus.BROKEN if failed else ExitStatus.HELD
 
 
 if __name__ == "__main__":
-    sys.exit(fire.Fire(sweep, serialize=lambda result: None if isinstance(result, int) else result))
+    sys.exit(verdict_of(lambda: fire.Fire(sweep, serialize=lambda result: None if isinstance(result, int) else result)))
--- a/tests/crowds/soak.py
+++ b/tests/crowds/soak.py
@@ -15,6 +15,7 @@
 from collections.abc import Iterable
 from pathlib import Path
 
+from sim.exit_status import ExitStatus, verdict_of
 from tests.crowds.clients import HOST, Member, call, in_pieces, open_crowd, ordinary_request, request_head, run_crowd
 from tests.crowds.deployment import FRONT_PORT, MAX_BODY_BYTES, READY_PORT, Deployment, Machine, wait_until
 from tests.crowds.judgement import assert_serves, assert_within_limits
@@ -141,7 +142,7 @@
 
 
 def main(first: int, count: int) -> int:
-    """Plays so many seeds; returns how many of them broke something."""
+    """Plays so many seeds; returns `BROKEN` if any of them broke something, else `HELD`."""
     broken = 0
     for seed in range(first, first + count):
         with running_deployment() as deployment:
@@ -151,8 +152,8 @@
             except AssertionError as error:
                 broken += 1
                 print(f"seed {seed}: {error}", flush=True)
-    return broken
+    return ExitStatus.BROKEN if broken else ExitStatus.HELD
 
 
 if __name__ == "__main__":
-    sys.exit(1 if main(int(sys.argv[1]), int(sys.argv[2])) else 0)
+    sys.exit(verdict_of(lambda: main(int(sys.argv[1]), int(sys.argv[2]))))
