--- a/tests/crowds/worker.py
+++ b/tests/crowds/worker.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import sys
 import threading
 from dataclasses import dataclass, field
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from typing import Any
 
 from tests.crowds.clients import call_as_json
 
@@ -41,6 +43,11 @@
     daemon_threads = True
     request_queue_size = 256
 
+    def handle_error(self, request: Any, client_address: Any) -> None:
+        """Prints nothing of a connection that its client has reset, which is no error of the worker."""
+        if not isinstance(sys.exception(), ConnectionError):
+            super().handle_error(request, client_address)
+
 
 @dataclass(eq=False)
 class Worker:
