--- a/postpass/daemon/commands.py
+++ b/postpass/daemon/commands.py
@@ -14,7 +14,8 @@
 from postpass.configuration.settings import load
 from postpass.control.daemon import ControlPlane
 from postpass.daemon.data_plane import DataPlane
-from postpass.daemon.process import Daemon, run_daemon
+from postpass.daemon.process import Daemon
+from postpass.daemon.runner import run_daemon
 from postpass.runtime.disk import RealDisk
 from postpass.runtime.environment import Environment
 
--- a/postpass/daemon/process.py
+++ b/postpass/daemon/process.py
@@ -1,4 +1,4 @@
-"""The life cycle of a daemon: start, supervised tasks, signals, and an orderly exit.
+"""The life cycle of a daemon: start, supervised tasks, and an orderly exit.
 
 The parts that every daemon has are created here: a server for requests of peers, gossip with neighbours, a follower of
 the configuration feed, and HTTP endpoints for operators. The data plane and the control plane add their duties by
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import asyncio
-import signal
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field, replace
 from typing import Any, cast
@@ -43,8 +42,6 @@
 
 Task = Coroutine[Any, Any, None]
 
-EXIT_CANNOT_LISTEN = 1
-EXIT_FAULT = 3
 HTTP_IDLE_S = 5.0  # seconds that a connection of an operator or a worker may be idle
 
 
@@ -370,38 +367,3 @@
         return sorted({
             name for response in responses if isinstance(response, Ok) for name in response.unwrap().get("lots", [])
         })  # fmt: skip
-
-
-def run_daemon(make_daemon: Callable[[], Daemon]) -> int:
-    """Runs a daemon until SIGTERM or SIGINT.
-
-    Returns the exit code: 0, `EXIT_CANNOT_LISTEN`, or `EXIT_FAULT` after a fault with which it must not go on.
-    """
-    code = 0
-
-    async def main() -> None:
-        nonlocal code
-        daemon = make_daemon()
-        loop = asyncio.get_running_loop()
-
-        def leave(signal_name: str) -> None:
-            log_events.emit(Event.STOPPING, daemon.settings.name, signal=signal_name)
-            daemon.stop.set()
-
-        for leave_signal in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(leave_signal, leave, leave_signal.name)
-        loop.add_signal_handler(signal.SIGHUP, daemon.reload_settings)
-        try:
-            await daemon.run()
-        except OSError as error:
-            logging.error("%s cannot start: %s", daemon.settings.name, error)
-            code = EXIT_CANNOT_LISTEN
-        except FaultError as fault_error:
-            logging.error("%s stopped after a fault: %s", daemon.settings.name, fault_error)
-            code = EXIT_FAULT
-        if daemon.fatal_fault is not None:
-            logging.error("%s stopped after a fault: %s", daemon.settings.name, daemon.fatal_fault)
-            code = EXIT_FAULT
-
-    asyncio.run(main())
-    return code
--- a/tests/test_readable_code.py
+++ b/tests/test_readable_code.py
@@ -47,7 +47,7 @@
     ),
     "feed": ("checksum", "messages", "configuration_view", "follower"),
     "daemon": (
-        "gossip", "announcer", "health_endpoints", "process", "data_plane_status", "data_plane", "commands",
+        "gossip", "announcer", "health_endpoints", "process", "runner", "data_plane_status", "data_plane", "commands",
     ),
     "cli": ("fleet_client", "status_page", "status", "doctor", "main", "renamed_commands"),
     "tenants": (
