--- a/postpass/runtime/byte_semaphore.py
+++ b/postpass/runtime/byte_semaphore.py
@@ -44,11 +44,16 @@
             if future.done() and not future.cancelled():
                 self.release(size)
             else:
-                self.waiting.remove(entry)
-                self._grant()
+                self._withdraw(entry)
             raise
         return size
 
+    def _withdraw(self, entry: tuple[int, asyncio.Future[None]]) -> None:
+        """Takes a cancelled entry out of the queue, unless `_grant` has passed over it already, and lets the next one pass."""
+        if entry in self.waiting:
+            self.waiting.remove(entry)
+        self._grant()
+
     def release(self, size: int) -> None:
         """Gives back what `acquire` returned."""
         self.used -= size
--- a/tests/runtime/test_byte_semaphore.py
+++ b/tests/runtime/test_byte_semaphore.py
@@ -6,6 +6,8 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
+import pytest
+
 from postpass.runtime.byte_semaphore import ByteSemaphore
 
 CAPACITY = 10
@@ -69,3 +71,23 @@
         await asyncio.gather(waiting, return_exceptions=True)
 
     run(main)
+
+
+@pytest.mark.parametrize("released_between", [True, False])
+def test_several_that_are_cancelled_at_once_end_as_cancelled(released_between: bool) -> None:
+    """Guards against a job that is answered with 500 since its wait for memory ended together with another one's."""
+
+    async def main(semaphore: ByteSemaphore) -> None:
+        first = await semaphore.acquire(CAPACITY)
+        waiting = [asyncio.create_task(semaphore.acquire(4)) for _ in range(3)]
+        await asyncio.sleep(0)
+        for task in waiting:
+            task.cancel()
+        if released_between:
+            semaphore.release(first)
+        results = await asyncio.gather(*waiting, return_exceptions=True)
+        assert [type(result) for result in results] == [asyncio.CancelledError] * 3
+        if not released_between:
+            semaphore.release(first)
+
+    run(main)
