--- a/postpass/replication/leadership_check.py
+++ b/postpass/replication/leadership_check.py
@@ -50,8 +50,10 @@
         """Confirms by a round trip to the members that no later owner of a partition exists; returns whether that is so.
 
         The round trip begins after the request for it, so that it holds for a read that is answered afterwards.
-        Requests that arrive while one check runs share the next one.
+        Requests that arrive while one check runs share the next one. The store is still the owner, under the epoch that
+        it had when this was called, as long as the caller doesn't await anything else.
         """
+        epoch = partition.epoch
         task = self.checks.get(partition.id)
         if task is not None and not task.done():
             # A check that began before this read proves nothing for it: wait until it ends and start another.
@@ -60,7 +62,9 @@
         if task is None or task.done():
             task = asyncio.create_task(self._ask_members(partition, partition.epoch))
             self.checks[partition.id] = task
-        return await asyncio.shield(task)
+        confirmed = await asyncio.shield(task)
+        # The ownership may have ended since the check did: other callbacks run before this one goes on.
+        return confirmed and partition.owning and partition.epoch == epoch
 
     async def _ask_members(self, partition: Partition, epoch: int) -> bool:
         """Asks all members at once; returns whether enough of them know no later epoch, and this store is still the owner.
