--- a/tests/crowds/store_changes.py
+++ b/tests/crowds/store_changes.py
@@ -15,9 +15,11 @@
 import random
 import signal
 import sys
+import tempfile
 import threading
 import time
 from dataclasses import dataclass, field
+from pathlib import Path
 
 from sim.exit_status import ExitStatus, verdict_of
 from tests.crowds.clients import HOST, Answer, call, call_as_json
@@ -143,7 +145,9 @@
         status = kept.call(f"{edge.ip}:{FRONT_PORT}", "GET", f"/-/lots/{job}?startAfter=0").status
         self.reads += status == 200
         if status in NOT_THERE and accepted_for > SETTLE_S:
-            self.breaches.append(f"{edge.name} answered {status} for {job}, {accepted_for:.1f} s after it was accepted")
+            self.breaches.append(
+                f"{time.strftime('%H:%M:%S')} {edge.name} answered {status} for {job}, {accepted_for:.1f} s after it was accepted"
+            )
         return status
 
     def unreadable(self, edge: Machine) -> list[str]:
@@ -241,6 +245,14 @@
     return clients
 
 
+def keep_logs(deployment: Deployment, seed: int) -> Path:
+    """Copies the logs of all machines to a folder that stays, and returns it."""
+    folder = Path(tempfile.mkdtemp(prefix=f"store-changes-{seed}-"))
+    for machine in deployment.machines:
+        (folder / f"{machine.name}.log").write_text(machine.log())
+    return folder
+
+
 def main(first: int, count: int) -> int:
     """Plays so many seeds; returns `BROKEN` if any of them broke something, else `HELD`."""
     broken = 0
@@ -248,9 +260,11 @@
         deployment = Deployment()
         try:
             clients = play(deployment, seed)
+            if clients.breaches:
+                broken += 1
+                print(f"logs of seed {seed}: {keep_logs(deployment, seed)}")
         finally:
             deployment.close()
-        broken += bool(clients.breaches)
         found_text = "; ".join(clients.breaches[:5]) or "held"
         print(f"seed {seed}: {len(clients.accepted)} accepted, {clients.reads} read, {found_text}", flush=True)
     return ExitStatus.BROKEN if broken else ExitStatus.HELD
