--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -3,28 +3,19 @@
 from __future__ import annotations
 
 import copy
-import importlib.util
-import sys
 from collections.abc import Iterator
-from pathlib import Path
 from types import ModuleType
 from typing import Any
 
 import pytest
 
-FOLDER = Path(__file__).parents[2] / "platform"
+from sim.announced import module
 
 
 def adapter(name: str) -> ModuleType:
-    """Imports a module of `platform/`, which is not a package, by its file."""
-    if str(FOLDER) not in sys.path:
-        sys.path.append(str(FOLDER))
-    spec = importlib.util.spec_from_file_location(name, FOLDER / f"{name}.py")
-    assert spec is not None and spec.loader is not None
-    loaded_module = importlib.util.module_from_spec(spec)
-    sys.modules[name] = loaded_module
-    spec.loader.exec_module(loaded_module)
-    return loaded_module
+    """Returns a module of `platform/`, which is imported once: a second copy would not be the one that daemons use."""
+    imported: ModuleType = module(name)
+    return imported
 
 
 def settings_file() -> dict[str, Any]:
@@ -183,3 +174,8 @@
     missing = settings_file()
     del missing["bounds"]
     assert settings_of("edge", missing).unwrap_err() == ["bounds: missing, want an object"]
+
+
+def test_a_module_of_the_platform_is_imported_once() -> None:
+    """Guards against a test that replaces a function of one copy of a module while daemons use another one."""
+    assert adapter("configuration") is adapter("configuration") is module("configuration")
