--- a/postpass/configuration/configuration_check.py
+++ b/postpass/configuration/configuration_check.py
@@ -1,5 +1,8 @@
 """Validation of a fleet's configuration. Each error is one line: the path of a key, and what is expected there.
 
+A document that an operator submits is held to all rules. One that was stored, or that another daemon sent, is held only to
+the rules of all releases that may have accepted it (`check_received`): a new rule refuses new documents alone.
+
 There are two steps: the document's shape is checked against the types in `configuration`; if it fits, what types can't
 express is checked, by one function for each part of the document. To add a key: add it to its type in `configuration`,
 with a comment that names its unit; if some values of that type are invalid, add a check to the function of its part
@@ -8,6 +11,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable, Hashable
 from itertools import combinations
 from typing import Any, cast
 
@@ -24,6 +28,7 @@
     predicate_scope,
     with_duty,
 )
+from postpass.configuration.route_host import RouteHost
 from postpass.configuration.schema import validation_errors
 from postpass.configuration.settings import address_errors
 from postpass.configuration.tenant_keys import DIGEST_DIGITS, is_digest
@@ -39,17 +44,30 @@
 CLASS_MINIMA = (("deadline", 0), ("handback", 0), ("backlog", 0), ("reserve", -SHARE_TOLERANCE))
 
 
+# Returns what two hosts have in common if they are the same host.
+HostIdentity = Callable[[str], Hashable]
+
+
 def check(raw: Any) -> Result[Configuration, list[str]]:
-    """Returns the configuration in a JSON document, or all errors of the first validation step that finds any."""
+    """Returns the configuration that an operator submits, or all errors of the first validation step that finds any."""
+    return _checked(raw, RouteHost.parse)
+
+
+def check_received(raw: Any) -> Result[Configuration, list[str]]:
+    """Returns a configuration that was accepted before, perhaps by an earlier release, or its errors as `check` does."""
+    return _checked(raw, str.lower)
+
+
+def _checked(raw: Any, host_identity: HostIdentity) -> Result[Configuration, list[str]]:
     errors = validation_errors(Configuration, raw)
     if errors:
         return Err(errors)
     configuration = cast(Configuration, raw)
-    errors = semantic_errors(configuration)
+    errors = semantic_errors(configuration, host_identity)
     return Err(errors) if errors else Ok(configuration)
 
 
-def semantic_errors(configuration: Configuration) -> list[str]:
+def semantic_errors(configuration: Configuration, host_identity: HostIdentity = RouteHost.parse) -> list[str]:
     """Returns the errors of a configuration that has the right shape; empty if it is valid."""
     return [
         *([] if configuration["areas"] else ["areas: want at least one"]),
@@ -66,7 +84,7 @@
             for name, route in configuration.get("routes", {}).items()
             for e in _route_errors(f"routes.{name}", route, configuration)
         ),
-        *_duplicate_routes(configuration),
+        *_duplicate_routes(configuration, host_identity),
         *_tenant_errors(configuration.get("tenants", {})),
         *([] if configuration.get("announced") else _store_errors(configuration)),
     ]
@@ -200,11 +218,11 @@
     return errors + [f"limits.{key}: want at least 1, got {value}" for key, value in limits.items() if value < 1]
 
 
-def _duplicate_routes(configuration: Configuration) -> list[str]:
+def _duplicate_routes(configuration: Configuration, host_identity: HostIdentity) -> list[str]:
     errors: list[str] = []
-    name_by_target: dict[tuple[str, str], str] = {}
+    name_by_target: dict[tuple[Hashable, str], str] = {}
     for name, route in configuration.get("routes", {}).items():
-        other = name_by_target.setdefault((route["host"].lower(), route["prefix"]), name)
+        other = name_by_target.setdefault((host_identity(route["host"]), route["prefix"]), name)
         if other != name:
             errors.append(f"routes.{name}.prefix: {route['host']}{route['prefix']} is also that of {other}")
     return errors
--- a/postpass/control/election.py
+++ b/postpass/control/election.py
@@ -10,7 +10,7 @@
 from result import Err, Ok, Result
 
 from postpass.configuration.configuration import Configuration
-from postpass.configuration.configuration_check import check
+from postpass.configuration.configuration_check import check_received
 from postpass.control import election_rules
 from postpass.control.election_rules import (
     PREVOTE_TOO_OLD,
@@ -384,7 +384,7 @@
         newest = KnownConfiguration(own_view.revision, own_view.manifest) if own_view.manifest else None
         for body in answers:
             is_newer = "snapshot" in body and (newest is None or body["edition"] > newest.revision)
-            if is_newer and check(body["snapshot"]).is_ok():
+            if is_newer and check_received(body["snapshot"]).is_ok():
                 newest = KnownConfiguration(body["edition"], body["snapshot"])
         return newest
 
--- a/postpass/feed/configuration_view.py
+++ b/postpass/feed/configuration_view.py
@@ -10,7 +10,7 @@
 from result import Ok
 
 from postpass.configuration.configuration import Configuration, Machine, limit, members, with_duty
-from postpass.configuration.configuration_check import check
+from postpass.configuration.configuration_check import check_received
 from postpass.configuration.json_delta import Delta, delta, patch
 from postpass.feed.checksum import checksum, parts_sum, parts_sum_difference
 from postpass.feed.messages import ChangeBody, FeedAnswer
@@ -74,7 +74,7 @@
             return False
         # Control has validated the configuration of an announced fleet; repeating that for each change costs too much.
         if not is_announced(raw):
-            checked = check(raw)
+            checked = check_received(raw)
             if not isinstance(checked, Ok):
                 log_events.emit(
                     Event.CONFIGURATION_REJECTED, self.owner, revision=revision, flaws=checked.unwrap_err()[:3]
--- a/postpass/http_server/protocol.py
+++ b/postpass/http_server/protocol.py
@@ -14,6 +14,7 @@
 from postpass.http_server.parse_queue import PIECE_BYTES
 from postpass.http_server.read_control import ReadControl
 from postpass.http_server.refusal import refusal_response
+from postpass.http_server.request_host import has_clear_host
 from postpass.http_server.request_memory import RequestMemory
 from postpass.http_server.resources import ServerResources
 from postpass.http_server.timer import Timer
@@ -192,7 +193,10 @@
             self.trailer_size += len(name) + len(value) + HEADER_OVERHEAD
 
     def on_headers_complete(self) -> None:
-        """Called by the parser at the end of a head. Refuses one that is too large; keeps the raw target in the scope."""
+        """Called by the parser at the end of a head. Keeps the raw target in the scope.
+
+        Refuses a head that is too large, or that doesn't say clearly which host it is for.
+        """
         if self.refused:
             return
         self.head_timer.stop()
@@ -204,6 +208,9 @@
         if size > limits.head_bytes:
             self.refuse(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
             return
+        if not has_clear_host(self.url, self.headers):
+            self.refuse(HTTPStatus.BAD_REQUEST)
+            return
         if len(self.pipeline) >= MAX_PIPELINED:
             self.resources.log.record(ServerLimit.PIPELINE)
             self.refuse(HTTPStatus.SERVICE_UNAVAILABLE)
--- a/tests/test_readable_code.py
+++ b/tests/test_readable_code.py
@@ -56,11 +56,11 @@
     ),
     "storage": ("segmented_log", "data_directory"),
     "configuration": (
-        "header_names", "json_delta", "tenant_keys", "schema", "settings", "accepted_orders", "nginx_import", "configuration",
+        "header_names", "route_host", "json_delta", "tenant_keys", "schema", "settings", "accepted_orders", "nginx_import", "configuration",
         "configuration_check",
     ),
     "http_server": (
-        "refusal", "limits", "limit_log", "memory_budget", "request_memory", "parse_queue", "connection_table", "read_control", "timer", "resources", "protocol",
+        "refusal", "request_host", "limits", "limit_log", "memory_budget", "request_memory", "parse_queue", "connection_table", "read_control", "timer", "resources", "protocol",
         "readiness",
     ),
     "runtime": ("deferred_import", "byte_semaphore", "sockets", "errors", "log_events", "ordered_set", "disk", "environment", "pause_detector"),
