--- a/postpass/control/election.py
+++ b/postpass/control/election.py
@@ -228,13 +228,16 @@
 
     async def replicate_proposal(self, proposal: ReplicatedState) -> None:
         """Syncs the proposed state here and at the new backups. The epoch is granted only after that, and no other
-        change is written in between. Raises ElectionLostError if one of the backups doesn't acknowledge the state."""
+        change is written in between. Raises ElectionLostError if one of the backups doesn't acknowledge the state.
+
+        A backup that has the state on which the proposal builds is sent the change alone, which is small whatever the
+        size of the state; the others are sent the complete state."""
         epoch, backups = proposal.epoch, proposal.replica_set.backups
         self.check_not_deposed(epoch)
         # The state as it is on disk, with its keys in the journal's order.
-        stored = (await self.store(proposal)).replicated_state
-        self.replicated_state = stored
-        if not await self.append_to_all(stored, epoch):
+        stored = await self.store(proposal)
+        self.replicated_state = stored.replicated_state
+        if not await self.append_to_all(stored.replicated_state, epoch, stored.change, is_proposal=True):
             raise ElectionLostError(f"one of the backups {', '.join(backups)} did not take the state")
 
     async def collect_grants(
--- a/postpass/control/member.py
+++ b/postpass/control/member.py
@@ -32,6 +32,8 @@
 INFINITY = float("inf")
 PAUSE_OBSERVATIONS = 5  # how often the event loop is observed in the time from which on it counts as paused
 STATE_FILE = "state"  # of releases up to 0.2.0, which rewrote the complete state at every change
+# At which a complete state is sent, received, checked and synced, on a machine that is slow or busy with other things.
+STATE_BYTES_PER_SECOND = 4 << 20
 STATE_SEGMENT = 1 << 16  # size in bytes of the log of changes from which on a snapshot may be due
 
 
@@ -267,6 +269,12 @@
                     self.fail_disk(error.fault.why)
                     raise
 
+    def state_transfer_time(self) -> float:
+        """Returns the seconds that it may take, beside the usual time of a request, until another member has received,
+        checked and synced the complete state."""
+        log = self.journal.log
+        return min((log.snapshot_bytes + log.logged_bytes) / STATE_BYTES_PER_SECOND, self.settings.bounds.refill_time)
+
     async def write_file(self, name: str, data: bytes) -> None:
         """Writes and syncs a file of the data directory; raises FaultError if that fails. Any failure except a full
         disk ends the process."""
@@ -317,8 +325,8 @@
 
     def yield_to_candidate(self) -> None:
         """Delays this member's own candidacy, because the candidate that was given a vote may soon lead. The candidate
-        is not treated as the primary yet."""
-        self.candidate_until = now() + self.settings.bounds.sync_request_limit
+        is not treated as the primary yet, and may have to send the complete state to its backups first."""
+        self.candidate_until = now() + self.settings.bounds.sync_request_limit + self.state_transfer_time()
 
     def hears_another_primary(self, candidate: str) -> bool:
         """Returns whether this member hears a primary, or is the primary itself, that `candidate` would depose."""
--- a/postpass/control/replica.py
+++ b/postpass/control/replica.py
@@ -10,7 +10,7 @@
 from postpass.configuration.configuration import Configuration
 from postpass.control.contact import Contact
 from postpass.control.epochs import Acknowledgement, ReplicaSet
-from postpass.control.journal import Change, Image, JournalError
+from postpass.control.journal import BaseMismatchError, Change, Image, JournalError
 from postpass.control.member import INFINITY
 from postpass.control.messages import APPEND, AppendAnswer, AppendRequest
 from postpass.control.state import ReplicatedState
@@ -84,10 +84,12 @@
 
     async def sync_change(self, request: AppendRequest) -> bool:
         """Syncs the change that was sent if its base is exactly the state of this member, and returns whether it did.
-        If not, the primary sends the complete state."""
+        If not, the sender sends the complete state."""
         try:
             change = request.change()
-            if change.base.epoch != request.epoch or change.position.epoch != request.epoch:
+            if change.position.epoch != request.epoch:
+                return False
+            if change.base.epoch != request.epoch and not self.may_sync_proposal(change):
                 return False
             await self.write_journal(self.journal.append(change))
         except JournalError as error:
@@ -95,6 +97,17 @@
             return False
         return True
 
+    def may_sync_proposal(self, change: Change) -> bool:
+        """Returns whether this member may sync the state with which a new epoch begins, sent as a change of the state
+        that it has from an earlier epoch. The conditions are those of a complete state; raises JournalError if this
+        member has another state."""
+        image = self.journal.image
+        if image is None:
+            raise BaseMismatchError("no state is held here")
+        proposal = ReplicatedState.from_json(image.apply(change).tree)
+        is_own_disk = proposal.replica_set.voters.get(self.settings.name) == self.disk_id
+        return is_own_disk and proposal.order >= self.replicated_state.order
+
     def learn_revision(self, request: AppendRequest) -> None:
         """Takes over the revision that the primary says is in force: publishes it, or starts to fetch it from the
         primary if this member has no copy of it."""
@@ -115,14 +128,25 @@
         answer = AppendAnswer(accepted, request.epoch, self.vote_record.promised, self.disk_id, self.leaving, position)
         return Ok(answer.as_json())
 
+    def append_limit(self, is_complete_state: bool) -> float:
+        """Returns the time limit, in seconds, of an append."""
+        # Where machines announce themselves, another backup is soon found, so an order doesn't wait long for this one.
+        limit = self.settings.bounds.sync_request_limit / (2 if self.settings.announce else 1)
+        return limit + self.state_transfer_time() if is_complete_state else limit
+
     async def append_to(
-        self, replicated_state: ReplicatedState | None, epoch: int, member: str, change: Change | None = None
+        self,
+        replicated_state: ReplicatedState | None,
+        epoch: int,
+        member: str,
+        change: Change | None = None,
+        is_proposal: bool = False,
     ) -> Acknowledgement | None:
         """Sends a member the state, as a change if one is given. Without a state (`replicated_state` is None) the
         request is a heartbeat under the epoch.
 
         Returns the member's acknowledgement, or None if it gave none. A member that can't apply the change is sent the
-        complete state.
+        complete state, as long as this member leads the epoch or, with `is_proposal`, is the candidate for it.
         """
         address = self.peer_address(member)
         if not address:
@@ -136,10 +160,9 @@
             change_json=change.as_json() if change is not None else None,
             state_json=replicated_state.as_json() if change is None and replicated_state is not None else None,
         )
-        # Where machines announce themselves, another backup is soon found, so an order doesn't wait long for this one.
-        timeout = self.settings.bounds.sync_request_limit / (2 if self.settings.announce else 1)
+        limit = self.append_limit(request.state_json is not None)
         sent_at = now()
-        response = await self.peer_links.request(address, APPEND, request.as_json(), timeout)
+        response = await self.peer_links.request(address, APPEND, request.as_json(), limit)
         if isinstance(response, Err):
             return None
         answer, replica_set = AppendAnswer.from_json(response.unwrap(), epoch), self.replicated_state.replica_set
@@ -150,7 +173,8 @@
         elif change is not None and not (answer.accepted and answer.position == change.position):
             # The member has another state, or runs a release that knows complete states only and took this for a
             # heartbeat.
-            return await self.append_to(replicated_state, epoch, member) if self.epoch == epoch else None
+            is_still_sender = self.epoch == epoch or (is_proposal and self.vote_record.promised == epoch)
+            return await self.append_to(replicated_state, epoch, member) if is_still_sender else None
         if not answer.accepted:
             return None
         (self.departing_members.add if answer.leaving else self.departing_members.discard)(member)
@@ -163,20 +187,31 @@
         return acknowledgement
 
     async def append_to_backups(
-        self, replicated_state: ReplicatedState | None, epoch: int, change: Change | None = None
+        self,
+        replicated_state: ReplicatedState | None,
+        epoch: int,
+        change: Change | None = None,
+        is_proposal: bool = False,
     ) -> list[Acknowledgement]:
         """Sends the state, or a heartbeat alone, to all backups of the present replica set; returns the
         acknowledgements."""
+        backups = self.replicated_state.replica_set.backups
         answers = await asyncio.gather(
-            *(self.append_to(replicated_state, epoch, n, change) for n in self.replicated_state.replica_set.backups)
+            *(self.append_to(replicated_state, epoch, n, change, is_proposal) for n in backups)
         )
         return [a for a in answers if a is not None]
 
-    async def append_to_all(self, replicated_state: ReplicatedState | None, epoch: int) -> bool:
+    async def append_to_all(
+        self,
+        replicated_state: ReplicatedState | None,
+        epoch: int,
+        change: Change | None = None,
+        is_proposal: bool = False,
+    ) -> bool:
         """Sends the state, or a heartbeat alone, to all backups; returns whether all of them acknowledged under this
         epoch, each by the disk that the replica set names."""
         replica_set = self.replicated_state.replica_set
-        answers = await self.append_to_backups(replicated_state, epoch)
+        answers = await self.append_to_backups(replicated_state, epoch, change, is_proposal)
         return replica_set.epoch == epoch and replica_set.acknowledged_by_all_backups(answers)
 
     async def commit(self, state: State) -> bool:
--- a/postpass/rpc/codec.py
+++ b/postpass/rpc/codec.py
@@ -24,9 +24,11 @@
 PACKET = 8 << 10  # the most bytes of a record that one `IDL.Packet` carries
 # The lowest and highest wire version that this release speaks. A version is added when a message changes in a way that
 # an older peer can't ignore; releases then speak both versions until every daemon speaks the new one.
-WIRE_VERSIONS = (1, 1)
+WIRE_VERSIONS = (1, 2)
+FRAGMENTS_VERSION = 2  # from this wire version on a message may come in fragments
 RELEASE = "0.2.0"
 HANDSHAKE = "hi"  # name of the first message on a link
+FRAGMENT = "fragment"  # name of the messages that carry the pieces of a longer one
 
 Body = dict[str, Any]  # the JSON object that a request or its response carries
 PeerResponse = Result[Body, Fault]
--- a/postpass/rpc/connection.py
+++ b/postpass/rpc/connection.py
@@ -18,15 +18,18 @@
 
 from postpass.configuration.settings import split_address
 from postpass.rpc import codec
-from postpass.rpc.codec import HANDSHAKE, IDL, WIRE_VERSIONS, Body, PeerResponse
-from postpass.rpc.framing import FRAME_HEAD, MAXIMUM_FRAME_BYTES, STREAM_BUFFER_BYTES, BoundedFrames, Stream, too_long
+from postpass.rpc.codec import FRAGMENT, HANDSHAKE, IDL, WIRE_VERSIONS, Body, PeerResponse
+from postpass.rpc.fragments import FragmentAssembler, MessageWriter
+from postpass.rpc.framing import MAXIMUM_FRAME_BYTES, STREAM_BUFFER_BYTES, BoundedFrames, Stream, too_long
 from postpass.runtime import log_events
 from postpass.runtime.errors import TIMED_OUT, Fault
 from postpass.runtime.log_events import Event
 
 MAXIMUM_SEQUENCE = 0x7FFFFFFF
-# The longest text of a request. What it holds, such as the item of a job, still fits into a response with other keys.
-MAXIMUM_REQUEST_BYTES = MAXIMUM_FRAME_BYTES - (4 << 10)
+ENVELOPE_BYTES = 4 << 10  # at most, of a message beside its text
+# The longest text of a request in one frame. What it holds, such as the item of a job, still fits into a response with
+# other keys.
+MAXIMUM_REQUEST_BYTES = MAXIMUM_FRAME_BYTES - ENVELOPE_BYTES
 # Divisors of the time limit for the early attempts to connect (1/8 and 1/4 of it); the last attempt takes the remaining
 # 5/8. There are several attempts because the operating system repeats a lost SYN packet only after seconds. Each
 # attempt lasts longer than the one before, so that one of them succeeds on a slow network too.
@@ -47,6 +50,7 @@
         pending: requests without a response, by sequence number.
         reader_task: the task that reads responses; it ends with the connection.
         last_received: when the last frame arrived, on the loop's clock; -1 before the first.
+        messages: writes the messages of this link.
     """
 
     address: str
@@ -57,6 +61,10 @@
     closed: bool = False
     reader_task: asyncio.Task[None] | None = None
     last_received: float = -1.0
+    messages: MessageWriter = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.messages = MessageWriter(self.writer)
 
     @classmethod
     async def open(
@@ -95,6 +103,7 @@
             return Fault(HANDSHAKE, self.address, f"{result.why} before it told its wire numbers", unsent=True)
         refusal = getattr(result, "fault", None)
         if refusal is None and getattr(result, "success", None) is not None:
+            self.messages.agree(min(high, result.success.high or low))
             return None
         why = refusal.why if refusal is not None else str(getattr(result, "message", "it knows no wire numbers"))
         log_events.emit(Event.WIRE_VERSION_MISMATCH, self.address, step=HANDSHAKE, why=why)
@@ -104,20 +113,11 @@
     async def _read_responses(self) -> None:
         why = "the peer closed"
         try:
-            frames = BoundedFrames(Stream(self.reader, self.writer))
+            frames, assembler = BoundedFrames(Stream(self.reader, self.writer)), FragmentAssembler()
             while True:
                 data = await frames.next()
                 self.last_received = asyncio.get_running_loop().time()
-                protocol = TBinaryProtocol(TMemoryBuffer(data))
-                verb, kind, sequence = protocol.read_message_begin()
-                future = self.pending.pop(sequence, None)
-                if kind == TMessageType.EXCEPTION:
-                    result = TApplicationException()
-                else:
-                    result = getattr(IDL.Peer, verb + "_result")()
-                protocol.read_struct(result)
-                if future is not None and not future.done():
-                    future.set_result(result)
+                self._read_message(data, assembler)
         except (asyncio.IncompleteReadError, ConnectionError, OSError):
             pass
         except Exception as error:  # invalid bytes: the link is closed, and the daemon goes on
@@ -125,6 +125,23 @@
             log_events.emit(Event.LINK_CLOSED, self.address, step="read answer", why=why)
         self.close(why)
 
+    def _read_message(self, data: bytes, assembler: FragmentAssembler) -> None:
+        """Hands a response to the request that waits for it, or adds a fragment to the response that it belongs to."""
+        protocol = TBinaryProtocol(TMemoryBuffer(data))
+        verb, kind, sequence = protocol.read_message_begin()
+        if verb == FRAGMENT:
+            arguments = IDL.Peer.fragment_args()
+            protocol.read_struct(arguments)
+            message = assembler.add(arguments.fragment)
+            if message is not None:
+                self._read_message(message, FragmentAssembler())
+            return
+        future = self.pending.pop(sequence, None)
+        result = TApplicationException() if kind == TMessageType.EXCEPTION else getattr(IDL.Peer, verb + "_result")()
+        protocol.read_struct(result)
+        if future is not None and not future.done():
+            future.set_result(result)
+
     def close(self, why: str = "closed here") -> None:
         """Closes the connection at once; all pending requests get a fault with this reason."""
         if not self.closed:
@@ -138,15 +155,18 @@
         self.pending.clear()
 
     def put(self, verb: str, *arguments: Any) -> int:
-        """Writes a message to the connection's buffer without waiting; returns its sequence number."""
+        """Writes a message that fits into a frame to the connection's buffer, without waiting; returns its sequence number."""
+        self.messages.put(self._encode(verb, *arguments))
+        return self.sequence
+
+    def _encode(self, verb: str, *arguments: Any) -> bytes:
+        """Returns a new message, which has the next sequence number."""
         record = getattr(IDL.Peer, verb + "_args")()
         for spec, argument in zip(record.thrift_spec.values(), arguments, strict=True):
             setattr(record, spec[1], argument)
         self.sequence = (self.sequence + 1) & MAXIMUM_SEQUENCE
         kind = TMessageType.ONEWAY if codec.is_oneway(verb) else TMessageType.CALL
-        data = codec.encode_message(verb, kind, self.sequence, record)
-        self.writer.write(FRAME_HEAD.pack(len(data)) + data)
-        return self.sequence
+        return codec.encode_message(verb, kind, self.sequence, record)
 
     async def drain(self) -> None:
         """Waits until the connection's buffer has space again. Raises ConnectionError if the connection is lost."""
@@ -162,16 +182,16 @@
         if self.closed:
             return Err(Fault(verb, self.address, "the link is closed", unsent=True))
         text = codec.encode_body(body)
-        if len(text) > MAXIMUM_REQUEST_BYTES:
+        if len(text) > self.messages.maximum_bytes - ENVELOPE_BYTES:
             # It would close the link, and end all other requests on it.
-            return Err(Fault(verb, self.address, too_long(len(text)), unsent=True))
+            return Err(Fault(verb, self.address, too_long(len(text), self.messages.maximum_bytes), unsent=True))
         future: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
         sent_at = asyncio.get_running_loop().time()
-        sequence = self.put(verb, text)
+        message, sequence = self._encode(verb, text), self.sequence
         self.pending[sequence] = future
         try:
             async with asyncio.timeout(limit):
-                await self.drain()
+                await self.messages.send(message)
                 result = await future
         except ConnectionError as error:
             self.pending.pop(sequence, None)  # before the link closes, which would answer it with a fault
--- a/postpass/rpc/framing.py
+++ b/postpass/rpc/framing.py
@@ -23,9 +23,10 @@
     """A peer announced a frame that is empty or longer than is accepted."""
 
 
-def too_long(size: int) -> str:
+def too_long(size: int, maximum: int = MAXIMUM_FRAME_BYTES) -> str:
     """Returns the reason why a message of so many bytes is not sent."""
-    return f"a message of {size} bytes; a frame holds {MAXIMUM_FRAME_BYTES}"
+    holder = "a frame holds" if maximum == MAXIMUM_FRAME_BYTES else "the longest message has"
+    return f"a message of {size} bytes; {holder} {maximum}"
 
 
 class Stream:
--- a/postpass/rpc/idl/peer.thrift
+++ b/postpass/rpc/idl/peer.thrift
@@ -5,6 +5,10 @@
 // The first message on a link: the lowest and highest wire number that a side speaks, and its release.
 struct Hi { 1: i32 low, 2: i32 high, 3: string release }
 
+// A piece of a message that is too long for one frame: `data` begins at `offset` of the `size` bytes of the message.
+// The pieces of a message come in order, and those of one message at a time on each direction of a link.
+struct Fragment { 1: i64 size, 2: i64 offset, 3: binary data }
+
 // A piece of one sequenced record, at most 8 KB of it. Kinds: rec, beat, start, snap.
 struct Packet {
   1: i32 part, 2: i64 epoch, 3: string owner, 4: string kind, 5: i64 seq,
@@ -31,6 +35,8 @@
 
 service Peer {
   Hi hi(1: Hi hi) throws (1: Fault fault),
+  // From wire version 2 on, in both directions.
+  oneway void fragment(1: Fragment fragment),
 
   // FIFO stream of the owner to a mirror, never answered.
   oneway void carry(1: Packet packet),
