--- a/postpass/gateway/gateway.py
+++ b/postpass/gateway/gateway.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Coroutine
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Any
 
 from starlette.routing import BaseRoute, Mount, Route
@@ -20,8 +20,6 @@
     """The state of an edge, and the HTTP routes that it serves. Owned by the process of the data plane."""
 
     fallback: ASGIApp | None = None  # serves requests that no route matches; without it, the proxied routes do
-    # Matched after the built-in routes and before the fallback.
-    extra_routes: list[BaseRoute] = field(default_factory=list)
 
     def routes(self) -> list[BaseRoute]:
         """Returns all HTTP routes of this edge, in matching order: the first that matches serves a request."""
@@ -36,7 +34,6 @@
             Route("/v1/lots", job_routes.submit, methods=["POST"]),
             Route("/v1/lots/{lot}", job_routes.show_or_end, methods=["GET", "DELETE"]),
             Route("/v1/lots/{lot}/results", job_routes.results, methods=["GET"]),
-            *self.extra_routes,
             fallback_route,
         ]
 
--- a/postpass/gateway/relay.py
+++ b/postpass/gateway/relay.py
@@ -27,6 +27,7 @@
     header,
     parse_number,
 )
+from postpass.gateway.own_paths import OwnPages
 from postpass.gateway.relayed_request import RelayedRequest, attempt_headers, build_request
 from postpass.gateway.response_check import Proof, check_response
 from postpass.gateway.upstream_connection import GARBLED
@@ -76,6 +77,7 @@
         self.leaving = False  # set when this edge is about to shut down
         self.unready: Callable[[], str] = lambda: ""  # returns why this edge can't serve clients yet; empty if it can
         self.job_handler: JobHandler | None = None
+        self.own_pages: OwnPages | None = None  # where clients read their jobs; served before the routes
         self.clients = ClientKeys(configuration_view)
         self.rate_limit: RateLimit | None = None  # rate limits of the tenants
         self.workers = WorkerSelection(settings, environment, configuration_view)
@@ -104,10 +106,13 @@
 
     # --- ASGI
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
-        """Serves a request by its route, or by the fallback if no route matches."""
+        """Serves a request by this edge's own pages, by its route, or by the fallback if neither matches."""
         if scope["type"] != "http":
             await self.fallback(scope, receive, send)
             return
+        if self.own_pages is not None and self.own_pages.include(scope["method"], scope["raw_path"]):
+            await self.own_pages.app(scope, receive, send)
+            return
         self.workers.refresh()
         matched_route = self.workers.table.match(header(scope["headers"], b"host") or b"", scope["raw_path"])
         if matched_route is None:
--- a/tests/platform/test_job_keys.py
+++ b/tests/platform/test_job_keys.py
@@ -32,7 +32,7 @@
         edge = api.edge
         self.relay = Relay(edge.settings, edge.environment, edge.configuration_view, Dialect(), CollectorRegistry())
         job_routes = module("clients").JobRoutes(api, self.relay.authenticate_job_client)
-        edge.extra_routes = job_routes.http_routes()
+        self.relay.own_pages = job_routes.own_pages()
         self.relay.job_handler, self.relay.fallback = job_routes.post, Starlette(routes=edge.routes())
         self.view = edge.configuration_view
 
--- a/tests/test_readable_code.py
+++ b/tests/test_readable_code.py
@@ -37,7 +37,7 @@
         "response_check", "http_headers", "http_errors", "request_bodies", "client_connection", "attempts",
         "admission_queue", "worker_load", "admission_control", "owner_client", "edge_state", "job_routes",
         "live_requests", "proxied_routes", "gateway", "exchange", "upstream_connection", "connection_pool",
-        "load_exchange", "body_reader", "route_table", "event_stream", "client_identity", "worker_health", "relayed_request",
+        "load_exchange", "body_reader", "own_paths", "route_table", "event_stream", "client_identity", "worker_health", "relayed_request",
         "worker_selection", "answer_delivery", "relay",
     ),
     "routing": ("options", "prefixes", "cold_workers", "load_picture", "live_choice", "item_choice", "item_order", "fair_share"),
