--- a/postpass/batch/job_api.py
+++ b/postpass/batch/job_api.py
@@ -5,7 +5,6 @@
 import asyncio
 import base64
 import binascii
-import json
 import re
 from contextlib import AsyncExitStack
 from dataclasses import dataclass
@@ -16,6 +15,7 @@
 
 from postpass.batch.messages import Item, ResultsRequest
 from postpass.configuration.configuration import Route, partition_of
+from postpass.configuration.json_documents import parse_json
 from postpass.configuration.schema import known_fields, validation_errors
 from postpass.gateway.gateway import Gateway
 from postpass.gateway.request_bodies import IDENTIFIER
@@ -144,10 +144,10 @@
     ) -> JobAnswer:
         """Validates a job, and submits it to its partition's owner until the deadline; see `accept`."""
         edge = self.edge
-        try:
-            body = drop_unknown_fields(json.loads(data))
-        except (ValueError, RecursionError) as error:
-            return JobAnswer(400, {"error": f"(top): not JSON: {error}"})
+        parsed = parse_json(data)
+        if isinstance(parsed, Err):
+            return JobAnswer(400, {"error": parsed.unwrap_err()})
+        body = drop_unknown_fields(parsed.unwrap())
         validation_error = find_job_error(body)
         if validation_error:
             return JobAnswer(400, {"error": validation_error})
--- a/postpass/cli/main.py
+++ b/postpass/cli/main.py
@@ -19,6 +19,7 @@
 from postpass.cli.status_page import FleetStatus
 from postpass.configuration.configuration_check import check
 from postpass.configuration.json_delta import delta
+from postpass.configuration.json_documents import parse_json
 from postpass.control.health import health_lines
 
 PROGRAM = "postpassctl"
@@ -48,11 +49,12 @@
 def read_json(path: str) -> Any:
     """Returns the value of a JSON file; raises CommandError if it can't be read or isn't JSON."""
     try:
-        return json.loads(Path(path).read_text(encoding="utf-8"))
+        parsed = parse_json(Path(path).read_bytes())
     except OSError as error:
         raise CommandError(ExitCode.USAGE, f"{path}: {error.strerror}") from error
-    except ValueError as error:
-        raise CommandError(ExitCode.USAGE, f"{path}: not JSON: {error}") from error
+    if isinstance(parsed, Err):
+        raise CommandError(ExitCode.USAGE, f"{path}: {parsed.unwrap_err()}")
+    return parsed.unwrap()
 
 
 def checked_configuration(path: str) -> Result[Any, list[str]]:
--- a/postpass/configuration/schema.py
+++ b/postpass/configuration/schema.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 import types
 from functools import cache
 from typing import Any, Literal, NamedTuple, NotRequired, Required, Union, get_args, get_origin, get_type_hints
@@ -128,8 +129,7 @@
             for error in validation_errors(element_type, v, f"{path}.{k}" if path else str(k))
         ]
     if expected_type is float:
-        is_valid = isinstance(value, (int, float)) and not isinstance(value, bool)
-        is_valid = is_valid and value == value and abs(value) != float("inf")
+        is_valid = isinstance(value, (int, float)) and not isinstance(value, bool) and _is_finite(value)
     elif expected_type is int:
         is_valid = isinstance(value, int) and not isinstance(value, bool)
     else:
@@ -137,6 +137,14 @@
     return [] if is_valid else [f"{displayed_path}: want {type_description(expected_type)}, got {value!r:.40}"]
 
 
+def _is_finite(number: float) -> bool:
+    """Returns whether a number, which may be an integer of any size, is one that a float can hold."""
+    try:
+        return math.isfinite(number)
+    except OverflowError:
+        return False
+
+
 def _object_errors(expected_type: Any, value: Any, path: str) -> list[str]:
     if not isinstance(value, dict):
         return [f"{path or '(top)'}: want an object, got {value!r:.40}"]
--- a/postpass/control/api.py
+++ b/postpass/control/api.py
@@ -12,6 +12,8 @@
 from starlette.routing import Route
 
 from postpass.configuration.configuration import MAX_CONFIGURATION_BYTES
+from postpass.configuration.json_documents import parse_json
+from postpass.control.if_match import version_in
 from postpass.control.member import INFINITY
 from postpass.control.order_messages import ApplyRequest, OrderAnswer
 from postpass.control.orders import Orders
@@ -41,6 +43,17 @@
 }  # by the code of a fault; 503 for any code that is missing here
 
 
+class AsciiJsonResponse(JSONResponse):
+    """A response with JSON in ASCII.
+
+    Earlier releases accepted texts with half of a surrogate pair, and NaN. What they stored is read back as it was sent.
+    """
+
+    def render(self, content: Any) -> bytes:
+        """Returns the body; characters outside ASCII are escaped."""
+        return json.dumps(content, separators=(",", ":")).encode()
+
+
 def entity_tag(revision: int) -> dict[str, str]:
     """Returns the header that names a revision, which clients send back as `If-Match`."""
     return {"etag": f'"{revision}"'}
@@ -116,13 +129,13 @@
         answer = ConfigurationAnswer.from_json(response.unwrap())
         if answer.configuration is None:
             return rejection_response(404, Fault("read", self.settings.name, "no manifest yet"))
-        return JSONResponse(answer.configuration, headers=entity_tag(answer.revision))
+        return AsciiJsonResponse(answer.configuration, headers=entity_tag(answer.revision))
 
     async def http_apply(self, request: Request) -> Response:
         """Applies a configuration; the status is 202 if some machines have not confirmed in time that they run it."""
         me = self.settings.name
-        base_revision = request.headers.get("if-match", "").strip().strip('"')
-        if not base_revision.lstrip("-").isdigit():
+        base_revision = version_in(request.headers.get("if-match", ""))
+        if base_revision is None:
             reason = 'If-Match: want the edition it was made from, as "N"; 0 for the first'
             return rejection_response(428, Fault("apply", me, reason))
         data = b""
@@ -130,11 +143,10 @@
             data += chunk
             if len(data) > MAX_CONFIGURATION_BYTES:
                 return rejection_response(413, Fault("apply", me, "more than 4 MiB"))
-        try:
-            document = json.loads(data)
-        except ValueError as error:
-            return rejection_response(400, Fault("apply", me, f"not JSON: {error}"))
-        response = await self.forward("apply", ApplyRequest(document, int(base_revision)).as_json())
+        parsed = parse_json(data)
+        if isinstance(parsed, Err):
+            return rejection_response(400, Fault("apply", me, parsed.unwrap_err()))
+        response = await self.forward("apply", ApplyRequest(parsed.unwrap(), base_revision).as_json())
         if isinstance(response, Err):
             return failure_response(response.unwrap_err())
         answer = OrderAnswer.from_json(response.unwrap())
--- a/postpass/gateway/request_bodies.py
+++ b/postpass/gateway/request_bodies.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 import re
 from typing import Any, NotRequired, TypedDict
 
@@ -10,6 +9,7 @@
 from starlette.requests import Request
 from starlette.responses import JSONResponse
 
+from postpass.configuration.json_documents import parse_json
 from postpass.configuration.schema import validation_errors
 from postpass.gateway.http_errors import fault_response
 from postpass.runtime.errors import Fault
@@ -62,10 +62,10 @@
         data += chunk
         if len(data) > max_bytes:
             return Err(fault_response(Fault("read body", edge, f"(top): at most {max_bytes} bytes"), 413))
-    try:
-        document = json.loads(data)
-    except (ValueError, RecursionError) as error:
-        return Err(fault_response(Fault("read body", edge, f"(top): not JSON: {error}"), 400))
+    parsed = parse_json(data)
+    if isinstance(parsed, Err):
+        return Err(fault_response(Fault("read body", edge, parsed.unwrap_err()), 400))
+    document = parsed.unwrap()
     errors = validation_errors(schema, document)
     if errors:
         return Err(fault_response(Fault("read body", edge, errors[0]), 400, flaws=errors))
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -65,6 +65,11 @@
         (lambda d: d["routes"][0]["split"][1].update(service="none"), "routes[0].split"),
         (lambda d: [s.update(weight=0) for s in d["routes"][0]["split"]], "routes[0].split"),
         (lambda d: d["routes"][0].update(split=[]), "routes[0].split"),
+        (lambda d: d["routes"][0]["split"][0].update(weight=-0.00001), "routes[0].split"),
+        (lambda d: d["routes"][0]["split"][0].update(weight=10**400), "routes[0].split[0].weight"),
+        (lambda d: d["routes"][1].update(timeoutMs=10**400), "routes[1].timeoutMs"),
+        (lambda d: d["routes"][1].update(targetMs=10**400), "routes[1].targetMs"),
+        (lambda d: d["services"][0].update(coldRateS=10**400), "services[0].coldRateS"),
         (lambda d: d["routes"][1].update(timeoutMs=0), "routes[1].timeoutMs"),
         (lambda d: d["routes"][1].update(prefix="/one/"), "routes[1].prefix"),
         (lambda d: d["routes"][1].update(name="r1", prefix="/one/"), "routes[1].name"),
@@ -92,3 +97,25 @@
         {"version": 9, "remove": {"limits": []}},
     ]  # fmt: skip
     assert all(configuration_module.patched(document(7), change).is_err() for change in malformed_changes)
+
+
+@pytest.mark.parametrize(
+    ("weights", "expected"),
+    [
+        ([90, 10], [90, 10]),
+        ([0.5, 0.25, 0], [5000, 2500, 0]),
+        ([0.5, 1e305], [1, 1_000_000]),
+        ([1e308, 1e308], [1_000_000, 1_000_000]),
+        ([1e-9, 3e-9], [333_333, 1_000_000]),
+        ([3_000_000_000, 3_000_000_000], [1_000_000, 1_000_000]),
+        ([5e-324, 1], [1, 1_000_000]),
+    ],
+)
+def test_weights_of_any_size_keep_their_proportion(weights: list[float], expected: list[int]) -> None:
+    """Large ones ended the primary of control; a total of more than 32 bits kept all requests from the last services."""
+    services = ["llm", "old", "app"][: len(weights)]
+    split = [{"service": name, "weight": weight} for name, weight in zip(services, weights, strict=True)]
+    configured = adapter("configuration").operator_configuration(
+        changed_document(lambda d: d["routes"][0].update(split=split))
+    )
+    assert [part["weight"] for part in configured.unwrap()["routes"]["r1"]["split"]] == expected
--- a/tests/platform/test_operators.py
+++ b/tests/platform/test_operators.py
@@ -136,3 +136,49 @@
     """An order whose sender had given up was carried out, and undid others that were acknowledged since."""
     assert ask(method, path, b"{}")[2].sender_waits is True
     assert ask(method, path, b"{}", gives_up=True)[2].sender_waits is False
+
+
+ODD_BODIES = {
+    "half a character": rb'"van-\ud83d.example"',
+    "half a character in UTF-8": b'"van-\xed\xa0\xbd.example"',
+    "half a character in a key": rb'{"\ud83d": 1}',
+    "not a number": b"NaN",
+    "an infinite number": b"1e400",
+    "a deep value": b"[" * 20_000 + b"]" * 20_000,
+}
+
+
+# Guards against documents and heartbeats that one part takes and a later one can't use: they were acknowledged and never
+# came back, or ended the primary of control.
+@pytest.mark.parametrize("value", ODD_BODIES.values(), ids=ODD_BODIES.keys())
+@pytest.mark.parametrize(
+    ("method", "path"), [("PUT", "/-/config"), ("PATCH", "/-/config"), ("PUT", f"/-/workers/{WORKER}")]
+)
+def test_a_body_that_cannot_be_read_in_full_is_refused_whole(method: str, path: str, value: bytes) -> None:
+    body = json.dumps(HEARTBEAT).encode()[:-1] + b', "later": ' + value + b"}"
+    status, answer, control = ask(method, path, body, {"If-Match": "0"})
+    assert (status, control.calls) == (400, [])
+    assert answer["error"] == answer["flaws"][0] and ": " in answer["error"]
+
+
+@pytest.mark.parametrize("version", ["²", "", "-1", "x", "9" * 5000, '"1', "1.0"])
+def test_a_version_that_is_no_whole_number_is_refused(version: str) -> None:
+    status, _, recorded = ask("PUT", "/-/config", b"{}", {"If-Match": version.encode().decode("latin-1")})
+    assert (status, recorded.calls) == ((400, []) if version != '"1' else (200, [("apply_document", {}, 1)]))
+
+
+def test_a_worker_with_more_slots_than_can_be_counted_has_many() -> None:
+    _, _, control = heartbeat(slots=1e308)
+    assert control.calls == [("record_worker_heartbeat", WORKER, expected_announcement(slots=1_000_000), 4)]
+
+
+def test_a_document_that_an_earlier_release_accepted_is_read_back_as_it_was_sent() -> None:
+    """It was stored with half of a surrogate pair and with NaN; reading it back was answered with 500."""
+    source = {"version": 1, "routes": [{"host": "van-\ud83d.example", "later": float("nan")}]}
+
+    class Stored(RecordedControl):
+        async def read_document(self) -> Any:
+            return Ok({"source": source})
+
+    response = asyncio.run(adapter("operators").ControlRoutes(Stored())._read_configuration())
+    assert response.status_code == 200 and response.body == json.dumps(source, separators=(",", ":")).encode()
--- a/tests/platform/test_own_paths.py
+++ b/tests/platform/test_own_paths.py
@@ -1,4 +1,4 @@
-"""Which requests an edge serves itself, and which go to a route: each row of the table in `docs/callers.md`."""
+"""Which requests an edge serves itself, and which go to a route: each row of the table in `docs/platform.md`."""
 
 from __future__ import annotations
 
--- a/tests/test_readable_code.py
+++ b/tests/test_readable_code.py
@@ -18,7 +18,7 @@
 LAYERS = {
     "control": (
         "epochs", "state", "journal", "messages", "order_messages", "read_messages", "partition_reports", "changes", "configuration", "member", "contact", "replica", "election_rules", "election", "writer",
-        "in_force", "feed", "registry", "leadership", "orders", "health", "api", "daemon",
+        "in_force", "feed", "registry", "leadership", "orders", "health", "if_match", "api", "daemon",
     ),
     "replication": (
         "record_log", "log_entries", "owner_lookup", "acknowledgements", "stability", "messages", "election_decision", "partition",
@@ -56,7 +56,7 @@
     ),
     "storage": ("segmented_log", "data_directory"),
     "configuration": (
-        "header_names", "route_host", "json_delta", "tenant_keys", "schema", "settings", "accepted_orders", "nginx_import", "configuration",
+        "header_names", "route_host", "json_documents", "json_delta", "tenant_keys", "schema", "settings", "accepted_orders", "nginx_import", "configuration",
         "configuration_check",
     ),
     "http_server": (
