Refuse a change that meets an unexpected error alone, and write the others of its batch

Callers saw: half a character in a route's name, or in the service of one heartbeat of one worker, ended the primary of control (exit code 3), and each next primary when the message was sent again; proper configurations waited 15 to 19 s (bound 4 s).

Cause: Writer.write let any error but FaultError through, which ends its task and the process, with all changes of the batch.

Change: Writer.apply_change refuses such a change alone (500, E146), and tries whether the state that it leads to can be stored. A peer's handler that raises any error answers with a fault.

A change is a pure function of the state: nothing of a failed one is kept.

--- a/postpass/control/api.py
+++ b/postpass/control/api.py
@@ -23,6 +23,7 @@
 from postpass.runtime.environment import now
 from postpass.runtime.errors import (
     BAD_REQUEST,
+    CHANGE_FAILED,
     CONFLICT,
     NOT_RESPONSIBLE,
     PEER_FAILED,
@@ -39,6 +40,7 @@
     TIMED_OUT: 503,
     REJECTED: 503,
     CONFLICT: 409,
+    CHANGE_FAILED: 500,
     PEER_FAILED: 502,
 }  # by the code of a fault; 503 for any code that is missing here
 
--- a/postpass/control/journal.py
+++ b/postpass/control/journal.py
@@ -129,6 +129,15 @@
         return Image(change.position, tree, checksum_sum)
 
 
+def check_storable(before: Tree, after: Tree) -> None:
+    """Raises ValueError, TypeError or another error if a state can't be stored as a change of the state before it.
+
+    Costs what the change costs that leads from one to the other.
+    """
+    parts_sum_difference(before, after)
+    json.dumps(delta(before, after, splices=True)).encode()
+
+
 def _format_checksum(checksum_sum: int) -> str:
     return f"{checksum_sum:016x}"
 
--- a/postpass/control/writer.py
+++ b/postpass/control/writer.py
@@ -5,16 +5,20 @@
 import asyncio
 from dataclasses import replace
 
+from absl import logging
 from result import Err, Ok, Result
 
 from postpass.control.changes import QueuedChange, StateUpdate
 from postpass.control.election import Election
 from postpass.control.election_rules import Cause, ElectionReason
+from postpass.control.journal import check_storable
 from postpass.control.member import INFINITY
+from postpass.control.state import state_as_json
+from postpass.membership.registry import State
 from postpass.rpc.codec import Body, PeerResponse
 from postpass.runtime import log_events
 from postpass.runtime.environment import now
-from postpass.runtime.errors import NOT_RESPONSIBLE, REJECTED, TIMED_OUT, Fault, FaultError
+from postpass.runtime.errors import CHANGE_FAILED, NOT_RESPONSIBLE, REJECTED, TIMED_OUT, Fault, FaultError
 from postpass.runtime.log_events import Event
 
 
@@ -80,7 +84,7 @@
                 break
             state, results = before, []
             for queued in changes:
-                result = queued.update(state)
+                result = self.apply_change(queued, state)
                 state = result.unwrap_or(state)
                 results.append(result)
             if state is not before:
@@ -107,6 +111,23 @@
                     )
         return [Err(Fault("write", own_name, "not known whether it was taken; ask again", TIMED_OUT)) for _ in changes]
 
+    def apply_change(self, queued: QueuedChange, state: State) -> Result[State, Fault]:
+        """Returns the state with a change, or why there is none.
+
+        A change that meets an unexpected error, or that leads to a state which can't be stored, fails alone: the other
+        changes of its batch are written, and nothing of it is kept.
+        """
+        try:
+            result = queued.update(state)
+            if isinstance(result, Ok) and result.unwrap() is not state:
+                check_storable(state_as_json(state), state_as_json(result.unwrap()))
+            return result
+        except Exception as error:
+            reason = f"the change can't be applied: {error!r:.160}"
+            log_events.emit(Event.CHANGE_FAILED, self.settings.name, why=reason)
+            logging.exception("a change failed")
+            return Err(Fault("write", self.settings.name, reason, CHANGE_FAILED))
+
     async def forward(self, verb: str, body: Body, limit: float = 0.0) -> PeerResponse:
         """Sends a request to the primary, wherever it is, and returns the response. Where machines announce themselves,
         a request without a primary is retried for a short time, in case one is elected."""
--- a/postpass/rpc/peer_server.py
+++ b/postpass/rpc/peer_server.py
@@ -298,7 +298,7 @@
         result = getattr(IDL.Peer, verb + "_result")()
         try:
             response = await self._response_to(request)
-        except (KeyError, TypeError, ValueError) as error:
+        except Exception as error:  # the peer gets an answer, and the link and the daemon go on
             response = Err(Fault(verb, self.process, f"{error!r:.160}", PEER_FAILED))
             log_events.emit(Event.HANDLER_FAILED, self.process, step=verb, peer=link.peer_name, why=f"{error!r:.160}")
         if isinstance(response, Ok):
@@ -314,7 +314,7 @@
             pass
 
     async def _response_to(self, request: Message) -> PeerResponse:
-        """Returns the response of the handler. Raises KeyError, TypeError or ValueError if it can't read the request."""
+        """Returns the response of the handler. Raises whatever error the handler meets, as if it can't read the request."""
         handler = self.handlers.get(request.verb)
         if handler is None:
             return Err(Fault(request.verb, self.process, "no such duty here", PEER_FAILED))
--- a/postpass/runtime/errors.py
+++ b/postpass/runtime/errors.py
@@ -25,6 +25,7 @@
     PRECONDITION_FAILED = 412  # the request is based on a version that is not the present one
     NOT_RESPONSIBLE = 421  # another peer owns the partition or job in question; the hint may name it
     TOO_MANY_REQUESTS = 429  # a limit of the client or class is reached; a later retry may succeed
+    CHANGE_FAILED = 500  # an error that nobody expected; the same request would meet it again, whoever handles it
     PEER_FAILED = 502  # anything else: the peer, its disk or the link to it failed
     REJECTED = 503  # not accepted now; nothing was done
     TIMED_OUT = 504  # no response in time; the request may have been carried out
@@ -37,6 +38,7 @@
 PRECONDITION_FAILED: int = ErrorCode.PRECONDITION_FAILED
 NOT_RESPONSIBLE: int = ErrorCode.NOT_RESPONSIBLE
 TOO_MANY_REQUESTS: int = ErrorCode.TOO_MANY_REQUESTS
+CHANGE_FAILED: int = ErrorCode.CHANGE_FAILED
 PEER_FAILED: int = ErrorCode.PEER_FAILED
 REJECTED: int = ErrorCode.REJECTED
 TIMED_OUT: int = ErrorCode.TIMED_OUT
--- a/postpass/runtime/log_events.py
+++ b/postpass/runtime/log_events.py
@@ -64,6 +64,8 @@
     ISOLATED = 143
     REVISION_IN_FORCE = 144
     CHANGE_MISMATCH = 145
+    CHANGE_FAILED = 146
+    ROUTES_NOT_APPLIED = 147
     SCHEDULER_STARTED = 150
     SCHEDULER_STOPPED = 151
     CAPACITY_RECLAIMED = 152
@@ -129,6 +131,12 @@
     Event.CHANGE_MISMATCH: (
         "A change of the control state did not fit the state replicated here; the complete state is asked for."
     ),
+    Event.CHANGE_FAILED: (
+        "A change of the control state met an unexpected error, and is refused; the other changes are written."
+    ),
+    Event.ROUTES_NOT_APPLIED: (
+        "An edge can't derive its routes from a new revision, and goes on with those of the former one; the cause follows."
+    ),
     Event.TENANT_HOME_READY: (
         "The new owner of a partition has heard from every edge what it holds of the limits of the partition's tenants."
     ),
@@ -181,6 +189,8 @@
         Event.DISK_FAILED,
         Event.PARTITION_DATA_LOSS,
         Event.CONTROL_DATA_LOSS,
+        Event.CHANGE_FAILED,
+        Event.ROUTES_NOT_APPLIED,
     }
 )
 
--- a/tests/runtime/test_errors.py
+++ b/tests/runtime/test_errors.py
@@ -14,5 +14,5 @@
 
 
 def test_codes_are_formatted_as_their_numbers() -> None:
-    assert sorted(ErrorCode) == [400, 404, 409, 412, 421, 429, 502, 503, 504, 507]
+    assert sorted(ErrorCode) == [400, 404, 409, 412, 421, 429, 500, 502, 503, 504, 507]
     assert [f"{ErrorCode.NO_SPACE}", str(ErrorCode.NO_SPACE), json.dumps(ErrorCode.NO_SPACE)] == ["507"] * 3
