Go on with the former routes if those of a new revision can't be derived

Callers saw: one route whose host had half a character, and every edge answered 500 to every request on every route.

Cause: WorkerSelection.refresh runs in the course of a request; an error there left the revision unapplied, so that each request tried and failed again.

Change: what was derived from the former revision stays, and E147 tells the cause once.

--- a/postpass/gateway/worker_selection.py
+++ b/postpass/gateway/worker_selection.py
@@ -5,6 +5,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
+from absl import logging
+
 from postpass.configuration.configuration import Configuration, Pool, Server
 from postpass.configuration.settings import Settings
 from postpass.feed.configuration_view import ConfigurationView
@@ -21,7 +23,9 @@
 )
 from postpass.routing.load_picture import IDLE, LoadReport, WorkerUse
 from postpass.routing.options import DEFAULT_OPTIONS, RoutingOptions
+from postpass.runtime import log_events
 from postpass.runtime.environment import Environment, now
+from postpass.runtime.log_events import Event
 
 UNLIMITED_RATE = 1e9  # requests per second
 OUTCOME_INTERVALS = 10  # intervals of the load exchange during which others are told how an attempt at a worker ended
@@ -48,17 +52,27 @@
     options: RoutingOptions = DEFAULT_OPTIONS
 
     def refresh(self) -> None:
-        """Applies the configuration in force if it is a new revision."""
-        configuration = self.configuration_view.manifest
-        if configuration is not None and self.revision != self.configuration_view.revision:
+        """Applies the configuration in force if it is a new revision.
+
+        If an unexpected error prevents that, what was derived from the former revision stays, and requests are served by it.
+        """
+        configuration, revision = self.configuration_view.manifest, self.configuration_view.revision
+        if configuration is None or self.revision == revision:
+            return
+        try:
             self.apply_configuration(configuration)
+        except Exception as error:
+            self.revision = revision
+            log_events.emit(Event.ROUTES_NOT_APPLIED, self.settings.name, revision=revision, why=f"{error!r:.160}")
+            logging.exception("routes of revision %d not applied", revision)
 
     def apply_configuration(self, configuration: Configuration) -> None:
         """Derives routes, edges and senders from a new revision of the configuration, and forgets removed workers."""
-        self.table, self.revision = route_table_of(configuration), self.configuration_view.revision
+        table = route_table_of(configuration)
         machines = {n: m for n, m in configuration["machines"].items() if not m.get("gone")}
         self.edges = sorted(n for n, m in machines.items() if "edge" in m["duties"])
         self.senders = max(1, sum(bool({"edge", "sched"} & set(m["duties"])) for m in machines.values()))
+        self.table, self.revision = table, self.configuration_view.revision
         configured_workers = {n for p in configuration["pools"].values() for n in p["servers"]}
         for name in [n for n, h in self.health_by_worker.items() if n not in configured_workers and not h.in_flight]:
             del self.health_by_worker[name]
--- a/tests/gateway/test_route_table.py
+++ b/tests/gateway/test_route_table.py
@@ -13,7 +13,7 @@
 from postpass.configuration.configuration_check import check, check_received
 from postpass.feed.configuration_view import ConfigurationView
 from postpass.gateway.route_table import RouteTable, route_table_of
-from tests.gateway.test_relay import relay_configuration, route
+from tests.gateway.test_relay import Scene, answer_ok, play, relay_configuration, route
 from tests.platform.test_configuration import document
 from tests.platform.test_settings import adapter
 
@@ -112,3 +112,16 @@
     assert matched(route_table_of(stored), "p.example") == "r0"
     fleet = cast(Configuration, {**stored, "announced": False})
     assert ConfigurationView("e").accept(1, fleet)
+
+
+# Guards against an edge that answers 500 to all requests, since one configuration can't be applied.
+def test_an_edge_serves_by_the_former_routes_if_new_ones_cannot_be_derived() -> None:
+    async def main(scene: Scene) -> None:
+        assert (await scene.ask("/i/x"))[0] == 200
+        scene.change(lambda c: c["routes"].update(broken={**c["routes"]["idem"], "host": 7}))
+        assert (await scene.ask("/i/x"))[0] == 200
+        scene.change(lambda c: c["routes"].pop("broken"))
+        scene.change(lambda c: c["routes"].update(new=route("idem", "/new/")))
+        assert (await scene.ask("/new/x"))[0] == 200
+
+    play({"w1": answer_ok}, main)
