Stop at once what a failed daemon does alone, in place of leading on for 24 s

Callers saw: after one unexpected error in a task of the primary of control no change was taken for up to 25 s, and no other member was elected (bound: 12 s).

Cause: a failed task ended the process by the orderly way. The HTTP server waits up to 24 s for requests in progress, one of which waited for the dead task, while the other tasks, heartbeats among them, went on.

Change: control and stores stop at once (Daemon._fail): a primary steps down and answers what waits, tasks end, peers' links close, requests get one second. A failing disk goes the same way. Edges finish their requests, and aren't ready.

--- a/postpass/control/member.py
+++ b/postpass/control/member.py
@@ -24,7 +24,7 @@
 from postpass.runtime import log_events
 from postpass.runtime.disk import Disk
 from postpass.runtime.environment import Environment, now
-from postpass.runtime.errors import NO_SPACE, NOT_RESPONSIBLE, Fault, FaultError
+from postpass.runtime.errors import NO_SPACE, NOT_RESPONSIBLE, TIMED_OUT, Fault, FaultError
 from postpass.runtime.log_events import Event
 from postpass.runtime.pause_detector import PauseDetector
 from postpass.storage.data_directory import STATE_FORMAT, open_data_directory, raise_format
@@ -294,10 +294,27 @@
         fault."""
         self.disk_failure = why
         log_events.emit(Event.DISK_FAILED, self.settings.name, why=why)
-        self.fatal_fault = Fault("sync", self.settings.name, why)
-        self.stop.set()
-        self.closed.set()
-        return self.fatal_fault
+        fault = Fault("sync", self.settings.name, why)
+        self._fail(fault)
+        return fault
+
+    @property
+    def has_exclusive_duties(self) -> bool:
+        """Whether others wait for this daemon until they know that it has failed: the members do for a primary."""
+        return True
+
+    def renounce_duties(self) -> None:
+        """Stops leading at once, so that another member may lead, and answers the changes that wait to be written."""
+        self.step_down("this process has failed")
+        changes, self.queued_changes = self.queued_changes, []
+        self.answer_unknown(changes)
+
+    def answer_unknown(self, changes: list[QueuedChange]) -> None:
+        """Answers changes that have no outcome yet: whether they take effect is not known."""
+        fault = Fault("write", self.settings.name, "not known whether it was taken; ask again", TIMED_OUT)
+        for queued in changes:
+            if not queued.outcome.done():
+                queued.outcome.set_result(Err(fault))
 
     def vote_answer(self, accepted: bool) -> VoteAnswer:
         """Returns the answer to a request for a vote, with what this member has promised and stores."""
--- a/postpass/control/writer.py
+++ b/postpass/control/writer.py
@@ -65,14 +65,22 @@
                     pass
                 continue
             changes, self.queued_changes, self.write_due = self.queued_changes, [], INFINITY
-            async with self.lock:
-                try:
-                    results = await self.write_changes(changes)
-                except FaultError as error:
-                    results = [Err(error.fault) for _ in changes]
-            for queued, result in zip(changes, results, strict=True):
-                if not queued.outcome.done():
-                    queued.outcome.set_result(result)
+            try:
+                await self.write_batch(changes)
+            finally:
+                # Nobody waits for a task that has failed or was cancelled.
+                self.answer_unknown(changes)
+
+    async def write_batch(self, changes: list[QueuedChange]) -> None:
+        """Writes changes as one revision, and gives each its outcome."""
+        async with self.lock:
+            try:
+                results = await self.write_changes(changes)
+            except FaultError as error:
+                results = [Err(error.fault) for _ in changes]
+        for queued, result in zip(changes, results, strict=True):
+            if not queued.outcome.done():
+                queued.outcome.set_result(result)
 
     async def write_changes(self, changes: list[QueuedChange]) -> list[Result[int, Fault]]:
         """Writes many changes as one revision, and returns the result of each. If a backup doesn't answer, another one
--- a/postpass/daemon/data_plane.py
+++ b/postpass/daemon/data_plane.py
@@ -269,6 +269,11 @@
             self.settings.bounds.drain_time if grace == 0 else max(1.0, grace - UNREADY_DETECTION_DELAY - GRACE_RESERVE)
         )
 
+    @property
+    def has_exclusive_duties(self) -> bool:
+        """Whether others wait for this daemon until they know that it has failed: those of a store's partitions do."""
+        return self.store is not None
+
     @property
     def peer_timeout(self) -> float:
         """Seconds until a client that doesn't acknowledge data is considered lost; 0 for the system's default."""
--- a/postpass/daemon/process.py
+++ b/postpass/daemon/process.py
@@ -73,6 +73,8 @@
         self.partial_view = PartialView(self._first_record(), environment.chance)
         self.registry = CollectorRegistry()
         self.fatal_fault: Fault | None = None
+        self.peer_server: PeerServer | None = None
+        self.running_tasks: list[asyncio.Task[None]] = []  # those that run for as long as the process does
         self.spawned: set[asyncio.Task[None]] = set()
         metrics = DaemonMetrics.register(
             self.registry, lambda: self.configuration_view.revision, lambda: len(self.partial_view.neighbours)
@@ -112,6 +114,8 @@
 
     def ready(self) -> str:
         """Returns why this daemon isn't ready to serve; empty if it is."""
+        if self.fatal_fault is not None:
+            return "it has failed"
         if self.configuration_view.manifest is None:
             return "no manifest yet"
         # While control doesn't know this daemon, the others don't count on it. If control can't be reached in time, it serves
@@ -141,6 +145,20 @@
         """How many seconds requests in progress may take once nothing new is accepted."""
         return self.settings.bounds.drain_time
 
+    @property
+    def has_exclusive_duties(self) -> bool:
+        """Whether others wait for this daemon in what it does, until they know that it has failed."""
+        return False
+
+    def renounce_duties(self) -> None:
+        """Gives up at once what this daemon does alone, and answers what waits for it; called once, when it has failed."""
+
+    def drain_at_end(self) -> float:
+        """Returns how many seconds requests in progress may take at the end of this process."""
+        if self.fatal_fault is not None and self.has_exclusive_duties:
+            return self.settings.bounds.heartbeat_interval
+        return self.drain
+
     def connection_limits(self) -> ConnectionLimits:
         """Returns the present limits of each HTTP connection."""
         return ConnectionLimits(LIMITS["head_bytes"], LIMITS["head_ms"] / 1000, HTTP_IDLE_S, MAX_CONFIGURATION_BYTES)
@@ -193,18 +211,19 @@
         """Runs the daemon until it has stopped; raises OSError if it can't listen, and FaultError if it must not start."""
         self.started_at = now()
         await self.open()
-        peer_server = PeerServer(self.settings.name, {
+        self.peer_server = peer_server = PeerServer(self.settings.name, {
             "ping": self.on_ping, "shuffle": self.gossip.on_shuffle, "follow": self.on_follow,
             "join": self.announcer.on_join, **self.handlers(),
         }, links=LinkTable(links_of_process(self.settings.descriptors)),
             large_frames=large_frame_memory(self.settings.memory_bytes))  # fmt: skip
         await peer_server.listen(self.settings.peer)
         host, http_port = split_address(self.settings.http)
-        tasks: list[asyncio.Task[None]] = []
 
         def start_tasks() -> None:
             """Starts the tasks, one of which announces this machine to control, once it listens at all its addresses."""
-            tasks.extend(asyncio.create_task(self.run_supervised(name, task)) for name, task in self._named_tasks())
+            self.running_tasks.extend(
+                asyncio.create_task(self.run_supervised(name, task)) for name, task in self._named_tasks()
+            )
             log_events.emit(
                 Event.STARTED,
                 self.settings.name,
@@ -220,7 +239,7 @@
                 host,
                 http_port,
                 self.closed,
-                self.drain,
+                self.drain_at_end,
                 limited_protocol(resources),
                 resources.listen_queue,
                 start_tasks,
@@ -228,9 +247,9 @@
         finally:
             await peer_server.close()
             self.peer_links.close()
-            for task in tasks:
+            for task in self.running_tasks:
                 task.cancel()
-            await asyncio.gather(*tasks, return_exceptions=True)
+            await asyncio.gather(*self.running_tasks, return_exceptions=True)
 
     def _http_resources(self) -> ServerResources:
         """Returns what all connections of the HTTP server share."""
@@ -290,7 +309,17 @@
             self._fail(Fault(name, self.settings.name, repr(error)))
 
     def _fail(self, fault: Fault) -> None:
-        """Ends the daemon because of a fault, without handing anything over."""
+        """Ends the daemon because of a fault, without handing anything over.
+
+        If others wait for this daemon, nothing of it goes on: its tasks end, and peers find their links to it closed.
+        """
+        if self.fatal_fault is None and self.has_exclusive_duties:
+            self.renounce_duties()
+            for task in self.running_tasks:
+                if task is not asyncio.current_task():
+                    task.cancel()
+            if self.peer_server is not None:
+                self.spawn(self.peer_server.close())
         self.fatal_fault = fault
         self.stop.set()
         self.closed.set()
--- a/postpass/runtime/environment.py
+++ b/postpass/runtime/environment.py
@@ -149,17 +149,17 @@
 
 
 async def serve_http(
-    app: ASGIApp, host: str, port: int, stop: asyncio.Event, drain: float = 2.0, protocol: Any = "httptools",
+    app: ASGIApp, host: str, port: int, stop: asyncio.Event, drain: float | Callable[[], float] = 2.0, protocol: Any = "httptools",
     listen_queue: int = MAX_LISTEN_QUEUE, on_listening: Callable[[], None] = lambda: None,
 ) -> None:  # fmt: skip
     """Serves an app at `host` and `port` until `stop` is set, then gives open requests `drain` seconds to finish.
 
-    `protocol` is the name or the class of an HTTP protocol of uvicorn; `listen_queue`: the longest queue of connections that aren't
+    If `drain` is a function, it is called once `stop` is set. `protocol` is the name or the class of an HTTP protocol of uvicorn; `listen_queue`: the longest queue of connections that aren't
     accepted yet; `on_listening` is called once connections are accepted. Raises OSError if it can't listen.
     """
     settings = uvicorn.Config(
         app, host=host, port=port, http=protocol, ws="none", lifespan="off", loop="none",
-        log_config=None, access_log=False, timeout_graceful_shutdown=math.ceil(drain), server_header=False, date_header=False,
+        log_config=None, access_log=False, server_header=False, date_header=False,
         backlog=listen_queue,
     )  # fmt: skip
     server = _Server(settings, on_listening)
@@ -167,6 +167,7 @@
 
     async def exit_on_stop() -> None:
         await stop.wait()
+        settings.timeout_graceful_shutdown = math.ceil(drain() if callable(drain) else drain)
         server.should_exit = True
 
     task = asyncio.create_task(exit_on_stop())
--- a/postpass/runtime/log_events.py
+++ b/postpass/runtime/log_events.py
@@ -88,7 +88,7 @@
     Event.STARTED: "A daemon serves; its duties and addresses follow.",
     Event.STOPPING: "SIGTERM or SIGINT was taken; open requests come to their end, then the process leaves.",
     Event.LINK_CLOSED: "An internal link was closed; step and peer follow. Foreign or oversized bytes end here too.",
-    Event.TASK_FAILED: "A task of the daemon ended with an error it did not expect; it is started again.",
+    Event.TASK_FAILED: "A task of the daemon ended with an error it did not expect; the process ends, a primary or store at once.",
     Event.HANDLER_FAILED: "A message of a peer met an error in its handler; step and peer follow, the peer is told.",
     Event.HANDING_OVER: "This daemon leaves: what it owns, schedules or leads goes to another before it stops.",
     Event.WIRE_VERSION_MISMATCH: "A peer speaks no wire version that this release speaks; the link is closed.",
