--- a/postpass/control/registry.py
+++ b/postpass/control/registry.py
@@ -22,7 +22,7 @@
 from postpass.rpc.codec import Body, PeerResponse
 from postpass.runtime import log_events
 from postpass.runtime.environment import now
-from postpass.runtime.errors import BAD_REQUEST, Fault
+from postpass.runtime.errors import BAD_REQUEST, CONFLICT, Fault
 from postpass.runtime.log_events import Event
 
 MAX_DRAINED_WORKERS = 4096  # how many workers a member remembers whose leaving the primary has acknowledged
@@ -32,6 +32,8 @@
 # times the recovery bound it counts as gone for good.
 NEEDED_STORE_GONE_AFTER = 10
 SMALL_FLEET_WORKERS = 4  # with fewer workers than this, half of this number may be late at once, whatever share that is
+# A worker that was heard within so many heartbeat periods is taken for alive if another one claims its address.
+ALIVE_PERIODS = 1.5
 # How many workers a member remembers the number of the last heartbeat of, before the oldest are trimmed and after it.
 MAX_SEQNOS, SEQNOS_AFTER_TRIM = 4096, 1024
 
@@ -341,6 +343,18 @@
             self.worker_seqnos[heartbeat.worker] = max(heartbeat.seqno, newest)
         return False
 
+    def is_address_taken(self, heartbeat: WorkerHeartbeat) -> bool:
+        """Returns whether another worker that is alive, as its heartbeats show, has the address that this one announces.
+
+        A heartbeat may come seconds late, when its worker has crashed and the next one at its address runs already.
+        """
+        announcement, state = heartbeat.announcement, self.committed.state
+        if announcement is None or state.manifest is None:
+            return False
+        alive_since = now() - ALIVE_PERIODS * self.settings.beat
+        others = worker_registry.workers_at(state, announcement["url"], heartbeat.worker)
+        return any(self.worker_heartbeats.get(name, -INFINITY) > alive_since for name in others)
+
     async def report_worker_ended(self, worker: str) -> PeerResponse:
         """Reports to the primary that a worker has ended."""
         if self.pause_detector.has_just_resumed:
@@ -358,6 +372,9 @@
         bounds, heartbeat, requested_at = self.settings.bounds, WorkerHeartbeat.from_json(body), now()
         if self.is_superseded(heartbeat):
             return Ok({})
+        if self.is_address_taken(heartbeat):
+            why = "another worker at this address was heard just now"
+            return Err(Fault("beat", self.settings.name, why, CONFLICT))
         self.worker_heartbeats[heartbeat.worker] = now()
         result = await self.change(partial(state_with_announcement, heartbeat), bounds.leave / 100)
         if isinstance(result, Err):
--- a/postpass/membership/worker_registry.py
+++ b/postpass/membership/worker_registry.py
@@ -79,8 +79,9 @@
 def with_worker(state: State, worker: str, announcement: WorkerAnnouncement) -> State:
     """Returns the state with a worker as it announced itself.
 
-    An id that has ended stays ended; a worker that announced that it leaves goes on leaving; a worker that had the same
-    address before has ended; a worker that names another pool is removed from its former one.
+    An id that has ended stays ended; a worker that announced that it leaves goes on leaving; a worker that names another
+    pool is removed from its former one. A worker that has the same address is removed. If it still runs, because this
+    announcement came late, it is added again by its next heartbeat; but one that was leaving can't be.
     """
     if worker in state.ended:
         return state
@@ -90,14 +91,19 @@
         new["leave"] = True
     if present == AssignedWorker(announcement["pool"], new):
         return state
-    earlier = [w for w, server in all_workers(state).items() if server["url"] == new["url"] and w != worker]
-    if earlier:
-        state = _remember_ended(_without(state, earlier), earlier)
+    others = workers_at(state, new["url"], worker)
+    if others:
+        state = without_silent(state, others)
     if present is not None and present.pool != announcement["pool"]:
         state = _without(state, [worker])
     return _with_assigned(state, worker, announcement["pool"], new)
 
 
+def workers_at(state: State, url: str, worker: str) -> list[str]:
+    """Returns the workers with this address, without the given one."""
+    return [name for name, server in all_workers(state).items() if server["url"] == url and name != worker]
+
+
 def without_ended(state: State, workers: Iterable[str]) -> State:
     """Returns the state without workers that announced their end; messages of them that arrive later are ignored."""
     workers = list(workers)
