--- a/postpass/configuration/json_documents.py
+++ b/postpass/configuration/json_documents.py
@@ -15,6 +15,7 @@
 from result import Err, Ok, Result
 
 MAXIMUM_DEPTH = 100  # levels of lists and objects; a document of this product has eight
+TOO_DEEP = f"want at most {MAXIMUM_DEPTH} levels of lists and objects, got more"
 SHOWN_CHARACTERS = 40  # of a path's last key
 
 
@@ -56,7 +57,7 @@
     except UnicodeDecodeError as error:
         return Err(f"(top): want UTF-8, got byte {data[error.start]:#04x} at {error.start}")
     except RecursionError:
-        return Err(_too_deep(None))
+        return Err(f"(top): not JSON: {TOO_DEEP}")
     except ValueError as error:
         return Err(f"(top): not JSON: {error}")
     flaw = _flaw(value)
@@ -101,4 +102,4 @@
 
 def _too_deep(position: _Position | None) -> str:
     start = str(position)[:SHOWN_CHARACTERS] if position else "(top)"
-    return f"{start}: want at most {MAXIMUM_DEPTH} levels of lists and objects, got more"
+    return f"{start}: {TOO_DEEP}"
--- a/postpass/configuration/route_host.py
+++ b/postpass/configuration/route_host.py
@@ -45,10 +45,12 @@
         """Returns the host that a route, a `Host` header or the authority of a URL names. Any text is a host."""
         raw = host.encode(errors=ENCODING_ERRORS) if isinstance(host, str) else host
         text = raw.lower()
-        name, colon, port = text.rpartition(b":")
-        if colon and (not port or port.isdigit()) and _is_name(name):
+        if _is_name(text):
+            return cls(_without_root_dot(text))
+        name, _, port = text.rpartition(b":")
+        if _is_name(name) and (not port or port.isdigit()):
             return cls(_without_root_dot(name), port and (port.lstrip(b"0") or b"0"))
-        return cls(_without_root_dot(text))
+        return cls(text)
 
     @property
     def without_port(self) -> RouteHost:
--- a/tests/configuration/test_json_documents.py
+++ b/tests/configuration/test_json_documents.py
@@ -57,7 +57,7 @@
         (b'{"a": NaN}', "(top): not JSON: want a finite number, got NaN"),
         (b"-Infinity", "(top): not JSON: want a finite number"),
         (b"9" * 5000, "(top): not JSON"),
-        (b"[" * 100_000, "(top): want at most 100 levels"),
+        (b"[" * 100_000, "(top): not JSON: want at most 100 levels"),
         (b'{"a":' * (MAXIMUM_DEPTH + 1) + b"0" + b"}" * (MAXIMUM_DEPTH + 1), "a.a.a."),
         (b"", "(top): not JSON"),
         ('{"a": 1}'.encode("utf-16"), "(top): want UTF-8"),
--- a/tests/configuration/test_route_host.py
+++ b/tests/configuration/test_route_host.py
@@ -35,6 +35,7 @@
         ("shop.example:http", "shop.example"),
         ("shop.example:²", "shop.example"),
         ("shop.example..", "shop.example"),
+        ("shop.example:.", "shop.example"),
         (":80", ":81"),
         ("a\ud83d.example", "a.example"),
     ],
