--- a/postpass/configuration/json_documents.py
+++ b/postpass/configuration/json_documents.py
@@ -14,7 +14,7 @@
 
 from result import Err, Ok, Result
 
-MAXIMUM_DEPTH = 100  # levels of lists and objects; a document of this product has eight
+MAXIMUM_DEPTH = 100  # levels of lists and objects
 TOO_DEEP = f"want at most {MAXIMUM_DEPTH} levels of lists and objects, got more"
 SHOWN_CHARACTERS = 40  # of a path's last key
 
