Receive a stored number that no float holds, as the release before did

Change: check_received takes it; check, at the operator's door, refuses it as before. The new test fails without the change and passes with it.

--- a/postpass/configuration/configuration_check.py
+++ b/postpass/configuration/configuration_check.py
@@ -50,16 +50,16 @@
 
 def check(raw: Any) -> Result[Configuration, list[str]]:
     """Returns the configuration that an operator submits, or all errors of the first validation step that finds any."""
-    return _checked(raw, RouteHost.parse)
+    return _checked(raw, RouteHost.parse, any_integer=False)
 
 
 def check_received(raw: Any) -> Result[Configuration, list[str]]:
     """Returns a configuration that was accepted before, perhaps by an earlier release, or its errors as `check` does."""
-    return _checked(raw, str.lower)
+    return _checked(raw, str.lower, any_integer=True)
 
 
-def _checked(raw: Any, host_identity: HostIdentity) -> Result[Configuration, list[str]]:
-    errors = validation_errors(Configuration, raw)
+def _checked(raw: Any, host_identity: HostIdentity, any_integer: bool) -> Result[Configuration, list[str]]:
+    errors = validation_errors(Configuration, raw, any_integer=any_integer)
     if errors:
         return Err(errors)
     configuration = cast(Configuration, raw)
--- a/postpass/configuration/schema.py
+++ b/postpass/configuration/schema.py
@@ -91,20 +91,21 @@
     return names.get(expected_type, "an object")
 
 
-def validation_errors(expected_type: Any, value: Any, path: str = "") -> list[str]:
+def validation_errors(expected_type: Any, value: Any, path: str = "", any_integer: bool = False) -> list[str]:
     """Returns a line for each part of `value` that does not have the type `expected_type`; empty if it is valid.
 
-    `path` is the position of the value in the document, which begins each line.
+    `path` is the position of the value in the document, which begins each line. With `any_integer`, an integer that is too
+    large for a float is accepted where the type asks for a float, as earlier releases did.
     """
     if expected_type is Any or (type(value) is expected_type and expected_type in _UNRESTRICTED_TYPES):
         return []
     if _is_typed_dictionary(expected_type):
-        return _object_errors(expected_type, value, path)
+        return _object_errors(expected_type, value, path, any_integer)
     displayed_path = path or "(top)"
     origin = _origin_of(expected_type)
     if origin in (Union, types.UnionType):
         # `k` is one of the alternative types of the union.
-        errors_by_alternative = [validation_errors(k, value, path) for k in get_args(expected_type)]
+        errors_by_alternative = [validation_errors(k, value, path, any_integer) for k in get_args(expected_type)]
         return [] if any(not errors for errors in errors_by_alternative) else min(errors_by_alternative, key=len)
     if origin is Literal:
         return (
@@ -118,7 +119,11 @@
         element_type = _arguments_of(expected_type)[0]
         if element_type in _UNRESTRICTED_TYPES and all(type(v) is element_type for v in value):
             return []
-        return [error for i, v in enumerate(value) for error in validation_errors(element_type, v, f"{path}[{i}]")]
+        return [
+            error
+            for i, v in enumerate(value)
+            for error in validation_errors(element_type, v, f"{path}[{i}]", any_integer)
+        ]
     if origin is dict:
         if not isinstance(value, dict):
             return [f"{displayed_path}: want an object, got {value!r:.40}"]
@@ -126,10 +131,11 @@
         return [
             error
             for k, v in value.items()
-            for error in validation_errors(element_type, v, f"{path}.{k}" if path else str(k))
+            for error in validation_errors(element_type, v, f"{path}.{k}" if path else str(k), any_integer)
         ]
     if expected_type is float:
-        is_valid = isinstance(value, (int, float)) and not isinstance(value, bool) and _is_finite(value)
+        is_valid = isinstance(value, (int, float)) and not isinstance(value, bool)
+        is_valid = is_valid and (_is_finite(value) or (any_integer and isinstance(value, int)))
     elif expected_type is int:
         is_valid = isinstance(value, int) and not isinstance(value, bool)
     else:
@@ -145,7 +151,7 @@
         return False
 
 
-def _object_errors(expected_type: Any, value: Any, path: str) -> list[str]:
+def _object_errors(expected_type: Any, value: Any, path: str, any_integer: bool) -> list[str]:
     if not isinstance(value, dict):
         return [f"{path or '(top)'}: want an object, got {value!r:.40}"]
     field_types, required = _fields_of(expected_type)
@@ -154,5 +160,10 @@
     unknown = [
         f"{path_of(k)}: unknown key; known are {', '.join(sorted(field_types))}" for k in value if k not in field_types
     ]
-    nested = [f for k, v in value.items() if k in field_types for f in validation_errors(field_types[k], v, path_of(k))]
+    nested = [
+        f
+        for k, v in value.items()
+        if k in field_types
+        for f in validation_errors(field_types[k], v, path_of(k), any_integer)
+    ]
     return missing + unknown + nested
--- a/tests/gateway/test_route_table.py
+++ b/tests/gateway/test_route_table.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import copy
-from typing import cast
+from typing import Any, cast
 
 import pytest
 from hypothesis import given
@@ -125,3 +125,14 @@
         assert (await scene.ask("/new/x"))[0] == 200
 
     play({"w1": answer_ok}, main)
+
+
+# Guards against a new release that refuses a stored configuration: what no float holds was accepted where a float is wanted.
+def test_a_number_that_an_earlier_release_accepted_is_still_received() -> None:
+    stored: Any = {**relay_configuration(["w1"]), "announced": False}
+    stored["classes"] = {"c": {"kind": "plain", "pool": "p", "share": 0.5, "deadline": 10**400}}
+    assert "classes.c.deadline" in check(stored).unwrap_err()[0]
+    assert check_received(stored).is_ok()
+    assert ConfigurationView("e").accept(1, stored)
+    stored["classes"]["c"]["deadline"] = float("inf")
+    assert check_received(stored).is_err()
